--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,45 @@
+/** Standard style, namespace imports, and layers that import one way only. */
+import * as fs from 'node:fs'
+import * as neostandard from 'neostandard'
+
+/** Packages from the lowest layer to the highest; each may import those before it that it lists as dependencies. */
+const layers = ['base', 'protocol', 'listener', 'telemetry', 'config', 'fleet', 'control', 'routing', 'entry', 'rosemaryrack', 'rackctl', 'testbed']
+const namespaceOnly = [
+  { selector: 'ImportSpecifier', message: 'Import the module as a namespace.' },
+  { selector: 'ImportDefaultSpecifier', message: 'Import the module as a namespace.' }
+]
+
+function dependenciesOf (name) {
+  const manifest = JSON.parse(fs.readFileSync(`packages/${name}/package.json`, 'utf8'))
+  return Object.keys(manifest.dependencies).filter((dependency) => dependency.startsWith('@rosemaryrack/'))
+}
+
+function layerRule (name, index) {
+  const lower = layers.slice(0, index).map((layer) => `@rosemaryrack/${layer}`)
+  const declared = dependenciesOf(name)
+  const wrong = declared.filter((dependency) => !lower.includes(dependency))
+  if (wrong.length > 0) throw new Error(`packages/${name} depends on a higher layer: ${wrong.join(', ')}`)
+  const forbidden = layers.map((layer) => `@rosemaryrack/${layer}`).filter((layer) => !declared.includes(layer))
+  return {
+    files: [`packages/${name}/src/**/*.ts`],
+    rules: { 'no-restricted-imports': ['error', { patterns: [{ group: forbidden.map((layer) => `${layer}/*`), message: 'This package does not depend on that layer.' }] }] }
+  }
+}
+
+function commonRule (name, index) {
+  const rule = layerRule(name, index)
+  const [, { patterns }] = rule.rules['no-restricted-imports']
+  const runtime = { group: ['node:*', '**/node/*', '**/test/*'], message: 'Code in common/ runs anywhere.' }
+  return {
+    files: [`packages/${name}/src/common/**/*.ts`],
+    rules: { 'no-restricted-imports': ['error', { patterns: [...patterns, runtime] }] }
+  }
+}
+
+export default [
+  { ignores: ['**/dist/**', '**/gen/**', 'tap-snapshots/**', 'run/**'] },
+  ...neostandard.default({ ts: true }),
+  { rules: { 'no-restricted-syntax': ['error', ...namespaceOnly], 'max-lines': ['error', { max: 400, skipComments: true }] } },
+  ...layers.map(layerRule),
+  ...layers.map(commonRule)
+]
--- /dev/null
+++ b/packages/config/src/common/configPatch.ts
@@ -0,0 +1,26 @@
+/** Patches of the configuration document: JSON merge patch, RFC 7396. */
+import * as mergePatch from 'json-merge-patch'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as configDocument from './configDocument.js'
+
+/** Applies a merge patch; throws `invalid-config` when the result violates the schema. */
+export function applyPatch (document: configDocument.ConfigDocument, mergePatchJson: string): configDocument.ConfigDocument {
+  const target: unknown = structuredClone(document)
+  const patched: unknown = mergePatch.apply(target, parsePatch(mergePatchJson))
+  const check = configDocument.checkDocument(patched)
+  if (check.ok) return check.document
+  throw new errors.RackError({ kind: 'invalid-config', message: check.problems.join('; ') })
+}
+
+function parsePatch (json: string): object {
+  let patch: unknown
+  try {
+    patch = JSON.parse(json)
+  } catch (err) {
+    throw new errors.RackError({ kind: 'invalid-config', message: `patch is not JSON: ${errors.messageOf(err)}` })
+  }
+  if (typeof patch !== 'object' || patch === null || Array.isArray(patch)) {
+    throw new errors.RackError({ kind: 'invalid-config', message: 'patch is not a JSON object' })
+  }
+  return patch
+}
--- /dev/null
+++ b/packages/config/src/common/deepReadonly.ts
@@ -0,0 +1,2 @@
+/** Data that nobody changes, down to its leaves. */
+export type DeepReadonly<T> = T extends object ? { readonly [K in keyof T]: DeepReadonly<T[K]> } : T
--- /dev/null
+++ b/packages/config/src/node/settingsFile.ts
@@ -0,0 +1,68 @@
+/** Reads and checks settings files. */
+import * as fs from 'node:fs'
+import * as toml from 'smol-toml'
+import type * as zod from 'zod'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as settings from '../common/settings.js'
+
+/** Reads a TOML settings file; throws `invalid-settings` naming file, key, expected and found. */
+export function loadSettings (file: string): settings.Settings {
+  const raw = parseToml(file)
+  const result = settings.schema.safeParse(raw, { reportInput: true })
+  if (result.success) return result.data
+  const lines = result.error.issues.map((issue) => `${file}: ${describe(issue, raw)}`)
+  throw invalid(lines.join('\n'))
+}
+
+function parseToml (file: string): unknown {
+  let text: string
+  try {
+    text = fs.readFileSync(file, 'utf8')
+  } catch (err) {
+    throw invalid(`${file}: ${errors.messageOf(err)}`)
+  }
+  try {
+    return toml.parse(text)
+  } catch (err) {
+    throw invalid(`${file}: not TOML: ${errors.messageOf(err).split('\n')[0]}`)
+  }
+}
+
+function describe (issue: zod.core.$ZodIssue, raw: unknown): string {
+  const key = issue.path.map(String).join('.') || '(root)'
+  if (issue.code === 'unrecognized_keys') {
+    const prefix = issue.path.length > 0 ? `${key}.` : ''
+    return issue.keys.map((unknown) => `${prefix}${unknown}: expected no such key, found one`).join('; ')
+  }
+  return `${key}: expected ${expected(issue)}, found ${found(issue.path, raw)}`
+}
+
+function expected (issue: zod.core.$ZodIssue): string {
+  switch (issue.code) {
+    case 'invalid_type': return issue.expected
+    case 'too_small': return `at least ${String(issue.minimum)}${unit(issue.origin)}`
+    case 'too_big': return `at most ${String(issue.maximum)}${unit(issue.origin)}`
+    default: return issue.message
+  }
+}
+
+function unit (origin: string): string {
+  if (origin === 'string') return ' characters'
+  return origin === 'array' ? ' items' : ''
+}
+
+function found (path: readonly PropertyKey[], raw: unknown): string {
+  let value = raw
+  for (const key of path) {
+    if (typeof value !== 'object' || value === null) return 'nothing'
+    value = (value as Readonly<Record<PropertyKey, unknown>>)[key]
+  }
+  if (value === undefined) return 'nothing'
+  if (path.at(-1) === 'token') return 'another value'
+  // Tables may hold tokens, which must not get into logs.
+  return typeof value === 'object' ? `a table with the keys ${Object.keys(value as object).join(', ')}` : JSON.stringify(value)
+}
+
+function invalid (message: string): errors.RackError {
+  return new errors.RackError({ kind: 'invalid-settings', message })
+}
--- /dev/null
+++ b/packages/control/src/common/logEntry.ts
@@ -0,0 +1,39 @@
+/** Log entries as the replicas handle them, and their codec. */
+import * as protobuf from '@bufbuild/protobuf'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+
+/** What an entry does to the replicated state. */
+export type Command = Exclude<inner.LogEntry['command'], { case: undefined }>
+
+/** An entry of the replicated log; the first one has index 1. */
+export interface LogEntry {
+  readonly index: number
+  readonly term: number
+  readonly command: Command
+}
+
+export function encodeEntry (entry: LogEntry): inner.LogEntry {
+  return protobuf.create(inner.LogEntrySchema, {
+    index: BigInt(entry.index),
+    term: entry.term,
+    command: entry.command
+  })
+}
+
+export function decodeEntry (entry: inner.LogEntry): LogEntry {
+  if (entry.command.case === undefined) {
+    throw new errors.RackError({ kind: 'corrupt-record', message: `log entry ${entry.index} has no known command` })
+  }
+  return { index: Number(entry.index), term: entry.term, command: entry.command }
+}
+
+/** Serializes entries that are written and synced together. */
+export function encodeBatch (entries: readonly LogEntry[]): Uint8Array {
+  const batch = protobuf.create(inner.LogBatchSchema, { entries: entries.map(encodeEntry) })
+  return protobuf.toBinary(inner.LogBatchSchema, batch)
+}
+
+export function decodeBatch (payload: Uint8Array): readonly LogEntry[] {
+  return protobuf.fromBinary(inner.LogBatchSchema, payload).entries.map(decodeEntry)
+}
--- /dev/null
+++ b/packages/control/src/common/replicatedState.ts
@@ -0,0 +1,158 @@
+/** The state that the replicated log builds: configuration, patch ids, claims of idempotency keys. */
+import * as protobuf from '@bufbuild/protobuf'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
+import type * as logEntry from './logEntry.js'
+
+/** Outcome of a patch; `invalid` patches are refused before they reach the log. */
+export type PatchOutcome =
+  | { readonly kind: 'accepted', readonly version: number }
+  | { readonly kind: 'conflict', readonly currentVersion: number }
+
+/** What applying an entry gave. */
+export type ApplyResult =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'patch', readonly outcome: PatchOutcome }
+  | { readonly kind: 'claims', readonly granted: readonly boolean[] }
+
+/** An accepted patch as the history tells it. */
+export interface PatchHistoryItem {
+  readonly patchId: string
+  readonly version: number
+  readonly operator: string
+  readonly mergePatch: unknown
+}
+
+/** Patch ids and claims older than this many log entries are forgotten; equal on all replicas. */
+export const rememberedEntries = 50_000
+
+/** Deterministic: equal logs give equal states on all replicas. */
+export class ReplicatedState {
+  private current: configDocument.VersionedConfig = configDocument.emptyConfig
+  private documentJson = JSON.stringify(configDocument.emptyConfig.document)
+  private readonly patches = new Map<string, inner.PatchRecord>()
+  private readonly claims = new Map<string, inner.ClaimRecord>()
+
+  constructor (private readonly remembered = rememberedEntries) {}
+
+  get config (): configDocument.VersionedConfig {
+    return this.current
+  }
+
+  /** The document as JSON, serialized once per version. */
+  get configJson (): string {
+    return this.documentJson
+  }
+
+  get claimCount (): number {
+    return this.claims.size
+  }
+
+  /** First answer to a patch id, where it is remembered. */
+  answered (patchId: string): PatchOutcome | undefined {
+    const record = this.patches.get(patchId)
+    return record === undefined ? undefined : { kind: 'accepted', version: record.version }
+  }
+
+  /** Accepted patches that are still remembered, oldest first. */
+  history (): readonly PatchHistoryItem[] {
+    return [...this.patches.values()].map((record) => ({
+      patchId: record.patchId,
+      version: record.version,
+      operator: record.operator,
+      mergePatch: JSON.parse(record.mergePatchJson) as unknown
+    }))
+  }
+
+  apply (entry: logEntry.LogEntry): ApplyResult {
+    const result = this.run(entry)
+    this.evictBefore(entry.index - this.remembered)
+    return result
+  }
+
+  private run (entry: logEntry.LogEntry): ApplyResult {
+    switch (entry.command.case) {
+      case 'patch': return { kind: 'patch', outcome: this.applyPatch(entry.command.value, entry.index) }
+      case 'claims': return { kind: 'claims', granted: this.applyClaims(entry.command.value, entry.index) }
+      case 'releases': return this.applyReleases(entry.command.value)
+      default: return { kind: 'none' }
+    }
+  }
+
+  private applyPatch (patch: inner.PatchConfig, index: number): PatchOutcome {
+    const first = this.answered(patch.patchId)
+    if (first !== undefined) return first
+    if (patch.amends !== this.current.version) return { kind: 'conflict', currentVersion: this.current.version }
+    const document = configPatch.applyPatch(this.current.document, patch.mergePatchJson)
+    this.setConfig(this.current.version + 1, document)
+    this.patches.set(patch.patchId, protobuf.create(inner.PatchRecordSchema, {
+      patchId: patch.patchId,
+      version: this.current.version,
+      logIndex: BigInt(index),
+      operator: patch.operator,
+      mergePatchJson: patch.mergePatchJson
+    }))
+    return { kind: 'accepted', version: this.current.version }
+  }
+
+  private applyClaims (command: inner.ClaimKeys, index: number): readonly boolean[] {
+    return command.keys.map((key, i) => this.claim(key, command.owners[i] ?? '', index))
+  }
+
+  private claim (key: string, owner: string, index: number): boolean {
+    const held = this.claims.get(key)
+    if (held !== undefined) return held.owner === owner
+    this.claims.set(key, protobuf.create(inner.ClaimRecordSchema, { key, owner, logIndex: BigInt(index) }))
+    return true
+  }
+
+  private applyReleases (command: inner.ReleaseKeys): ApplyResult {
+    command.keys.forEach((key, i) => {
+      if (this.claims.get(key)?.owner === command.owners[i]) this.claims.delete(key)
+    })
+    return { kind: 'none' }
+  }
+
+  private evictBefore (index: number): void {
+    evictOld(this.patches, index)
+    evictOld(this.claims, index)
+  }
+
+  private setConfig (version: number, document: configDocument.ConfigDocument): void {
+    this.current = { version, document }
+    this.documentJson = JSON.stringify(document)
+  }
+
+  toSnapshot (index: number, term: number, membership: inner.Membership): inner.Snapshot {
+    return protobuf.create(inner.SnapshotSchema, {
+      index: BigInt(index),
+      term,
+      membership,
+      version: this.current.version,
+      documentJson: this.documentJson,
+      patches: [...this.patches.values()],
+      claims: [...this.claims.values()]
+    })
+  }
+
+  /** Takes over a snapshot; throws `corrupt-record` when its document violates the schema. */
+  restore (snapshot: inner.Snapshot): void {
+    const check = configDocument.checkDocument(JSON.parse(snapshot.documentJson))
+    if (!check.ok) throw new errors.RackError({ kind: 'corrupt-record', message: `snapshot document: ${check.problems.join('; ')}` })
+    this.setConfig(snapshot.version, check.document)
+    this.patches.clear()
+    this.claims.clear()
+    for (const record of snapshot.patches) this.patches.set(record.patchId, record)
+    for (const record of snapshot.claims) this.claims.set(record.key, record)
+  }
+}
+
+/** Records stand in the order of their log index, so the old ones come first. */
+function evictOld<T extends { readonly logIndex: bigint }> (records: Map<string, T>, before: number): void {
+  for (const [key, record] of records) {
+    if (Number(record.logIndex) >= before) return
+    records.delete(key)
+  }
+}
--- /dev/null
+++ b/packages/control/src/node/appendChannel.ts
@@ -0,0 +1,67 @@
+/** Stream of append requests to one replica: far cheaper than a call for each heartbeat. */
+import type * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as replicaLinks from './replicaLinks.js'
+
+/** An open stream. */
+interface OpenStream {
+  readonly answers: AsyncIterator<inner.AppendRes>
+  readonly closed: AbortController
+  /** Set while the sender waits for the next request. */
+  next: async.Deferred<inner.AppendReq>
+}
+
+/** Sends one request at a time; opens the stream anew after it broke. */
+export class AppendChannel implements lifecycle.IDisposable {
+  private stream: OpenStream | undefined
+
+  constructor (private readonly link: replicaLinks.ReplicaLink) {}
+
+  /** Sends a request; throws when the stream ends or no answer comes in time. */
+  async append (req: inner.AppendReq, timeoutMs: number): Promise<inner.AppendRes> {
+    const stream = this.stream ?? this.open()
+    try {
+      stream.next.resolve(req)
+      const answer = await async.within(stream.answers.next(), timeoutMs, () => noAnswer(timeoutMs))
+      if (answer.done !== true) return answer.value
+      throw new errors.RackError({ kind: 'unreachable', message: `the stream to ${this.link.address} ended` })
+    } catch (err) {
+      this.close()
+      if (errors.faultOf(err).kind === 'no-quorum') this.link.reset()
+      throw err
+    }
+  }
+
+  dispose (): void {
+    this.close()
+  }
+
+  private open (): OpenStream {
+    const closed = new AbortController()
+    const requests = async function * (): AsyncGenerator<inner.AppendReq> {
+      while (!closed.signal.aborted) {
+        const req = await stream.next.promise
+        stream.next = new async.Deferred()
+        yield req
+      }
+    }
+    const stream: OpenStream = {
+      closed,
+      next: new async.Deferred(),
+      answers: this.link.client.append(requests(), { signal: closed.signal })[Symbol.asyncIterator]()
+    }
+    this.stream = stream
+    return stream
+  }
+
+  private close (): void {
+    this.stream?.closed.abort()
+    this.stream = undefined
+  }
+}
+
+function noAnswer (timeoutMs: number): errors.RackError {
+  return new errors.RackError({ kind: 'no-quorum', message: `no answer within ${timeoutMs} ms` })
+}
--- /dev/null
+++ b/packages/control/src/node/configFeed.ts
@@ -0,0 +1,87 @@
+/** Configuration streams towards entry instances. */
+import * as protobuf from '@bufbuild/protobuf'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as replica from './replica.js'
+
+const confirmIntervalMs = 1000
+
+/** Streams each new version, and each second whether a quorum confirmed the newest one. */
+export class ConfigFeed implements lifecycle.IDisposable {
+  private readonly disposables = new lifecycle.DisposableStore()
+  private readonly changed = new async.Signal()
+  private confirmedVersion = 0
+  private confirmed = false
+  private confirmedAt = -Infinity
+  private followers = 0
+  private confirming = false
+
+  /** @param confirmRead resolves with the index up to which a read must have applied. */
+  constructor (private readonly replica: replica.Replica, private readonly confirmRead: () => Promise<number>) {
+    this.disposables.add(replica.onApplied(() => this.changed.notify()))
+    this.disposables.addInterval(() => { this.confirm() }, confirmIntervalMs)
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+    this.changed.notify()
+  }
+
+  get followerCount (): number {
+    return this.followers
+  }
+
+  /** Streams to one entry instance until it goes away. */
+  async * follow (req: inner.FollowReq, signal: AbortSignal): AsyncGenerator<inner.FollowRes> {
+    const startedAt = performance.now()
+    let sentVersion = req.knownVersion
+    this.followers++
+    try {
+      await this.confirm()
+      while (!signal.aborted) {
+        const { version } = this.replica.state.config
+        yield this.update(version > sentVersion, startedAt)
+        sentVersion = Math.max(sentVersion, version)
+        await this.changed.wait(confirmIntervalMs)
+      }
+    } finally {
+      this.followers--
+    }
+  }
+
+  /** A confirmation from before the stream began may miss what was accepted before its follower started. */
+  private update (withConfig: boolean, streamStartedAt: number): inner.FollowRes {
+    const res = protobuf.create(inner.FollowResSchema, {
+      confirmedVersion: this.confirmedVersion,
+      confirmed: this.confirmed && this.confirmedAt >= streamStartedAt
+    })
+    if (withConfig) res.config = configVersion(this.replica)
+    return res
+  }
+
+  /** One read by quorum serves all followers. */
+  private async confirm (): Promise<void> {
+    if (this.followers === 0 || this.confirming) return
+    this.confirming = true
+    const startedAt = performance.now()
+    try {
+      await this.replica.waitApplied(await this.confirmRead())
+      this.confirmedVersion = this.replica.state.config.version
+      this.confirmed = true
+      this.confirmedAt = startedAt
+    } catch {
+      // No quorum: followers are told so and look to other replicas.
+      this.confirmed = false
+    }
+    this.confirming = false
+    this.changed.notify()
+  }
+}
+
+function configVersion (source: replica.Replica): inner.ConfigVersion {
+  return protobuf.create(inner.ConfigVersionSchema, {
+    version: source.state.config.version,
+    documentJson: source.state.configJson
+  })
+}
--- /dev/null
+++ b/packages/control/src/node/controlRoutes.ts
@@ -0,0 +1,60 @@
+/** Operator routes of a control replica. */
+import * as crypto from 'node:crypto'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
+import type * as controlService from './controlService.js'
+
+const versionPattern = /^"?(\d{1,9})"?$/
+const idPattern = /^[A-Za-z0-9._:-]{1,128}$/
+
+/** Adds the routes under /control and /config. */
+export function addControlRoutes (routes: httpListener.IRoutes, service: controlService.ControlService): void {
+  routes.route('GET', '/control', async () => ({ body: describeReplica(service) }))
+  routes.route('POST', '/control/found', async () => {
+    await service.found()
+    return { status: 201, body: describeReplica(service) }
+  })
+  routes.route('DELETE', '/control/replicas/:id', async (req) => {
+    await service.removeReplica(req.params['id'] ?? '')
+    return { body: { removed: req.params['id'] ?? '' } }
+  })
+  routes.route('GET', '/config', async () => {
+    const config = await service.readConfig()
+    return { headers: { etag: `"${config.version}"` }, body: config }
+  })
+  routes.route('GET', '/config/history', async () => ({ body: { patches: await service.readHistory() } }))
+  routes.route('PATCH', '/config', async (req) => await patchConfig(service, req))
+}
+
+async function patchConfig (service: controlService.ControlService, req: httpListener.RouteReq): Promise<httpListener.RouteRes> {
+  const amends = versionPattern.exec(req.headers.get('if-match') ?? '')?.[1]
+  if (amends === undefined) throw badRequest('If-Match must hold the version that the patch amends')
+  const patchId = req.headers.get('idempotency-key') ?? crypto.randomUUID()
+  if (!idPattern.test(patchId)) throw badRequest('Idempotency-Key must be 1 to 128 letters, digits or . _ : -')
+  const operator = (req.headers.get('rack-operator') ?? 'unnamed').slice(0, 64)
+  const version = await service.patch({ patchId, amends: Number(amends), mergePatchJson: await req.text(), operator })
+  return { headers: { etag: `"${version}"` }, body: { version, patchId } }
+}
+
+function badRequest (message: string): errors.RackError {
+  return new errors.RackError({ kind: 'bad-request', message })
+}
+
+function describeReplica (service: controlService.ControlService): object {
+  const { replica } = service
+  return {
+    replica: replica.replicaId,
+    role: replica.role,
+    term: replica.term,
+    leader: replica.leaderId,
+    founded: replica.founded,
+    voter: replica.isVoter,
+    commitIndex: replica.commitIndex,
+    lastIndex: replica.log.last.index,
+    snapshotIndex: replica.log.snapshotIndex,
+    version: replica.state.config.version,
+    claims: replica.state.claimCount,
+    members: replica.log.membership.replicas.map(({ id, address, operatorAddress, failureDomain, voter }) =>
+      ({ id, address, operatorAddress, failureDomain, voter }))
+  }
+}
--- /dev/null
+++ b/packages/control/src/node/joiner.ts
@@ -0,0 +1,43 @@
+/** Task of a replica that is no voter yet: asks the group to admit it. */
+import * as protobuf from '@bufbuild/protobuf'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as replica from './replica.js'
+
+const askIntervalMs = 300
+const askTimeoutMs = 1000
+
+/** Asks all replicas of the group; the leader among them admits. */
+export class Joiner implements lifecycle.IDisposable {
+  private readonly stopped = new AbortController()
+
+  constructor (private readonly replica: replica.Replica, private readonly group: readonly string[]) {}
+
+  /** Runs until this replica is a voter, or disposed. */
+  async run (): Promise<void> {
+    while (this.wantsAdmission && !this.stopped.signal.aborted) {
+      await Promise.all(this.group.map(async (address) => await this.ask(address)))
+      await async.sleep(askIntervalMs, this.stopped.signal)
+    }
+  }
+
+  /** A member of earlier that an operator removed doesn't come back by itself. */
+  private get wantsAdmission (): boolean {
+    if (this.replica.isVoter) return false
+    return this.replica.isMember || !this.replica.founded
+  }
+
+  dispose (): void {
+    this.stopped.abort()
+  }
+
+  private async ask (address: string): Promise<void> {
+    const req = protobuf.create(inner.JoinReqSchema, { replica: this.replica.self })
+    try {
+      await this.replica.links.to(address).call(async (client, options) => await client.join(req, options), askTimeoutMs)
+    } catch {
+      // Not the leader, or out of reach: asked again in the next round.
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/node/leadership.ts
@@ -0,0 +1,350 @@
+/** One term as leader: replication to each peer, commits, reads confirmed by a quorum, membership changes. */
+import * as protobuf from '@bufbuild/protobuf'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as logEntry from '../common/logEntry.js'
+import * as quorum from '../common/quorum.js'
+import type * as replicatedState from '../common/replicatedState.js'
+import * as appendChannel from './appendChannel.js'
+import type * as replicaLinks from './replicaLinks.js'
+import type * as replicaLog from './replicaLog.js'
+
+const maxEntriesPerMessage = 200
+const maxEntriesPerBatch = 200
+const commitTimeoutMs = 5000
+const catchUpTimeoutMs = 120_000
+const snapshotTimeoutMs = 30_000
+
+/** What a leadership needs of the replica it belongs to. */
+export interface ILeaderHost {
+  readonly replicaId: string
+  readonly log: replicaLog.ReplicaLog
+  readonly lock: async.Sequencer
+  readonly links: replicaLinks.ReplicaLinks
+  readonly decisions: decisionLog.IDecisionLog
+  readonly electionTimeoutMs: number
+  readonly heartbeatMs: number
+  readonly commitIndex: number
+  /** Applies all entries up to an index. */
+  commit(index: number): void
+  /** Ends the leadership; a term above the own one is taken over. */
+  stepDown(term: number, why: string): void
+}
+
+/** Progress of one peer. */
+interface Peer {
+  readonly replica: inner.Replica
+  matchIndex: number
+  /** When the newest acknowledged message was sent. */
+  ackedSentAt: number
+  readonly channel: appendChannel.AppendChannel
+  readonly wake: async.Signal
+  readonly stopped: AbortController
+}
+
+interface Proposal {
+  readonly command: logEntry.Command
+  readonly done: async.Deferred<replicatedState.ApplyResult>
+}
+
+/** Leads from its construction until it is disposed. */
+export class Leadership implements lifecycle.IDisposable {
+  private readonly peers = new Map<string, Peer>()
+  private readonly waiting = new Map<number, async.Deferred<replicatedState.ApplyResult>>()
+  private readonly progress = new async.Signal()
+  private readonly membershipChanges = new async.Sequencer()
+  private readonly admitting = new Set<string>()
+  private queue: Proposal[] = []
+  private writing = false
+  private durableIndex: number
+  private readRequestedAt = 0
+  private firstIndex = 0
+  private disposed = false
+
+  constructor (private readonly host: ILeaderHost, private readonly term: number) {
+    this.durableIndex = host.log.last.index
+    const startedAt = performance.now()
+    this.refreshPeers(startedAt)
+  }
+
+  /** Opens the term with an entry of its own, without which nothing earlier counts as committed. */
+  start (): void {
+    this.propose({ case: 'noop', value: true }).catch(() => {})
+  }
+
+  dispose (): void {
+    this.disposed = true
+    for (const peer of this.peers.values()) stopPeer(peer)
+    const lost: errors.Fault = { kind: 'unknown', timedOut: false, message: 'leadership was lost before the outcome was known; resend with the same id' }
+    for (const proposal of this.queue.splice(0)) proposal.done.reject(notLeader())
+    for (const waiter of this.waiting.values()) waiter.reject(new errors.RackError(lost))
+    this.waiting.clear()
+    this.progress.notify()
+  }
+
+  /** Appends a command; resolves with its result once it is committed and applied. */
+  async propose (command: logEntry.Command): Promise<replicatedState.ApplyResult> {
+    if (this.disposed) throw notLeader()
+    const done = new async.Deferred<replicatedState.ApplyResult>()
+    this.queue.push({ command, done })
+    this.writeQueue()
+    return await async.within(done.promise, commitTimeoutMs, notCommittedInTime)
+  }
+
+  /** Index up to which a read must have applied to be linearizable; throws `no-quorum`. */
+  async readIndex (): Promise<number> {
+    const requestedAt = performance.now()
+    this.readRequestedAt = requestedAt
+    const deadline = requestedAt + this.host.electionTimeoutMs
+    this.wakePeers()
+    while (!this.disposed && performance.now() < deadline) {
+      const opened = this.firstIndex > 0 && this.host.commitIndex >= this.firstIndex
+      if (opened && this.quorumAckedSince(requestedAt)) return this.host.commitIndex
+      await this.progress.wait(deadline - performance.now())
+    }
+    throw new errors.RackError({ kind: 'no-quorum', message: 'no quorum of control replicas confirmed the read' })
+  }
+
+  /** True when a majority answered messages sent after `time`. */
+  quorumAckedSince (time: number): boolean {
+    const ackedAt = quorum.reachedByMajority(this.host.log.membership, (id) => this.ackedSentAt(id))
+    return ackedAt >= time
+  }
+
+  /** Called for each applied entry. */
+  applied (entry: logEntry.LogEntry, result: replicatedState.ApplyResult): void {
+    this.waiting.get(entry.index)?.resolve(result)
+    this.waiting.delete(entry.index)
+  }
+
+  /**
+   * Admits a replica: first as a learner, in place of one that held its address;
+   * as a voter once it holds the whole log durably.
+   */
+  async admit (joining: inner.Replica, groupSize: number): Promise<void> {
+    const known = this.memberById(joining.id)
+    if (known?.voter === true || this.admitting.has(joining.id)) return
+    this.admitting.add(joining.id)
+    try {
+      if (known === undefined) await this.addLearner(joining, groupSize)
+      await this.waitForCatchUp(joining.id)
+      await this.changeMembership(`${joining.id} holds the whole log`, (replicas) =>
+        replicas.map((replica) => replica.id === joining.id ? { ...replica, voter: true } : replica))
+    } finally {
+      this.admitting.delete(joining.id)
+    }
+  }
+
+  /** Removes a replica from the membership. */
+  async remove (replicaId: string): Promise<void> {
+    if (this.memberById(replicaId) === undefined) {
+      throw new errors.RackError({ kind: 'not-found', message: `no control replica ${replicaId}` })
+    }
+    await this.changeMembership('removed by an operator', (replicas) => replicas.filter((replica) => replica.id !== replicaId))
+    if (replicaId === this.host.replicaId) this.host.stepDown(this.term, 'removed from the membership')
+  }
+
+  private async addLearner (joining: inner.Replica, groupSize: number): Promise<void> {
+    await this.changeMembership(`replica with a new data folder at ${joining.address}`, (replicas) => {
+      const others = replicas.filter((replica) => replica.address !== joining.address)
+      if (others.length >= groupSize) {
+        throw new errors.RackError({ kind: 'bad-request', message: `the control group has ${groupSize} replicas already; remove one first` })
+      }
+      return [...others, { ...joining, voter: false }]
+    })
+  }
+
+  private async waitForCatchUp (replicaId: string): Promise<void> {
+    const deadline = performance.now() + catchUpTimeoutMs
+    const target = this.host.log.last.index
+    while (!this.disposed && performance.now() < deadline) {
+      const peer = this.peers.get(replicaId)
+      if (peer !== undefined && peer.matchIndex >= target) return
+      await this.progress.wait(this.host.heartbeatMs)
+    }
+    throw new errors.RackError({ kind: 'no-quorum', message: `replica ${replicaId} did not catch up` })
+  }
+
+  /** One change at a time, so that the majorities before and after each always share a voter. */
+  private async changeMembership (why: string, change: (replicas: readonly inner.Replica[]) => readonly inner.Replica[]): Promise<void> {
+    await this.membershipChanges.run(async () => {
+      await this.readIndex()
+      if (this.host.log.membershipIndex > this.host.commitIndex) {
+        throw new errors.RackError({ kind: 'no-quorum', message: 'an earlier membership change is not committed yet' })
+      }
+      const replicas = change(this.host.log.membership.replicas)
+      const value = protobuf.create(inner.MembershipSchema, { replicas: [...replicas] })
+      this.host.decisions.record({ event: 'control-membership', choice: describeMembership(value), why })
+      await this.propose({ case: 'membership', value })
+    })
+  }
+
+  private memberById (replicaId: string): inner.Replica | undefined {
+    return this.host.log.membership.replicas.find((replica) => replica.id === replicaId)
+  }
+
+  /** Writes what has queued up as one batch with one sync, then looks again. */
+  private async writeQueue (): Promise<void> {
+    if (this.writing) return
+    this.writing = true
+    while (this.queue.length > 0 && !this.disposed) {
+      await this.host.lock.run(async () => await this.writeBatch())
+    }
+    this.writing = false
+  }
+
+  private async writeBatch (): Promise<void> {
+    if (this.disposed) return
+    const proposals = this.queue.splice(0, maxEntriesPerBatch)
+    const start = this.host.log.last.index + 1
+    const entries = proposals.map(({ command }, i) => ({ index: start + i, term: this.term, command }))
+    proposals.forEach(({ done }, i) => this.waiting.set(start + i, done))
+    if (this.firstIndex === 0) this.firstIndex = start
+    this.host.log.extend(entries)
+    this.refreshPeers(performance.now())
+    this.wakePeers()
+    await this.host.log.persist(entries)
+    this.durableIndex = start + entries.length - 1
+    this.advanceCommit()
+  }
+
+  private advanceCommit (): void {
+    if (this.disposed) return
+    const index = quorum.reachedByMajority(this.host.log.membership, (id) => this.matchIndex(id))
+    const ownTerm = this.host.log.termAt(index) === this.term
+    if (index > this.host.commitIndex && ownTerm) {
+      this.host.commit(index)
+      this.wakePeers()
+    }
+    this.progress.notify()
+  }
+
+  private matchIndex (replicaId: string): number {
+    return replicaId === this.host.replicaId ? this.durableIndex : this.peers.get(replicaId)?.matchIndex ?? 0
+  }
+
+  private ackedSentAt (replicaId: string): number {
+    return replicaId === this.host.replicaId ? Infinity : this.peers.get(replicaId)?.ackedSentAt ?? 0
+  }
+
+  /** Starts a task for each new member and ends those of members that left. */
+  private refreshPeers (now: number): void {
+    const members = this.host.log.membership.replicas.filter((replica) => replica.id !== this.host.replicaId)
+    const ids = new Set(members.map((replica) => replica.id))
+    for (const [id, peer] of this.peers) {
+      if (ids.has(id)) continue
+      stopPeer(peer)
+      this.peers.delete(id)
+    }
+    for (const replica of members) {
+      if (this.peers.has(replica.id)) continue
+      const channel = new appendChannel.AppendChannel(this.host.links.to(replica.address))
+      const peer: Peer = { replica, channel, matchIndex: 0, ackedSentAt: now, wake: new async.Signal(), stopped: new AbortController() }
+      this.peers.set(replica.id, peer)
+      this.replicateTo(peer)
+    }
+  }
+
+  private wakePeers (): void {
+    for (const peer of this.peers.values()) peer.wake.notify()
+  }
+
+  /** Keeps one peer up to date: sends what it lacks, else a heartbeat. */
+  private async replicateTo (peer: Peer): Promise<void> {
+    let next = this.host.log.last.index + 1
+    let sentCommit = -1
+    while (!this.disposed && !peer.stopped.signal.aborted) {
+      const sentAt = performance.now()
+      try {
+        sentCommit = this.host.commitIndex
+        next = await this.sendTo(peer, next, sentAt)
+      } catch {
+        // The peer is unreachable or refuses: heartbeats go on, and it is told again what it lacks.
+        await peer.wake.wait(this.host.heartbeatMs)
+        continue
+      }
+      const upToDate = next > this.host.log.last.index && sentCommit === this.host.commitIndex
+      if (upToDate && sentAt >= this.readRequestedAt) await peer.wake.wait(this.host.heartbeatMs)
+    }
+  }
+
+  /** Sends one message; returns the index to send next. */
+  private async sendTo (peer: Peer, next: number, sentAt: number): Promise<number> {
+    const prevIndex = next - 1
+    const prevTerm = this.host.log.termAt(prevIndex)
+    if (prevTerm === undefined) return await this.sendSnapshot(peer, sentAt)
+    const entries = this.host.log.from(next, maxEntriesPerMessage)
+    const req = protobuf.create(inner.AppendReqSchema, {
+      term: this.term,
+      leaderId: this.host.replicaId,
+      prevIndex: BigInt(prevIndex),
+      prevTerm,
+      commitIndex: BigInt(this.host.commitIndex),
+      entries: entries.map(logEntry.encodeEntry),
+      toReplicaId: peer.replica.id
+    })
+    const res = await peer.channel.append(req, this.host.electionTimeoutMs)
+    if (!this.accepts(res.term, peer, sentAt)) return next
+    if (!res.success) return Math.max(1, Math.min(prevIndex, Number(res.lastIndex) + 1))
+    this.setMatch(peer, Number(res.lastIndex))
+    return Number(res.lastIndex) + 1
+  }
+
+  private async sendSnapshot (peer: Peer, sentAt: number): Promise<number> {
+    const snapshot = this.host.log.snapshot
+    if (snapshot === undefined) return 1
+    const req = protobuf.create(inner.InstallSnapshotReqSchema, {
+      term: this.term,
+      leaderId: this.host.replicaId,
+      snapshot,
+      toReplicaId: peer.replica.id
+    })
+    const link = this.host.links.to(peer.replica.address)
+    const res = await link.call(async (client, options) => await client.installSnapshot(req, options), snapshotTimeoutMs)
+    const index = Number(snapshot.index)
+    if (this.accepts(res.term, peer, sentAt)) this.setMatch(peer, index)
+    return index + 1
+  }
+
+  /** Takes an answer as a sign of life, unless it shows a newer term. */
+  private accepts (term: number, peer: Peer, sentAt: number): boolean {
+    if (this.disposed) return false
+    if (term > this.term) {
+      this.host.stepDown(term, `replica ${peer.replica.id} is in term ${term}`)
+      return false
+    }
+    peer.ackedSentAt = Math.max(peer.ackedSentAt, sentAt)
+    this.progress.notify()
+    return true
+  }
+
+  private setMatch (peer: Peer, index: number): void {
+    peer.matchIndex = Math.max(peer.matchIndex, index)
+    this.advanceCommit()
+  }
+}
+
+function stopPeer (peer: Peer): void {
+  peer.stopped.abort()
+  peer.channel.dispose()
+  peer.wake.notify()
+}
+
+function notLeader (): errors.RackError {
+  return new errors.RackError({ kind: 'not-leader', message: 'this replica does not lead; nothing was written' })
+}
+
+function describeMembership (membership: inner.Membership): string {
+  return membership.replicas.map((replica) => `${replica.id}@${replica.address}${replica.voter ? '' : ' (learner)'}`).join(', ')
+}
+
+function notCommittedInTime (): errors.RackError {
+  return new errors.RackError({
+    kind: 'unknown',
+    timedOut: true,
+    message: `no quorum within ${commitTimeoutMs} ms; resend with the same id`
+  })
+}
--- /dev/null
+++ b/packages/entry/src/node/callerTask.ts
@@ -0,0 +1,279 @@
+/** The task of one caller's request, from its head to the end of its answer. */
+import * as crypto from 'node:crypto'
+import type * as http from 'node:http'
+import type * as net from 'node:net'
+import * as async from '@rosemaryrack/base/common/async.js'
+import type * as clock from '@rosemaryrack/base/common/clock.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
+import * as call from '@rosemaryrack/routing/common/call.js'
+import type * as deathWatch from '@rosemaryrack/routing/common/deathWatch.js'
+import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
+import * as requestStanding from '@rosemaryrack/routing/common/requestStanding.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as headerRules from '../common/headerRules.js'
+import * as orcaLoad from '../common/orcaLoad.js'
+import * as requestGuard from '../common/requestGuard.js'
+import * as answerStream from './answerStream.js'
+import * as callerBody from './callerBody.js'
+import * as downloadResumer from './downloadResumer.js'
+import * as httpAttempt from './httpAttempt.js'
+import type * as idempotencyClaims from './idempotencyClaims.js'
+import type * as laneRegistry from './laneRegistry.js'
+import * as requestIdentity from './requestIdentity.js'
+import type * as targetConnections from './targetConnections.js'
+
+const comeBackS = 1
+const replacedHeaders: ReadonlySet<string> = new Set([headerRules.requestIdHeader, headerRules.deadlineHeader, 'content-length', 'x-forwarded-for'])
+const noHeaders: ReadonlySet<string> = new Set()
+
+/** What caller tasks share. */
+export interface CallerDeps {
+  readonly lanes: laneRegistry.LaneRegistry
+  readonly connections: targetConnections.TargetConnections
+  readonly endpoints: endpointTable.EndpointTable
+  readonly suspects: suspectTable.SuspectTable
+  readonly deaths: deathWatch.DeathWatch
+  readonly claims: idempotencyClaims.IdempotencyClaims
+  /** Resolves once peers are being told what is known of suspects; waits for none of them. */
+  readonly suspectNewsWritten: () => Promise<void>
+  readonly decisions: decisionLog.IDecisionLog
+  readonly metrics: metrics.Metrics
+  readonly clock: clock.IClock
+  /** False until a quorum confirmed the configuration once. */
+  readonly hasConfig: () => boolean
+  /** True while this instance stops: answers ask callers to close. */
+  readonly isStopping: () => boolean
+}
+
+/** Handles one request; never rejects. */
+export class CallerTask {
+  private readonly arrivedAt = performance.now()
+  private readonly requestId: string
+  private readonly done = new async.Deferred<void>()
+  private running: call.Call | undefined
+  private laneName = 'none'
+
+  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly deps: CallerDeps) {
+    const given = req.headers[headerRules.requestIdHeader]
+    const usable = typeof given === 'string' && requestGuard.isRequestId(given)
+    this.requestId = usable ? given : crypto.randomUUID()
+  }
+
+  /** Resolves when the answer has ended. */
+  async run (): Promise<void> {
+    this.res.on('close', () => {
+      this.running?.cancel()
+      this.done.resolve()
+    })
+    try {
+      await this.route()
+    } catch (err) {
+      this.refuse(errors.faultOf(err))
+    }
+    await this.done.promise
+  }
+
+  private async route (): Promise<void> {
+    const target = this.req.url ?? ''
+    const path = requestGuard.pathOf(target)
+    const named = this.findLane(path)
+    this.laneName = named.name
+    const state = this.deps.lanes.stateOf(named.name)
+    state.retries.deposit()
+    state.hedges.deposit()
+    const { lane } = named
+    const body = await callerBody.CallerBody.open(this.req, { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs })
+    const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', target, this.idempotencyKey ?? body.head)
+    this.refuseQuarantined(identity)
+    const claim = await this.claimKey(named)
+    if (this.res.closed) claim?.release()
+    else this.startCall(named, identity, body, this.targetReq(named, body, []), claim)
+  }
+
+  private findLane (path: string): laneMatcher.NamedLane {
+    if (!this.deps.hasConfig()) {
+      throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: comeBackS })
+    }
+    const host = this.req.headers.host?.replace(/:\d+$/, '')
+    const named = this.deps.lanes.find(this.req.method ?? '', host, path)
+    if (named !== undefined) return named
+    throw new errors.RackError({ kind: 'no-lane', message: `no lane matches ${this.req.method ?? ''} ${path}` })
+  }
+
+  private refuseQuarantined (identity: requestIdentity.RequestIdentity): void {
+    if (requestStanding.standingOf(this.deps.suspects, identity) === 'quarantined') throw new errors.RackError(call.quarantinedFault())
+  }
+
+  private get idempotencyKey (): string | undefined {
+    const key = this.req.headers[headerRules.idempotencyKeyHeader]
+    return typeof key === 'string' ? key : undefined
+  }
+
+  private async claimKey ({ name, lane }: laneMatcher.NamedLane): Promise<idempotencyClaims.Claim | undefined> {
+    const key = this.idempotencyKey
+    if (lane.idempotent || key === undefined) return undefined
+    return await this.deps.claims.claim(name, key, this.deadlineAt(lane))
+  }
+
+  /** The lane's deadline, or the caller's when that is shorter. */
+  private deadlineAt ({ deadlineMs }: { readonly deadlineMs: number }): number {
+    const asked = Number(this.req.headers[headerRules.deadlineHeader] ?? NaN)
+    const ms = Number.isFinite(asked) && asked > 0 ? Math.min(asked, deadlineMs) : deadlineMs
+    return this.arrivedAt + ms
+  }
+
+  private targetReq ({ lane }: laneMatcher.NamedLane, body: callerBody.CallerBody, extraHeaders: readonly string[]): httpAttempt.TargetReq {
+    const { req } = this
+    const headers = headerRules.forwardable(req.rawHeaders, req.headers.connection, replacedHeaders)
+    headers.push(headerRules.requestIdHeader, this.requestId, 'x-forwarded-for', this.forwardedFor())
+    const length = req.headers['content-length']
+    if (!body.isWhole && length !== undefined) headers.push('content-length', length)
+    return {
+      method: req.method ?? 'GET',
+      target: req.url ?? '/',
+      headers: [...headers, ...extraHeaders],
+      body,
+      deadlineAt: this.deadlineAt(lane),
+      idempotent: lane.idempotent
+    }
+  }
+
+  private forwardedFor (): string {
+    const before = this.req.headers['x-forwarded-for']
+    const own = this.req.socket.remoteAddress ?? 'unknown'
+    return typeof before === 'string' ? `${before}, ${own}` : own
+  }
+
+  private startCall (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
+    const callWith = (req: httpAttempt.TargetReq, deadlineAt: number, avoid: readonly string[], listener: call.ICallListener): void => {
+      this.running = new call.Call({
+        requestId: this.requestId,
+        laneName: namedLane.name,
+        lane: namedLane.lane,
+        deadlineAt,
+        identity,
+        replayable: () => body.isReplayable,
+        avoid
+      }, this.callDeps(namedLane, req), listener)
+      this.running.start()
+    }
+    const callRest: downloadResumer.RestCaller = (headers, avoid, listener) => {
+      const deadlineAt = performance.now() + namedLane.lane.deadlineMs
+      callWith({ ...this.targetReq(namedLane, body, headers), deadlineAt }, deadlineAt, avoid, listener)
+    }
+    callWith(targetReq, targetReq.deadlineAt, [], {
+      onAnswer: (answer) => this.answer(namedLane, answer, callRest),
+      onRefused: (fault) => {
+        if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
+        this.refuseAfterNews(identity, body.fault ?? fault)
+      }
+    })
+  }
+
+  /** The news that targets died of a request goes out before the answer, which its caller may follow with a resend. */
+  private async refuseAfterNews (identity: requestIdentity.RequestIdentity, fault: errors.Fault): Promise<void> {
+    if (fault.kind === 'unknown' && requestStanding.standingOf(this.deps.suspects, identity) !== 'clear') await this.deps.suspectNewsWritten()
+    this.refuse(fault)
+  }
+
+  private callDeps (namedLane: laneMatcher.NamedLane, req: httpAttempt.TargetReq): call.CallDeps {
+    const { lanes, connections, suspects, deaths, decisions } = this.deps
+    return {
+      dispatcher: lanes.dispatcherOf(namedLane.lane.service),
+      transport: new httpAttempt.HttpTransport(req, connections),
+      suspects,
+      deaths,
+      budgets: lanes.stateOf(namedLane.name),
+      decisions,
+      clock: this.deps.clock
+    }
+  }
+
+  private answer ({ lane }: laneMatcher.NamedLane, answer: call.CallAnswer, callRest: downloadResumer.RestCaller): void {
+    const attempt = answer.attempt as httpAttempt.HttpAttempt
+    const head = answer.head as httpAttempt.HttpHead
+    if (lane.weights.reportedLoad > 0) this.noteLoad(answer.endpoint, head)
+    this.count('answered')
+    this.sendHead(head)
+    const stream = new answerStream.AnswerStream(this.res, attempt, lane.progressTimeoutMs, this.resumer(lane.idempotent, answer, callRest), (end) => {
+      if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: answer.endpoint.endpoint, why: 'the target broke off its answer' })
+      this.done.resolve()
+    })
+    attempt.pipe(stream)
+  }
+
+  private resumer (idempotent: boolean, answer: call.CallAnswer, callRest: downloadResumer.RestCaller): downloadResumer.DownloadResumer | undefined {
+    const validator = downloadResumer.validatorOf(answer.head as httpAttempt.HttpHead)
+    if (!idempotent || this.req.method !== 'GET' || validator === undefined) return undefined
+    return new downloadResumer.DownloadResumer(validator, answer.endpoint.endpoint, callRest)
+  }
+
+  private noteLoad (endpoint: endpointTable.Endpoint, head: httpAttempt.HttpHead): void {
+    const report = head.headers[headerRules.loadHeader]
+    const load = typeof report === 'string' ? orcaLoad.parseUtilization(report) : undefined
+    if (load !== undefined) this.deps.endpoints.noteLoad(endpoint.endpoint, load)
+  }
+
+  private sendHead (head: httpAttempt.HttpHead): void {
+    const { res } = this
+    const headers = headerRules.forwardable(head.rawHeaders, head.headers.connection, noHeaders)
+    headers.push(headerRules.requestIdHeader, this.requestId)
+    const framed = head.headers['content-length'] !== undefined || head.headers['transfer-encoding'] !== undefined
+    if (!framed && this.hasBody(head.status)) {
+      // The target ends its body by closing, so the caller must be told the same way.
+      res.useChunkedEncodingByDefault = false
+      headers.push('Connection', 'close')
+    } else if (this.deps.isStopping()) {
+      headers.push('Connection', 'close')
+    }
+    res.writeHead(head.status, head.statusMessage, headers)
+  }
+
+  private hasBody (status: number): boolean {
+    return this.req.method !== 'HEAD' && status !== 204 && status !== 304
+  }
+
+  private refuse (fault: errors.Fault): void {
+    const { res } = this
+    this.count(fault.kind)
+    this.recordRefusal(fault)
+    if (res.headersSent || res.destroyed) {
+      res.destroy()
+      return
+    }
+    const body = JSON.stringify(errors.bodyOf(fault))
+    res.setHeader('Content-Type', 'application/json')
+    res.setHeader('Content-Length', Buffer.byteLength(body))
+    res.setHeader(headerRules.requestIdHeader, this.requestId)
+    res.setHeader(headerRules.outcomeHeader, fault.kind)
+    const retryAfterS = errors.retryAfterOf(fault)
+    if (retryAfterS !== undefined) res.setHeader('Retry-After', retryAfterS)
+    // What is left of the body would be taken for the next request.
+    if (!this.req.complete || this.deps.isStopping()) res.setHeader('Connection', 'close')
+    res.writeHead(errors.statusOf(fault))
+    res.end(this.req.method === 'HEAD' ? undefined : body)
+    if (!this.req.complete) closeAfterAnswer(this.req.socket)
+  }
+
+  /** Refusals within a call are recorded there. */
+  private recordRefusal (fault: errors.Fault): void {
+    if (this.running !== undefined) return
+    this.deps.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: fault.kind, why: fault.message })
+  }
+
+  private count (outcome: string): void {
+    const { metrics } = this.deps
+    metrics.count('rosemaryrack_requests_total', { lane: this.laneName, outcome })
+    metrics.latency('rosemaryrack_latency_seconds', { lane: this.laneName }, performance.now() - this.arrivedAt)
+  }
+}
+
+/** Reads and drops what a refused caller still sends for a moment, so that it gets to read the answer. */
+function closeAfterAnswer (socket: net.Socket): void {
+  const lingerMs = 500
+  socket.resume()
+  setTimeout(() => socket.destroy(), lingerMs).unref()
+}
--- /dev/null
+++ b/packages/entry/src/node/entryRole.ts
@@ -0,0 +1,149 @@
+/** The entry role of a process: wires the fleet's tables, the lanes and the listeners. */
+import type * as connect from '@connectrpc/connect'
+import * as clock from '@rosemaryrack/base/common/clock.js'
+import * as freezeDetector from '@rosemaryrack/base/common/freezeDetector.js'
+import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import type * as settings from '@rosemaryrack/config/common/settings.js'
+import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
+import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
+import * as announcementRoutes from '@rosemaryrack/fleet/node/announcementRoutes.js'
+import * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
+import * as peerMesh from '@rosemaryrack/fleet/node/peerMesh.js'
+import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
+import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
+import * as adaptivePolicy from '@rosemaryrack/routing/common/adaptivePolicy.js'
+import * as deathWatch from '@rosemaryrack/routing/common/deathWatch.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as callerListener from './callerListener.js'
+import * as entryRoutes from './entryRoutes.js'
+import * as idempotencyClaims from './idempotencyClaims.js'
+import * as laneRegistry from './laneRegistry.js'
+import * as readiness from './readiness.js'
+import * as targetConnections from './targetConnections.js'
+
+/** An entry instance within this process. */
+export class EntryRole implements lifecycle.IDisposable {
+  private readonly disposables = new lifecycle.DisposableStore()
+  private readonly clock = new clock.SystemClock()
+  private readonly freeze = this.disposables.add(new freezeDetector.FreezeDetector())
+  private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
+  private readonly suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
+  private readonly deaths = this.disposables.add(new deathWatch.DeathWatch(this.endpoints, this.suspects, this.clock))
+  private readonly connections = this.disposables.add(new targetConnections.TargetConnections())
+  private readonly members: memberTable.MemberTable
+  private readonly configs: configFollower.ConfigFollower
+  private readonly mesh: peerMesh.PeerMesh
+  private readonly lanes: laneRegistry.LaneRegistry
+  private readonly announcements: httpListener.HttpListener
+  private readonly callers: callerListener.CallerListener
+  private stopping = false
+
+  constructor (
+    cfg: settings.Settings,
+    private readonly entry: settings.EntrySettings,
+    private readonly decisions: decisionLog.IDecisionLog,
+    private readonly metrics: metrics.Metrics
+  ) {
+    const identity = innerListener.linkIdentity(cfg.cluster, cfg.inner)
+    const { members, configs } = this.addFleet(cfg, identity)
+    this.members = members
+    this.configs = configs
+    const self = { instance: cfg.instance, address: cfg.inner.advertise ?? cfg.inner.listen, failureDomain: cfg.failureDomain, incarnation: Date.now() }
+    const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs }
+    this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, entry.peers, identity, tables, this.freeze, decisions))
+    this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
+      ownFailureDomain: cfg.failureDomain,
+      liveEntries: () => members.liveCount,
+      newPolicy: () => new adaptivePolicy.AdaptivePolicy({ next: Math.random })
+    }, this.clock))
+    this.announcements = this.disposables.add(new httpListener.HttpListener(entry.announcements.token))
+    announcementRoutes.addAnnouncementRoutes(this.announcements, this.endpoints, this.mesh, this.freeze, decisions)
+    this.callers = this.newCallerListener()
+    this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
+  }
+
+  registerRpc (router: connect.ConnectRouter): void {
+    this.mesh.registerRpc(router)
+  }
+
+  addRoutes (routes: httpListener.IRoutes): void {
+    const { endpoints, members, configs, lanes, decisions } = this
+    entryRoutes.addEntryRoutes(routes, { endpoints, members, configs, lanes, decisions })
+  }
+
+  /** Joins the fleet, then listens for targets and callers. */
+  async start (): Promise<void> {
+    this.configs.start()
+    this.mesh.start()
+    await this.announcements.listen(this.entry.announcements.listen)
+    await this.callers.listen(this.entry.callers.listen)
+    this.addGauges()
+  }
+
+  get readiness (): readiness.Readiness {
+    return readiness.judge({
+      confirmedAgeMs: this.configs.confirmedAgeMs,
+      confirmWithinMs: this.entry.confirmWithinMs,
+      members: this.members,
+      isStopping: this.stopping
+    })
+  }
+
+  /** Graceful stop: not ready, then no new connections, then all answers to their end. */
+  async stop (): Promise<void> {
+    this.stopping = true
+    this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's balancer, then for ${this.callers.inFlightCount} requests` })
+    await async.sleep(this.entry.drainNoticeMs)
+    await this.callers.stop()
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+  }
+
+  private addFleet (cfg: settings.Settings, identity: innerListener.LinkIdentity): { readonly members: memberTable.MemberTable, readonly configs: configFollower.ConfigFollower } {
+    const members = this.disposables.add(new memberTable.MemberTable(this.clock, cfg.instance))
+    const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, this.entry.control, identity, this.decisions))
+    return { members, configs }
+  }
+
+  private newCallerListener (): callerListener.CallerListener {
+    return new callerListener.CallerListener({
+      lanes: this.lanes,
+      connections: this.connections,
+      endpoints: this.endpoints,
+      suspects: this.suspects,
+      deaths: this.deaths,
+      claims: new idempotencyClaims.IdempotencyClaims(this.configs),
+      suspectNewsWritten: async () => await this.mesh.newsWritten(),
+      decisions: this.decisions,
+      metrics: this.metrics,
+      clock: this.clock,
+      hasConfig: () => Number.isFinite(this.configs.confirmedAgeMs),
+      isStopping: () => this.stopping
+    })
+  }
+
+  private logSuspect (suspect: suspectTable.Suspect): void {
+    this.decisions.record({
+      event: 'suspect',
+      choice: this.suspects.standing(suspect.fingerprint),
+      fingerprint: suspect.fingerprint,
+      deaths: suspect.deaths.join(' '),
+      cleared: suspect.clearedDeaths.join(' '),
+      why: 'in flight when these endpoints died'
+    })
+  }
+
+  private addGauges (): void {
+    this.metrics.gauge('rosemaryrack_config_version', {}, () => this.configs.current.version)
+    this.metrics.gauge('rosemaryrack_endpoints_live', {}, () => this.endpoints.liveCount)
+    this.metrics.gauge('rosemaryrack_entries_live', {}, () => this.members.liveCount)
+    this.metrics.gauge('rosemaryrack_target_connections', {}, () => this.connections.count)
+    this.metrics.gauge('rosemaryrack_requests_in_flight', {}, () => this.callers.inFlightCount)
+    this.metrics.gauge('rosemaryrack_suspects', {}, () => this.suspects.size)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -0,0 +1,105 @@
+/** Lanes in force, with their budgets and the dispatchers of their services. */
+import type * as clock from '@rosemaryrack/base/common/clock.js'
+import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
+import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
+import * as budget from '@rosemaryrack/routing/common/budget.js'
+import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
+import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
+
+/** Budgets of one lane on this instance. */
+export interface LaneState {
+  readonly retries: budget.RatioBudget
+  readonly hedges: budget.RatioBudget
+  readonly measuring: budget.RateBudget
+}
+
+/** What is the same for all lanes. */
+export interface RegistryOptions {
+  readonly ownFailureDomain: string
+  readonly liveEntries: () => number
+  readonly newPolicy: () => balancingPolicy.IBalancingPolicy
+}
+
+/** Follows the configuration. */
+export class LaneRegistry implements lifecycle.IDisposable {
+  private readonly disposables = new lifecycle.DisposableStore()
+  private readonly states = new Map<string, LaneState>()
+  private readonly dispatchers = new Map<string, dispatcher.Dispatcher>()
+  private matcher: laneMatcher.LaneMatcher
+  private lanes: configDocument.ConfigDocument['lanes']
+
+  constructor (
+    private readonly configs: configFollower.IConfigSource,
+    private readonly endpoints: endpointTable.IEndpointSource,
+    private readonly options: RegistryOptions,
+    private readonly clock: clock.IClock
+  ) {
+    this.lanes = configs.current.document.lanes
+    this.matcher = new laneMatcher.LaneMatcher(configs.current.document)
+    this.disposables.add(configs.onChanged((config) => this.take(config.document)))
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+    for (const service of this.dispatchers.values()) service.dispose()
+  }
+
+  find (method: string, host: string | undefined, path: string): laneMatcher.NamedLane | undefined {
+    return this.matcher.find(method, host, path)
+  }
+
+  /** Names of the lanes in force. */
+  get names (): readonly string[] {
+    return Object.keys(this.lanes)
+  }
+
+  lane (name: string): configDocument.Lane | undefined {
+    return this.lanes[name]
+  }
+
+  stateOf (name: string): LaneState {
+    let state = this.states.get(name)
+    if (state === undefined) {
+      state = this.newState(name)
+      this.states.set(name, state)
+    }
+    return state
+  }
+
+  dispatcherOf (service: string): dispatcher.Dispatcher {
+    let found = this.dispatchers.get(service)
+    if (found === undefined) {
+      const { ownFailureDomain, liveEntries, newPolicy } = this.options
+      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries }, this.endpoints, newPolicy(), this.clock)
+      this.dispatchers.set(service, found)
+    }
+    return found
+  }
+
+  private newState (name: string): LaneState {
+    const budgets = this.lanes[name]!.budgets
+    const perSecond = (): number => (this.lanes[name]?.budgets.measuringPerSecond ?? 0) / this.options.liveEntries()
+    return {
+      retries: new budget.RatioBudget(budgets.retryRatio),
+      hedges: new budget.RatioBudget(budgets.hedgeRatio),
+      measuring: new budget.RateBudget(perSecond, this.clock)
+    }
+  }
+
+  private take (document: configDocument.ConfigDocument): void {
+    this.lanes = document.lanes
+    this.matcher = new laneMatcher.LaneMatcher(document)
+    for (const [name, state] of this.states) {
+      const lane = document.lanes[name]
+      if (lane === undefined) {
+        this.states.delete(name)
+        continue
+      }
+      state.retries.setRatio(lane.budgets.retryRatio)
+      state.hedges.setRatio(lane.budgets.hedgeRatio)
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/test/requestGuard.test.ts
@@ -0,0 +1,32 @@
+/** Request targets that could be read in two ways are refused. */
+import * as tap from 'tap'
+import * as headerRules from '../common/headerRules.js'
+import * as orcaLoad from '../common/orcaLoad.js'
+import * as requestGuard from '../common/requestGuard.js'
+
+const targets = [
+  '/hydrants/7', '/hydrants?x=/../y', '/a%20b', '*', 'http://other/hydrants', '/a/../b', '/a/%2e%2E/b', '/./a', '/a//b',
+  '/a%2fb', '/a%00', '/a%zz', '/a\\b', '/a b', '/a\u0000', '/' + 'a'.repeat(9000)
+]
+
+function judge (target: string): string {
+  try {
+    return requestGuard.pathOf(target)
+  } catch (err) {
+    return (err as Error).message
+  }
+}
+
+tap.t.test('request targets', async (t) => {
+  t.matchSnapshot(Object.fromEntries(targets.map((target) => [target.slice(0, 30), judge(target)])))
+})
+
+tap.t.test('headers that end at this hop', async (t) => {
+  const raw = ['Host', 'h', 'Connection', 'keep-alive, X-Own', 'X-Own', '1', 'X-Kept', '2', 'Transfer-Encoding', 'chunked', 'TE', 'x', 'X-Replaced', '3']
+  t.same(headerRules.forwardable(raw, 'keep-alive, X-Own', new Set(['x-replaced'])), ['Host', 'h', 'X-Kept', '2'])
+})
+
+tap.t.test('load reports', async (t) => {
+  const reports = ['TEXT cpu_utilization=0.3,application_utilization=0.7', 'JSON {"cpu_utilization": 1.5}', 'JSON {', 'JSON null', 'TEXT rps=3', 'BIN abc', 'TEXT cpu_utilization=-1']
+  t.same(reports.map(orcaLoad.parseUtilization), [0.7, 1.5, undefined, undefined, undefined, undefined, undefined])
+})
--- /dev/null
+++ b/packages/fleet/src/common/announcement.ts
@@ -0,0 +1,37 @@
+/** What targets announce of themselves, over HTTP in JSON. */
+import * as zod from 'zod'
+import * as address from '@rosemaryrack/base/common/address.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+
+const maxLeaseMs = 600_000
+const maxSlots = 100_000
+const name = zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and dashes')
+
+const announcementSchema = zod.strictObject({
+  endpoint: name,
+  service: name,
+  address: zod.string().refine(address.isAddress, 'an IP number and port'),
+  failureDomain: name,
+  slots: zod.number().int().min(1).max(maxSlots),
+  connectionLimit: zod.number().int().min(1).max(maxSlots),
+  state: zod.enum(['starting', 'ready', 'draining', 'left']),
+  /** Utilization, 0 to 1 and above. */
+  load: zod.number().min(0).max(1000).default(0),
+  /** Grows with each start of the target. */
+  incarnation: zod.number().int().min(0).max(Number.MAX_SAFE_INTEGER),
+  /** Grows with each announcement of an incarnation. */
+  sequence: zod.number().int().min(0).max(Number.MAX_SAFE_INTEGER),
+  leaseMs: zod.number().int().min(500).max(maxLeaseMs)
+})
+
+/** An announcement as it stands in the table of endpoints. */
+export type Announcement = Readonly<zod.infer<typeof announcementSchema>>
+export type TargetState = Announcement['state']
+
+/** Checks an announcement; throws `bad-request` naming each key that is wrong. */
+export function parseAnnouncement (raw: unknown): Announcement {
+  const result = announcementSchema.safeParse(raw)
+  if (result.success) return result.data
+  const problems = result.error.issues.map((issue) => `${issue.path.map(String).join('.') || '(root)'}: ${issue.message}`)
+  throw new errors.RackError({ kind: 'bad-request', message: problems.join('; ') })
+}
--- /dev/null
+++ b/packages/fleet/src/common/fleetCodec.ts
@@ -0,0 +1,98 @@
+/** Codec between the fleet's tables and the inner protocol. */
+import * as protobuf from '@bufbuild/protobuf'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import type * as announcement from './announcement.js'
+import type * as endpointTable from './endpointTable.js'
+import type * as memberTable from './memberTable.js'
+
+const stateToWire: { readonly [S in announcement.TargetState]: inner.TargetState } = {
+  starting: inner.TargetState.STARTING,
+  ready: inner.TargetState.READY,
+  draining: inner.TargetState.DRAINING,
+  left: inner.TargetState.LEFT
+}
+
+/** Ages travel as durations, since clocks of two instances can't be compared. */
+export function ageMs (since: number, now: number): number {
+  return Math.max(0, Math.round(now - since))
+}
+
+export function encodeEndpoint (endpoint: endpointTable.Endpoint, now: number): inner.Announcement {
+  return protobuf.create(inner.AnnouncementSchema, {
+    endpointId: endpoint.endpoint,
+    service: endpoint.service,
+    address: endpoint.address,
+    failureDomain: endpoint.failureDomain,
+    slots: endpoint.slots,
+    connectionLimit: endpoint.connectionLimit,
+    state: stateToWire[endpoint.state],
+    load: endpoint.load,
+    incarnation: BigInt(endpoint.incarnation),
+    sequence: BigInt(endpoint.sequence),
+    leaseMs: endpoint.leaseMs,
+    ageMs: ageMs(endpoint.announcedAt, now)
+  })
+}
+
+export function decodeAnnouncement (wire: inner.Announcement): announcement.Announcement {
+  return {
+    endpoint: wire.endpointId,
+    service: wire.service,
+    address: wire.address,
+    failureDomain: wire.failureDomain,
+    slots: wire.slots,
+    connectionLimit: wire.connectionLimit,
+    state: stateFromWire(wire.state),
+    load: wire.load,
+    incarnation: Number(wire.incarnation),
+    sequence: Number(wire.sequence),
+    leaseMs: wire.leaseMs
+  }
+}
+
+function stateFromWire (wire: inner.TargetState): announcement.TargetState {
+  switch (wire) {
+    case inner.TargetState.STARTING: return 'starting'
+    case inner.TargetState.READY: return 'ready'
+    case inner.TargetState.DRAINING: return 'draining'
+    default: return 'left'
+  }
+}
+
+export function encodeRenewal (endpoint: endpointTable.Endpoint, now: number): inner.Renewal {
+  return protobuf.create(inner.RenewalSchema, {
+    endpointId: endpoint.endpoint,
+    incarnation: BigInt(endpoint.incarnation),
+    sequence: BigInt(endpoint.sequence),
+    load: endpoint.load,
+    ageMs: ageMs(endpoint.announcedAt, now)
+  })
+}
+
+export function decodeRenewal (wire: inner.Renewal): endpointTable.Renewal {
+  return {
+    endpoint: wire.endpointId,
+    incarnation: Number(wire.incarnation),
+    sequence: Number(wire.sequence),
+    load: wire.load
+  }
+}
+
+export function encodeMember (member: memberTable.Member, now: number): inner.Member {
+  return protobuf.create(inner.MemberSchema, {
+    instance: member.instance,
+    address: member.address,
+    failureDomain: member.failureDomain,
+    incarnation: BigInt(member.incarnation),
+    ageMs: ageMs(member.heardAt, now)
+  })
+}
+
+export function decodeMember (wire: inner.Member): Omit<memberTable.Member, 'heardAt'> {
+  return {
+    instance: wire.instance,
+    address: wire.address,
+    failureDomain: wire.failureDomain,
+    incarnation: Number(wire.incarnation)
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -0,0 +1,271 @@
+/** Streams between entry instances: members, endpoints, suspects and configuration versions. */
+import * as protobuf from '@bufbuild/protobuf'
+import type * as connect from '@connectrpc/connect'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import type * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
+import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import type * as freezeDetector from '@rosemaryrack/base/common/freezeDetector.js'
+import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as endpointTable from '../common/endpointTable.js'
+import * as fleetCodec from '../common/fleetCodec.js'
+import type * as memberTable from '../common/memberTable.js'
+import type * as suspectTable from '../common/suspectTable.js'
+import type * as configFollower from './configFollower.js'
+import * as peerOutbox from './peerOutbox.js'
+import * as streamWatchdog from './streamWatchdog.js'
+
+const minRetryMs = 200
+const maxRetryMs = 2000
+const fetchTimeoutMs = 3000
+const sweepMs = 5000
+const membersEveryMs = 10_000
+
+/** The tables that the mesh keeps alike on all entry instances. */
+export interface MeshTables {
+  readonly members: memberTable.MemberTable
+  readonly endpoints: endpointTable.EndpointTable
+  readonly suspects: suspectTable.SuspectTable
+  readonly configs: configFollower.ConfigFollower
+}
+
+/** This instance as its peers see it. */
+export interface MeshSelf {
+  readonly instance: string
+  readonly address: string
+  readonly failureDomain: string
+  readonly incarnation: number
+}
+
+type EntryLink = peerLink.PeerLink<typeof inner.EntryPeer>
+
+/** Subscribes to each member and serves their subscriptions. */
+export class PeerMesh implements lifecycle.IDisposable {
+  private readonly disposables = new lifecycle.DisposableStore()
+  private readonly stopped = new AbortController()
+  private readonly outboxes = new Set<peerOutbox.PeerOutbox>()
+  private readonly subscriptions = new Map<string, AbortController>()
+  private readonly watchdogs = new Set<streamWatchdog.StreamWatchdog>()
+
+  constructor (
+    private readonly self: MeshSelf,
+    private readonly seeds: readonly string[],
+    private readonly identity: innerListener.LinkIdentity,
+    private readonly tables: MeshTables,
+    private readonly freeze: freezeDetector.FreezeDetector,
+    private readonly decisions: decisionLog.IDecisionLog
+  ) {
+    const { members, endpoints, suspects } = tables
+    this.disposables.add(endpoints.onChanged((endpoint) => this.forEachOutbox((outbox) => outbox.addEndpoint(endpoint.endpoint))))
+    this.disposables.add(suspects.onChanged((suspect) => this.forEachOutbox((outbox) => outbox.addSuspect(suspect.fingerprint))))
+    this.disposables.add(members.onJoined((member) => this.memberJoined(member)))
+    this.disposables.add(members.onLeft((member) => this.memberLeft(member)))
+    this.disposables.add(freeze.onThaw((gapMs) => this.resubscribe(gapMs)))
+    this.disposables.addInterval(() => this.sweep(), sweepMs)
+  }
+
+  start (): void {
+    for (const address of this.seeds) this.subscribeTo(address)
+  }
+
+  dispose (): void {
+    this.stopped.abort()
+    for (const subscription of this.subscriptions.values()) subscription.abort()
+    this.disposables.dispose()
+  }
+
+  /** Tells peers of a renewal that this instance took from the target itself. */
+  noteRenewal (endpointId: string, leaseMs: number): void {
+    this.forEachOutbox((outbox) => outbox.addRenewal(endpointId, leaseMs))
+  }
+
+  /**
+   * Resolves once the news of this moment has been written to the streams of the peers that take it: an update is
+   * made in the first turn of the event loop, and HTTP/2 writes it in the next. No answer of a peer is awaited.
+   */
+  async newsWritten (): Promise<void> {
+    if (this.outboxes.size === 0) return
+    await async.nextTurn()
+    await async.nextTurn()
+  }
+
+  registerRpc (router: connect.ConnectRouter): void {
+    const { configs } = this.tables
+    router.service(inner.EntryPeer, {
+      subscribe: (req, context) => this.serve(req, context.signal),
+      fetchConfig: () => ({ version: configs.current.version, documentJson: configs.currentJson })
+    })
+  }
+
+  private forEachOutbox (add: (outbox: peerOutbox.PeerOutbox) => void): void {
+    for (const outbox of this.outboxes) add(outbox)
+  }
+
+  private memberJoined (member: memberTable.Member): void {
+    this.decisions.record({ event: 'member', choice: member.instance, address: member.address, why: 'joined' })
+    this.subscribeTo(member.address)
+  }
+
+  private memberLeft (member: memberTable.Member): void {
+    this.decisions.record({ event: 'member', choice: member.instance, address: member.address, why: 'silent for too long' })
+    if (this.seeds.includes(member.address)) return
+    this.subscriptions.get(member.address)?.abort()
+    this.subscriptions.delete(member.address)
+  }
+
+  private sweep (): void {
+    this.tables.members.sweep(this.tables.configs.confirmedAgeMs)
+    this.tables.endpoints.sweep()
+    this.tables.suspects.sweep()
+  }
+
+  /** What waits in the connections' buffers is older than it looks, so all streams begin anew. */
+  private resubscribe (gapMs: number): void {
+    this.decisions.record({ event: 'thaw', gapMs: Math.round(gapMs), why: 'the process stood still; peer streams begin anew' })
+    this.tables.endpoints.noteThaw()
+    for (const watchdog of this.watchdogs) watchdog.abort()
+  }
+
+  // ---- Serving ----
+
+  /** Streams to one peer: all that is known at first, then changes and heartbeats. */
+  private async * serve (req: inner.SubscribeReq, signal: AbortSignal): AsyncGenerator<inner.PeerUpdate> {
+    const startedAt = performance.now()
+    const outbox = new peerOutbox.PeerOutbox()
+    this.outboxes.add(outbox)
+    if (req.from !== undefined) this.tables.members.hear(fleetCodec.decodeMember(req.from), 0)
+    try {
+      yield this.fullUpdate(startedAt)
+      let membersSentAt = startedAt
+      while (!signal.aborted && !this.stopped.signal.aborted) {
+        const batch = await outbox.next(signal)
+        const withMembers = performance.now() - membersSentAt >= membersEveryMs
+        if (withMembers) membersSentAt = performance.now()
+        yield this.deltaUpdate(batch, startedAt, withMembers)
+      }
+    } finally {
+      this.outboxes.delete(outbox)
+    }
+  }
+
+  private fullUpdate (startedAt: number): inner.PeerUpdate {
+    const now = performance.now()
+    const update = this.baseUpdate(startedAt, true)
+    update.announcements = this.tables.endpoints.all().map((endpoint) => fleetCodec.encodeEndpoint(endpoint, now))
+    update.suspects = this.tables.suspects.all().map((suspect) => encodeSuspect(suspect, now))
+    return update
+  }
+
+  private deltaUpdate (batch: peerOutbox.OutboxBatch, startedAt: number, withMembers: boolean): inner.PeerUpdate {
+    const now = performance.now()
+    const update = this.baseUpdate(startedAt, withMembers)
+    for (const id of batch.endpoints) {
+      const endpoint = this.tables.endpoints.get(id)
+      if (endpoint !== undefined) update.announcements.push(fleetCodec.encodeEndpoint(endpoint, now))
+    }
+    for (const id of batch.renewals) {
+      const endpoint = this.tables.endpoints.get(id)
+      if (endpoint !== undefined && !batch.endpoints.has(id)) update.renewals.push(fleetCodec.encodeRenewal(endpoint, now))
+    }
+    for (const fingerprint of batch.suspects) {
+      const suspect = this.tables.suspects.get(fingerprint)
+      if (suspect !== undefined) update.suspects.push(encodeSuspect(suspect, now))
+    }
+    return update
+  }
+
+  /** A confirmation from before the stream began may miss what was accepted before its subscriber started. */
+  private baseUpdate (startedAt: number, withMembers: boolean): inner.PeerUpdate {
+    const now = performance.now()
+    const { configs, members } = this.tables
+    const confirmedAgeMs = configs.confirmedAgeMs
+    const confirmed = now - confirmedAgeMs >= startedAt
+    return protobuf.create(inner.PeerUpdateSchema, {
+      self: this.selfMember(),
+      members: withMembers ? members.all().map((member) => fleetCodec.encodeMember(member, now)) : [],
+      configVersion: configs.current.version,
+      confirmed,
+      confirmedAgeMs: confirmed ? Math.round(confirmedAgeMs) : 0
+    })
+  }
+
+  private selfMember (): inner.Member {
+    return protobuf.create(inner.MemberSchema, { ...this.self, incarnation: BigInt(this.self.incarnation) })
+  }
+
+  // ---- Subscribing ----
+
+  private subscribeTo (address: string): void {
+    if (address === this.self.address || this.subscriptions.has(address)) return
+    const stop = new AbortController()
+    this.subscriptions.set(address, stop)
+    this.keepSubscribed(address, stop.signal)
+  }
+
+  /** Task of one peer: subscribes, and again whenever the stream ends or falls silent. */
+  private async keepSubscribed (address: string, stop: AbortSignal): Promise<void> {
+    const link = new peerLink.PeerLink(inner.EntryPeer, address, this.identity)
+    let retryMs = minRetryMs
+    while (!stop.aborted) {
+      const updates = await this.subscribeOnce(link, stop)
+      retryMs = updates > 0 ? minRetryMs : Math.min(maxRetryMs, retryMs * 2)
+      await async.sleep(retryMs, stop)
+    }
+    link.dispose()
+  }
+
+  /** Takes updates until the stream ends; returns how many there were. */
+  private async subscribeOnce (link: EntryLink, stop: AbortSignal): Promise<number> {
+    const watchdog = new streamWatchdog.StreamWatchdog(stop, () => link.reset())
+    this.watchdogs.add(watchdog)
+    let updates = 0
+    try {
+      const stream = link.client.subscribe({ from: this.selfMember() }, { signal: watchdog.signal })
+      for await (const update of stream) {
+        if (this.freeze.check()) {
+          link.reset()
+          break
+        }
+        watchdog.heard()
+        updates++
+        this.takeUpdate(update, link)
+      }
+    } catch {
+      // The peer is gone or silent; the task subscribes again.
+    } finally {
+      watchdog.dispose()
+      this.watchdogs.delete(watchdog)
+    }
+    return updates
+  }
+
+  private takeUpdate (update: inner.PeerUpdate, link: EntryLink): void {
+    const { members, endpoints, suspects, configs } = this.tables
+    if (update.self !== undefined) members.hear(fleetCodec.decodeMember(update.self), 0)
+    for (const member of update.members) members.hear(fleetCodec.decodeMember(member), member.ageMs)
+    for (const wire of update.announcements) endpoints.apply(fleetCodec.decodeAnnouncement(wire), wire.ageMs)
+    for (const wire of update.renewals) endpoints.renew(fleetCodec.decodeRenewal(wire), wire.ageMs)
+    for (const wire of update.suspects) suspects.merge(decodeSuspect(wire))
+    configs.hearPeer(update.configVersion, update.confirmed, update.confirmedAgeMs, async () =>
+      await link.call(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs))
+  }
+}
+
+function encodeSuspect (suspect: suspectTable.Suspect, now: number): inner.Suspect {
+  return protobuf.create(inner.SuspectSchema, {
+    fingerprint: suspect.fingerprint,
+    deaths: [...suspect.deaths],
+    clearedDeaths: [...suspect.clearedDeaths],
+    ageMs: fleetCodec.ageMs(suspect.since, now)
+  })
+}
+
+function decodeSuspect (wire: inner.Suspect): suspectTable.Suspect {
+  return {
+    fingerprint: wire.fingerprint,
+    deaths: wire.deaths,
+    clearedDeaths: wire.clearedDeaths,
+    since: performance.now() - wire.ageMs
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/node/peerOutbox.ts
@@ -0,0 +1,65 @@
+/** What one subscribed peer has not been told yet. */
+import * as async from '@rosemaryrack/base/common/async.js'
+
+const heartbeatMs = 1000
+const changeDelayMs = 100
+const renewalsWaitPerLease = 1 / 12
+
+/** Keys of changes since the last update. */
+export interface OutboxBatch {
+  readonly endpoints: ReadonlySet<string>
+  readonly renewals: ReadonlySet<string>
+  readonly suspects: ReadonlySet<string>
+}
+
+/** How long a renewal may wait for others; its age travels with it, so a peer never takes it for newer than it is. */
+export function renewalDelayMs (leaseMs: number): number {
+  return Math.min(heartbeatMs, leaseMs * renewalsWaitPerLease)
+}
+
+/** Gathers changes, so that many within a short time travel in one update; suspects travel at once. */
+export class PeerOutbox {
+  private endpoints = new Set<string>()
+  private renewals = new Set<string>()
+  private suspects = new Set<string>()
+  private dueAt = Infinity
+  private readonly dueEarlier = new async.Signal()
+
+  addEndpoint (id: string): void {
+    this.endpoints.add(id)
+    this.sendWithin(changeDelayMs)
+  }
+
+  addRenewal (id: string, leaseMs: number): void {
+    this.renewals.add(id)
+    this.sendWithin(renewalDelayMs(leaseMs))
+  }
+
+  addSuspect (fingerprint: string): void {
+    this.suspects.add(fingerprint)
+    this.sendWithin(0)
+  }
+
+  /** The next batch; an empty one when the heartbeat is due. */
+  async next (abort: AbortSignal): Promise<OutboxBatch> {
+    const heartbeatAt = performance.now() + heartbeatMs
+    while (!abort.aborted) {
+      const waitMs = Math.min(this.dueAt, heartbeatAt) - performance.now()
+      if (waitMs <= 0) break
+      await this.dueEarlier.wait(waitMs)
+    }
+    const batch = { endpoints: this.endpoints, renewals: this.renewals, suspects: this.suspects }
+    this.endpoints = new Set()
+    this.renewals = new Set()
+    this.suspects = new Set()
+    this.dueAt = Infinity
+    return batch
+  }
+
+  private sendWithin (ms: number): void {
+    const at = performance.now() + ms
+    if (at >= this.dueAt) return
+    this.dueAt = at
+    this.dueEarlier.notify()
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/test/endpointTable.test.ts
@@ -0,0 +1,100 @@
+/** Order of announcements, draining, leases, and what happens when all of them lapse. */
+import * as tap from 'tap'
+import type * as announcement from '../common/announcement.js'
+import * as endpointTable from '../common/endpointTable.js'
+
+class ManualClock {
+  time = 0
+
+  now (): number {
+    return this.time
+  }
+
+  after (): () => void {
+    return () => {}
+  }
+}
+
+function announce (endpoint: string, change: Partial<announcement.Announcement> = {}): announcement.Announcement {
+  return {
+    endpoint,
+    service: 'diary',
+    address: '127.0.0.1:9000',
+    failureDomain: 'a',
+    slots: 4,
+    connectionLimit: 240,
+    state: 'ready',
+    load: 0,
+    incarnation: 1,
+    sequence: 1,
+    leaseMs: 3000,
+    ...change
+  }
+}
+
+function setUp (): { readonly clock: ManualClock, readonly table: endpointTable.EndpointTable, readonly routable: () => readonly string[] } {
+  const clock = new ManualClock()
+  const table = new endpointTable.EndpointTable(clock)
+  return { clock, table, routable: () => table.routable('diary').map(({ endpoint }) => endpoint) }
+}
+
+tap.t.test('the newest announcement counts, whatever order they arrive in', async (t) => {
+  const { table } = setUp()
+  t.equal(table.apply(announce('a', { sequence: 5 }), 0), 'changed')
+  t.equal(table.apply(announce('a', { sequence: 4, state: 'draining' }), 0), 'stale')
+  t.equal(table.apply(announce('a', { sequence: 6 }), 0), 'renewed')
+  t.equal(table.apply(announce('a', { incarnation: 2, sequence: 1 }), 0), 'changed')
+  t.equal(table.apply(announce('a', { incarnation: 1, sequence: 9 }), 0), 'stale')
+})
+
+tap.t.test('draining holds for the rest of an incarnation', async (t) => {
+  const { table, routable } = setUp()
+  table.apply(announce('a', { state: 'draining' }), 0)
+  table.apply(announce('a', { sequence: 2, state: 'ready' }), 0)
+  t.same(routable(), [])
+  table.apply(announce('a', { incarnation: 2 }), 0)
+  t.same(routable(), ['a'])
+})
+
+tap.t.test('a lapsed lease takes an endpoint out; ages of relayed announcements count', async (t) => {
+  const { clock, table, routable } = setUp()
+  for (const endpoint of ['a', 'b', 'c', 'd']) table.apply(announce(endpoint), 0)
+  clock.time = 2000
+  for (const endpoint of ['a', 'b', 'c']) table.apply(announce(endpoint, { sequence: 2 }), 500)
+  clock.time = 3500
+  t.same(routable(), ['a', 'b', 'c'])
+  t.equal(table.apply(announce('e'), 3000), 'stale')
+})
+
+tap.t.test('when all leases lapse together the endpoints stay routable', async (t) => {
+  const { clock, table, routable } = setUp()
+  for (const endpoint of ['a', 'b', 'c']) table.apply(announce(endpoint), 0)
+  clock.time = 10_000
+  t.same(routable(), ['a', 'b', 'c'])
+})
+
+tap.t.test('after a standstill only live leases count', async (t) => {
+  const { clock, table, routable } = setUp()
+  for (const endpoint of ['a', 'b', 'c']) table.apply(announce(endpoint), 0)
+  clock.time = 10_000
+  table.noteThaw()
+  t.same(routable(), [])
+  table.apply(announce('b', { sequence: 2 }), 100)
+  t.same(routable(), ['b'])
+})
+
+tap.t.test('renewals and loads don\'t make the list of a service anew', async (t) => {
+  const { table } = setUp()
+  table.apply(announce('a'), 0)
+  table.apply(announce('b'), 0)
+  const ready = table.routable('diary')
+  table.noteLoad('a', 0.5)
+  table.apply(announce('b', { sequence: 2, load: 0.75 }), 0)
+  t.equal(table.routable('diary'), ready, 'the same list')
+  t.same(ready.map(({ endpoint, sequence, load }) => ({ endpoint, sequence, load })), [
+    { endpoint: 'a', sequence: 1, load: 0.5 },
+    { endpoint: 'b', sequence: 2, load: 0.75 }
+  ])
+  table.apply(announce('b', { sequence: 3, state: 'draining' }), 0)
+  t.same(table.routable('diary').map(({ endpoint }) => endpoint), ['a'])
+})
--- /dev/null
+++ b/packages/listener/src/node/httpListener.ts
@@ -0,0 +1,164 @@
+/** HTTP listener for operators and targets: routes, authorization, limits, typed error answers. */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as h3 from 'h3'
+import * as h3Node from 'h3/node'
+import * as address from '@rosemaryrack/base/common/address.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as secret from '@rosemaryrack/base/node/secret.js'
+
+const maxBodyBytes = 1_048_576
+const maxHeaderBytes = 16_384
+const headersTimeoutMs = 10_000
+const requestTimeoutMs = 30_000
+
+/** A request as a route sees it. */
+export interface RouteReq {
+  readonly params: Readonly<Record<string, string>>
+  readonly query: URLSearchParams
+  readonly headers: Headers
+  /** Parses the body as JSON; throws `bad-request` or `too-large`. */
+  json(): Promise<unknown>
+  text(): Promise<string>
+}
+
+/** Answer of a route; an object body is sent as JSON. */
+export interface RouteRes {
+  readonly status?: number
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body: object | string
+}
+
+export type RouteMethod = 'GET' | 'PUT' | 'POST' | 'PATCH' | 'DELETE'
+
+/** Takes routes; roles add theirs to the listener they are given. */
+export interface IRoutes {
+  route(method: RouteMethod, path: string, handler: (req: RouteReq) => Promise<RouteRes>): void
+  /** A route that needs no token. */
+  openRoute(method: RouteMethod, path: string, handler: (req: RouteReq) => Promise<RouteRes>): void
+}
+
+/** Listens on one address and guards its routes with a bearer token. */
+export class HttpListener implements IRoutes {
+  private readonly app = new h3.H3()
+  private server: http.Server | undefined
+
+  constructor (private readonly token: string) {
+    this.app.all('/**', () => errorResponse({ kind: 'not-found', message: 'no such resource' }))
+  }
+
+  route (method: RouteMethod, path: string, handler: (req: RouteReq) => Promise<RouteRes>): void {
+    this.add(method, path, handler, true)
+  }
+
+  openRoute (method: RouteMethod, path: string, handler: (req: RouteReq) => Promise<RouteRes>): void {
+    this.add(method, path, handler, false)
+  }
+
+  /** Starts to listen; rejects when the address can't be bound. */
+  listen (hostPort: string): Promise<void> {
+    const { host, port } = address.parseAddress(hostPort)
+    const server = http.createServer({
+      maxHeaderSize: maxHeaderBytes,
+      headersTimeout: headersTimeoutMs,
+      requestTimeout: requestTimeoutMs
+    }, h3Node.toNodeHandler(this.app) as http.RequestListener)
+    server.on('clientError', answerClientError)
+    this.server = server
+    return listen(server, host, port)
+  }
+
+  dispose (): void {
+    this.server?.close()
+    this.server?.closeAllConnections()
+  }
+
+  private add (method: RouteMethod, path: string, handler: (req: RouteReq) => Promise<RouteRes>, guarded: boolean): void {
+    this.app.on(method, path, async (event) => {
+      try {
+        if (guarded) this.authorize(event)
+        return toResponse(await handler(toRouteReq(event)))
+      } catch (err) {
+        return errorResponse(errors.faultOf(err))
+      }
+    })
+  }
+
+  private authorize (event: h3.H3Event): void {
+    if (secret.isAuthorized(event.req.headers.get('authorization'), this.token)) return
+    throw new errors.RackError({ kind: 'unauthorized', message: 'the bearer token is missing or wrong' })
+  }
+}
+
+/** Binds a server; resolves when it listens. */
+export function listen (server: net.Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
+
+/** Answers what the HTTP parser refused, then closes: its framing can't be trusted any more. */
+export function answerClientError (err: NodeJS.ErrnoException, socket: NodeJS.WritableStream & { destroy(): void, writable: boolean }): void {
+  if (err.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy()
+    return
+  }
+  const fault = parserFault(err)
+  const body = JSON.stringify(errors.bodyOf(fault))
+  const status = err.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+  socket.end(`HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+}
+
+function parserFault (err: NodeJS.ErrnoException): errors.Fault {
+  if (err.code === 'HPE_HEADER_OVERFLOW') return { kind: 'too-large', message: `the headers exceed ${maxHeaderBytes} bytes` }
+  return { kind: 'bad-request', message: `not valid HTTP: ${err.code ?? err.message}` }
+}
+
+function toRouteReq (event: h3.H3Event): RouteReq {
+  return {
+    params: event.context.params ?? {},
+    query: event.url.searchParams,
+    headers: event.req.headers,
+    json: async () => parseJson(await readText(event)),
+    text: async () => await readText(event)
+  }
+}
+
+async function readText (event: h3.H3Event): Promise<string> {
+  const chunks: Uint8Array[] = []
+  let size = 0
+  for await (const chunk of event.req.body ?? []) {
+    size += chunk.byteLength
+    if (size > maxBodyBytes) throw new errors.RackError({ kind: 'too-large', message: `the body exceeds ${maxBodyBytes} bytes` })
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (err) {
+    throw new errors.RackError({ kind: 'bad-request', message: `the body is not JSON: ${errors.messageOf(err)}` })
+  }
+}
+
+function toResponse (res: RouteRes): Response {
+  const isText = typeof res.body === 'string'
+  const headers = new Headers(res.headers)
+  headers.set('content-type', isText ? 'text/plain; charset=utf-8' : 'application/json')
+  return new Response(isText ? res.body : JSON.stringify(res.body) + '\n', { status: res.status ?? 200, headers })
+}
+
+function errorResponse (fault: errors.Fault): Response {
+  const retryAfterS = errors.retryAfterOf(fault)
+  return toResponse({
+    status: errors.statusOf(fault),
+    headers: retryAfterS === undefined ? {} : { 'retry-after': String(retryAfterS) },
+    body: errors.bodyOf(fault)
+  })
+}
--- /dev/null
+++ b/packages/protocol/src/node/peerLink.ts
@@ -0,0 +1,74 @@
+/** Connection to the inner listener of one other process. */
+import * as net from 'node:net'
+import type * as protobuf from '@bufbuild/protobuf'
+import * as connect from '@connectrpc/connect'
+import * as connectNode from '@connectrpc/connect-node'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as secret from '@rosemaryrack/base/node/secret.js'
+import * as headers from '../common/headers.js'
+import * as rpcErrors from '../common/rpcErrors.js'
+import type * as callGuard from './callGuard.js'
+import type * as innerListener from './innerListener.js'
+import * as peerSessions from './peerSessions.js'
+
+const pingIntervalMs = 2000
+const pingTimeoutMs = 1500
+const idleConnectionTimeoutMs = 600_000
+
+/** Calls one service of a peer; a call that times out also drops the connection under it. */
+export class PeerLink<S extends protobuf.DescService> implements lifecycle.IDisposable {
+  readonly client: connect.Client<S>
+  private readonly session: peerSessions.PeerSessions
+
+  constructor (service: S, readonly address: string, identity: innerListener.LinkIdentity) {
+    const baseUrl = `http://${address}`
+    this.session = new peerSessions.PeerSessions(baseUrl, { pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs }, {
+      createConnection: (authority) => net.connect({
+        host: authority.hostname,
+        port: Number(authority.port),
+        localAddress: identity.sourceHost,
+        noDelay: true
+      })
+    })
+    const transport = connectNode.createConnectTransport({
+      httpVersion: '2',
+      baseUrl,
+      sessionManager: this.session,
+      interceptors: [identify(identity)],
+      acceptCompression: []
+    })
+    this.client = connect.createClient(service, transport)
+  }
+
+  /** Runs a unary call; throws the peer's fault, or `unreachable`. */
+  async call<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number): Promise<T> {
+    try {
+      return await run(this.client, { timeoutMs })
+    } catch (err) {
+      if (isTimeout(err)) this.reset()
+      throw new errors.RackError(rpcErrors.fromConnectError(err))
+    }
+  }
+
+  /** Drops the connection; the next call opens a new one. TCP may take minutes to notice a silent peer. */
+  reset (): void {
+    this.session.abort()
+  }
+
+  dispose (): void {
+    this.session.abort()
+  }
+}
+
+function isTimeout (err: unknown): boolean {
+  return err instanceof connect.ConnectError && err.code === connect.Code.DeadlineExceeded
+}
+
+function identify (identity: callGuard.InnerIdentity): connect.Interceptor {
+  return (next) => async (req) => {
+    req.header.set(headers.authorizationHeader, secret.bearer(identity.token))
+    req.header.set(headers.clusterHeader, identity.cluster)
+    return await next(req)
+  }
+}
--- /dev/null
+++ b/packages/rosemaryrack/src/node/main.ts
@@ -0,0 +1,36 @@
+/** Command line of the daemon. */
+import * as cac from 'cac'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as settingsFile from '@rosemaryrack/config/node/settingsFile.js'
+
+const version = '0.1.0'
+const exitCodesHelp = `
+Exit codes: 0 stopped gracefully, 1 internal error, 2 wrong arguments or settings,
+3 wrong cluster, 9 disk failure or damaged data folder`
+
+/** Runs the daemon until it is told to stop by SIGTERM or SIGINT. */
+export async function run (argv: readonly string[]): Promise<void> {
+  const cli = cac.cac('rosemaryrack')
+  cli.command('', 'Runs one process of the load balancer with the roles of its settings')
+    .option('--settings <file>', 'TOML settings file (required)')
+  cli.help((sections) => [...sections, { body: exitCodesHelp }])
+  cli.version(version)
+  try {
+    const { options } = cli.parse([...argv], { run: false })
+    if (options['help'] === true || options['version'] === true) return
+    await start(options['settings'])
+  } catch (err) {
+    const fault = errors.faultOf(err)
+    process.stderr.write(`rosemaryrack: ${fault.kind}: ${fault.message}\n`)
+    process.exit(errors.answers[fault.kind].exitCode)
+  }
+}
+
+async function start (file: unknown): Promise<void> {
+  if (typeof file !== 'string') throw new errors.RackError({ kind: 'bad-request', message: 'the option --settings FILE is required' })
+  const cfg = settingsFile.loadSettings(file)
+  // The logging library reads this once, when it is loaded.
+  process.env['ROARR_LOG'] = 'true'
+  const daemon = await import('./daemon.js')
+  await daemon.run(cfg)
+}
--- /dev/null
+++ b/packages/routing/src/common/dispatcher.ts
@@ -0,0 +1,298 @@
+/** Slots of one service as this instance may use them, and the calls that wait for one. */
+import type * as clock from '@rosemaryrack/base/common/clock.js'
+import type * as errors from '@rosemaryrack/base/common/errors.js'
+import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as balancingPolicy from './balancingPolicy.js'
+import * as endpointStats from './endpointStats.js'
+import * as waitingQueue from './waitingQueue.js'
+
+const initialTypicalMs = 10
+const typicalWeight = 0.01
+const maxEjectedShare = 0.5
+const maxColdShare = 0.25
+const loggedCandidates = 3
+const scoreDigits = 100
+const msPerSecond = 1000
+const minRetryAfterS = 1
+
+/** A call that asks for a slot. */
+export interface Ask {
+  readonly lane: configDocument.Lane
+  readonly priority: configDocument.LanePriority
+  readonly deadlineAt: number
+  /** Suspect calls don't share an endpoint, so that each death has one explanation. */
+  readonly suspect: boolean
+  /** Endpoints that were tried already. */
+  readonly exclude: ReadonlySet<string>
+}
+
+/** A slot that was given to a call, and why there. */
+export interface Placement {
+  readonly endpoint: endpointTable.Endpoint
+  readonly stats: endpointStats.EndpointStats
+  readonly considered: number
+  /** The best few candidates with their scores. */
+  readonly candidates: string
+  readonly why: string
+  readonly waitedMs: number
+  /** Gives the slot back; later calls do nothing. */
+  release(): void
+}
+
+export type AskOutcome =
+  | { readonly placed: true, readonly placement: Placement }
+  | { readonly placed: false, readonly fault: errors.Fault }
+
+interface Waiter extends waitingQueue.Waiting {
+  readonly ask: Ask
+  readonly since: number
+  readonly done: (outcome: AskOutcome) => void
+  readonly cancelTimer: () => void
+}
+
+/** What the limits depend on besides the endpoints. */
+export interface DispatcherOptions {
+  readonly service: string
+  readonly ownFailureDomain: string
+  /** Live entry instances that share the endpoints, this one included. */
+  readonly liveEntries: () => number
+}
+
+/** Gives slots by the policy while there are some, else by priority and deadline. */
+export class Dispatcher implements lifecycle.IDisposable {
+  private readonly disposables = new lifecycle.DisposableStore()
+  private readonly stats = new Map<string, { readonly incarnation: number, readonly stats: endpointStats.EndpointStats }>()
+  private readonly queue = new waitingQueue.WaitingQueue<Waiter>()
+  private typicalMs = initialTypicalMs
+  private holdMs = initialTypicalMs
+  private bulkInFlight = 0
+  private newestKnownSince = -Infinity
+
+  constructor (
+    private readonly options: DispatcherOptions,
+    private readonly endpoints: endpointTable.IEndpointSource,
+    private readonly policy: balancingPolicy.IBalancingPolicy,
+    private readonly clock: clock.IClock
+  ) {
+    this.disposables.add(endpoints.onChanged((endpoint) => this.endpointChanged(endpoint)))
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+  }
+
+  /** Typical time to an answer's head, in milliseconds. */
+  get typicalLatencyMs (): number {
+    return this.typicalMs
+  }
+
+  get waiting (): number {
+    return this.queue.length
+  }
+
+  get inFlight (): number {
+    let sum = 0
+    for (const { stats } of this.stats.values()) sum += stats.inFlight
+    return sum
+  }
+
+  /** Gives a slot now or later, or refuses; returns a function that withdraws the ask. */
+  acquire (ask: Ask, done: (outcome: AskOutcome) => void): () => void {
+    const now = this.clock.now()
+    const placement = this.queue.position(ask) === 0 ? this.place(ask, now, now) : undefined
+    if (placement !== undefined) {
+      done({ placed: true, placement })
+      return () => {}
+    }
+    const fault = this.refusalFor(ask, now)
+    if (fault !== undefined) {
+      done({ placed: false, fault })
+      return () => {}
+    }
+    return this.enqueue(ask, now, done)
+  }
+
+  /** Gives a slot for a hedge, only when others won't miss it. */
+  acquireSpare (ask: Ask): Placement | undefined {
+    const now = this.clock.now()
+    const endpoints = this.endpoints.routable(this.options.service)
+    if (this.queue.length > 0 || this.inFlight >= ask.lane.budgets.hedgeBelowShare * this.totalLimit(endpoints)) return undefined
+    return this.place(ask, now, now)
+  }
+
+  /** Counts a latency sample of the service, in milliseconds. */
+  noteLatency (ms: number): void {
+    this.typicalMs += (ms - this.typicalMs) * typicalWeight
+  }
+
+  private enqueue (ask: Ask, now: number, done: (outcome: AskOutcome) => void): () => void {
+    const expiresAt = Math.min(now + ask.lane.maxWaitMs, ask.deadlineAt)
+    const waiter: Waiter = {
+      ask,
+      priority: ask.priority,
+      deadlineAt: ask.deadlineAt,
+      since: now,
+      done,
+      cancelTimer: this.clock.after(expiresAt - now, () => this.expire(waiter))
+    }
+    this.queue.add(waiter)
+    return () => this.withdraw(waiter)
+  }
+
+  private withdraw (waiter: Waiter): void {
+    waiter.cancelTimer()
+    this.queue.remove(waiter)
+  }
+
+  private expire (waiter: Waiter): void {
+    this.queue.remove(waiter)
+    waiter.done({ placed: false, fault: this.notRun('no slot became free in time', this.expectedWaitMs(waiter)) })
+  }
+
+  /** Hands free slots to waiting calls in their order; what can't make its deadline any more is refused. */
+  private pump (): void {
+    for (const waiter of this.queue.snapshot()) {
+      const now = this.clock.now()
+      if (now + this.typicalMs > waiter.deadlineAt) {
+        this.withdraw(waiter)
+        waiter.done({ placed: false, fault: this.notRun('the deadline can no longer be met', this.expectedWaitMs(waiter)) })
+        continue
+      }
+      const placement = this.place(waiter.ask, waiter.since, now)
+      if (placement === undefined) {
+        if (this.isUnrestricted(waiter.ask, now) || waiter.priority === 'bulk') return
+        continue
+      }
+      this.withdraw(waiter)
+      waiter.done({ placed: true, placement })
+    }
+  }
+
+  private refusalFor (ask: Ask, now: number): errors.Fault | undefined {
+    const endpoints = this.endpoints.routable(this.options.service)
+    if (endpoints.length === 0) return this.notRun(`service ${this.options.service} has no ready endpoint`, 0)
+    if (endpoints.every(({ endpoint }) => ask.exclude.has(endpoint))) return this.notRun('every ready endpoint was tried', 0)
+    const waitMs = this.expectedWaitMs(ask)
+    if (waitMs > ask.lane.maxWaitMs) return this.notRun('all slots are taken and the wait is too long', waitMs)
+    if (now + waitMs + this.typicalMs > ask.deadlineAt) return this.notRun('the deadline can\'t be met', waitMs)
+    return undefined
+  }
+
+  private expectedWaitMs (ask: waitingQueue.Waiting): number {
+    const limit = Math.max(1, this.totalLimit(this.endpoints.routable(this.options.service)))
+    return (this.queue.position(ask) + 1) * this.holdMs / limit
+  }
+
+  private notRun (message: string, waitMs: number): errors.Fault {
+    return { kind: 'not-run', message, retryAfterS: Math.max(minRetryAfterS, Math.ceil(waitMs / msPerSecond)) }
+  }
+
+  private place (ask: Ask, since: number, now: number): Placement | undefined {
+    const endpoints = this.endpoints.routable(this.options.service)
+    if (ask.priority === 'bulk' && this.bulkInFlight >= this.bulkLimit(endpoints, ask.lane)) return undefined
+    const able = this.candidates(endpoints, ask, now)
+    if (able.length === 0) return undefined
+    const context = { now, ownFailureDomain: this.options.ownFailureDomain, typicalLatencyMs: this.typicalMs, weights: ask.lane.weights }
+    const chosen = this.policy.choose(able, context)
+    return this.take(ask, chosen, endpoints.find(({ endpoint }) => endpoint === chosen.id)!, {
+      considered: able.length,
+      candidates: this.describe(able, context),
+      why: `${this.policy.name}: ${able.length} of ${endpoints.length} endpoints have a free slot`,
+      waitedMs: now - since
+    })
+  }
+
+  private take (ask: Ask, chosen: balancingPolicy.Candidate, endpoint: endpointTable.Endpoint, reason: Pick<Placement, 'considered' | 'candidates' | 'why' | 'waitedMs'>): Placement {
+    const { stats } = chosen
+    const startedAt = this.clock.now()
+    const handle = stats.begin(startedAt)
+    const bulk = ask.priority === 'bulk' ? 1 : 0
+    const suspect = ask.suspect ? 1 : 0
+    this.bulkInFlight += bulk
+    stats.suspects += suspect
+    let released = false
+    const release = (): void => {
+      if (released) return
+      released = true
+      stats.end(handle)
+      this.bulkInFlight -= bulk
+      stats.suspects -= suspect
+      this.holdMs += (this.clock.now() - startedAt - this.holdMs) * typicalWeight
+      if (this.queue.length > 0) this.pump()
+    }
+    return { endpoint, stats, ...reason, release }
+  }
+
+  private candidates (endpoints: readonly endpointTable.Endpoint[], ask: Ask, now: number): readonly balancingPolicy.Candidate[] {
+    const free: balancingPolicy.Candidate[] = []
+    let cold = 0
+    for (const endpoint of endpoints) {
+      const stats = this.statsOf(endpoint, now)
+      if (isTooColdFor(ask, stats, now)) cold++
+      if (stats.inFlight >= this.limitOf(endpoint) || ask.exclude.has(endpoint.endpoint)) continue
+      if (ask.suspect && stats.suspects > 0) continue
+      free.push({ id: endpoint.endpoint, failureDomain: endpoint.failureDomain, reportedLoad: endpoint.load, stats })
+    }
+    const healthy = free.filter(({ stats }) => !stats.isEjected(now))
+    const ejected = free.length - healthy.length
+    const able = ejected > endpoints.length * maxEjectedShare ? free : healthy
+    if (cold === 0 || cold > endpoints.length * maxColdShare) return able
+    return able.filter(({ stats }) => !isTooColdFor(ask, stats, now))
+  }
+
+  /** A call that any endpoint with a free slot can take: when it gets none, no slot is free. */
+  private isUnrestricted (ask: Ask, now: number): boolean {
+    const allWarm = now - this.newestKnownSince >= ask.lane.coldStartMs
+    return ask.exclude.size === 0 && !ask.suspect && allWarm
+  }
+
+  /** This instance's share of an endpoint's slots and connections; at least one, so that each can be used. */
+  private limitOf (endpoint: endpointTable.Endpoint): number {
+    const entries = this.options.liveEntries()
+    const slots = Math.max(1, Math.ceil(endpoint.slots / entries))
+    const connections = Math.max(1, Math.floor(endpoint.connectionLimit / entries))
+    return Math.min(slots, connections)
+  }
+
+  private totalLimit (endpoints: readonly endpointTable.Endpoint[]): number {
+    return endpoints.reduce((sum, endpoint) => sum + this.limitOf(endpoint), 0)
+  }
+
+  private bulkLimit (endpoints: readonly endpointTable.Endpoint[], lane: configDocument.Lane): number {
+    return Math.max(1, Math.floor(lane.budgets.bulkShare * this.totalLimit(endpoints)))
+  }
+
+  private statsOf (endpoint: endpointTable.Endpoint, now: number): endpointStats.EndpointStats {
+    const known = this.stats.get(endpoint.endpoint)
+    if (known !== undefined && known.incarnation === endpoint.incarnation) return known.stats
+    const stats = new endpointStats.EndpointStats(now)
+    this.newestKnownSince = now
+    this.stats.set(endpoint.endpoint, { incarnation: endpoint.incarnation, stats })
+    return stats
+  }
+
+  private endpointChanged (endpoint: endpointTable.Endpoint): void {
+    if (endpoint.service !== this.options.service) return
+    if (endpoint.state === 'left') this.stats.delete(endpoint.endpoint)
+    if (this.queue.length > 0) this.pump()
+  }
+
+  private describe (candidates: readonly balancingPolicy.Candidate[], context: balancingPolicy.ChoiceContext): string {
+    const best: balancingPolicy.Scored[] = []
+    for (const candidate of candidates) {
+      const score = this.policy.score(candidate, context)
+      const position = best.findIndex((other) => score < other.score)
+      if (position >= 0) best.splice(position, 0, { candidate, score })
+      else if (best.length < loggedCandidates) best.push({ candidate, score })
+      if (best.length > loggedCandidates) best.pop()
+    }
+    return best.map(({ candidate, score }) => `${candidate.id}:${Math.round(score * scoreDigits) / scoreDigits}`).join(' ')
+  }
+}
+
+/** Bulk calls warm a target up, whose first answers are slow. */
+function isTooColdFor (ask: Ask, stats: endpointStats.EndpointStats, now: number): boolean {
+  return ask.priority !== 'bulk' && now - stats.knownSince < ask.lane.coldStartMs
+}
--- /dev/null
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -0,0 +1,222 @@
+/** Calls whose targets die: how many endpoints they may take, and whom the deaths are blamed on. */
+import * as tap from 'tap'
+import * as event from '@rosemaryrack/base/common/event.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
+import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as adaptivePolicy from '../common/adaptivePolicy.js'
+import * as call from '../common/call.js'
+import * as deathWatch from '../common/deathWatch.js'
+import * as dispatcher from '../common/dispatcher.js'
+import type * as transport from '../common/transport.js'
+import * as fixtures from './fixtures.js'
+import * as manualClock from './manualClock.js'
+
+const deadlineMs = 1000
+const hedgeAfterMs = 10
+const slots = 4
+
+/** An attempt that the test brings to its end. */
+interface StartedAttempt {
+  readonly endpoint: endpointTable.Endpoint
+  readonly events: transport.IAttemptEvents
+  abandoned: boolean
+}
+
+/** One entry instance and its endpoints; the test plays the targets. */
+class Instance {
+  readonly clock = new manualClock.ManualClock()
+  readonly suspects = new suspectTable.SuspectTable(this.clock)
+  readonly attempts: StartedAttempt[] = []
+  readonly outcomes: string[] = []
+  health: transport.TargetHealth = 'unsure'
+  private readonly changed = new event.Emitter<endpointTable.Endpoint>()
+  private readonly endpoints: readonly endpointTable.Endpoint[] = ['d-1', 'd-2', 'd-3', 'd-4', 'd-5'].map((id) => fixtures.endpointWith(id, slots, 0))
+  private readonly source = { onChanged: this.changed.event, routable: () => this.endpoints }
+  readonly deaths = new deathWatch.DeathWatch(this.source, this.suspects, this.clock)
+  private readonly dispatcher = new dispatcher.Dispatcher({ service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 },
+    this.source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), this.clock)
+
+  call (fingerprint: string): void {
+    const always = { take: () => true }
+    const spec = {
+      requestId: fingerprint,
+      laneName: 'diary',
+      lane,
+      deadlineAt: this.clock.now() + deadlineMs,
+      identity: { fingerprint, isLight: true },
+      replayable: () => true
+    }
+    new call.Call(spec, {
+      dispatcher: this.dispatcher,
+      transport: this.transport(),
+      suspects: this.suspects,
+      deaths: this.deaths,
+      budgets: { retries: always, hedges: always, measuring: always },
+      decisions: new decisionLog.NullDecisionLog(),
+      clock: this.clock
+    }, {
+      onAnswer: ({ endpoint }) => { this.outcomes.push(`${fingerprint} answered by ${endpoint.endpoint}`) },
+      onRefused: ({ kind }) => { this.outcomes.push(`${fingerprint} ${kind}`) }
+    }).start()
+  }
+
+  lose (attempt: number): void {
+    this.attempts[attempt]!.events.onFailure({ kind: 'lost', message: 'other side closed' })
+  }
+
+  /** Nothing listens at the endpoint. */
+  refuse (attempt: number): void {
+    this.attempts[attempt]!.events.onFailure({ kind: 'refused', message: 'connect ECONNREFUSED' })
+  }
+
+  answer (attempt: number): void {
+    this.attempts[attempt]!.events.onHead({ status: 200, notRun: false })
+    this.attempts[attempt]!.events.onBodyEnd()
+  }
+
+  /** The target of an attempt announces itself anew. */
+  restart (attempt: number): void {
+    const { endpoint } = this.attempts[attempt]!
+    this.changed.fire({ ...endpoint, incarnation: endpoint.incarnation + 1 })
+  }
+
+  private transport (): transport.ITransport {
+    return {
+      start: (endpoint, events) => {
+        const attempt = { endpoint, events, abandoned: false }
+        this.attempts.push(attempt)
+        return { written: true, cancel: () => {}, abandon: () => { attempt.abandoned = true } }
+      },
+      replaceConnection: (_endpoint, _mayMeasure, done) => done(this.health)
+    }
+  }
+}
+
+const lane = fixtures.laneWith({ deadlineMs, priority: 'urgent', hedgeAfterMs })
+
+tap.t.test('a call whose first try and hedge both stay silent takes no third endpoint', async (t) => {
+  const instance = new Instance()
+  instance.call('poison')
+  instance.clock.advance(deadlineMs - 1)
+  t.equal(instance.attempts.length, 2)
+  t.notOk(instance.attempts.some(({ abandoned }) => abandoned), 'both may still answer')
+  instance.clock.advance(1)
+  t.same(instance.outcomes, ['poison unknown'])
+})
+
+tap.t.test('a hedge may answer after half the deadline', async (t) => {
+  const instance = new Instance()
+  instance.call('slow')
+  instance.clock.advance(deadlineMs - 1)
+  instance.answer(1)
+  t.same(instance.outcomes, ['slow answered by d-2'])
+})
+
+tap.t.test('a request that lost its try and its hedge is quarantined before its caller is answered', async (t) => {
+  const instance = new Instance()
+  instance.call('poison')
+  instance.clock.advance(hedgeAfterMs)
+  const standings: string[] = []
+  instance.suspects.onChanged(() => standings.push(`${instance.suspects.standing('poison')} after ${instance.outcomes.length} outcomes`))
+  instance.lose(0)
+  t.same(instance.outcomes, [], 'the hedge may still answer')
+  instance.lose(1)
+  t.same(standings, ['suspect after 0 outcomes', 'quarantined after 0 outcomes'])
+  instance.call('poison')
+  t.same(instance.outcomes, ['poison unknown', 'poison quarantined'])
+})
+
+tap.t.test('a death proven while the other endpoint stays silent counts for both, until that one answers', async (t) => {
+  const instance = new Instance()
+  instance.call('poison')
+  instance.clock.advance(deadlineMs)
+  t.equal(instance.suspects.standing('poison'), 'clear')
+  instance.restart(0)
+  t.equal(instance.suspects.standing('poison'), 'quarantined')
+  instance.deaths.noteAnswer(instance.attempts[1]!.endpoint, instance.clock.now())
+  t.equal(instance.suspects.standing('poison'), 'suspect')
+})
+
+tap.t.test('an endpoint that answers a request that began before the loss is not thereby alive', async (t) => {
+  const instance = new Instance()
+  instance.call('poison')
+  const [{ endpoint }] = instance.attempts as [StartedAttempt]
+  instance.clock.advance(1)
+  instance.lose(0)
+  instance.deaths.noteAnswer(endpoint, 0)
+  instance.deaths.noteRefused(endpoint)
+  t.equal(instance.suspects.standing('poison'), 'suspect')
+})
+
+tap.t.test('an endpoint that answers a request that began after the loss is alive', async (t) => {
+  const instance = new Instance()
+  instance.call('unlucky')
+  const [{ endpoint }] = instance.attempts as [StartedAttempt]
+  instance.lose(0)
+  instance.clock.advance(1)
+  instance.deaths.noteAnswer(endpoint, instance.clock.now())
+  instance.deaths.noteRefused(endpoint)
+  t.equal(instance.suspects.standing('unlucky'), 'clear')
+})
+
+tap.t.test('a request that another endpoint answered meanwhile is not blamed for a death', async (t) => {
+  const instance = new Instance()
+  instance.call('popular')
+  instance.call('popular')
+  instance.clock.advance(1)
+  instance.answer(0)
+  instance.clock.advance(1)
+  instance.lose(1)
+  instance.deaths.noteRefused(instance.attempts[1]!.endpoint)
+  t.equal(instance.suspects.standing('popular'), 'clear')
+})
+
+tap.t.test('a success before its lost try began doesn\'t clear a request', async (t) => {
+  const instance = new Instance()
+  instance.call('turned')
+  instance.answer(0)
+  instance.clock.advance(1)
+  instance.call('turned')
+  instance.lose(1)
+  instance.deaths.noteRefused(instance.attempts[1]!.endpoint)
+  t.equal(instance.suspects.standing('turned'), 'suspect')
+})
+
+tap.t.test('a hot innocent that is a suspect already doesn\'t take the blame from others', async (t) => {
+  const instance = new Instance()
+  instance.suspects.reportDeath('hot', 'd-9')
+  instance.call('poison')
+  const [{ endpoint }] = instance.attempts as [StartedAttempt]
+  instance.lose(0)
+  instance.deaths.noteLoss(endpoint, { fingerprint: 'hot', startedAt: 0, kind: 'lost' })
+  instance.deaths.noteRefused(endpoint)
+  t.equal(instance.suspects.standing('poison'), 'suspect')
+})
+
+tap.t.test('a call finds the one endpoint that still runs among dead ones', async (t) => {
+  const instance = new Instance()
+  instance.call('any')
+  for (let i = 0; i < 4; i++) instance.refuse(i)
+  instance.answer(4)
+  t.same(instance.outcomes, ['any answered by d-5'])
+})
+
+tap.t.test('the calls after it go to the one that runs at once', async (t) => {
+  const instance = new Instance()
+  instance.call('any')
+  for (let i = 0; i < 2; i++) instance.refuse(i)
+  instance.answer(2)
+  instance.call('next')
+  t.equal(instance.attempts[3]?.endpoint.endpoint, 'd-3')
+})
+
+tap.t.test('a request that brings the same endpoint down twice is quarantined', async (t) => {
+  const instance = new Instance()
+  const endpoint = fixtures.endpointWith('d-1', slots, 0)
+  for (const incarnation of [1, 2]) {
+    instance.deaths.noteLoss({ ...endpoint, incarnation }, { fingerprint: 'poison', startedAt: 0, kind: 'lost' })
+    instance.deaths.noteRefused({ ...endpoint, incarnation })
+  }
+  t.equal(instance.suspects.standing('poison'), 'quarantined')
+})
--- /dev/null
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -0,0 +1,104 @@
+/** Choices of the dispatcher among endpoints that fail or have just started. */
+import * as tap from 'tap'
+import * as event from '@rosemaryrack/base/common/event.js'
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as adaptivePolicy from '../common/adaptivePolicy.js'
+import * as dispatcher from '../common/dispatcher.js'
+import * as fixtures from './fixtures.js'
+
+class Service {
+  now = 0
+  readonly dispatcher: dispatcher.Dispatcher
+  private readonly endpoints: endpointTable.Endpoint[] = []
+
+  constructor (ids: readonly string[]) {
+    for (const id of ids) this.announce(id)
+    const changed = new event.Emitter<endpointTable.Endpoint>()
+    const source = { onChanged: changed.event, routable: () => this.endpoints }
+    const clock = { now: () => this.now, after: () => () => {} }
+    const options = { service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 }
+    this.dispatcher = new dispatcher.Dispatcher(options, source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), clock)
+  }
+
+  announce (endpoint: string): void {
+    this.endpoints.push(fixtures.endpointWith(endpoint, 1, this.now))
+  }
+
+  /** Endpoint that a call gets now; undefined when it has to wait or is refused. */
+  place (priority: configDocument.LanePriority): dispatcher.Placement | undefined {
+    let placement: dispatcher.Placement | undefined
+    const lane = laneOf(priority)
+    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, suspect: false, exclude: new Set() }, (outcome) => {
+      if (outcome.placed) placement = outcome.placement
+    })
+    return placement
+  }
+
+  /** Ends calls until every endpoint has been seen by the dispatcher. */
+  meetAll (): void {
+    this.place('urgent')?.release()
+  }
+}
+
+function laneOf (priority: configDocument.LanePriority): configDocument.Lane {
+  return fixtures.laneWith({ deadlineMs: 1500, priority })
+}
+
+const coldStartMs = laneOf('urgent').coldStartMs
+
+/** A service whose endpoints have all been known for long enough. */
+function warmService (...ids: readonly string[]): Service {
+  const service = new Service(ids)
+  service.meetAll()
+  service.now = coldStartMs
+  return service
+}
+
+tap.t.test('an endpoint that just started is left to bulk calls, then takes all', async (t) => {
+  const service = warmService('d-1', 'd-2', 'd-3')
+  service.announce('d-4')
+  const taken = [service.place('urgent'), service.place('urgent'), service.place('urgent')]
+  t.notOk(taken.some((placement) => placement?.endpoint.endpoint === 'd-4'))
+  t.equal(service.place('urgent'), undefined, 'an urgent call waits for a warm endpoint')
+  service.now += coldStartMs
+  t.equal(service.place('urgent')?.endpoint.endpoint, undefined, 'another urgent call waits before it')
+  taken[0]!.release()
+  t.equal(service.dispatcher.waiting, 0, 'the released slot and the warm endpoint serve both')
+})
+
+tap.t.test('a bulk call takes the endpoint that just started', async (t) => {
+  const service = warmService('d-1', 'd-2', 'd-3')
+  service.announce('d-4')
+  for (let i = 0; i < 3; i++) t.ok(service.place('urgent'))
+  service.dispatcher.dispose()
+  t.equal(service.place('bulk')?.endpoint.endpoint, 'd-4')
+})
+
+tap.t.test('while many endpoints start at once, none is left out', async (t) => {
+  const service = warmService('d-1', 'd-2')
+  service.announce('d-3')
+  for (let i = 0; i < 3; i++) t.ok(service.place('urgent'), `call ${i}`)
+})
+
+tap.t.test('an endpoint that fails twice in a row is left out for two seconds', async (t) => {
+  const service = warmService('d-1', 'd-2', 'd-3')
+  const bad = service.place('urgent')!
+  bad.stats.failed(service.now)
+  t.notOk(bad.stats.isEjected(service.now), 'one failure may be the request\'s own')
+  bad.stats.failed(service.now)
+  bad.release()
+  service.now += 1999
+  t.equal([0, 1, 2].filter(() => service.place('urgent') !== undefined).length, 2)
+  service.now += 1
+  t.equal(bad.stats.isEjected(service.now), false)
+})
+
+tap.t.test('an endpoint that refuses a connection is left out at once', async (t) => {
+  const service = warmService('d-1', 'd-2', 'd-3')
+  const dead = service.place('urgent')!
+  dead.stats.refused(service.now)
+  dead.release()
+  t.ok(dead.stats.isEjected(service.now))
+  t.equal([0, 1, 2].filter(() => service.place('urgent') !== undefined).length, 2)
+})
--- /dev/null
+++ b/packages/telemetry/src/node/metrics.ts
@@ -0,0 +1,59 @@
+/** Counters, gauges and latency histograms, printed in the Prometheus text format. */
+import type * as latencyHistogram from '../common/latencyHistogram.js'
+
+const quantiles = [0.5, 0.9, 0.99, 0.999] as const
+
+type Labels = Readonly<Record<string, string>>
+
+const msPerSecond = 1000
+
+/** Metrics of one process. */
+export class Metrics {
+  private readonly counters = new Map<string, number>()
+  private readonly gauges = new Map<string, () => number>()
+  private readonly histograms = new Map<string, { readonly name: string, readonly labels: Labels, readonly histogram: latencyHistogram.ILatencyHistogram }>()
+
+  /** @param newHistogram makes a histogram; a process without latencies needs not load the library. */
+  constructor (private readonly newHistogram: () => latencyHistogram.ILatencyHistogram) {}
+
+  count (name: string, labels: Labels = {}, by = 1): void {
+    const key = name + formatLabels(labels)
+    this.counters.set(key, (this.counters.get(key) ?? 0) + by)
+  }
+
+  /** Registers a value that is read when the page is asked for. */
+  gauge (name: string, labels: Labels, read: () => number): void {
+    this.gauges.set(name + formatLabels(labels), read)
+  }
+
+  /** Records a latency in milliseconds. */
+  latency (name: string, labels: Labels, ms: number): void {
+    const key = name + formatLabels(labels)
+    let entry = this.histograms.get(key)
+    if (entry === undefined) {
+      entry = { name, labels, histogram: this.newHistogram() }
+      this.histograms.set(key, entry)
+    }
+    entry.histogram.record(ms)
+  }
+
+  /** The metrics page. */
+  format (): string {
+    const lines: string[] = []
+    for (const [key, value] of this.counters) lines.push(`${key} ${value}`)
+    for (const [key, read] of this.gauges) lines.push(`${key} ${read()}`)
+    for (const { name, labels, histogram } of this.histograms.values()) {
+      for (const quantile of quantiles) {
+        const seconds = histogram.at(quantile) / msPerSecond
+        lines.push(`${name}${formatLabels({ ...labels, quantile: String(quantile) })} ${seconds}`)
+      }
+      lines.push(`${name}_count${formatLabels(labels)} ${histogram.count}`)
+    }
+    return lines.sort().join('\n') + '\n'
+  }
+}
+
+function formatLabels (labels: Labels): string {
+  const pairs = Object.entries(labels).map(([key, value]) => `${key}=${JSON.stringify(value)}`)
+  return pairs.length === 0 ? '' : `{${pairs.join(',')}}`
+}
--- /dev/null
+++ b/packages/testbed/src/common/scenarioLanguage.ts
@@ -0,0 +1,58 @@
+/** The scenario language: one step a line, a verb with arguments and `name=value` options. */
+import * as peggy from 'peggy'
+
+const grammar = `
+Scenario = first:Line rest:(Newline @Line)* { return [first, ...rest].filter((step) => step !== null) }
+Line = Space* step:Step? Space* Comment? { return step }
+Step = verb:Word words:(Space+ @(Option / Plain))* {
+  const step = { line: location().start.line, verb, args: [], options: {} }
+  for (const word of words) {
+    if (word.name === undefined) step.args.push(word.value)
+    else step.options[word.name] = word.value
+  }
+  return step
+}
+Option = name:Word "=" value:Value { return { name, value } }
+Plain = value:Value { return { value } }
+Value = '"' text:$[^"\\n]* '"' { return text } / $[^ \\t\\n"#=] + $[^ \\t\\n"#]* { return text() }
+Word = $([a-zA-Z] [a-zA-Z0-9-]*)
+Comment = "#" [^\\n]*
+Space = [ \\t]
+Newline = "\\r"? "\\n"
+`
+
+/** One step of a scenario. */
+export interface Step {
+  readonly line: number
+  readonly verb: string
+  readonly args: readonly string[]
+  readonly options: Readonly<Record<string, string>>
+}
+
+const parser = peggy.default.generate(grammar)
+
+/** Parses a scenario; throws with line and column when it isn't one. */
+export function parseScenario (name: string, text: string): readonly Step[] {
+  try {
+    return parser.parse(text) as readonly Step[]
+  } catch (err) {
+    if (!(err instanceof parser.SyntaxError)) throw err
+    const { line, column } = (err as peggy.parser.SyntaxError).location.start
+    throw new Error(`${name}:${line}:${column}: ${(err as Error).message}`)
+  }
+}
+
+/** Value of an option as a number. */
+export function numberOption (step: Step, name: string, fallback?: number): number {
+  const text = step.options[name]
+  const value = text === undefined ? fallback : Number(text)
+  if (value === undefined || !Number.isFinite(value)) throw new Error(`the option ${name} must be a number`)
+  return value
+}
+
+/** Argument at a position; throws when it is missing. */
+export function argument (step: Step, position: number, what: string): string {
+  const value = step.args[position]
+  if (value === undefined) throw new Error(`${step.verb} needs ${what}`)
+  return value
+}
--- /dev/null
+++ b/packages/testbed/src/node/plainForwarder.ts
@@ -0,0 +1,22 @@
+/** The floor to measure against: forwards each request over an undici pool and decides nothing. */
+import * as http from 'node:http'
+import * as undici from 'undici'
+import * as address from '@rosemaryrack/base/common/address.js'
+
+const connectionsPerTarget = 64
+
+const [listen = '', ...targets] = process.argv.slice(2)
+const pools = targets.map((target) => new undici.Pool(`http://${target}`, { connections: connectionsPerTarget, pipelining: 1 }))
+let turn = 0
+
+const server = http.createServer((req, res) => {
+  const pool = pools[turn++ % pools.length]!
+  pool.stream({
+    path: req.url ?? '/',
+    method: req.method as undici.Dispatcher.HttpMethod,
+    headers: req.headers,
+    body: req.method === 'GET' ? null : req
+  }, ({ statusCode, headers }) => res.writeHead(statusCode, headers)).catch(() => res.destroy())
+})
+const { host, port } = address.parseAddress(listen)
+server.listen(port, host)
--- /dev/null
+++ b/packages/testbed/src/node/prove.ts
@@ -0,0 +1,60 @@
+/** `npm run prove`: runs scenarios, prints one line a proof, ends with `N passed, N failed`. */
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import * as url from 'node:url'
+import * as cac from 'cac'
+import * as scenarioRunner from './scenarioRunner.js'
+
+const scenarioFolder = url.fileURLToPath(new URL('../../scenarios/', import.meta.url))
+const extension = '.scenario'
+const defaultSeed = 1
+
+interface Options {
+  readonly seed: number
+  readonly seeds: number
+  readonly jobs: number
+  readonly keep: boolean
+}
+
+function scenarioNames (filter: readonly string[]): readonly string[] {
+  const names = fs.readdirSync(scenarioFolder).filter((file) => file.endsWith(extension)).map((file) => path.basename(file, extension)).sort()
+  return filter.length === 0 ? names : names.filter((name) => filter.some((part) => name.includes(part)))
+}
+
+async function runAll (names: readonly string[], options: Options): Promise<number> {
+  const queue = names.flatMap((name) => Array.from({ length: options.seeds }, (_value, i) => ({ name, seed: options.seed + i })))
+  const total = queue.length
+  let failed = 0
+  const worker = async (): Promise<void> => {
+    for (let proof = queue.shift(); proof !== undefined; proof = queue.shift()) {
+      const { name, seed } = proof
+      const text = fs.readFileSync(path.join(scenarioFolder, name + extension), 'utf8')
+      const result = await scenarioRunner.runScenario(name, text, seed, options.keep)
+      if (!result.passed) failed++
+      process.stdout.write(`${result.passed ? 'passed' : 'FAILED'} ${name} seed=${seed} (${(result.ms / 1000).toFixed(1)} s)${shownOutcome(result)}\n`)
+    }
+  }
+  await Promise.all(Array.from({ length: options.jobs }, worker))
+  process.stdout.write(`${total - failed} passed, ${failed} failed\n`)
+  return failed
+}
+
+/** What went wrong, or the figures that the scenario measured. */
+function shownOutcome ({ passed, message, figures }: scenarioRunner.ScenarioResult): string {
+  const shown = passed ? figures.join('; ') : message
+  return shown === '' ? '' : `: ${shown}`
+}
+
+const cli = cac.cac('npm run prove --')
+cli.command('[...names]', 'Runs the scenarios whose names contain one of the given texts, or all')
+  .option('--seed <seed>', 'Seed of the choices that scenarios leave open', { default: defaultSeed })
+  .option('--seeds <count>', 'Runs each with so many seeds, from the first one on', { default: 1 })
+  .option('--jobs <count>', 'Scenarios at a time', { default: 1 })
+  .option('--keep', 'Keep the logs of failed scenarios', { default: false })
+  .action(async (names: readonly string[], options: Options) => {
+    const chosen = scenarioNames(names)
+    // Calls and timers that scenarios left behind would keep the process alive.
+    process.exit(chosen.length > 0 && await runAll(chosen, options) === 0 ? 0 : 1)
+  })
+cli.help()
+cli.parse()
--- /dev/null
+++ b/packages/testbed/src/node/realBench.ts
@@ -0,0 +1,185 @@
+/** Measures the real programs on loopback: added latency, calls per core, and the cost of control per node. */
+import * as events from 'node:events'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as url from 'node:url'
+import * as undici from 'undici'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as secret from '@rosemaryrack/base/node/secret.js'
+import * as hdrLatency from '@rosemaryrack/telemetry/node/hdrLatency.js'
+import * as fleetPlan from '../common/fleetPlan.js'
+import * as localFleet from './localFleet.js'
+import * as processUsage from './processUsage.js'
+
+const lanes = url.fileURLToPath(new URL('../../../../examples/brandpost/lanes.json', import.meta.url))
+const forwarderScript = url.fileURLToPath(new URL('./plainForwarder.js', import.meta.url))
+const forwarderAddress = '127.0.0.1:16999'
+const requestPath = '/hydrants/1?ms=1'
+const ratePerSecond = 500
+const latencySeconds = 8
+const throughputSeconds = 6
+const concurrency = 32
+const restSeconds = 10
+/** Long enough for all endpoints to have been told the interval that fits their number. */
+const announcedSettleMs = 15_000
+/** Entry instances of a fleet, and the numbers of endpoints announced to it. */
+const controlRuns: ReadonlyArray<{ readonly entries: number, readonly endpointCounts: readonly number[] }> = [
+  { entries: 4, endpointCounts: [10, 100, 780] },
+  { entries: 16, endpointCounts: [780] }
+]
+
+type Say = (text: string) => void
+
+/** Latencies of open-loop calls, counted from their scheduled time. */
+async function openLoop (addresses: readonly string[], seconds: number): Promise<hdrLatency.HdrLatency> {
+  const agent = new undici.Agent({ connections: 128, pipelining: 1 })
+  const histogram = new hdrLatency.HdrLatency()
+  const start = performance.now()
+  const calls: Array<Promise<void>> = []
+  for (let i = 0; i < ratePerSecond * seconds; i++) {
+    const at = start + i * 1000 / ratePerSecond
+    if (at > performance.now()) await async.sleep(at - performance.now())
+    calls.push(callOnce(agent, addresses[i % addresses.length]!).then((ok) => {
+      if (ok) histogram.record(performance.now() - at)
+    }))
+  }
+  await Promise.all(calls)
+  await agent.destroy()
+  return histogram
+}
+
+/** Calls a second over all callers, each sending the next one after its answer. */
+async function closedLoop (addresses: readonly string[], seconds: number): Promise<number> {
+  const agent = new undici.Agent({ connections: concurrency, pipelining: 1 })
+  const end = performance.now() + seconds * 1000
+  let count = 0
+  await Promise.all(Array.from({ length: concurrency }, async (_value, i) => {
+    while (performance.now() < end) {
+      if (await callOnce(agent, addresses[i % addresses.length]!)) count++
+    }
+  }))
+  await agent.destroy()
+  return count / seconds
+}
+
+async function callOnce (agent: undici.Agent, address: string): Promise<boolean> {
+  try {
+    const res = await undici.request(`http://${address}${requestPath}`, { dispatcher: agent })
+    await res.body.dump()
+    return res.statusCode === 200
+  } catch {
+    return false
+  }
+}
+
+function latencyLine (name: string, latency: hdrLatency.HdrLatency): string {
+  return `${name.padEnd(16)} p50 ${latency.at(0.5).toFixed(2)} p99 ${latency.at(0.99).toFixed(2)} p99.9 ${latency.at(0.999).toFixed(2)} ms (${latency.count} calls at ${ratePerSecond}/s)`
+}
+
+/** Calls a second, and per core of the measured processes. */
+async function perCore (addresses: readonly string[], pids: readonly number[]): Promise<{ readonly rate: number, readonly ratePerCore: number }> {
+  const cpu = (): number => pids.reduce((sum, pid) => sum + processUsage.usageOf(pid).cpuSeconds, 0)
+  const before = cpu()
+  const rate = await closedLoop(addresses, throughputSeconds)
+  return { rate, ratePerCore: rate * throughputSeconds / (cpu() - before) }
+}
+
+async function startFleet (entries: number, services: readonly string[]): Promise<localFleet.LocalFleet> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-bench-'))
+  const targets = services.map((service) => ({ service, count: 4, slots: 64, connectionLimit: 1000 }))
+  const fleet = new localFleet.LocalFleet(folder, { cluster: 'bench', failureDomains: ['a', 'b', 'c'], controls: 3, entries, targets }, new fleetPlan.PortScheme(), false, { defaultTimes: true })
+  await fleet.startSystem()
+  fleet.startTargets()
+  const res = await fleet.rackctl(['config', 'patch', '--amends', '0', lanes])
+  if (res.exitCode !== 0) throw new Error(res.stderr)
+  await async.sleep(2000)
+  return fleet
+}
+
+async function measurePath (entries: number, say: Say): Promise<void> {
+  const fleet = await startFleet(entries, ['hydrant-lookup'])
+  const targets = fleet.targets.map((name) => fleet.targetAddress(name))
+  const plain = fleet.startProgram('plain', forwarderScript, [forwarderAddress, ...targets])
+  const callers = fleet.entries.map((name) => fleet.addresses(name).callers)
+  const pids = fleet.entries.map((name) => fleet.process(name).pid)
+  await async.sleep(1000)
+  for (const warm of [callers, [forwarderAddress], targets]) await closedLoop(warm, 2)
+  say(`-- ${entries} entry instance${entries === 1 ? '' : 's'}, decision logs on`)
+  say(latencyLine('direct', await openLoop(targets, latencySeconds)))
+  say(latencyLine('plain', await openLoop([forwarderAddress], latencySeconds)))
+  say(latencyLine('rosemaryrack', await openLoop(callers, latencySeconds)))
+  const floor = await perCore([forwarderAddress], [plain.pid])
+  const own = await perCore(callers, pids)
+  say(`plain            ${Math.round(floor.rate)} calls/s, ${Math.round(floor.ratePerCore)} per core`)
+  say(`rosemaryrack     ${Math.round(own.rate)} calls/s, ${Math.round(own.ratePerCore)} per core: ${(own.ratePerCore / floor.ratePerCore).toFixed(2)} of plain`)
+  await fleet.dispose()
+}
+
+/** Announces endpoints that nothing is sent to, and renews them as the answers ask. */
+async function announce (fleet: localFleet.LocalFleet, count: number, stop: AbortSignal): Promise<void> {
+  const addresses = fleet.entries.map((name) => fleet.addresses(name).announcements)
+  const agent = new undici.Agent({ connections: 4 })
+  events.default.setMaxListeners(0, stop)
+  await Promise.all(Array.from({ length: count }, async (_value, i) => {
+    for (let sequence = 1; !stop.aborted; sequence++) {
+      const res = await undici.request(`http://${addresses[(i + sequence) % addresses.length]!}/announcements`, {
+        dispatcher: agent,
+        method: 'POST',
+        headers: { authorization: secret.bearer(fleet.announcementToken) },
+        body: JSON.stringify({ endpoint: `idle-${i}`, service: `idle-${i % 36}`, address: '127.0.0.1:1', failureDomain: 'a', slots: 6, connectionLimit: 260, state: 'ready', incarnation: 1, sequence, leaseMs: 5000 })
+      })
+      const { renewAfterMs = 1000 } = await res.body.json() as { readonly renewAfterMs?: number }
+      await async.sleep(renewAfterMs, stop)
+    }
+  }))
+  await agent.destroy()
+}
+
+/** Reads what the processes of a fleet spend over some seconds. */
+async function spend (fleet: localFleet.LocalFleet, name: string, say: Say, during: () => Promise<void> = async () => {}): Promise<void> {
+  const names = [...fleet.controls, ...fleet.entries]
+  const before = names.map((process) => processUsage.usageOf(fleet.process(process).pid))
+  const start = performance.now()
+  await Promise.all([during(), async.sleep(restSeconds * 1000)])
+  const seconds = (performance.now() - start) / 1000
+  const rates = names.map((process, i) => processUsage.ratePerSecond(before[i]!, processUsage.usageOf(fleet.process(process).pid), seconds))
+  const worst = (role: readonly string[], read: (rate: typeof rates[number]) => number): string =>
+    Math.max(...rates.filter((_rate, i) => role.includes(names[i]!)).map(read)).toFixed(1)
+  for (const [role, members] of [['control', fleet.controls], ['entry', fleet.entries]] as const) {
+    say(`${name.padEnd(22)} ${role.padEnd(8)} ${worst(members, (rate) => rate.corePercent)}% of a core, ${worst(members, (rate) => rate.kbPerSecond)} KB/s, ${worst(members, (rate) => rate.residentMb)} MB resident (worst of ${members.length})`)
+  }
+}
+
+async function patchMany (fleet: localFleet.LocalFleet, count: number): Promise<void> {
+  for (let i = 0; i < count; i++) {
+    const res = await fetch(`http://${fleet.addresses('control-1').operator}/config`, {
+      method: 'PATCH',
+      headers: { authorization: secret.bearer(fleet.token), 'if-match': `"${i + 1}"` },
+      body: JSON.stringify({ lanes: { 'hydrant-lookup': { deadlineMs: 1000 + i } } })
+    })
+    await res.arrayBuffer()
+  }
+}
+
+async function measureControl ({ entries, endpointCounts }: typeof controlRuns[number], say: Say): Promise<void> {
+  const fleet = await startFleet(entries, [])
+  say(`-- control and entry instances at no traffic: 3 control replicas, ${entries} entry instances`)
+  await spend(fleet, 'at rest', say)
+  await spend(fleet, '100 changes in 10 s', say, async () => await patchMany(fleet, 100))
+  for (const count of endpointCounts) {
+    const stop = new AbortController()
+    announce(fleet, count, stop.signal).catch(() => {})
+    await async.sleep(announcedSettleMs)
+    await spend(fleet, `${count} endpoints`, say)
+    stop.abort()
+    await async.sleep(1000)
+  }
+  await fleet.dispose()
+}
+
+/** Runs the real measurements: the part named `path` or `control`, or both. */
+export async function run (part: string | boolean, say: Say): Promise<void> {
+  if (part !== 'control') for (const entries of [1, 4]) await measurePath(entries, say)
+  if (part !== 'path') for (const plan of controlRuns) await measureControl(plan, say)
+}
--- /dev/null
+++ b/packages/testbed/src/node/scenarioRunner.ts
@@ -0,0 +1,53 @@
+/** Runs scenario files against real processes and judges their history at the end. */
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as scenarioLanguage from '../common/scenarioLanguage.js'
+import * as callVerbs from './callVerbs.js'
+import * as configVerbs from './configVerbs.js'
+import * as history from './history.js'
+import * as processVerbs from './processVerbs.js'
+import * as troubleVerbs from './troubleVerbs.js'
+import type * as verbs from './verbs.js'
+import * as world from './world.js'
+
+const allVerbs: verbs.Verbs = { ...processVerbs.processVerbs, ...configVerbs.configVerbs, ...callVerbs.callVerbs, ...troubleVerbs.troubleVerbs }
+const shownLogLines = 8
+
+/** Outcome of one scenario. */
+export interface ScenarioResult {
+  readonly name: string
+  readonly passed: boolean
+  readonly message: string
+  readonly figures: readonly string[]
+  readonly ms: number
+}
+
+/** Runs one scenario; never rejects. Its folder is kept when it failed and `keep` asks for it. */
+export async function runScenario (name: string, text: string, seed: number, keep = false): Promise<ScenarioResult> {
+  const start = performance.now()
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-proof-'))
+  const w = new world.World(folder, seed)
+  let message = ''
+  try {
+    for (const step of scenarioLanguage.parseScenario(name, text)) await runStep(w, name, step)
+    const violations = history.violations(w)
+    if (violations.length > 0) throw new Error(`${name}: ${violations.slice(0, 5).join('; ')}`)
+  } catch (err) {
+    message = [(err as Error).message, ...w.notes].join('; ')
+    if (keep) message += `\n  logs in ${folder}`
+  }
+  await w.dispose()
+  if (message === '' || !keep) fs.rmSync(folder, { recursive: true, force: true })
+  return { name, passed: message === '', message, figures: w.figures, ms: performance.now() - start }
+}
+
+async function runStep (w: world.World, name: string, step: scenarioLanguage.Step): Promise<void> {
+  const verb = allVerbs[step.verb]
+  if (verb === undefined) throw new Error(`${name}:${step.line}: no verb ${step.verb}; there are ${Object.keys(allVerbs).sort().join(', ')}`)
+  try {
+    await verb(w, step)
+  } catch (err) {
+    throw new Error(`${name}:${step.line}: ${step.verb} ${step.args.join(' ')}: ${(err as Error).message.split('\n').slice(0, shownLogLines).join('\n')}`)
+  }
+}
--- /dev/null
+++ b/packages/testbed/src/test/scenarioLanguage.test.ts
@@ -0,0 +1,36 @@
+/** The scenario language: what it takes, and what it says about the rest. */
+import * as tap from 'tap'
+import * as contentPattern from '../common/contentPattern.js'
+import * as scenarioLanguage from '../common/scenarioLanguage.js'
+
+function parse (text: string): unknown {
+  try {
+    return scenarioLanguage.parseScenario('s', text)
+  } catch (err) {
+    return (err as Error).message.split('\n')[0]
+  }
+}
+
+const texts: Readonly<Record<string, string>> = {
+  empty: '',
+  'comments and blank lines': '# first\n\n  # second\n',
+  'arguments and options': 'call entry-1,entry-2 count=3 path="a b?x=1" # twice\n\nkill leader',
+  'a quote that is left open': 'call path="a',
+  'an option without a value': 'call path='
+}
+
+for (const [name, text] of Object.entries(texts)) {
+  tap.t.test(name, async (t) => {
+    t.matchSnapshot(parse(text))
+  })
+}
+
+tap.t.test('content is known at each offset', async (t) => {
+  const whole = Buffer.concat([contentPattern.contentAt(0, 1000), contentPattern.contentAt(1000, 1000)])
+  t.ok(contentPattern.matchesAt(0, whole))
+  t.ok(contentPattern.matchesAt(700, whole.subarray(700)))
+  t.notOk(contentPattern.matchesAt(1, whole))
+  const damaged = Buffer.from(whole)
+  damaged[1999]! ^= 1
+  t.notOk(contentPattern.matchesAt(0, damaged))
+})
--- /dev/null
+++ b/scripts/mutate.mjs
@@ -0,0 +1,56 @@
+/**
+ * Shows that each proof can fail: breaks one mechanism at a time in a scratch copy and runs the scenario that
+ * proves it. `node scripts/mutate.mjs [TEXT...]` takes the scenarios whose names contain one of the texts.
+ */
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as prepare from './prepare.mjs'
+
+const timeoutMs = 180_000
+const defaultSeed = 1
+const maxJobs = 3
+
+function copyRepository () {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-mutation-'))
+  for (const name of ['packages', 'examples', 'package.json']) fs.cpSync(name, path.join(folder, name), { recursive: true, verbatimSymlinks: true })
+  fs.cpSync('node_modules/@rosemaryrack', path.join(folder, 'node_modules/@rosemaryrack'), { recursive: true, verbatimSymlinks: true })
+  for (const name of fs.readdirSync('node_modules')) {
+    if (name !== '@rosemaryrack') fs.symlinkSync(path.resolve('node_modules', name), path.join(folder, 'node_modules', name))
+  }
+  return folder
+}
+
+function replaceOnce (text, { from, to }, file) {
+  if (!text.includes(from)) throw new Error(`${file} no longer contains: ${from}`)
+  return text.replace(from, () => to)
+}
+
+/** Runs one scenario with one mechanism broken; true when it failed, as it should. */
+function turnsRed (folder, mutation) {
+  const originals = new Map()
+  for (const change of mutation.changes) {
+    const file = path.join(folder, 'packages', change.file)
+    const text = fs.readFileSync(file, 'utf8')
+    if (!originals.has(file)) originals.set(file, text)
+    fs.writeFileSync(file, replaceOnce(text, change, change.file))
+  }
+  const { scenario, seed = defaultSeed, seeds = 1 } = mutation
+  const args = ['packages/testbed/dist/node/prove.js', scenario, '--seed', String(seed), '--seeds', String(seeds), '--jobs', String(Math.min(seeds, maxJobs))]
+  const run = childProcess.spawnSync(process.execPath, args, { cwd: folder, encoding: 'utf8', timeout: timeoutMs })
+  for (const [file, text] of originals) fs.writeFileSync(file, text)
+  const line = run.stdout.split('\n').find((text) => text.startsWith('FAILED')) ?? (run.status === 0 ? 'passed' : 'no end within the time')
+  console.log(`${run.status === 0 ? 'STILL GREEN' : 'red'} ${mutation.scenario} without "${mutation.breaks}": ${line.slice(0, 300)}`)
+  return run.status !== 0
+}
+
+prepare.prepare()
+const wanted = process.argv.slice(2)
+const mutations = JSON.parse(fs.readFileSync('packages/testbed/mutations.json', 'utf8'))
+  .filter(({ scenario }) => wanted.length === 0 || wanted.some((text) => scenario.includes(text)))
+const folder = copyRepository()
+const red = mutations.filter((mutation) => turnsRed(folder, mutation)).length
+fs.rmSync(folder, { recursive: true, force: true })
+console.log(`${red} red, ${mutations.length - red} still green`)
+process.exitCode = red === mutations.length ? 0 : 1
--- /dev/null
+++ b/tap-snapshots/packages/config/dist/test/configPatch.test.js.test.cjs
@@ -0,0 +1,114 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`packages/config/dist/test/configPatch.test.js > TAP > adds a lane > must match snapshot 1`] = `
+Object {
+  "lanes": Object {
+    "diary": Object {
+      "budgets": Object {
+        "bulkShare": 0.7,
+        "hedgeBelowShare": 0.8,
+        "hedgeRatio": 0.05,
+        "measuringPerSecond": 10,
+        "retryRatio": 0.05,
+      },
+      "coldStartMs": 2000,
+      "deadlineMs": 1000,
+      "hedgeAfterMs": 0,
+      "idempotent": true,
+      "match": Object {
+        "methods": Array [
+          "GET",
+        ],
+        "pathPrefix": "/diary",
+      },
+      "maxBodyBytes": 16777216,
+      "maxWaitMs": 100,
+      "priority": "normal",
+      "progressTimeoutMs": 10000,
+      "service": "diary",
+      "shedStatuses": Array [],
+      "weights": Object {
+        "coldness": 4,
+        "latency": 1,
+        "recentFailures": 4,
+        "remoteDomain": 1,
+        "reportedLoad": 0,
+      },
+    },
+  },
+}
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > changes one budget and keeps the rest > must match snapshot 1`] = `
+Object {
+  "lanes": Object {
+    "diary": Object {
+      "budgets": Object {
+        "bulkShare": 0.7,
+        "hedgeBelowShare": 0.8,
+        "hedgeRatio": 0.05,
+        "measuringPerSecond": 10,
+        "retryRatio": 0.2,
+      },
+      "coldStartMs": 2000,
+      "deadlineMs": 1000,
+      "hedgeAfterMs": 0,
+      "idempotent": true,
+      "match": Object {
+        "methods": Array [
+          "GET",
+        ],
+        "pathPrefix": "/diary",
+      },
+      "maxBodyBytes": 16777216,
+      "maxWaitMs": 100,
+      "priority": "normal",
+      "progressTimeoutMs": 10000,
+      "service": "diary",
+      "shedStatuses": Array [],
+      "weights": Object {
+        "coldness": 4,
+        "latency": 1,
+        "recentFailures": 4,
+        "remoteDomain": 1,
+        "reportedLoad": 0,
+      },
+    },
+  },
+}
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses a list > must match snapshot 1`] = `
+patch is not a JSON object
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses a name with capitals > must match snapshot 1`] = `
+lanes.Diary: Invalid key in record
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses a wrong type > must match snapshot 1`] = `
+lanes.diary.deadlineMs: Invalid input: expected number, received string
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses an unknown key > must match snapshot 1`] = `
+lanes.diary: Unrecognized key: "deadline"
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses broken JSON > must match snapshot 1`] = `
+patch is not JSON: Unexpected end of JSON input
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses two lanes that match the same > must match snapshot 1`] = `
+lanes.other.match: same as lanes.diary.match (* GET /diary)
+`
+
+exports[`packages/config/dist/test/configPatch.test.js > TAP > removes a lane > must match snapshot 1`] = `
+Object {
+  "lanes": Object {},
+}
+`
