A crashed target has exited before its scenario starts it again

A crashing process closes its connections, or goes silent, before it has exited; beside load that took up to 1 s. `start` passed over processes that still ran, without a word, so the target stayed down. The second call then found nobody listening and was told `not-run`, which was true, where the scenario expected `unknown`; or the last step found no target running.

Ruled out: the product's answers (each log shows the right one for what ran); fleets that share loopback addresses (one process numbers all of them, wholePath has a number of its own); a lapsed lease; news of the first death that comes late (entry-2 has it 7 ms after entry-1).

No expectation or bound is changed.

Conclusion: the fault was the scenario's. A step that does nothing must fail.

--- a/packages/testbed/src/node/processVerbs.ts
+++ b/packages/testbed/src/node/processVerbs.ts
@@ -40,10 +40,13 @@
 
 /**
  * Starts processes and waits until each listens or has ended. Steps that follow measure the system's own promises;
- * how soon a busy machine loads a program is none of them.
+ * how soon a busy machine loads a program is none of them. A process that crashes may outlive its connections by a
+ * while, so a scenario waits for its exit before it starts it again.
  */
 async function start (w: world.World, step: scenarioLanguage.Step): Promise<void> {
-  const names = (await w.resolve(scenarioLanguage.argument(step, 0, 'a process'))).filter((name) => !w.fleet.process(name).isRunning)
+  const names = await w.resolve(scenarioLanguage.argument(step, 0, 'a process'))
+  const running = names.filter((name) => w.fleet.process(name).isRunning)
+  verbs.check(running.length === 0, `${running.join(', ')} still running: wait for the exit first`)
   w.mark('start')
   const limit = step.options['maxFileBytes']
   for (const name of names) w.start(name, limit === undefined ? undefined : Number(limit))
