A test file that is cut short or never started counts as failed

`scenarios.test.ts` had outlived the limit of 240 s, the runner killed it and never started `wholePath.test.ts`. The reader of its output looked for an exit code, which a killed process has not, and never compared the files that gave results with those it had asked for.

Change: the reader is a module of its own, `scripts/testReport.mjs`. A file killed by a signal or by the limit counts as failed even when a test of it failed too (a known red one would have hidden it); a file without any result counts as failed.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -5,6 +5,8 @@
 
 const testFolders = /^packages\/[a-z]+\/dist\/test$/
 const parallelFiles = 2
+/** Longest time of one file, in seconds: those with scenarios take some 180 beside load. */
+const fileLimitS = 240
 
 function testFiles () {
   return fs.readdirSync('packages')
@@ -19,54 +21,22 @@
   return new Set(lines.filter((line) => line.includes(' | ')).map((line) => line.split(' | ')[0].trim()))
 }
 
-/** Calls `report` with each failed check of the subtests below, however deep. */
-function collectFailures (parser, report) {
-  parser.on('child', (child) => {
-    child.on('assert', ({ ok, name, diag }) => {
-      if (!ok) report({ name, diff: diag?.diff, stack: diag?.stack })
-    })
-    collectFailures(child, report)
-  })
-}
-
-/** Calls `report` for each test within each file, and for a file that failed as a whole. */
-async function runTests (files, report) {
-  const tapParser = await import('tap-parser')
-  const args = ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=tap', `--jobs=${parallelFiles}`, '--timeout=240', ...files]
+/** Starts the runner on the files; its output also goes to a file. */
+function startRunner (files) {
+  const args = ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=tap', `--jobs=${parallelFiles}`, `--timeout=${fileLimitS}`, ...files]
   const runner = childProcess.spawn('npx', args, { stdio: ['ignore', 'pipe', 'inherit'] })
-  const parser = new tapParser.Parser()
-  const filesWithFailures = new Set()
-  parser.on('child', (file) => {
-    let failedTests = 0
-    let failedChecks = []
-    collectFailures(file, (check) => failedChecks.push(check))
-    file.on('assert', (result) => {
-      const name = `${file.name.replace('/dist/', '/src/').replace('.js', '.ts')} > ${result.name}`
-      if (!result.ok) {
-        failedTests++
-        filesWithFailures.add(file.name)
-      }
-      report(name, result, failedChecks)
-      failedChecks = []
-    })
-    file.on('complete', (results) => {
-      if (!results.ok && failedTests === 0) report(`${file.name} > (whole file)`, { ok: false, diag: results.failures })
-    })
-  })
-  parser.on('assert', (result) => {
-    if (!result.ok && result.diag?.exitCode && !filesWithFailures.has(result.name)) report(`${result.name} > (exit)`, result)
-  })
   runner.stdout.pipe(fs.createWriteStream('run/test-output.tap'))
-  runner.stdout.pipe(parser)
-  await new Promise((resolve) => parser.on('complete', resolve))
+  return runner.stdout
 }
 
 prepare.prepare()
 fs.mkdirSync('run', { recursive: true })
 const expectedRed = knownRed()
 const outcome = { passed: 0, failed: 0 }
-const started = process.argv.slice(2)
-await runTests(started.length > 0 ? started : testFiles(), (name, { ok, diag, time }, failedChecks = []) => {
+const named = process.argv.slice(2)
+const files = named.length > 0 ? named : testFiles()
+const testReport = await import('./testReport.mjs')
+await testReport.readResults(startRunner(files), files, (name, { ok, diag, time }, failedChecks) => {
   const red = !ok && expectedRed.has(name)
   const mark = ok ? 'ok' : red ? 'KNOWN RED' : 'FAILED'
   console.log(`${mark} ${name}${time === undefined ? '' : ` (${Math.round(time)} ms)`}`)
