Scenarios' test process ends by itself

Cause of the 240 s above: after its last result and plan (`1..29`, at 157 s) `scenarios.test.ts` called `process.exit` in its teardown, and in 3 of 5 runs of all scenarios the process then stayed, without children, on a busy processor until the runner's limit. It no longer opened the inspector on SIGUSR1, so it was not in JavaScript that could be interrupted. What it did there is not known. Ruled out: a hung scenario (all had passed), the order of buffered and other tests (29 dummy tests with the same order and teardown end in 4 of 4 runs), a child that stays.

Change: no forced exit. `wait-exit` clears its timer, which kept the process for up to 30 s and was what the forced exit was for. Without it, the process has only its two pipes open at the end of six scenarios and ends 6 ms later.

Seen: 3 of 3 subsets of five or six scenarios end within 2 s of their last test; whole runs are the next check.

--- a/packages/testbed/src/node/processVerbs.ts
+++ b/packages/testbed/src/node/processVerbs.ts
@@ -56,8 +56,9 @@
 async function waitExit (w: world.World, step: scenarioLanguage.Step): Promise<void> {
   const within = verbs.durationOption(step, 'within', '30s')
   for (const name of await w.resolve(scenarioLanguage.argument(step, 0, 'a process'))) {
-    w.fleet.process(name).expectEnd()
-    const code = await Promise.race([w.fleet.process(name).exited, async.sleep(within).then(() => 'running')])
+    const child = w.fleet.process(name)
+    child.expectEnd()
+    const code = await async.within(child.exited, within, () => new Error(`${name} still runs after ${within} ms`))
     verbs.check(String(code) === (step.options['code'] ?? '0'), `${name} ended with ${String(code)}`)
   }
 }
--- a/packages/testbed/src/test/scenarios.test.ts
+++ b/packages/testbed/src/test/scenarios.test.ts
@@ -39,8 +39,3 @@
 const isAlone = ({ text }: Scenario): boolean => text.startsWith(aloneMark)
 for (const scenario of scenarios.filter((each) => !isAlone(each))) addTest(scenario, true)
 for (const scenario of scenarios.filter(isAlone)) addTest(scenario, false)
-
-tap.t.teardown(() => {
-  // Calls that scenarios left behind would keep the process alive.
-  setTimeout(() => process.exit(), 100).unref()
-})
