--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,14 +3,18 @@
 import * as neostandard from 'neostandard'
 
 /** Packages from the lowest layer to the highest; each may import those before it that it lists as dependencies. */
-const layers = ['base', 'protocol', 'listener', 'telemetry', 'config', 'fleet', 'control', 'routing', 'entry', 'rosemaryrack', 'rackctl', 'testbed']
+const layers = ['base', 'protocol', 'listener', 'telemetry', 'config', 'fleet', 'control', 'routing', 'entry', 'platform', 'rosemaryrack', 'rackctl', 'testbed']
 const namespaceOnly = [
   { selector: 'ImportSpecifier', message: 'Import the module as a namespace.' },
   { selector: 'ImportDefaultSpecifier', message: 'Import the module as a namespace.' }
 ]
 
+function folderOf (name) {
+  return name === 'platform' ? name : `packages/${name}`
+}
+
 function dependenciesOf (name) {
-  const manifest = JSON.parse(fs.readFileSync(`packages/${name}/package.json`, 'utf8'))
+  const manifest = JSON.parse(fs.readFileSync(`${folderOf(name)}/package.json`, 'utf8'))
   return Object.keys(manifest.dependencies).filter((dependency) => dependency.startsWith('@rosemaryrack/'))
 }
 
@@ -21,7 +25,7 @@
   if (wrong.length > 0) throw new Error(`packages/${name} depends on a higher layer: ${wrong.join(', ')}`)
   const forbidden = layers.map((layer) => `@rosemaryrack/${layer}`).filter((layer) => !declared.includes(layer))
   return {
-    files: [`packages/${name}/src/**/*.ts`],
+    files: [`${folderOf(name)}/src/**/*.ts`],
     rules: { 'no-restricted-imports': ['error', { patterns: [{ group: forbidden.map((layer) => `${layer}/*`), message: 'This package does not depend on that layer.' }] }] }
   }
 }
@@ -31,13 +35,13 @@
   const [, { patterns }] = rule.rules['no-restricted-imports']
   const runtime = { group: ['node:*', '**/node/*', '**/test/*'], message: 'Code in common/ runs anywhere.' }
   return {
-    files: [`packages/${name}/src/common/**/*.ts`],
+    files: [`${folderOf(name)}/src/common/**/*.ts`],
     rules: { 'no-restricted-imports': ['error', { patterns: [...patterns, runtime] }] }
   }
 }
 
 export default [
-  { ignores: ['**/dist/**', '**/gen/**', 'tap-snapshots/**', 'run/**'] },
+  { ignores: ['**/dist/**', '**/gen/**', 'tap-snapshots/**', 'run/**', 'target/**'] },
   ...neostandard.default({ ts: true }),
   { rules: { 'no-restricted-syntax': ['error', ...namespaceOnly], 'max-lines': ['error', { max: 400, skipComments: true }] } },
   ...layers.map(layerRule),
--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -1,15 +1,20 @@
 /** The configuration document that operators patch: services and their lanes. */
 import * as zod from 'zod'
+import * as names from '@rosemaryrack/base/common/names.js'
 import type * as deepReadonly from './deepReadonly.js'
 
 const maxDeadlineMs = 3_600_000
-const name = zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and dashes')
+const maxRank = 1000
+/** Longest lag of a latency target behind its deadline; a longer one is taken for a slip of units. */
+const maxTargetBeyondDeadlineMs = 60_000
+const name = zod.string().regex(names.namePattern, names.nameRule)
 const milliseconds = zod.number().int().min(1).max(maxDeadlineMs)
 const ratio = zod.number().min(0).max(1)
 
 const matchSchema = zod.strictObject({
-  methods: zod.array(zod.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'])).min(1),
-  pathPrefix: zod.string().regex(/^\/[A-Za-z0-9._~/-]*$/, 'an absolute path'),
+  /** Any method where none is named. */
+  methods: zod.array(zod.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'])).min(1).optional(),
+  pathPrefix: zod.string().regex(/^\/[^\s?#]*$/, 'an absolute path'),
   host: zod.string().min(1).optional()
 })
 
@@ -39,16 +44,28 @@
   remoteDomain: zod.number().min(1).max(10).default(1)
 })
 
+const splitSchema = zod.array(zod.strictObject({
+  service: name,
+  /** Share of the lane's calls, relative to the other parts. */
+  weight: zod.number().min(0)
+})).min(1).refine((parts) => parts.some(({ weight }) => weight > 0), 'at least one part with a weight above 0')
+
 const laneSchema = zod.strictObject({
   service: name,
+  /** Services that share the lane's calls by weight; `service` is one of them. */
+  split: splitSchema.optional(),
   match: matchSchema,
   idempotent: zod.boolean(),
   /** Whole time from arrival to the last byte of the answer's head. */
   deadlineMs: milliseconds,
   /** Longest wait for a slot. */
   maxWaitMs: zod.number().int().min(0).max(maxDeadlineMs),
-  /** Order under load; `bulk` leaves the last slots to the others. */
-  priority: zod.enum(['urgent', 'normal', 'bulk']).default('normal'),
+  /** Time within which an answer serves its caller fully; a goal, not a limit. */
+  targetLatencyMs: milliseconds.optional(),
+  /** Endpoints that may be asked for one call. */
+  maxAttempts: zod.number().int().min(1).max(maxRank).default(3),
+  /** Order under load; `bulk` leaves the last slots to the others. A number is a rank, 0 the first. */
+  priority: zod.union([zod.enum(['urgent', 'normal', 'bulk']), zod.number().int().min(0).max(maxRank)]).default('normal'),
   /** Longest silence while a body is in transfer. */
   progressTimeoutMs: milliseconds.default(10_000),
   maxBodyBytes: zod.number().int().min(0).default(16_777_216),
@@ -62,8 +79,24 @@
   weights: weightsSchema.prefault({})
 })
 
+const serviceSchema = zod.strictObject({
+  /** Connections that an endpoint accepts from all callers together. */
+  connectionLimit: zod.number().int().min(1).optional()
+})
+
+/** Limits towards callers; where one is missing the listener's own holds. */
+const callerLimitsSchema = zod.strictObject({
+  maxHeaderBytes: zod.number().int().min(1).optional(),
+  maxBodyBytes: zod.number().int().min(0).optional(),
+  headerTimeoutMs: milliseconds.optional(),
+  idleTimeoutMs: milliseconds.optional()
+})
+
 const documentSchema = zod.strictObject({
-  lanes: zod.record(name, laneSchema).default({})
+  lanes: zod.record(name, laneSchema).default({}),
+  /** Where services are listed, lanes may name no others. */
+  services: zod.record(name, serviceSchema).optional(),
+  callerLimits: callerLimitsSchema.optional()
 })
 
 /** A service lane as operators configured it. */
@@ -91,8 +124,9 @@
 export function checkDocument (raw: unknown): DocumentCheck {
   const result = documentSchema.safeParse(raw)
   if (!result.success) return { ok: false, problems: result.error.issues.map(describeIssue) }
-  const clash = findMatchClash(result.data)
-  return clash === undefined ? { ok: true, document: result.data } : { ok: false, problems: [clash] }
+  const problems = [findMatchClash(result.data), ...Object.entries(result.data.lanes).map(([laneName, lane]) => findLaneProblem(laneName, lane, result.data))]
+    .filter((problem) => problem !== undefined)
+  return problems.length === 0 ? { ok: true, document: result.data } : { ok: false, problems }
 }
 
 /** One line for a schema violation: key, what was expected, what was found. */
@@ -105,7 +139,7 @@
 function findMatchClash (document: ConfigDocument): string | undefined {
   const owners = new Map<string, string>()
   for (const [laneName, lane] of Object.entries(document.lanes)) {
-    for (const method of lane.match.methods) {
+    for (const method of lane.match.methods ?? ['*']) {
       const key = `${lane.match.host ?? '*'} ${method} ${lane.match.pathPrefix}`
       const owner = owners.get(key)
       if (owner !== undefined) return `lanes.${laneName}.match: same as lanes.${owner}.match (${key})`
@@ -114,3 +148,15 @@
   }
   return undefined
 }
+
+function findLaneProblem (laneName: string, lane: Lane, document: ConfigDocument): string | undefined {
+  const { service, split, deadlineMs, targetLatencyMs } = lane
+  const named = split?.map((part) => part.service) ?? [service]
+  if (!named.includes(service)) return `lanes.${laneName}.split: does not name the lane's service ${service}`
+  const unknown = document.services === undefined ? undefined : named.find((each) => !Object.hasOwn(document.services!, each))
+  if (unknown !== undefined) return `lanes.${laneName}: service ${unknown} is not listed`
+  if (targetLatencyMs !== undefined && targetLatencyMs >= deadlineMs + maxTargetBeyondDeadlineMs) {
+    return `lanes.${laneName}.targetLatencyMs: ${targetLatencyMs} is a minute or more above the deadline`
+  }
+  return undefined
+}
--- a/packages/control/src/common/quorum.ts
+++ b/packages/control/src/common/quorum.ts
@@ -11,6 +11,11 @@
   return Math.floor(votersOf(membership).length / 2) + 1
 }
 
+/** Disks whose loss right after a commit leaves a copy of it. */
+export function toleratedLosses (membership: inner.Membership): number {
+  return majorityOf(membership) - 1
+}
+
 /** Highest value that a majority of the voters has reached; 0 without voters. */
 export function reachedByMajority (membership: inner.Membership, valueOf: (replicaId: string) => number): number {
   const values = votersOf(membership).map((voter) => valueOf(voter.id)).sort((a, b) => b - a)
--- a/packages/control/src/common/replicatedState.ts
+++ b/packages/control/src/common/replicatedState.ts
@@ -4,6 +4,7 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
+import * as event from '@rosemaryrack/base/common/event.js'
 import type * as logEntry from './logEntry.js'
 
 /** Outcome of a patch; `invalid` patches are refused before they reach the log. */
@@ -15,6 +16,7 @@
 export type ApplyResult =
   | { readonly kind: 'none' }
   | { readonly kind: 'patch', readonly outcome: PatchOutcome }
+  | { readonly kind: 'put', readonly heldVersion: number }
   | { readonly kind: 'claims', readonly granted: readonly boolean[] }
 
 /** An accepted patch as the history tells it. */
@@ -25,13 +27,18 @@
   readonly mergePatch: unknown
 }
 
-/** Patch ids and claims older than this many log entries are forgotten; equal on all replicas. */
+/** Patch ids, claims and departures older than this many log entries are forgotten; equal on all replicas. */
 export const rememberedEntries = 50_000
 
 /** Deterministic: equal logs give equal states on all replicas. */
 export class ReplicatedState {
   private current: configDocument.VersionedConfig = configDocument.emptyConfig
   private documentJson = JSON.stringify(configDocument.emptyConfig.document)
+  private sourceText = ''
+  private readonly departures = new Map<string, inner.DepartureRecord>()
+  private readonly departedEmitter = new event.Emitter<inner.Announcement>()
+  /** Fires for each endpoint that drains or left, also for those of a snapshot. */
+  readonly onDeparted = this.departedEmitter.event
   private readonly patches = new Map<string, inner.PatchRecord>()
   private readonly claims = new Map<string, inner.ClaimRecord>()
 
@@ -46,6 +53,11 @@
     return this.documentJson
   }
 
+  /** The operator's own text of the document; empty where a patch made it. */
+  get configSource (): string {
+    return this.sourceText
+  }
+
   get claimCount (): number {
     return this.claims.size
   }
@@ -75,6 +87,8 @@
   private run (entry: logEntry.LogEntry): ApplyResult {
     switch (entry.command.case) {
       case 'patch': return { kind: 'patch', outcome: this.applyPatch(entry.command.value, entry.index) }
+      case 'put': return { kind: 'put', heldVersion: this.applyPut(entry.command.value) }
+      case 'departures': return this.applyDepartures(entry.command.value, entry.index)
       case 'claims': return { kind: 'claims', granted: this.applyClaims(entry.command.value, entry.index) }
       case 'releases': return this.applyReleases(entry.command.value)
       default: return { kind: 'none' }
@@ -86,7 +100,7 @@
     if (first !== undefined) return first
     if (patch.amends !== this.current.version) return { kind: 'conflict', currentVersion: this.current.version }
     const document = configPatch.applyPatch(this.current.document, patch.mergePatchJson)
-    this.setConfig(this.current.version + 1, document)
+    this.setConfig(this.current.version + 1, document, '')
     this.patches.set(patch.patchId, protobuf.create(inner.PatchRecordSchema, {
       patchId: patch.patchId,
       version: this.current.version,
@@ -97,6 +111,27 @@
     return { kind: 'accepted', version: this.current.version }
   }
 
+  private applyPut (put: inner.PutConfig): number {
+    if (put.version > this.current.version) this.setConfig(put.version, parseDocument(put.documentJson, `put of version ${put.version}`), put.source)
+    return this.current.version
+  }
+
+  private applyDepartures (command: inner.Departures, index: number): ApplyResult {
+    for (const announcement of command.announcements) {
+      this.noteDeparture(protobuf.create(inner.DepartureRecordSchema, { announcement, logIndex: BigInt(index) }))
+    }
+    return { kind: 'none' }
+  }
+
+  private noteDeparture (record: inner.DepartureRecord): void {
+    const { announcement } = record
+    if (announcement === undefined) return
+    // Set anew, since records stand in the order of their log index.
+    this.departures.delete(announcement.endpointId)
+    this.departures.set(announcement.endpointId, record)
+    this.departedEmitter.fire(announcement)
+  }
+
   private applyClaims (command: inner.ClaimKeys, index: number): readonly boolean[] {
     return command.keys.map((key, i) => this.claim(key, command.owners[i] ?? '', index))
   }
@@ -118,9 +153,11 @@
   private evictBefore (index: number): void {
     evictOld(this.patches, index)
     evictOld(this.claims, index)
+    evictOld(this.departures, index)
   }
 
-  private setConfig (version: number, document: configDocument.ConfigDocument): void {
+  private setConfig (version: number, document: configDocument.ConfigDocument, source: string): void {
+    this.sourceText = source
     this.current = { version, document }
     this.documentJson = JSON.stringify(document)
   }
@@ -133,22 +170,31 @@
       version: this.current.version,
       documentJson: this.documentJson,
       patches: [...this.patches.values()],
-      claims: [...this.claims.values()]
+      claims: [...this.claims.values()],
+      source: this.sourceText,
+      departures: [...this.departures.values()]
     })
   }
 
   /** Takes over a snapshot; throws `corrupt-record` when its document violates the schema. */
   restore (snapshot: inner.Snapshot): void {
-    const check = configDocument.checkDocument(JSON.parse(snapshot.documentJson))
-    if (!check.ok) throw new errors.RackError({ kind: 'corrupt-record', message: `snapshot document: ${check.problems.join('; ')}` })
-    this.setConfig(snapshot.version, check.document)
+    this.setConfig(snapshot.version, parseDocument(snapshot.documentJson, 'snapshot'), snapshot.source)
     this.patches.clear()
     this.claims.clear()
     for (const record of snapshot.patches) this.patches.set(record.patchId, record)
     for (const record of snapshot.claims) this.claims.set(record.key, record)
+    this.departures.clear()
+    for (const record of snapshot.departures) this.noteDeparture(record)
   }
 }
 
+/** Documents are checked before they are proposed, so one that isn't valid is damaged. */
+function parseDocument (json: string, origin: string): configDocument.ConfigDocument {
+  const check = configDocument.checkDocument(JSON.parse(json))
+  if (check.ok) return check.document
+  throw new errors.RackError({ kind: 'corrupt-record', message: `document of the ${origin}: ${check.problems.join('; ')}` })
+}
+
 /** Records stand in the order of their log index, so the old ones come first. */
 function evictOld<T extends { readonly logIndex: bigint }> (records: Map<string, T>, before: number): void {
   for (const [key, record] of records) {
--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -15,6 +15,7 @@
   private confirmed = false
   private confirmedAt = -Infinity
   private followers = 0
+  private subscribers = 0
   private confirming = false
 
   /** @param confirmRead resolves with the index up to which a read must have applied. */
@@ -28,6 +29,17 @@
     this.changed.notify()
   }
 
+  /** Confirms each second until the result is disposed, also without followers. */
+  keepConfirming (): lifecycle.IDisposable {
+    this.subscribers++
+    return lifecycle.toDisposable(() => { this.subscribers-- })
+  }
+
+  /** Milliseconds since the last round that reached a quorum began; infinite before the first. */
+  get confirmedAgeMs (): number {
+    return performance.now() - this.confirmedAt
+  }
+
   get followerCount (): number {
     return this.followers
   }
@@ -62,7 +74,7 @@
 
   /** One read by quorum serves all followers. */
   private async confirm (): Promise<void> {
-    if (this.followers === 0 || this.confirming) return
+    if (this.followers + this.subscribers === 0 || this.confirming) return
     this.confirming = true
     const startedAt = performance.now()
     try {
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -2,10 +2,11 @@
 import type * as connect from '@connectrpc/connect'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
-import type * as settings from '@rosemaryrack/config/common/settings.js'
+import * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as announcementHub from './announcementHub.js'
 import * as configFeed from './configFeed.js'
 import * as controlRoutes from './controlRoutes.js'
 import * as controlRpc from './controlRpc.js'
@@ -16,12 +17,17 @@
 import * as replicaLinks from './replicaLinks.js'
 import * as replicaStorage from './replicaStorage.js'
 
+/** Replicas of a group that is learnt from seeds. */
+const maxLearntReplicas = 9
+
 /** A control replica within this process. */
 export class ControlRole implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly loaded = new async.Deferred<void>()
   private readonly replica: replica.Replica
-  private readonly service: controlService.ControlService
+  readonly service: controlService.ControlService
+  /** Takes targets' announcements, where they announce themselves to control replicas. */
+  readonly hub: announcementHub.AnnouncementHub | undefined
   private readonly feed: configFeed.ConfigFeed
 
   /** @param onDiskFailure called when the disk fails; the process must end. */
@@ -35,12 +41,14 @@
     const links = this.disposables.add(new replicaLinks.ReplicaLinks(identity))
     const storage = new replicaStorage.ReplicaStorage(control.dataFolder, cfg.cluster, onDiskFailure)
     this.replica = this.disposables.add(new replica.Replica(this.replicaOptions(), storage, links, decisions))
-    this.service = new controlService.ControlService(this.replica, control.replicas, decisions)
+    this.service = new controlService.ControlService(this.replica, this.serviceOptions(), decisions)
     this.feed = this.disposables.add(new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmRead()))
+    if (control.announceEveryMs > 0) this.hub = this.disposables.add(new announcementHub.AnnouncementHub(this.hubOptions(), identity, this.service, this.feed, decisions))
   }
 
   registerRpc (router: connect.ConnectRouter): void {
     controlRpc.registerControlRpc(router, this.service, this.feed, this.loaded.promise)
+    this.hub?.registerRpc(router)
   }
 
   addRoutes (routes: httpListener.IRoutes): void {
@@ -51,10 +59,12 @@
   async start (): Promise<void> {
     await this.replica.load()
     this.loaded.resolve()
+    if (this.foundsCluster) await this.service.found()
     const watch = this.disposables.add(new election.Election(this.replica))
-    const admission = this.disposables.add(new joiner.Joiner(this.replica, this.control.replicas))
+    const admission = this.disposables.add(new joiner.Joiner(this.replica, this.group))
     watch.run()
     admission.run()
+    this.hub?.start()
   }
 
   /** True when this replica can serve: it votes and knows a leader. */
@@ -66,12 +76,38 @@
     this.disposables.dispose()
   }
 
+  /** Inner addresses of the replicas that settings name. */
+  private get group (): readonly string[] {
+    const { replicas, seeds } = this.control
+    return replicas.length > 0 ? replicas : settings.innerAddressesOf(this.cfg, seeds)
+  }
+
+  private get ownAddress (): string {
+    return this.cfg.inner.advertise ?? this.cfg.inner.listen
+  }
+
+  /** The first seed founds, once; all others join. */
+  private get foundsCluster (): boolean {
+    return this.control.bootstrap && !this.replica.founded && this.group[0] === this.ownAddress
+  }
+
+  private serviceOptions (): controlService.ServiceOptions {
+    const { replicas, tolerateLostDisks } = this.control
+    const fixed = replicas.length > 0
+    return { group: fixed ? replicas : [], maxReplicas: fixed ? replicas.length : maxLearntReplicas, tolerateLostDisks }
+  }
+
+  private hubOptions (): announcementHub.HubOptions {
+    const { instance, failureDomain } = this.cfg
+    const self = { instance, address: this.ownAddress, failureDomain, incarnation: Date.now(), role: 'hub' } as const
+    return { self, seeds: this.group, announceEveryMs: this.control.announceEveryMs }
+  }
+
   private replicaOptions (): replica.ReplicaOptions {
     return {
-      address: this.cfg.inner.advertise ?? this.cfg.inner.listen,
+      address: this.ownAddress,
       operatorAddress: this.cfg.operator.listen,
       failureDomain: this.cfg.failureDomain,
-      group: this.control.replicas,
       electionTimeoutMs: this.control.electionTimeoutMs,
       heartbeatMs: this.control.heartbeatMs,
       snapshotEvery: this.control.snapshotEvery
--- a/packages/control/src/node/controlRoutes.ts
+++ b/packages/control/src/node/controlRoutes.ts
@@ -19,8 +19,8 @@
     return { body: { removed: req.params['id'] ?? '' } }
   })
   routes.route('GET', '/config', async () => {
-    const config = await service.readConfig()
-    return { headers: { etag: `"${config.version}"` }, body: config }
+    const { version, document } = await service.readConfig()
+    return { headers: { etag: `"${version}"` }, body: { version, document } }
   })
   routes.route('GET', '/config/history', async () => ({ body: { patches: await service.readHistory() } }))
   routes.route('PATCH', '/config', async (req) => await patchConfig(service, req))
--- a/packages/control/src/node/controlRpc.ts
+++ b/packages/control/src/node/controlRpc.ts
@@ -42,6 +42,15 @@
           : { case: 'conflictCurrentVersion', value: outcome.currentVersion }
       })
     },
+    async put (req) {
+      await ready
+      return { heldVersion: await service.putAsLeader(requireLeading(service), req) }
+    },
+    async depart (req) {
+      await ready
+      await service.departAsLeader(requireLeading(service), req)
+      return {}
+    },
     async readIndex () {
       await ready
       return { index: BigInt(await requireLeading(service).readIndex()) }
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -4,12 +4,13 @@
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
-import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as leadership from './leadership.js'
 import type * as replica from './replica.js'
 import type * as replicaLinks from './replicaLinks.js'
+import * as quorum from '../common/quorum.js'
 import type * as replicatedState from '../common/replicatedState.js'
 
 const forwardTimeoutMs = 6000
@@ -23,13 +24,36 @@
   readonly operator: string
 }
 
+/** A whole document as an operator sent it. */
+export interface PutReq {
+  readonly version: number
+  readonly document: configDocument.ConfigDocument
+  /** The operator's own text, returned by reads. */
+  readonly source: string
+}
+
+/** The configuration as it is read back. */
+export interface ReadRes extends configDocument.VersionedConfig {
+  /** Empty where a patch made the version. */
+  readonly source: string
+}
+
+/** What the service depends on besides its replica. */
+export interface ServiceOptions {
+  /** Inner addresses of the replicas to ask; all of the group where it is of fixed size. */
+  readonly group: readonly string[]
+  readonly maxReplicas: number
+  /** Lost disks that an accepted write survives. */
+  readonly tolerateLostDisks: number
+}
+
 /** Answers patches, reads and claims; a replica that doesn't lead passes them to the leader. */
 export class ControlService {
   private readonly patchOrder = new async.Sequencer()
 
   constructor (
     readonly replica: replica.Replica,
-    private readonly group: readonly string[],
+    private readonly options: ServiceOptions,
     private readonly decisions: decisionLog.IDecisionLog
   ) {}
 
@@ -55,12 +79,57 @@
       const { version, document } = this.replica.state.config
       if (version !== req.amends) return { kind: 'conflict', currentVersion: version }
       configPatch.applyPatch(document, req.mergePatchJson)
+      this.requireCopies()
       const result = await leading.propose({ case: 'patch', value: protobuf.create(inner.PatchConfigSchema, req) })
       if (result.kind === 'patch') return result.outcome
       throw new errors.RackError({ kind: 'internal', message: `a patch applied as ${result.kind}` })
     })
   }
 
+  /** Puts a whole document in force unless a version as high is held; resolves with the version held. */
+  async put (req: PutReq): Promise<number> {
+    const value = protobuf.create(inner.PutConfigSchema, { version: req.version, documentJson: JSON.stringify(req.document), source: req.source })
+    const leading = this.replica.leadership
+    const heldVersion = leading === undefined
+      ? (await this.throughLeader(async (client, options) => await client.put(value, options))).heldVersion
+      : await this.putAsLeader(leading, value)
+    this.decisions.record({ event: 'config-put', choice: String(heldVersion), version: req.version, why: heldVersion === req.version ? 'in force' : 'a higher version is held' })
+    return heldVersion
+  }
+
+  /** Runs on the leader. */
+  async putAsLeader (leading: leadership.Leadership, put: inner.PutConfig): Promise<number> {
+    this.requireCopies()
+    const check = configDocument.checkDocument(JSON.parse(put.documentJson))
+    if (!check.ok) throw new errors.RackError({ kind: 'invalid-config', message: check.problems.join('; ') })
+    const result = await leading.propose({ case: 'put', value: put })
+    if (result.kind === 'put') return result.heldVersion
+    throw new errors.RackError({ kind: 'internal', message: `a put applied as ${result.kind}` })
+  }
+
+  /** Commits that endpoints drain or left; from then on every instance learns it, whichever replica dies. */
+  async depart (departures: inner.Departures): Promise<void> {
+    const leading = this.replica.leadership
+    if (leading === undefined) {
+      await this.throughLeader(async (client, options) => await client.depart(departures, options))
+      return
+    }
+    await this.departAsLeader(leading, departures)
+  }
+
+  /** Runs on the leader. */
+  async departAsLeader (leading: leadership.Leadership, departures: inner.Departures): Promise<void> {
+    this.requireCopies()
+    await leading.propose({ case: 'departures', value: departures })
+  }
+
+  /** While the group is founded or repaired, a majority may be too small to survive the losses that are to be borne. */
+  private requireCopies (): void {
+    const tolerated = quorum.toleratedLosses(this.replica.log.membership)
+    if (tolerated >= this.options.tolerateLostDisks) return
+    throw new errors.RackError({ kind: 'no-quorum', message: `the voters survive ${tolerated} lost disks, ${this.options.tolerateLostDisks} are asked for; nothing was written` })
+  }
+
   private async forwardPatch (req: PatchReq): Promise<replicatedState.PatchOutcome> {
     const res = await this.throughLeader(async (client, options) =>
       await client.patch(protobuf.create(inner.PatchConfigSchema, req), options))
@@ -80,9 +149,9 @@
   }
 
   /** The configuration, confirmed by a quorum. */
-  async readConfig (): Promise<configDocument.VersionedConfig> {
+  async readConfig (): Promise<ReadRes> {
     await this.replica.waitApplied(await this.confirmRead())
-    return this.replica.state.config
+    return { ...this.replica.state.config, source: this.replica.state.configSource }
   }
 
   /** Accepted patches, confirmed by a quorum. */
@@ -125,7 +194,7 @@
     if (leading === undefined) {
       return protobuf.create(inner.JoinResSchema, { accepted: false, leaderAddress: this.replica.leaderReplica?.address ?? '' })
     }
-    leading.admit(joining, this.group.length).catch((err: unknown) => {
+    leading.admit(joining, this.options.maxReplicas).catch((err: unknown) => {
       this.decisions.record({ event: 'control-join', choice: 'refused', replica: joining.id, why: errors.messageOf(err) })
     })
     return protobuf.create(inner.JoinResSchema, { accepted: true, leaderAddress: joining.address })
@@ -133,7 +202,7 @@
 
   /** Founds the cluster; refused unless every other replica of the group answers that it is empty. */
   async found (): Promise<void> {
-    const others = this.group.filter((address) => address !== this.replica.self.address)
+    const others = this.options.group.filter((address) => address !== this.replica.self.address)
     await Promise.all(others.map(async (address) => await this.requireEmpty(address)))
     await this.replica.found()
   }
--- a/packages/control/src/node/joiner.ts
+++ b/packages/control/src/node/joiner.ts
@@ -8,16 +8,18 @@
 const askIntervalMs = 300
 const askTimeoutMs = 1000
 
-/** Asks all replicas of the group; the leader among them admits. */
+/** Asks all known replicas; the leader among them admits. */
 export class Joiner implements lifecycle.IDisposable {
   private readonly stopped = new AbortController()
+  /** Leaders that others named. */
+  private readonly hinted = new Set<string>()
 
   constructor (private readonly replica: replica.Replica, private readonly group: readonly string[]) {}
 
   /** Runs until this replica is a voter, or disposed. */
   async run (): Promise<void> {
     while (this.wantsAdmission && !this.stopped.signal.aborted) {
-      await Promise.all(this.group.map(async (address) => await this.ask(address)))
+      await Promise.all([...this.addresses()].map(async (address) => await this.ask(address)))
       await async.sleep(askIntervalMs, this.stopped.signal)
     }
   }
@@ -28,6 +30,13 @@
     return this.replica.isMember || !this.replica.founded
   }
 
+  private addresses (): ReadonlySet<string> {
+    const members = this.replica.log.membership.replicas.map(({ address }) => address)
+    const addresses = new Set([...this.group, ...members, ...this.hinted])
+    addresses.delete(this.replica.self.address)
+    return addresses
+  }
+
   dispose (): void {
     this.stopped.abort()
   }
@@ -35,7 +44,8 @@
   private async ask (address: string): Promise<void> {
     const req = protobuf.create(inner.JoinReqSchema, { replica: this.replica.self })
     try {
-      await this.replica.links.to(address).call(async (client, options) => await client.join(req, options), askTimeoutMs)
+      const res = await this.replica.links.to(address).call(async (client, options) => await client.join(req, options), askTimeoutMs)
+      if (!res.accepted && res.leaderAddress !== '') this.hinted.add(res.leaderAddress)
     } catch {
       // Not the leader, or out of reach: asked again in the next round.
     }
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -19,8 +19,6 @@
   readonly address: string
   readonly operatorAddress: string
   readonly failureDomain: string
-  /** Inner addresses of all replicas of the group, this one included. */
-  readonly group: readonly string[]
   readonly electionTimeoutMs: number
   readonly heartbeatMs: number
   readonly snapshotEvery: number
--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -1,12 +1,13 @@
 /** Which headers go on to the next hop, and the headers of this system's own. */
+import type * as settings from '@rosemaryrack/config/common/settings.js'
 
-/** Names the request in logs, at targets and towards the caller. */
-export const requestIdHeader = 'x-request-id'
-/** Milliseconds that are left for an answer, towards targets; callers may send it to ask for less. */
-export const deadlineHeader = 'rack-deadline-ms'
-/** `not-run` from a target states that it did not run the request; towards callers, the kind of a refusal. */
+/** Headers of a message, by names in lower case. */
+export type MessageHeaders = Readonly<Record<string, string | string[] | undefined>>
+
+/** Towards callers, the kind of a refusal. */
 export const outcomeHeader = 'rack-outcome'
-export const notRunOutcome = 'not-run'
+/** Answer of a target that is not the endpoint which the request names; it didn't run the request. */
+const misdirectedStatus = 421
 /** Load report in an answer, as published by ORCA. */
 export const loadHeader = 'endpoint-load-metrics'
 export const idempotencyKeyHeader = 'idempotency-key'
@@ -33,3 +34,19 @@
   }
   return kept
 }
+
+/** True when a target states that it didn't run the request. */
+export function statesNotRun (names: settings.HeaderNames, status: number, headers: MessageHeaders): boolean {
+  const { name, value } = names.notRun
+  const found = headers[name]
+  if (found !== undefined && (value === undefined || found === value)) return true
+  return names.expectedEndpoint !== undefined && status === misdirectedStatus
+}
+
+/** Why a success isn't the target's answer to this request; undefined when it is. */
+export function findForeignSign (names: settings.HeaderNames, requestId: string, headers: MessageHeaders): string | undefined {
+  if (names.targetStamp === undefined) return undefined
+  if (headers[names.targetStamp] === undefined) return `no header ${names.targetStamp}`
+  if (headers[names.requestId] !== requestId) return `it names request ${String(headers[names.requestId])}`
+  return headers['content-encoding'] === undefined ? undefined : 'its body is encoded, which was not asked for'
+}
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -3,6 +3,8 @@
 import * as net from 'node:net'
 import * as address from '@rosemaryrack/base/common/address.js'
 import * as async from '@rosemaryrack/base/common/async.js'
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as callerTask from './callerTask.js'
 
@@ -11,13 +13,17 @@
 const keepAliveTimeoutMs = 5000
 const noRequestTimeout = 0
 const idlePollMs = 50
+const msPerSecond = 1000
+/** Time left at the end of a stop for closing what is open. */
+const closingMs = 700
 
 /** Serves callers until it is stopped. */
 export class CallerListener {
   private readonly server: http.Server
   private inFlight = 0
 
-  constructor (private readonly deps: callerTask.CallerDeps) {
+  /** @param graceS seconds from the start of a stop until the process is killed. */
+  constructor (private readonly graceS: number, private readonly configs: configFollower.IConfigSource, private readonly deps: callerTask.CallerDeps) {
     this.server = http.createServer({
       maxHeaderSize: maxHeaderBytes,
       headersTimeout: headersTimeoutMs,
@@ -25,9 +31,15 @@
       keepAliveTimeout: keepAliveTimeoutMs,
       noDelay: true
     }, (req, res) => { this.serve(req, res) })
+    configs.onChanged((config) => this.applyLimits(config.document))
     this.server.on('clientError', httpListener.answerClientError)
   }
 
+  private applyLimits ({ callerLimits }: configDocument.ConfigDocument): void {
+    this.server.keepAliveTimeout = callerLimits?.idleTimeoutMs ?? keepAliveTimeoutMs
+    this.server.headersTimeout = callerLimits?.headerTimeoutMs ?? headersTimeoutMs
+  }
+
   async listen (hostPort: string): Promise<void> {
     const { host, port } = address.parseAddress(hostPort)
     await httpListener.listen(this.server, host, port)
@@ -40,11 +52,13 @@
 
   /**
    * Takes no new connections, then resolves when every caller has its whole answer.
-   * Idle connections stay open for their keep-alive time: a request may be on its way on them.
+   * Idle connections stay open for their keep-alive time, or as long as the process has: a request may be on its way on them.
+   * @param stoppingSince when the stop began, on the process's monotonic clock.
    */
-  async stop (): Promise<void> {
+  async stop (stoppingSince: number): Promise<void> {
     net.Server.prototype.close.call(this.server)
-    const idleUntil = performance.now() + keepAliveTimeoutMs
+    const graceUntil = stoppingSince + this.graceS * msPerSecond - closingMs
+    const idleUntil = Math.min(performance.now() + this.server.keepAliveTimeout, graceUntil)
     while (this.inFlight > 0 || (performance.now() < idleUntil && await this.connectionCount() > 0)) {
       await async.sleep(idlePollMs)
     }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -11,6 +11,7 @@
 import type * as deathWatch from '@rosemaryrack/routing/common/deathWatch.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as requestStanding from '@rosemaryrack/routing/common/requestStanding.js'
+import type * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as headerRules from '../common/headerRules.js'
@@ -26,8 +27,11 @@
 import type * as targetConnections from './targetConnections.js'
 
 const comeBackS = 1
-const replacedHeaders: ReadonlySet<string> = new Set([headerRules.requestIdHeader, headerRules.deadlineHeader, 'content-length', 'x-forwarded-for'])
-const noHeaders: ReadonlySet<string> = new Set()
+const msPerSecond = 1000
+/** Share of what is left of the caller's time that it may be asked to stay away for. */
+const maxAwayShare = 1 / 3
+/** Shortest time for which a caller is asked to stay away, in seconds. */
+const minAwayS = 0.01
 
 /** What caller tasks share. */
 export interface CallerDeps {
@@ -42,6 +46,8 @@
   readonly decisions: decisionLog.IDecisionLog
   readonly metrics: metrics.Metrics
   readonly clock: clock.IClock
+  readonly headers: settings.HeaderNames
+  readonly fractionalRetryAfter: boolean
   /** False until a quorum confirmed the configuration once. */
   readonly hasConfig: () => boolean
   /** True while this instance stops: answers ask callers to close. */
@@ -57,7 +63,7 @@
   private laneName = 'none'
 
   constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly deps: CallerDeps) {
-    const given = req.headers[headerRules.requestIdHeader]
+    const given = req.headers[deps.headers.requestId]
     const usable = typeof given === 'string' && requestGuard.isRequestId(given)
     this.requestId = usable ? given : crypto.randomUUID()
   }
@@ -120,15 +126,17 @@
 
   /** The lane's deadline, or the caller's when that is shorter. */
   private deadlineAt ({ deadlineMs }: { readonly deadlineMs: number }): number {
-    const asked = Number(this.req.headers[headerRules.deadlineHeader] ?? NaN)
+    const asked = Number(this.req.headers[this.deps.headers.deadline] ?? NaN)
     const ms = Number.isFinite(asked) && asked > 0 ? Math.min(asked, deadlineMs) : deadlineMs
     return this.arrivedAt + ms
   }
 
   private targetReq ({ lane }: laneMatcher.NamedLane, body: callerBody.CallerBody, extraHeaders: readonly string[]): httpAttempt.TargetReq {
     const { req } = this
-    const headers = headerRules.forwardable(req.rawHeaders, req.headers.connection, replacedHeaders)
-    headers.push(headerRules.requestIdHeader, this.requestId, 'x-forwarded-for', this.forwardedFor())
+    const names = this.deps.headers
+    const replaced = new Set([names.requestId, names.deadline, names.expectedEndpoint ?? '', 'content-length', 'x-forwarded-for'])
+    const headers = headerRules.forwardable(req.rawHeaders, req.headers.connection, replaced)
+    headers.push(names.requestId, this.requestId, 'x-forwarded-for', this.forwardedFor())
     const length = req.headers['content-length']
     if (!body.isWhole && length !== undefined) headers.push('content-length', length)
     return {
@@ -137,7 +145,9 @@
       headers: [...headers, ...extraHeaders],
       body,
       deadlineAt: this.deadlineAt(lane),
-      idempotent: lane.idempotent
+      idempotent: lane.idempotent,
+      requestId: this.requestId,
+      names
     }
   }
 
@@ -148,6 +158,7 @@
   }
 
   private startCall (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
+    const service = this.deps.lanes.serviceFor(namedLane)
     const callWith = (req: httpAttempt.TargetReq, deadlineAt: number, avoid: readonly string[], listener: call.ICallListener): void => {
       this.running = new call.Call({
         requestId: this.requestId,
@@ -157,7 +168,7 @@
         identity,
         replayable: () => body.isReplayable,
         avoid
-      }, this.callDeps(namedLane, req), listener)
+      }, this.callDeps(namedLane, service, req), listener)
       this.running.start()
     }
     const callRest: downloadResumer.RestCaller = (headers, avoid, listener) => {
@@ -179,10 +190,10 @@
     this.refuse(fault)
   }
 
-  private callDeps (namedLane: laneMatcher.NamedLane, req: httpAttempt.TargetReq): call.CallDeps {
+  private callDeps (namedLane: laneMatcher.NamedLane, service: string, req: httpAttempt.TargetReq): call.CallDeps {
     const { lanes, connections, suspects, deaths, decisions } = this.deps
     return {
-      dispatcher: lanes.dispatcherOf(namedLane.lane.service),
+      dispatcher: lanes.dispatcherOf(service),
       transport: new httpAttempt.HttpTransport(req, connections),
       suspects,
       deaths,
@@ -219,8 +230,9 @@
 
   private sendHead (head: httpAttempt.HttpHead): void {
     const { res } = this
-    const headers = headerRules.forwardable(head.rawHeaders, head.headers.connection, noHeaders)
-    headers.push(headerRules.requestIdHeader, this.requestId)
+    const { requestId } = this.deps.headers
+    const headers = headerRules.forwardable(head.rawHeaders, head.headers.connection, new Set([requestId]))
+    headers.push(requestId, this.requestId)
     const framed = head.headers['content-length'] !== undefined || head.headers['transfer-encoding'] !== undefined
     if (!framed && this.hasBody(head.status)) {
       // The target ends its body by closing, so the caller must be told the same way.
@@ -247,10 +259,10 @@
     const body = JSON.stringify(errors.bodyOf(fault))
     res.setHeader('Content-Type', 'application/json')
     res.setHeader('Content-Length', Buffer.byteLength(body))
-    res.setHeader(headerRules.requestIdHeader, this.requestId)
+    res.setHeader(this.deps.headers.requestId, this.requestId)
     res.setHeader(headerRules.outcomeHeader, fault.kind)
     const retryAfterS = errors.retryAfterOf(fault)
-    if (retryAfterS !== undefined) res.setHeader('Retry-After', retryAfterS)
+    if (retryAfterS !== undefined) res.setHeader('Retry-After', this.awayTime(retryAfterS))
     // What is left of the body would be taken for the next request.
     if (!this.req.complete || this.deps.isStopping()) res.setHeader('Connection', 'close')
     res.writeHead(errors.statusOf(fault))
@@ -258,6 +270,14 @@
     if (!this.req.complete) closeAfterAnswer(this.req.socket)
   }
 
+  /** Seconds to stay away; a caller that told how long it waits is left time to come back. */
+  private awayTime (seconds: number): string {
+    const askedMs = Number(this.req.headers[this.deps.headers.deadline] ?? NaN)
+    if (!this.deps.fractionalRetryAfter || !(askedMs > 0)) return String(seconds)
+    const leftS = (this.arrivedAt + askedMs - performance.now()) / msPerSecond
+    return Math.max(minAwayS, Math.min(seconds, leftS * maxAwayShare)).toFixed(3)
+  }
+
   /** Refusals within a call are recorded there. */
   private recordRefusal (fault: errors.Fault): void {
     if (this.running !== undefined) return
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -4,7 +4,7 @@
 import * as freezeDetector from '@rosemaryrack/base/common/freezeDetector.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as async from '@rosemaryrack/base/common/async.js'
-import type * as settings from '@rosemaryrack/config/common/settings.js'
+import * as settings from '@rosemaryrack/config/common/settings.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
@@ -24,6 +24,8 @@
 import * as readiness from './readiness.js'
 import * as targetConnections from './targetConnections.js'
 
+const random = { next: Math.random }
+
 /** An entry instance within this process. */
 export class EntryRole implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
@@ -37,7 +39,6 @@
   private readonly configs: configFollower.ConfigFollower
   private readonly mesh: peerMesh.PeerMesh
   private readonly lanes: laneRegistry.LaneRegistry
-  private readonly announcements: httpListener.HttpListener
   private readonly callers: callerListener.CallerListener
   private stopping = false
 
@@ -51,16 +52,21 @@
     const { members, configs } = this.addFleet(cfg, identity)
     this.members = members
     this.configs = configs
-    const self = { instance: cfg.instance, address: cfg.inner.advertise ?? cfg.inner.listen, failureDomain: cfg.failureDomain, incarnation: Date.now() }
+    const self = {
+      instance: cfg.instance,
+      address: cfg.inner.advertise ?? cfg.inner.listen,
+      failureDomain: cfg.failureDomain,
+      incarnation: Date.now(),
+      role: entry.seeds.length > 0 ? 'spoke' : 'peer'
+    } as const
     const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs }
-    this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, entry.peers, identity, tables, this.freeze, decisions))
+    this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [...entry.peers, ...settings.innerAddressesOf(cfg, entry.seeds)], identity, tables, this.freeze, decisions))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveCount,
-      newPolicy: () => new adaptivePolicy.AdaptivePolicy({ next: Math.random })
+      newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
+      random
     }, this.clock))
-    this.announcements = this.disposables.add(new httpListener.HttpListener(entry.announcements.token))
-    announcementRoutes.addAnnouncementRoutes(this.announcements, this.endpoints, this.mesh, this.freeze, decisions)
     this.callers = this.newCallerListener()
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
   }
@@ -78,11 +84,17 @@
   async start (): Promise<void> {
     this.configs.start()
     this.mesh.start()
-    await this.announcements.listen(this.entry.announcements.listen)
+    if (this.entry.announcements !== undefined) await this.listenForTargets(this.entry.announcements)
     await this.callers.listen(this.entry.callers.listen)
     this.addGauges()
   }
 
+  private async listenForTargets ({ listen, token }: NonNullable<settings.EntrySettings['announcements']>): Promise<void> {
+    const listener = this.disposables.add(new httpListener.HttpListener(token))
+    announcementRoutes.addAnnouncementRoutes(listener, this.endpoints, this.mesh, this.freeze, this.decisions)
+    await listener.listen(listen)
+  }
+
   get readiness (): readiness.Readiness {
     return readiness.judge({
       confirmedAgeMs: this.configs.confirmedAgeMs,
@@ -94,10 +106,11 @@
 
   /** Graceful stop: not ready, then no new connections, then all answers to their end. */
   async stop (): Promise<void> {
+    const since = performance.now()
     this.stopping = true
     this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's balancer, then for ${this.callers.inFlightCount} requests` })
     await async.sleep(this.entry.drainNoticeMs)
-    await this.callers.stop()
+    await this.callers.stop(since)
   }
 
   dispose (): void {
@@ -105,13 +118,14 @@
   }
 
   private addFleet (cfg: settings.Settings, identity: innerListener.LinkIdentity): { readonly members: memberTable.MemberTable, readonly configs: configFollower.ConfigFollower } {
+    const seeds = settings.innerAddressesOf(cfg, this.entry.seeds).map((address) => ({ address }))
     const members = this.disposables.add(new memberTable.MemberTable(this.clock, cfg.instance))
-    const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, this.entry.control, identity, this.decisions))
+    const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, [...this.entry.control, ...seeds], identity, this.decisions))
     return { members, configs }
   }
 
   private newCallerListener (): callerListener.CallerListener {
-    return new callerListener.CallerListener({
+    return new callerListener.CallerListener(this.entry.graceS, this.configs, {
       lanes: this.lanes,
       connections: this.connections,
       endpoints: this.endpoints,
@@ -122,6 +136,8 @@
       decisions: this.decisions,
       metrics: this.metrics,
       clock: this.clock,
+      headers: this.entry.headers,
+      fractionalRetryAfter: this.entry.fractionalRetryAfter,
       hasConfig: () => Number.isFinite(this.configs.confirmedAgeMs),
       isStopping: () => this.stopping
     })
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -3,6 +3,7 @@
 import type * as undici from 'undici'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as callerBody from './callerBody.js'
@@ -11,6 +12,7 @@
 import type * as targetConnections from './targetConnections.js'
 
 const firstFinalStatus = 200
+const firstRedirect = 300
 const refusedCode = 'ECONNREFUSED'
 const secondLookMs = 40
 
@@ -24,6 +26,8 @@
   /** When the answer's head is due, on the process's monotonic clock. */
   readonly deadlineAt: number
   readonly idempotent: boolean
+  readonly requestId: string
+  readonly names: settings.HeaderNames
 }
 
 /** Head of an answer with all that the caller gets of it. */
@@ -47,7 +51,7 @@
   constructor (private readonly req: TargetReq, private readonly connections: targetConnections.TargetConnections) {}
 
   start (endpoint: endpointTable.Endpoint, events: transport.IAttemptEvents, fresh: boolean): HttpAttempt {
-    const attempt = new HttpAttempt(endpoint.address, this.req, events, this.connections)
+    const attempt = new HttpAttempt(endpoint, this.req, events, this.connections)
     attempt.run(fresh)
     return attempt
   }
@@ -85,12 +89,16 @@
   private keepsOpen = true
 
   constructor (
-    readonly address: string,
+    private readonly endpoint: endpointTable.Endpoint,
     private readonly req: TargetReq,
     private readonly events: transport.IAttemptEvents,
     private readonly connections: targetConnections.TargetConnections
   ) {}
 
+  get address (): string {
+    return this.endpoint.address
+  }
+
   get written (): boolean {
     return this.requestSent
   }
@@ -147,11 +155,13 @@
   }
 
   private options (): undici.Dispatcher.DispatchOptions {
+    const { names } = this.req
     const leftMs = Math.max(0, Math.round(this.req.deadlineAt - performance.now()))
+    const expected = names.expectedEndpoint === undefined ? [] : [names.expectedEndpoint, this.endpoint.endpoint]
     return {
       path: this.req.target,
       method: this.req.method as undici.Dispatcher.HttpMethod,
-      headers: [...this.req.headers, headerRules.deadlineHeader, String(leftMs)],
+      headers: [...this.req.headers, names.deadline, String(leftMs), ...expected],
       body: this.req.body.content() as undici.Dispatcher.DispatchOptions['body']
     }
   }
@@ -164,9 +174,14 @@
       },
       onResponseStart: (controller, status, headers, statusMessage) => {
         if (status < firstFinalStatus || this.ended) return
+        const foreign = status < firstRedirect ? headerRules.findForeignSign(this.req.names, this.req.requestId, headers) : undefined
+        if (foreign !== undefined) {
+          this.broken(new Error(`not the target's answer: ${foreign}`))
+          return
+        }
         this.headSeen = true
         this.keepsOpen = headers['connection'] !== 'close'
-        this.events.onHead(toHead(controller, status, headers, statusMessage ?? ''))
+        this.events.onHead(toHead(controller, status, headers, statusMessage ?? '', headerRules.statesNotRun(this.req.names, status, headers)))
       },
       onResponseData: (_controller, chunk) => {
         if (!this.ended && this.sink?.onData(chunk) === false) this.pause()
@@ -220,8 +235,7 @@
   }
 }
 
-function toHead (controller: undici.Dispatcher.DispatchController, status: number, headers: http.IncomingHttpHeaders, statusMessage: string): HttpHead {
+function toHead (controller: undici.Dispatcher.DispatchController, status: number, headers: http.IncomingHttpHeaders, statusMessage: string, notRun: boolean): HttpHead {
   const rawHeaders = (controller.rawHeaders as readonly Buffer[]).map((text) => text.toString('latin1'))
-  const notRun = headers[headerRules.outcomeHeader] === headerRules.notRunOutcome
   return { status, notRun, statusMessage, headers, rawHeaders }
 }
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -8,12 +8,14 @@
 import * as budget from '@rosemaryrack/routing/common/budget.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
+import * as trafficSplit from '@rosemaryrack/routing/common/trafficSplit.js'
 
 /** Budgets of one lane on this instance. */
 export interface LaneState {
   readonly retries: budget.RatioBudget
   readonly hedges: budget.RatioBudget
   readonly measuring: budget.RateBudget
+  readonly split: trafficSplit.TrafficSplit
 }
 
 /** What is the same for all lanes. */
@@ -21,6 +23,7 @@
   readonly ownFailureDomain: string
   readonly liveEntries: () => number
   readonly newPolicy: () => balancingPolicy.IBalancingPolicy
+  readonly random: balancingPolicy.IRandom
 }
 
 /** Follows the configuration. */
@@ -69,6 +72,12 @@
     return state
   }
 
+  /** Service for one call of a lane; a lane with parts takes them in turn by weight. */
+  serviceFor ({ name, lane }: laneMatcher.NamedLane): string {
+    if (lane.split === undefined) return lane.service
+    return this.stateOf(name).split.next(lane.split)
+  }
+
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let found = this.dispatchers.get(service)
     if (found === undefined) {
@@ -85,7 +94,8 @@
     return {
       retries: new budget.RatioBudget(budgets.retryRatio),
       hedges: new budget.RatioBudget(budgets.hedgeRatio),
-      measuring: new budget.RateBudget(perSecond, this.clock)
+      measuring: new budget.RateBudget(perSecond, this.clock),
+      split: new trafficSplit.TrafficSplit(this.options.random)
     }
   }
 
--- a/packages/entry/src/node/readiness.ts
+++ b/packages/entry/src/node/readiness.ts
@@ -24,7 +24,7 @@
   if (!Number.isFinite(view.confirmedAgeMs)) return { ready: false, why: 'no configuration has been confirmed yet' }
   if (view.confirmedAgeMs <= view.confirmWithinMs) return { ready: true, why: 'configuration confirmed' }
   const known = 1 + view.members.all().length
-  const hearsMost = known > 1 && view.members.liveCount * 2 > known
+  const hearsMost = known > 1 && view.members.heardCount * 2 > known
   if (hearsMost) return { ready: true, why: 'no control quorum for any instance in reach; configuration unchanged' }
   return { ready: false, why: `configuration not confirmed for ${Math.round(view.confirmedAgeMs)} ms` }
 }
--- a/packages/fleet/src/common/announcement.ts
+++ b/packages/fleet/src/common/announcement.ts
@@ -1,11 +1,12 @@
 /** What targets announce of themselves, over HTTP in JSON. */
 import * as zod from 'zod'
 import * as address from '@rosemaryrack/base/common/address.js'
+import * as names from '@rosemaryrack/base/common/names.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 
 const maxLeaseMs = 600_000
 const maxSlots = 100_000
-const name = zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and dashes')
+const name = zod.string().regex(names.namePattern, names.nameRule)
 
 const announcementSchema = zod.strictObject({
   endpoint: name,
--- a/packages/fleet/src/common/endpointTable.ts
+++ b/packages/fleet/src/common/endpointTable.ts
@@ -38,6 +38,7 @@
   private readonly endpoints = new Map<string, Endpoint>()
   /** Ready endpoints of a service; renewals and loads replace an element in place, as they come far more often than changes. */
   private readonly byService = new Map<string, Endpoint[]>()
+  private readonly byAddress = new Map<string, string>()
   private readonly changedEmitter = new event.Emitter<Endpoint>()
   /** Fires for each change but a plain renewal. */
   readonly onChanged = this.changedEmitter.event
@@ -60,17 +61,35 @@
     const known = this.endpoints.get(next.endpoint)
     if (known !== undefined && !isNewer(next, known)) return 'stale'
     if (known === undefined && ageMs >= next.leaseMs) return 'stale'
+    if (!this.takeAddress(next)) return 'stale'
     const state = known === undefined ? next.state : stateAfter(known, next)
     const endpoint = { ...next, state, announcedAt: this.clock.now() - ageMs }
     if (known !== undefined && !isChange(known, endpoint)) {
       this.replace(known, endpoint)
       return 'renewed'
     }
-    this.endpoints.set(next.endpoint, endpoint)
+    this.setChanged(known, endpoint)
+    return 'changed'
+  }
+
+  /** One endpoint at an address: the one started last ends the others there; false for one that was ended so. */
+  private takeAddress (next: announcement.Announcement): boolean {
+    if (next.state === 'left') return true
+    const holderId = this.byAddress.get(next.address)
+    const holder = holderId === undefined || holderId === next.endpoint ? undefined : this.endpoints.get(holderId)
+    if (holder !== undefined && holder.address === next.address && holder.state !== 'left') {
+      if (next.incarnation < holder.incarnation) return false
+      this.setChanged(holder, { ...holder, state: 'left' })
+    }
+    this.byAddress.set(next.address, next.endpoint)
+    return true
+  }
+
+  private setChanged (known: Endpoint | undefined, next: Endpoint): void {
+    this.endpoints.set(next.endpoint, next)
     this.byService.delete(next.service)
     if (known !== undefined) this.byService.delete(known.service)
-    this.changedEmitter.fire(endpoint)
-    return 'changed'
+    this.changedEmitter.fire(next)
   }
 
   /** Takes a renewal; stale when its announcement is not known. */
@@ -117,6 +136,7 @@
       if (now - endpoint.announcedAt < endpoint.leaseMs + forgetAfterMs) continue
       this.endpoints.delete(endpoint.endpoint)
       this.byService.delete(endpoint.service)
+      if (this.byAddress.get(endpoint.address) === endpoint.endpoint) this.byAddress.delete(endpoint.address)
     }
   }
 
@@ -145,9 +165,12 @@
 
 function isNewer (next: announcement.Announcement, known: announcement.Announcement): boolean {
   if (next.incarnation !== known.incarnation) return next.incarnation > known.incarnation
-  return next.sequence > known.sequence
+  return next.sequence > known.sequence || stateRank[next.state] > stateRank[known.state]
 }
 
+/** Order of states within an incarnation; it never goes back from `draining` on. */
+const stateRank: { readonly [S in announcement.TargetState]: number } = { starting: 0, ready: 0, draining: 1, left: 2 }
+
 /** Draining and leaving hold for the rest of an incarnation. */
 function stateAfter (known: Endpoint, next: announcement.Announcement): announcement.TargetState {
   if (next.incarnation !== known.incarnation) return next.state
--- a/packages/fleet/src/common/fleetCodec.ts
+++ b/packages/fleet/src/common/fleetCodec.ts
@@ -78,12 +78,18 @@
   }
 }
 
+/** Encodes an announcement that its target made just now. */
+export function encodeAnnouncement (announced: announcement.Announcement): inner.Announcement {
+  return encodeEndpoint({ ...announced, announcedAt: 0 }, 0)
+}
+
 export function encodeMember (member: memberTable.Member, now: number): inner.Member {
   return protobuf.create(inner.MemberSchema, {
     instance: member.instance,
     address: member.address,
     failureDomain: member.failureDomain,
     incarnation: BigInt(member.incarnation),
+    hub: member.hub,
     ageMs: ageMs(member.heardAt, now)
   })
 }
@@ -93,6 +99,7 @@
     instance: wire.instance,
     address: wire.address,
     failureDomain: wire.failureDomain,
-    incarnation: Number(wire.incarnation)
+    incarnation: Number(wire.incarnation),
+    hub: wire.hub
   }
 }
--- a/packages/fleet/src/common/memberTable.ts
+++ b/packages/fleet/src/common/memberTable.ts
@@ -6,24 +6,33 @@
 const silentAfterMs = 5000
 const forgetAfterMs = 60_000
 
-/** An entry instance and when it was last heard of. */
+/** Another process of the fleet and when it was last heard of. */
 export interface Member {
   readonly instance: string
   readonly address: string
   readonly failureDomain: string
   readonly incarnation: number
+  /** A control replica that serves all entry instances, instead of one of them. */
+  readonly hub: boolean
   readonly heardAt: number
 }
 
-/** Members known to one entry instance, itself left out. */
+/** How many entry instances a hub hears. */
+interface EntryCount {
+  readonly count: number
+  readonly at: number
+}
+
+/** Members known to one process, itself left out. */
 export class MemberTable implements lifecycle.IDisposable {
   private readonly members = new Map<string, Member>()
+  private readonly entryCounts = new Map<string, EntryCount>()
   private readonly joinedEmitter = new event.Emitter<Member>()
   private readonly leftEmitter = new event.Emitter<Member>()
   readonly onJoined = this.joinedEmitter.event
   readonly onLeft = this.leftEmitter.event
 
-  constructor (private readonly clock: clock.IClock, private readonly self: string) {}
+  constructor (private readonly clock: clock.IClock, private readonly self: string, private readonly isHub = false) {}
 
   dispose (): void {
     this.joinedEmitter.dispose()
@@ -44,10 +53,33 @@
     return [...this.members.values()]
   }
 
-  /** Live entry instances, this one included. */
+  /** Takes how many entry instances a hub hears. */
+  noteEntryCount (hub: string, count: number): void {
+    this.entryCounts.set(hub, { count, at: this.clock.now() })
+  }
+
+  /** Members heard of lately, this process included. */
+  get heardCount (): number {
+    return 1 + this.heard.length
+  }
+
+  /** Live entry instances, this one included where it is one. */
   get liveCount (): number {
+    return this.countOfHubs ?? this.heard.filter(({ hub }) => !hub).length + (this.isHub ? 0 : 1)
+  }
+
+  /** The highest of the hubs' counts; without a recent one the last that was told, since losing all hubs stops no entry. */
+  private get countOfHubs (): number | undefined {
+    if (this.isHub || this.entryCounts.size === 0) return undefined
+    const told = [...this.entryCounts.values()]
+    const newestAt = told.reduce((latest, { at }) => Math.max(latest, at), -Infinity)
+    const recent = told.filter(({ at }) => newestAt - at < silentAfterMs)
+    return recent.reduce((most, { count }) => Math.max(most, count), 1)
+  }
+
+  private get heard (): readonly Member[] {
     const now = this.clock.now()
-    return 1 + this.all().filter((member) => now - member.heardAt < silentAfterMs).length
+    return this.all().filter((member) => now - member.heardAt < silentAfterMs)
   }
 
   /**
@@ -60,6 +92,7 @@
     for (const member of this.all()) {
       if (confirmedAt - member.heardAt < forgetAfterMs) continue
       this.members.delete(member.instance)
+      this.entryCounts.delete(member.instance)
       this.leftEmitter.fire(member)
     }
   }
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -21,10 +21,10 @@
   readonly onChanged: event.Event<configDocument.VersionedConfig>
 }
 
-/** A control replica as settings name it. */
+/** A control replica as settings name it; of a seed the failure domain isn't known. */
 export interface ControlAddress {
   readonly address: string
-  readonly failureDomain: string
+  readonly failureDomain?: string
 }
 
 type ControlLink = peerLink.PeerLink<typeof inner.ControlReplica>
@@ -68,9 +68,10 @@
   /** Starts the streams. */
   start (): void {
     const first = 0
-    const second = this.control.findIndex(({ failureDomain }) => failureDomain !== this.control[first]!.failureDomain)
+    const elsewhere = this.control.findIndex(({ failureDomain }) => failureDomain !== this.control[first]!.failureDomain)
+    const second = elsewhere > 0 ? elsewhere : first + 1
     this.keepFollowing(first)
-    if (second > 0) this.keepFollowing(second)
+    if (second < this.control.length) this.keepFollowing(second)
   }
 
   dispose (): void {
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -1,4 +1,4 @@
-/** Streams between entry instances: members, endpoints, suspects and configuration versions. */
+/** Streams between the processes of a fleet: members, endpoints, suspects and configuration versions. */
 import * as protobuf from '@bufbuild/protobuf'
 import type * as connect from '@connectrpc/connect'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
@@ -6,13 +6,14 @@
 import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import type * as freezeDetector from '@rosemaryrack/base/common/freezeDetector.js'
+import type * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as endpointTable from '../common/endpointTable.js'
 import * as fleetCodec from '../common/fleetCodec.js'
 import type * as memberTable from '../common/memberTable.js'
 import type * as suspectTable from '../common/suspectTable.js'
-import type * as configFollower from './configFollower.js'
 import * as peerOutbox from './peerOutbox.js'
 import * as streamWatchdog from './streamWatchdog.js'
 
@@ -22,20 +23,38 @@
 const sweepMs = 5000
 const membersEveryMs = 10_000
 
-/** The tables that the mesh keeps alike on all entry instances. */
+/** The configuration as a process holds it. */
+export interface IMeshConfigs {
+  readonly current: configDocument.VersionedConfig
+  readonly currentJson: string
+  /** Milliseconds since a quorum confirmed the current version; infinite before the first time. */
+  readonly confirmedAgeMs: number
+  readonly onChanged: event.Event<unknown>
+  /** Takes what a peer told of its version. */
+  hearPeer(version: number, confirmed: boolean, ageMs: number, fetch: () => Promise<inner.ConfigVersion>): void
+}
+
+/** The tables that the mesh keeps alike on all processes. */
 export interface MeshTables {
   readonly members: memberTable.MemberTable
   readonly endpoints: endpointTable.EndpointTable
   readonly suspects: suspectTable.SuspectTable
-  readonly configs: configFollower.ConfigFollower
+  readonly configs: IMeshConfigs
 }
 
+/**
+ * Place in the fleet: peers subscribe to each other; where there are hubs, these subscribe to everyone, and the others,
+ * the spokes, only to hubs.
+ */
+export type MeshRole = 'peer' | 'hub' | 'spoke'
+
 /** This instance as its peers see it. */
 export interface MeshSelf {
   readonly instance: string
   readonly address: string
   readonly failureDomain: string
   readonly incarnation: number
+  readonly role: MeshRole
 }
 
 type EntryLink = peerLink.PeerLink<typeof inner.EntryPeer>
@@ -56,8 +75,10 @@
     private readonly freeze: freezeDetector.FreezeDetector,
     private readonly decisions: decisionLog.IDecisionLog
   ) {
-    const { members, endpoints, suspects } = tables
-    this.disposables.add(endpoints.onChanged((endpoint) => this.forEachOutbox((outbox) => outbox.addEndpoint(endpoint.endpoint))))
+    const { members, endpoints, suspects, configs } = tables
+    // A spoke learns of endpoints from its hubs, so it has no news for them.
+    if (self.role !== 'spoke') this.disposables.add(endpoints.onChanged((endpoint) => this.forEachOutbox((outbox) => outbox.addEndpoint(endpoint.endpoint))))
+    if (self.role === 'hub') this.disposables.add(configs.onChanged(() => this.forEachOutbox((outbox) => outbox.noteConfig())))
     this.disposables.add(suspects.onChanged((suspect) => this.forEachOutbox((outbox) => outbox.addSuspect(suspect.fingerprint))))
     this.disposables.add(members.onJoined((member) => this.memberJoined(member)))
     this.disposables.add(members.onLeft((member) => this.memberLeft(member)))
@@ -104,7 +125,7 @@
 
   private memberJoined (member: memberTable.Member): void {
     this.decisions.record({ event: 'member', choice: member.instance, address: member.address, why: 'joined' })
-    this.subscribeTo(member.address)
+    if (this.self.role !== 'spoke' || member.hub) this.subscribeTo(member.address)
   }
 
   private memberLeft (member: memberTable.Member): void {
@@ -183,15 +204,23 @@
     const confirmed = now - confirmedAgeMs >= startedAt
     return protobuf.create(inner.PeerUpdateSchema, {
       self: this.selfMember(),
-      members: withMembers ? members.all().map((member) => fleetCodec.encodeMember(member, now)) : [],
+      members: withMembers ? this.toldMembers().map((member) => fleetCodec.encodeMember(member, now)) : [],
+      liveEntries: this.self.role === 'hub' ? members.liveCount : 0,
       configVersion: configs.current.version,
       confirmed,
       confirmedAgeMs: confirmed ? Math.round(confirmedAgeMs) : 0
     })
   }
 
+  /** Of entry instances that use hubs only their number is told, whatever it is. */
+  private toldMembers (): readonly memberTable.Member[] {
+    const all = this.tables.members.all()
+    return this.self.role === 'peer' ? all : all.filter(({ hub }) => hub)
+  }
+
   private selfMember (): inner.Member {
-    return protobuf.create(inner.MemberSchema, { ...this.self, incarnation: BigInt(this.self.incarnation) })
+    const { role, incarnation, ...named } = this.self
+    return protobuf.create(inner.MemberSchema, { ...named, incarnation: BigInt(incarnation), hub: role === 'hub' })
   }
 
   // ---- Subscribing ----
@@ -243,6 +272,7 @@
   private takeUpdate (update: inner.PeerUpdate, link: EntryLink): void {
     const { members, endpoints, suspects, configs } = this.tables
     if (update.self !== undefined) members.hear(fleetCodec.decodeMember(update.self), 0)
+    if (update.liveEntries > 0 && update.self !== undefined) members.noteEntryCount(update.self.instance, update.liveEntries)
     for (const member of update.members) members.hear(fleetCodec.decodeMember(member), member.ageMs)
     for (const wire of update.announcements) endpoints.apply(fleetCodec.decodeAnnouncement(wire), wire.ageMs)
     for (const wire of update.renewals) endpoints.renew(fleetCodec.decodeRenewal(wire), wire.ageMs)
--- a/packages/fleet/src/node/peerOutbox.ts
+++ b/packages/fleet/src/node/peerOutbox.ts
@@ -40,6 +40,11 @@
     this.sendWithin(0)
   }
 
+  /** A new configuration version: it travels with any update, so one is due at once. */
+  noteConfig (): void {
+    this.sendWithin(0)
+  }
+
   /** The next batch; an empty one when the heartbeat is due. */
   async next (abort: AbortSignal): Promise<OutboxBatch> {
     const heartbeatAt = performance.now() + heartbeatMs
--- a/packages/fleet/src/test/memberTable.test.ts
+++ b/packages/fleet/src/test/memberTable.test.ts
@@ -10,7 +10,7 @@
   manual.time = 0
   const table = new memberTable.MemberTable(clock, 'entry-1')
   for (const instance of instances) {
-    table.hear({ instance, address: `${instance}:7100`, failureDomain: 'a', incarnation: 1 }, 0)
+    table.hear({ instance, address: `${instance}:7100`, hub: false, failureDomain: 'a', incarnation: 1 }, 0)
   }
   return table
 }
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -7,7 +7,7 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as secret from '@rosemaryrack/base/node/secret.js'
 
-const maxBodyBytes = 1_048_576
+const maxBodyBytes = 33_554_432
 const maxHeaderBytes = 16_384
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
@@ -150,7 +150,7 @@
 function toResponse (res: RouteRes): Response {
   const isText = typeof res.body === 'string'
   const headers = new Headers(res.headers)
-  headers.set('content-type', isText ? 'text/plain; charset=utf-8' : 'application/json')
+  if (!headers.has('content-type')) headers.set('content-type', isText ? 'text/plain; charset=utf-8' : 'application/json')
   return new Response(isText ? res.body : JSON.stringify(res.body) + '\n', { status: res.status ?? 200, headers })
 }
 
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -25,7 +25,7 @@
   const disposables = new lifecycle.DisposableStore()
   disposables.add(new logOutput.LogOutput())
   const logger = logOutput.createLogger('rosemaryrack', cfg.instance)
-  const decisions = new decisionRing.DecisionRing(logger, cfg.logs.decisions)
+  const decisions = new decisionRing.DecisionRing(logger, cfg.logs.decisions, cfg.logs.remembered)
   const exit = (code: number): never => {
     disposables.dispose()
     process.exit(code)
@@ -36,7 +36,8 @@
     exit(errors.answers['disk-failure'].exitCode)
   })
   const operator = disposables.add(new httpListener.HttpListener(cfg.operator.token))
-  addProcessRoutes(operator, roles, pageMetrics)
+  addProcessRoutes(operator, roles, pageMetrics, cfg.operator.openMetrics)
+  await addAdapter(cfg, roles, operator)
   const inner = disposables.add(new innerListener.InnerListener({ cluster: cfg.cluster, token: cfg.inner.token }, (router) => {
     roles.control?.registerRpc(router)
     roles.entry?.registerRpc(router)
@@ -93,18 +94,27 @@
   }
 }
 
-function addProcessRoutes (operator: httpListener.HttpListener, roles: Roles, pageMetrics: metrics.Metrics): void {
+function addProcessRoutes (operator: httpListener.HttpListener, roles: Roles, pageMetrics: metrics.Metrics, openMetrics: boolean): void {
   roles.control?.addRoutes(operator)
   roles.entry?.addRoutes(operator)
   operator.openRoute('GET', '/live', async () => ({ body: { live: true } }))
   operator.openRoute('GET', '/ready', async () => readyAnswer(roles))
-  operator.route('GET', '/metrics', async () => ({ body: pageMetrics.format() }))
+  const metricsPage = async (): Promise<httpListener.RouteRes> => ({ body: pageMetrics.format() })
+  if (openMetrics) operator.openRoute('GET', '/metrics', metricsPage)
+  else operator.route('GET', '/metrics', metricsPage)
   for (const name of processGauges) {
     pageMetrics.gauge('process_memory_bytes', { kind: name }, () => process.memoryUsage()[name])
   }
   pageMetrics.gauge('process_cpu_seconds_total', {}, () => cpuSeconds())
 }
 
+/** Adds the interface of another way of speaking, where the settings ask for one. */
+async function addAdapter (cfg: settings.Settings, { control }: Roles, routes: httpListener.IRoutes): Promise<void> {
+  if (cfg.control?.adapter === undefined || control?.hub === undefined) return
+  const platform = await import('@rosemaryrack/platform/node/platformRoutes.js')
+  platform.addPlatformRoutes(routes, control.service, control.hub)
+}
+
 function cpuSeconds (): number {
   const usPerSecond = 1_000_000
   const { user, system } = process.cpuUsage()
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -12,7 +12,6 @@
 import * as requestStanding from './requestStanding.js'
 import type * as transport from './transport.js'
 
-const maxSentAttempts = 3
 /** Endpoints that may have run a call without telling: one that crashes targets takes no more of them. */
 const maxUncertainRuns = 2
 const tryShareOfDeadline = 0.5
@@ -292,7 +291,7 @@
   }
 
   private get mayRunAgain (): boolean {
-    return this.attempts - this.unsent < maxSentAttempts && this.uncertainRuns + this.running.size < maxUncertainRuns
+    return this.attempts - this.unsent < this.spec.lane.maxAttempts && this.uncertainRuns + this.running.size < maxUncertainRuns
   }
 
   /** Spends a retry when it says yes. */
--- a/packages/routing/src/common/laneMatcher.ts
+++ b/packages/routing/src/common/laneMatcher.ts
@@ -30,8 +30,9 @@
 
 function matches (lane: configDocument.Lane, method: string, host: string | undefined, path: string): boolean {
   const { match } = lane
-  if (match.host !== undefined && match.host !== host) return false
-  return (match.methods as readonly string[]).includes(method) && hasPrefix(path, match.pathPrefix)
+  if (match.host !== undefined && match.host.toLowerCase() !== host) return false
+  const methods: readonly string[] | undefined = match.methods
+  return (methods === undefined || methods.includes(method)) && hasPrefix(path, match.pathPrefix)
 }
 
 /** A prefix ends at a segment's end: `/flags` matches `/flags/7` and not `/flagship`. */
--- a/packages/routing/src/common/waitingQueue.ts
+++ b/packages/routing/src/common/waitingQueue.ts
@@ -1,7 +1,12 @@
 /** Calls that wait for a slot, the urgent lanes' first, within a priority the earliest deadline first. */
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 
-const rankOf: { readonly [P in configDocument.LanePriority]: number } = { urgent: 0, normal: 1, bulk: 2 }
+const namedRanks: { readonly [P in Extract<configDocument.LanePriority, string>]: number } = { urgent: 0, normal: 1, bulk: 2 }
+
+/** Rank of a priority; the lowest goes first. */
+function rankOf (priority: configDocument.LanePriority): number {
+  return typeof priority === 'number' ? priority : namedRanks[priority]
+}
 
 /** What orders a waiting call. */
 export interface Waiting {
@@ -45,6 +50,6 @@
 }
 
 function isBefore (a: Waiting, b: Waiting): boolean {
-  const ranks = rankOf[a.priority] - rankOf[b.priority]
+  const ranks = rankOf(a.priority) - rankOf(b.priority)
   return ranks !== 0 ? ranks < 0 : a.deadlineAt < b.deadlineAt
 }
--- a/packages/testbed/src/node/realBench.ts
+++ b/packages/testbed/src/node/realBench.ts
@@ -127,7 +127,7 @@
         dispatcher: agent,
         method: 'POST',
         headers: { authorization: secret.bearer(fleet.announcementToken) },
-        body: JSON.stringify({ endpoint: `idle-${i}`, service: `idle-${i % 36}`, address: '127.0.0.1:1', failureDomain: 'a', slots: 6, connectionLimit: 260, state: 'ready', incarnation: 1, sequence, leaseMs: 5000 })
+        body: JSON.stringify({ endpoint: `idle-${i}`, service: `idle-${i % 36}`, address: `127.0.0.1:${i + 1}`, failureDomain: 'a', slots: 6, connectionLimit: 260, state: 'ready', incarnation: 1, sequence, leaseMs: 5000 })
       })
       const { renewAfterMs = 1000 } = await res.body.json() as { readonly renewAfterMs?: number }
       await async.sleep(renewAfterMs, stop)
