Platform: repeats of all entries under one budget; a silent try is given up only for a retry that is granted

Ruled out: silent connections (no connection was silent, the targets were slow). Change: RepeatBudget, a sliding window of this instance's part of what all may repeat; the retry is taken before the try is given up. The property test over restarts failed first: a restarted instance spent its part of the addition again, so it gets none for a window. Departures have a path of their own, since a stale sequence must stay stale (a check of the table's tests). Fixture: endpoints of the table's tests stand at addresses of their own, as one address holds one endpoint now; assertions unchanged.

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -79,6 +79,14 @@
     drainNoticeMs: zod.number().int().min(0).max(60_000).default(1000),
     /** Seconds from SIGTERM until the process is killed; idle connections are closed a while before. */
     graceS: zod.number().min(1).max(3600).default(60),
+    /** What all entries together may send again of one service, in place of the lanes' own retry and hedge budgets. */
+    repeats: zod.strictObject({
+      /** Share of the calls. */
+      ratio: zod.number().min(0).max(1),
+      /** Number beyond that in each window, over all entries. */
+      extra: zod.number().min(0).max(1_000_000),
+      windowS: zod.number().min(1).max(3600)
+    }).optional(),
     /** Writes `Retry-After` with fractions of a second. */
     fractionalRetryAfter: zod.boolean().default(false),
     headers: headersSchema.prefault({})
--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -92,7 +92,7 @@
     const tables = { members, endpoints: this.endpoints, suspects, configs }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(options.self, options.seeds, identity, tables, this.freeze, decisions))
     this.disposables.add(feed.keepConfirming())
-    this.disposables.add(replica.state.onDeparted((wire) => { this.endpoints.apply(fleetCodec.decodeAnnouncement(wire), 0) }))
+    this.disposables.add(replica.state.onDeparted((wire) => this.endpoints.applyDeparture(fleetCodec.decodeAnnouncement(wire))))
   }
 
   /** Lease of an announcement, in milliseconds. */
@@ -140,7 +140,7 @@
       (known.state === 'left' || known.state === announced.state)
     if (committed) return
     await this.service.depart(protobuf.create(inner.DeparturesSchema, { announcements: [fleetCodec.encodeAnnouncement(announced)] }))
-    this.endpoints.apply(announced, 0)
+    this.endpoints.applyDeparture(announced)
     this.log(announced, 'committed')
   }
 
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -87,9 +87,6 @@
     const path = requestGuard.pathOf(target)
     const named = this.findLane(path)
     this.laneName = named.name
-    const state = this.deps.lanes.stateOf(named.name)
-    state.retries.deposit()
-    state.hedges.deposit()
     const { lane } = named
     const body = await callerBody.CallerBody.open(this.req, { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs })
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', target, this.idempotencyKey ?? body.head)
@@ -159,6 +156,7 @@
 
   private startCall (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
     const service = this.deps.lanes.serviceFor(namedLane)
+    const budgets = this.deps.lanes.budgetsFor(namedLane.name, service)
     const callWith = (req: httpAttempt.TargetReq, deadlineAt: number, avoid: readonly string[], listener: call.ICallListener): void => {
       this.running = new call.Call({
         requestId: this.requestId,
@@ -168,7 +166,7 @@
         identity,
         replayable: () => body.isReplayable,
         avoid
-      }, this.callDeps(namedLane, service, req), listener)
+      }, this.callDeps(service, budgets, req), listener)
       this.running.start()
     }
     const callRest: downloadResumer.RestCaller = (headers, avoid, listener) => {
@@ -190,14 +188,14 @@
     this.refuse(fault)
   }
 
-  private callDeps (namedLane: laneMatcher.NamedLane, service: string, req: httpAttempt.TargetReq): call.CallDeps {
+  private callDeps (service: string, budgets: call.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
     const { lanes, connections, suspects, deaths, decisions } = this.deps
     return {
       dispatcher: lanes.dispatcherOf(service),
       transport: new httpAttempt.HttpTransport(req, connections),
       suspects,
       deaths,
-      budgets: lanes.stateOf(namedLane.name),
+      budgets,
       decisions,
       clock: this.deps.clock
     }
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -24,6 +24,7 @@
 import * as readiness from './readiness.js'
 import * as targetConnections from './targetConnections.js'
 
+const msPerSecond = 1000
 const random = { next: Math.random }
 
 /** An entry instance within this process. */
@@ -65,7 +66,8 @@
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveCount,
       newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
-      random
+      random,
+      repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond }
     }, this.clock))
     this.callers = this.newCallerListener()
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -6,6 +6,7 @@
 import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
 import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
 import * as budget from '@rosemaryrack/routing/common/budget.js'
+import type * as call from '@rosemaryrack/routing/common/call.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as trafficSplit from '@rosemaryrack/routing/common/trafficSplit.js'
@@ -24,12 +25,15 @@
   readonly liveEntries: () => number
   readonly newPolicy: () => balancingPolicy.IBalancingPolicy
   readonly random: balancingPolicy.IRandom
+  /** What all instances may send again of a service; the lanes' own budgets hold where it is missing. */
+  readonly repeats: budget.RepeatLimits | undefined
 }
 
 /** Follows the configuration. */
 export class LaneRegistry implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly states = new Map<string, LaneState>()
+  private readonly repeats = new Map<string, budget.RepeatBudget>()
   private readonly dispatchers = new Map<string, dispatcher.Dispatcher>()
   private matcher: laneMatcher.LaneMatcher
   private lanes: configDocument.ConfigDocument['lanes']
@@ -78,6 +82,26 @@
     return this.stateOf(name).split.next(lane.split)
   }
 
+  /** Counts a caller's request for a service and gives the budgets from which its repeats are taken. */
+  budgetsFor (name: string, service: string): call.LaneBudgets {
+    const state = this.stateOf(name)
+    state.retries.deposit()
+    state.hedges.deposit()
+    const shared = this.repeatsOf(service)
+    shared?.noteCall()
+    return { measuring: state.measuring, retries: shared ?? state.retries, hedges: shared ?? state.hedges }
+  }
+
+  private repeatsOf (service: string): budget.RepeatBudget | undefined {
+    const { repeats, liveEntries } = this.options
+    let found = this.repeats.get(service)
+    if (found === undefined && repeats !== undefined) {
+      found = new budget.RepeatBudget(repeats, liveEntries, this.clock)
+      this.repeats.set(service, found)
+    }
+    return found
+  }
+
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let found = this.dispatchers.get(service)
     if (found === undefined) {
--- a/packages/fleet/src/common/endpointTable.ts
+++ b/packages/fleet/src/common/endpointTable.ts
@@ -92,6 +92,17 @@
     this.changedEmitter.fire(next)
   }
 
+  /** Takes a committed departure, which holds whatever was announced of its incarnation since. */
+  applyDeparture (departed: announcement.Announcement): void {
+    const known = this.endpoints.get(departed.endpoint)
+    if (known === undefined || departed.incarnation > known.incarnation) {
+      this.apply(departed, 0)
+      return
+    }
+    if (departed.incarnation < known.incarnation || known.state === departed.state || known.state === 'left') return
+    this.setChanged(known, { ...known, state: departed.state })
+  }
+
   /** Takes a renewal; stale when its announcement is not known. */
   renew (renewal: Renewal, ageMs: number): ApplyOutcome {
     const known = this.endpoints.get(renewal.endpoint)
@@ -165,12 +176,9 @@
 
 function isNewer (next: announcement.Announcement, known: announcement.Announcement): boolean {
   if (next.incarnation !== known.incarnation) return next.incarnation > known.incarnation
-  return next.sequence > known.sequence || stateRank[next.state] > stateRank[known.state]
+  return next.sequence > known.sequence
 }
 
-/** Order of states within an incarnation; it never goes back from `draining` on. */
-const stateRank: { readonly [S in announcement.TargetState]: number } = { starting: 0, ready: 0, draining: 1, left: 2 }
-
 /** Draining and leaving hold for the rest of an incarnation. */
 function stateAfter (known: Endpoint, next: announcement.Announcement): announcement.TargetState {
   if (next.incarnation !== known.incarnation) return next.state
--- a/packages/fleet/src/test/endpointTable.test.ts
+++ b/packages/fleet/src/test/endpointTable.test.ts
@@ -19,7 +19,7 @@
   return {
     endpoint,
     service: 'diary',
-    address: '127.0.0.1:9000',
+    address: `127.0.0.1:${9000 + endpoint.charCodeAt(0)}`,
     failureDomain: 'a',
     slots: 4,
     connectionLimit: 240,
@@ -98,3 +98,27 @@
   table.apply(announce('b', { sequence: 3, state: 'draining' }), 0)
   t.same(table.routable('diary').map(({ endpoint }) => endpoint), ['a'])
 })
+
+tap.t.test('a committed departure holds whatever was announced since, but not against a later start', async (t) => {
+  const { table, routable } = setUp()
+  table.apply(announce('a', { sequence: 5 }), 0)
+  table.applyDeparture(announce('a', { sequence: 4, state: 'draining' }))
+  t.same(routable(), [])
+  table.apply(announce('a', { sequence: 9 }), 0)
+  t.same(routable(), [], 'a late heartbeat')
+  table.apply(announce('a', { incarnation: 2 }), 0)
+  t.same(routable(), ['a'])
+  table.applyDeparture(announce('a', { sequence: 9, state: 'left' }))
+  t.same(routable(), ['a'], 'a departure of the earlier incarnation')
+})
+
+tap.t.test('of the endpoints at one address only the one started last stays', async (t) => {
+  const { table, routable } = setUp()
+  const address = '127.0.0.1:9000'
+  table.apply(announce('a', { address, incarnation: 5 }), 0)
+  table.apply(announce('b', { address, incarnation: 7 }), 0)
+  t.same(routable(), ['b'])
+  t.equal(table.apply(announce('c', { address, incarnation: 6 }), 0), 'stale', 'a late heartbeat of one that ended')
+  t.equal(table.apply(announce('a', { address, incarnation: 5, sequence: 9 }), 0), 'stale')
+  t.same(routable(), ['b'])
+})
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -95,6 +95,8 @@
   private waiting = false
   private uncertainRuns = 0
   private silent = false
+  /** A retry was taken from the budget before it was known to be needed. */
+  private retryGranted = false
   private settled = false
 
   constructor (private readonly spec: CallSpec, private readonly deps: CallDeps, private readonly listener: ICallListener) {
@@ -162,8 +164,9 @@
   }
 
   private tryLimitPassed (attempt: RunningAttempt, limitMs: number): void {
-    // With a hedge under way no other run may follow, so giving this one up would gain nothing.
-    if (!this.running.has(attempt) || this.settled || !this.mayRunAgain) return
+    // With a hedge under way or without a retry left no other run may follow, so giving this one up would gain nothing.
+    if (!this.running.has(attempt) || this.settled || this.running.size > 1 || !this.mayRetry()) return
+    this.retryGranted = true
     this.silent = true
     attempt.handle?.abandon()
     this.attemptFailed(attempt, { kind: 'silent', message: `nothing was heard for ${Math.round(limitMs)} ms` })
@@ -298,7 +301,9 @@
   private mayRetry (): boolean {
     if (!this.mayRunAgain || !this.spec.replayable()) return false
     if (this.uncertainRuns > 0 && (this.suspect || !this.spec.lane.idempotent)) return false
-    return this.deps.budgets.retries.take()
+    if (!this.retryGranted) return this.deps.budgets.retries.take()
+    this.retryGranted = false
+    return true
   }
 
   private giveUp (why: string): void {
--- a/packages/routing/src/test/limits.test.ts
+++ b/packages/routing/src/test/limits.test.ts
@@ -1,7 +1,9 @@
 /** Budgets, queue order and lane matching: hard limits and fixed orders. */
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as fc from 'fast-check'
 import * as tap from 'tap'
 import * as budget from '../common/budget.js'
+import * as trafficSplit from '../common/trafficSplit.js'
 import * as laneMatcher from '../common/laneMatcher.js'
 import * as waitingQueue from '../common/waitingQueue.js'
 
@@ -67,3 +69,58 @@
     find('POST', 'h', '/flags'), find('POST', 'h', '/other'), find('GET', 'old.example', '/flags/urgent')
   ], ['flags', 'all', 'urgent', 'flags', undefined, 'host'])
 })
+
+const windowMs = 10_000
+const seed = 20261204
+
+/** Calls and repeats of all instances, as they happen. */
+interface FleetEvents {
+  readonly calls: readonly number[]
+  readonly repeats: readonly number[]
+}
+
+/** Instances with uneven shares, of which some are restarted with an empty memory. */
+function playRepeats (shares: readonly number[], restarts: ReadonlyArray<{ readonly at: number, readonly instance: number }>): FleetEvents {
+  const newBudget = (): budget.RepeatBudget => new budget.RepeatBudget({ ratio: 0.2, extra: 60, windowMs }, () => shares.length, clock)
+  const budgets = shares.map(newBudget)
+  const events = { calls: [] as number[], repeats: [] as number[] }
+  for (manual.time = 0; manual.time < 3 * windowMs; manual.time += 50) {
+    for (const { at, instance } of restarts) {
+      if (at === manual.time) budgets[instance % shares.length] = newBudget()
+    }
+    shares.forEach((share, i) => {
+      for (let n = 0; n < share; n++) {
+        budgets[i]!.noteCall()
+        events.calls.push(manual.time)
+      }
+      // Every instance wants more repeats than it may have.
+      for (let n = 0; n < share + 1; n++) if (budgets[i]!.take()) events.repeats.push(manual.time)
+    })
+  }
+  return events
+}
+
+tap.t.test('repeats of all instances stay within the shared budget in each window, while instances restart', async (t) => {
+  const restart = fc.record({ at: fc.nat(500).map((n) => n * 50), instance: fc.nat(16) })
+  fc.assert(fc.property(fc.array(fc.nat(3), { minLength: 2, maxLength: 17 }), fc.array(restart, { maxLength: 5 }), (shares, restarts) => {
+    const { calls, repeats } = playRepeats(shares, restarts)
+    return repeats.every((from) => {
+      const inWindow = (at: number): boolean => at >= from && at < from + windowMs
+      const before = (at: number): boolean => at >= from - windowMs && at < from
+      const counted = Math.max(calls.filter(inWindow).length, calls.filter(before).length)
+      return repeats.filter(inWindow).length <= 0.2 * counted + 60
+    })
+  }), { seed, numRuns: 40 })
+  t.pass()
+})
+
+tap.t.test('a split gives each service its weight, from any starting point', async (t) => {
+  const parts = [{ service: 'old', weight: 90 }, { service: 'new', weight: 10 }, { service: 'none', weight: 0 }]
+  for (const start of [0, 0.3, 0.99]) {
+    const split = new trafficSplit.TrafficSplit({ next: () => start })
+    const counts: Record<string, number> = { old: 0, new: 0, none: 0 }
+    for (let i = 0; i < 1000; i++) counts[split.next(parts)]!++
+    t.ok(Math.abs(counts['old']! - 900) <= 2, `${counts['old']} of 1000 from ${start}`)
+    t.ok(counts['none']! <= 1, 'a part without weight')
+  }
+})
--- a/tap-snapshots/packages/config/dist/test/examples.test.js.test.cjs
+++ b/tap-snapshots/packages/config/dist/test/examples.test.js.test.cjs
@@ -9,6 +9,8 @@
 Object {
   "cluster": "brandpost",
   "control": Object {
+    "announceEveryMs": 0,
+    "bootstrap": false,
     "dataFolder": "/var/lib/rosemaryrack",
     "electionTimeoutMs": 1500,
     "heartbeatMs": 300,
@@ -17,7 +19,9 @@
       "10.20.2.10:7100",
       "10.20.3.10:7100",
     ],
+    "seeds": Array [],
     "snapshotEvery": 1000,
+    "tolerateLostDisks": 0,
   },
   "failureDomain": "lulea",
   "inner": Object {
@@ -27,9 +31,11 @@
   "instance": "control-lulea",
   "logs": Object {
     "decisions": true,
+    "remembered": 20000,
   },
   "operator": Object {
     "listen": "10.20.1.10:7200",
+    "openMetrics": false,
     "token": "replace-this-operator-token",
   },
 }
@@ -39,6 +45,8 @@
 Object {
   "cluster": "kwezi",
   "control": Object {
+    "announceEveryMs": 0,
+    "bootstrap": false,
     "dataFolder": "/var/lib/rosemaryrack",
     "electionTimeoutMs": 1500,
     "heartbeatMs": 300,
@@ -47,7 +55,9 @@
       "10.40.2.10:7100",
       "10.40.3.10:7100",
     ],
+    "seeds": Array [],
     "snapshotEvery": 1000,
+    "tolerateLostDisks": 0,
   },
   "failureDomain": "midrand-a",
   "inner": Object {
@@ -57,9 +67,11 @@
   "instance": "control-midrand-a",
   "logs": Object {
     "decisions": true,
+    "remembered": 20000,
   },
   "operator": Object {
     "listen": "10.40.1.10:7200",
+    "openMetrics": false,
     "token": "replace-this-operator-token",
   },
 }
@@ -92,10 +104,21 @@
       },
     ],
     "drainNoticeMs": 3000,
+    "fractionalRetryAfter": false,
+    "graceS": 60,
+    "headers": Object {
+      "deadline": "rack-deadline-ms",
+      "notRun": Object {
+        "name": "rack-outcome",
+        "value": "not-run",
+      },
+      "requestId": "x-request-id",
+    },
     "peers": Array [
       "10.20.2.21:7100",
       "10.20.3.21:7100",
     ],
+    "seeds": Array [],
   },
   "failureDomain": "lulea",
   "inner": Object {
@@ -105,9 +128,11 @@
   "instance": "entry-lulea-1",
   "logs": Object {
     "decisions": true,
+    "remembered": 20000,
   },
   "operator": Object {
     "listen": "10.20.1.21:7200",
+    "openMetrics": false,
     "token": "replace-this-operator-token",
   },
 }
@@ -140,10 +165,21 @@
       },
     ],
     "drainNoticeMs": 3000,
+    "fractionalRetryAfter": false,
+    "graceS": 60,
+    "headers": Object {
+      "deadline": "rack-deadline-ms",
+      "notRun": Object {
+        "name": "rack-outcome",
+        "value": "not-run",
+      },
+      "requestId": "x-request-id",
+    },
     "peers": Array [
       "10.40.2.21:7100",
       "10.40.3.21:7100",
     ],
+    "seeds": Array [],
   },
   "failureDomain": "midrand-a",
   "inner": Object {
@@ -153,9 +189,11 @@
   "instance": "entry-midrand-a-1",
   "logs": Object {
     "decisions": true,
+    "remembered": 20000,
   },
   "operator": Object {
     "listen": "10.40.1.21:7200",
+    "openMetrics": false,
     "token": "replace-this-operator-token",
   },
 }
@@ -184,6 +222,7 @@
           ],
           "pathPrefix": "/hydrants",
         },
+        "maxAttempts": 3,
         "maxBodyBytes": 16777216,
         "maxWaitMs": 300,
         "priority": "urgent",
@@ -217,6 +256,7 @@
           ],
           "pathPrefix": "/inspections",
         },
+        "maxAttempts": 3,
         "maxBodyBytes": 1048576,
         "maxWaitMs": 2000,
         "priority": "normal",
@@ -250,6 +290,7 @@
           ],
           "pathPrefix": "/bundles",
         },
+        "maxAttempts": 3,
         "maxBodyBytes": 16777216,
         "maxWaitMs": 5000,
         "priority": "bulk",
@@ -293,6 +334,7 @@
           ],
           "pathPrefix": "/diary",
         },
+        "maxAttempts": 3,
         "maxBodyBytes": 16777216,
         "maxWaitMs": 500,
         "priority": "urgent",
@@ -326,6 +368,7 @@
           ],
           "pathPrefix": "/files",
         },
+        "maxAttempts": 3,
         "maxBodyBytes": 16777216,
         "maxWaitMs": 8000,
         "priority": "bulk",
@@ -358,6 +401,7 @@
           ],
           "pathPrefix": "/payments",
         },
+        "maxAttempts": 3,
         "maxBodyBytes": 262144,
         "maxWaitMs": 3000,
         "priority": "normal",
--- a/tap-snapshots/packages/config/dist/test/settingsFile.test.js.test.cjs
+++ b/tap-snapshots/packages/config/dist/test/settingsFile.test.js.test.cjs
@@ -45,13 +45,17 @@
 Object {
   "cluster": "c",
   "control": Object {
+    "announceEveryMs": 0,
+    "bootstrap": false,
     "dataFolder": "data",
     "electionTimeoutMs": 1500,
     "heartbeatMs": 300,
     "replicas": Array [
       "127.0.0.1:1",
     ],
+    "seeds": Array [],
     "snapshotEvery": 1000,
+    "tolerateLostDisks": 0,
   },
   "failureDomain": "d",
   "inner": Object {
@@ -61,9 +65,11 @@
   "instance": "i",
   "logs": Object {
     "decisions": true,
+    "remembered": 20000,
   },
   "operator": Object {
     "listen": "127.0.0.1:2",
+    "openMetrics": false,
     "token": "0123456789abcdef",
   },
 }
--- a/tap-snapshots/packages/control/dist/test/replicatedState.test.js.test.cjs
+++ b/tap-snapshots/packages/control/dist/test/replicatedState.test.js.test.cjs
@@ -109,6 +109,7 @@
             ],
             "pathPrefix": "/",
           },
+          "maxAttempts": 3,
           "maxBodyBytes": 16777216,
           "maxWaitMs": 1,
           "priority": "normal",
