--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -17,6 +17,18 @@
   }
 }
 
+/** The whole of undici also loads its fetch, caches and agents, of which the daemon uses nothing. */
+const clientOnly = {
+  name: 'undici-client-only',
+  setup (build) {
+    build.onResolve({ filter: /^undici$/ }, ({ resolveDir }) => ({ path: 'client', namespace: 'undici-client', pluginData: { resolveDir } }))
+    build.onLoad({ filter: /.*/, namespace: 'undici-client' }, ({ pluginData }) => ({
+      contents: "export { default as Client } from 'undici/lib/dispatcher/client.js'",
+      resolveDir: pluginData.resolveDir
+    }))
+  }
+}
+
 fs.rmSync('target', { recursive: true, force: true })
 await esbuild.build({
   stdin: {
@@ -24,7 +36,7 @@
     resolveDir: process.cwd(),
     loader: 'js'
   },
-  plugins: [fromSources],
+  plugins: [fromSources, clientOnly],
   bundle: true,
   platform: 'node',
   target: 'node20.15',
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -153,7 +153,7 @@
   /** Streams to one peer: all that is known at first, then changes and heartbeats. */
   private async * serve (req: inner.SubscribeReq, signal: AbortSignal): AsyncGenerator<inner.PeerUpdate> {
     const startedAt = performance.now()
-    const outbox = new peerOutbox.PeerOutbox()
+    const outbox = new peerOutbox.PeerOutbox(this.paceFor(req.from))
     this.outboxes.add(outbox)
     if (req.from !== undefined) this.tables.members.hear(fleetCodec.decodeMember(req.from), 0)
     try {
@@ -170,6 +170,11 @@
     }
   }
 
+  private paceFor (peer: inner.Member | undefined): peerOutbox.OutboxPace {
+    if (this.self.role === 'spoke') return peerOutbox.lifePace
+    return this.self.role === 'hub' && peer?.hub !== true ? peerOutbox.spokePace : peerOutbox.peerPace
+  }
+
   private fullUpdate (startedAt: number): inner.PeerUpdate {
     const now = performance.now()
     const update = this.baseUpdate(startedAt, true)
--- a/packages/fleet/src/node/peerOutbox.ts
+++ b/packages/fleet/src/node/peerOutbox.ts
@@ -1,9 +1,22 @@
 /** What one subscribed peer has not been told yet. */
 import * as async from '@rosemaryrack/base/common/async.js'
 
-const heartbeatMs = 1000
 const changeDelayMs = 100
-const renewalsWaitPerLease = 1 / 12
+
+/** How often one kind of peer is told. */
+export interface OutboxPace {
+  /** Longest time without an update, in milliseconds. */
+  readonly heartbeatMs: number
+  /** Longest wait of a renewal for others, as a share of its lease. */
+  readonly renewalsWaitPerLease: number
+}
+
+/** Peers act on what they hear at once. */
+export const peerPace: OutboxPace = { heartbeatMs: 1000, renewalsWaitPerLease: 1 / 12 }
+/** From a hub to the entry instances that it serves: they need a confirmation each second, renewals a few times a lease. */
+export const spokePace: OutboxPace = { heartbeatMs: 1000, renewalsWaitPerLease: 1 / 3 }
+/** From an entry instance to its hubs, as a sign of life. */
+export const lifePace: OutboxPace = { heartbeatMs: 2000, renewalsWaitPerLease: 1 / 3 }
 
 /** Keys of changes since the last update. */
 export interface OutboxBatch {
@@ -13,8 +26,8 @@
 }
 
 /** How long a renewal may wait for others; its age travels with it, so a peer never takes it for newer than it is. */
-export function renewalDelayMs (leaseMs: number): number {
-  return Math.min(heartbeatMs, leaseMs * renewalsWaitPerLease)
+export function renewalDelayMs (leaseMs: number, pace: OutboxPace = peerPace): number {
+  return Math.min(pace.heartbeatMs, leaseMs * pace.renewalsWaitPerLease)
 }
 
 /** Gathers changes, so that many within a short time travel in one update; suspects travel at once. */
@@ -25,6 +38,8 @@
   private dueAt = Infinity
   private readonly dueEarlier = new async.Signal()
 
+  constructor (private readonly pace: OutboxPace = peerPace) {}
+
   addEndpoint (id: string): void {
     this.endpoints.add(id)
     this.sendWithin(changeDelayMs)
@@ -32,7 +47,7 @@
 
   addRenewal (id: string, leaseMs: number): void {
     this.renewals.add(id)
-    this.sendWithin(renewalDelayMs(leaseMs))
+    this.sendWithin(renewalDelayMs(leaseMs, this.pace))
   }
 
   addSuspect (fingerprint: string): void {
@@ -47,7 +62,7 @@
 
   /** The next batch; an empty one when the heartbeat is due. */
   async next (abort: AbortSignal): Promise<OutboxBatch> {
-    const heartbeatAt = performance.now() + heartbeatMs
+    const heartbeatAt = performance.now() + this.pace.heartbeatMs
     while (!abort.aborted) {
       const waitMs = Math.min(this.dueAt, heartbeatAt) - performance.now()
       if (waitMs <= 0) break
--- a/packages/telemetry/src/node/logOutput.ts
+++ b/packages/telemetry/src/node/logOutput.ts
@@ -17,10 +17,9 @@
   private lines: string[] = []
   private dropped = 0
   private writing = false
-  private readonly timer = setInterval(() => this.flush(), flushIntervalMs)
+  private timer: NodeJS.Timeout | undefined
 
   constructor () {
-    this.timer.unref()
     globalThis.ROARR.write = (line) => this.push(line)
   }
 
@@ -30,14 +29,24 @@
       return
     }
     this.lines.push(line)
+    this.flushLater()
+  }
+
+  /** A process that logs nothing isn't woken. */
+  private flushLater (): void {
+    if (this.timer !== undefined || this.writing) return
+    this.timer = setTimeout(() => this.flush(), flushIntervalMs)
+    this.timer.unref()
   }
 
   private flush (): void {
+    this.timer = undefined
     if (this.writing || this.lines.length === 0) return
     const text = this.takeText()
     this.writing = true
     process.stdout.write(text, () => {
       this.writing = false
+      if (this.lines.length > 0) this.flushLater()
     })
   }
 
@@ -52,7 +61,7 @@
 
   /** Writes what is left, waiting for it. */
   dispose (): void {
-    clearInterval(this.timer)
+    clearTimeout(this.timer)
     if (this.lines.length === 0) return
     try {
       fs.writeSync(stdoutFd, this.takeText())
