--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -17,15 +17,16 @@
   }
 }
 
-/** The whole of undici also loads its fetch, caches and agents, of which the daemon uses nothing. */
-const clientOnly = {
-  name: 'undici-client-only',
+/** Leaves out what libraries load and the daemon doesn't use: fetch, caches and agents of undici, the WebAssembly histogram. */
+const usedPartsOnly = {
+  name: 'used-parts-only',
   setup (build) {
     build.onResolve({ filter: /^undici$/ }, ({ resolveDir }) => ({ path: 'client', namespace: 'undici-client', pluginData: { resolveDir } }))
     build.onLoad({ filter: /.*/, namespace: 'undici-client' }, ({ pluginData }) => ({
       contents: "export { default as Client } from 'undici/lib/dispatcher/client.js'",
       resolveDir: pluginData.resolveDir
     }))
+    build.onLoad({ filter: /hdr-histogram-js\/dist\/wasm\/index\.js$/ }, () => ({ contents: 'exports.WasmHistogram = class {}' }))
   }
 }
 
@@ -36,7 +37,7 @@
     resolveDir: process.cwd(),
     loader: 'js'
   },
-  plugins: [fromSources, clientOnly],
+  plugins: [fromSources, usedPartsOnly],
   bundle: true,
   platform: 'node',
   target: 'node20.15',
--- a/packages/telemetry/src/node/hdrLatency.ts
+++ b/packages/telemetry/src/node/hdrLatency.ts
@@ -1,5 +1,5 @@
-/** Latency distribution over hdr-histogram-js, of which only one histogram is loaded: the whole inflates a WebAssembly module. */
-import * as hdr from 'hdr-histogram-js/dist/Int32Histogram.js'
+/** Latency distribution over hdr-histogram-js. */
+import * as hdr from 'hdr-histogram-js'
 import type * as latencyHistogram from '../common/latencyHistogram.js'
 
 const maxLatencyUs = 600_000_000
@@ -10,7 +10,13 @@
 
 /** Records from one microsecond to ten minutes. */
 export class HdrLatency implements latencyHistogram.ILatencyHistogram {
-  private readonly histogram = new hdr.default.default(1, maxLatencyUs, significantDigits)
+  private readonly histogram = hdr.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: maxLatencyUs,
+    numberOfSignificantValueDigits: significantDigits,
+    bitBucketSize: 32,
+    useWebAssembly: false
+  })
 
   get count (): number {
     return this.histogram.totalCount
