--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -144,8 +144,13 @@
   async confirmRead (): Promise<number> {
     const leading = this.replica.leadership
     if (leading !== undefined) return await leading.readIndex()
-    const res = await this.throughLeader(async (client, options) => await client.readIndex({}, options))
-    return Number(res.index)
+    try {
+      const res = await this.throughLeader(async (client, options) => await client.readIndex({}, options))
+      return Number(res.index)
+    } catch (err) {
+      // A read changes nothing, so its outcome is never unknown.
+      throw new errors.RackError({ kind: 'no-quorum', message: errors.messageOf(err) })
+    }
   }
 
   /** The configuration, confirmed by a quorum. */
--- a/packages/fleet/src/common/endpointTable.ts
+++ b/packages/fleet/src/common/endpointTable.ts
@@ -13,6 +13,8 @@
 /** An endpoint and the local time at which its newest announcement was made. */
 export interface Endpoint extends announcement.Announcement {
   readonly announcedAt: number
+  /** Its state is a departure that the replicated log holds. */
+  readonly committed?: boolean
 }
 
 /** What an announcement changed. */
@@ -63,7 +65,8 @@
     if (known === undefined && ageMs >= next.leaseMs) return 'stale'
     if (!this.takeAddress(next)) return 'stale'
     const state = known === undefined ? next.state : stateAfter(known, next)
-    const endpoint = { ...next, state, announcedAt: this.clock.now() - ageMs }
+    const committed = known?.committed === true && known.incarnation === next.incarnation
+    const endpoint = { ...next, state, announcedAt: this.clock.now() - ageMs, ...(committed ? { committed } : {}) }
     if (known !== undefined && !isChange(known, endpoint)) {
       this.replace(known, endpoint)
       return 'renewed'
@@ -95,12 +98,13 @@
   /** Takes a committed departure, which holds whatever was announced of its incarnation since. */
   applyDeparture (departed: announcement.Announcement): void {
     const known = this.endpoints.get(departed.endpoint)
+    if (known !== undefined && departed.incarnation < known.incarnation) return
     if (known === undefined || departed.incarnation > known.incarnation) {
-      this.apply(departed, 0)
+      this.setChanged(known, { ...departed, announcedAt: this.clock.now(), committed: true })
       return
     }
-    if (departed.incarnation < known.incarnation || known.state === departed.state || known.state === 'left') return
-    this.setChanged(known, { ...known, state: departed.state })
+    if (known.committed === true && (known.state === departed.state || known.state === 'left')) return
+    this.setChanged(known, { ...known, state: known.state === 'left' ? 'left' : departed.state, committed: true })
   }
 
   /** Takes a renewal; stale when its announcement is not known. */
--- a/packages/fleet/src/common/fleetCodec.ts
+++ b/packages/fleet/src/common/fleetCodec.ts
@@ -30,7 +30,8 @@
     incarnation: BigInt(endpoint.incarnation),
     sequence: BigInt(endpoint.sequence),
     leaseMs: endpoint.leaseMs,
-    ageMs: ageMs(endpoint.announcedAt, now)
+    ageMs: ageMs(endpoint.announcedAt, now),
+    committed: endpoint.committed === true
   })
 }
 
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -274,12 +274,18 @@
     return updates
   }
 
+  private takeAnnouncement (wire: inner.Announcement): void {
+    const announced = fleetCodec.decodeAnnouncement(wire)
+    if (wire.committed) this.tables.endpoints.applyDeparture(announced)
+    else this.tables.endpoints.apply(announced, wire.ageMs)
+  }
+
   private takeUpdate (update: inner.PeerUpdate, link: EntryLink): void {
     const { members, endpoints, suspects, configs } = this.tables
     if (update.self !== undefined) members.hear(fleetCodec.decodeMember(update.self), 0)
     if (update.liveEntries > 0 && update.self !== undefined) members.noteEntryCount(update.self.instance, update.liveEntries)
     for (const member of update.members) members.hear(fleetCodec.decodeMember(member), member.ageMs)
-    for (const wire of update.announcements) endpoints.apply(fleetCodec.decodeAnnouncement(wire), wire.ageMs)
+    for (const wire of update.announcements) this.takeAnnouncement(wire)
     for (const wire of update.renewals) endpoints.renew(fleetCodec.decodeRenewal(wire), wire.ageMs)
     for (const wire of update.suspects) suspects.merge(decodeSuspect(wire))
     configs.hearPeer(update.configVersion, update.confirmed, update.confirmedAgeMs, async () =>
--- a/packages/fleet/src/test/endpointTable.test.ts
+++ b/packages/fleet/src/test/endpointTable.test.ts
@@ -1,6 +1,7 @@
 /** Order of announcements, draining, leases, and what happens when all of them lapse. */
 import * as tap from 'tap'
 import type * as announcement from '../common/announcement.js'
+import * as fleetCodec from '../common/fleetCodec.js'
 import * as endpointTable from '../common/endpointTable.js'
 
 class ManualClock {
@@ -112,6 +113,20 @@
   t.same(routable(), ['a'], 'a departure of the earlier incarnation')
 })
 
+tap.t.test('a committed departure passes from table to table, whatever their sequences', async (t) => {
+  const { table: hub } = setUp()
+  const { table: entry, routable } = setUp()
+  entry.apply(announce('a', { sequence: 9 }), 0)
+  hub.apply(announce('a', { sequence: 5 }), 0)
+  hub.applyDeparture(announce('a', { sequence: 4, state: 'draining' }))
+  const wire = fleetCodec.encodeEndpoint(hub.get('a')!, 0)
+  t.equal(wire.committed, true)
+  entry.applyDeparture(fleetCodec.decodeAnnouncement(wire))
+  t.same(routable(), [])
+  entry.apply(announce('a', { sequence: 12 }), 0)
+  t.equal(entry.get('a')!.committed, true, 'a late heartbeat leaves the mark')
+})
+
 tap.t.test('of the endpoints at one address only the one started last stays', async (t) => {
   const { table, routable } = setUp()
   const address = '127.0.0.1:9000'
--- /dev/null
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -0,0 +1,144 @@
+/** The whole path as deployed on the users' platform: founding from seeds, configuration, heartbeats, drains, losses. */
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as tap from 'tap'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as deployedFleet from '../node/deployedFleet.js'
+
+const settleMs = 20_000
+const firstServerError = 500
+/** Time within which an acknowledged drain or configuration holds on every entry. */
+const boundMs = 2000
+const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-deployed-'))
+const fleet = new deployedFleet.DeployedFleet(folder, 252, 5, 2)
+const bornAt = 1_778_202_084_000
+const diary = new deployedFleet.StandInEndpoint('i-diary', fleet.endpointHost(1), 'diary', bornAt)
+const spare = new deployedFleet.StandInEndpoint('i-spare', fleet.endpointHost(2), 'diary', bornAt)
+const till = new deployedFleet.StandInEndpoint('i-till', fleet.endpointHost(3), 'till', bornAt)
+const endpoints = [diary, spare, till]
+
+function route (name: string, prefix: string, service: string, kind = 'safe'): object {
+  return { Name: name, Host: 'jepu9.example', PathPrefix: prefix, RouteKind: kind, TimeoutMs: 1500, TargetLatencyMs: 300, Priority: 1, Attempts: 2, Service: service }
+}
+
+function config (version: number, routes: readonly object[]): object {
+  const services = ['diary', 'till'].map((Name) => ({ Name, HealthPath: '/healthz', MaxConns: 240, Protocol: 'h1', Tls: false }))
+  return { Version: version, Routes: routes, Services: services, Limits: { IdleTimeoutMs: 15000 } }
+}
+
+const first = config(5, [route('read', '/read/', 'diary'), route('pay', '/pay/', 'till', 'unsafe')])
+
+function beatAll (state: Readonly<{ stopped: boolean }>): void {
+  const beat = async (): Promise<void> => {
+    for (let turn = 1; !state.stopped; turn = turn % fleet.controls + 1) {
+      await Promise.all(endpoints.map(async (each) => leaving.has(each) ? 0 : await each.say(fleet.control(turn), 'ready')))
+      await async.sleep(300)
+    }
+  }
+  beat()
+}
+
+const leaving = new Set<deployedFleet.StandInEndpoint>()
+const beating = { stopped: false }
+
+tap.t.before(async () => {
+  await Promise.all(endpoints.map(async (each) => await each.listen()))
+  fleet.startAll()
+})
+
+tap.t.teardown(async () => {
+  beating.stopped = true
+  for (const each of endpoints) each.close()
+  await fleet.stopAll()
+  fs.rmSync(folder, { recursive: true, force: true })
+})
+
+tap.t.test('five replicas found a cluster from three seeds and take the first configuration', async (t) => {
+  t.not((await fleet.call(1, '/read/x')).status, 404, 'an entry without configuration does not know that there is no route')
+  t.equal(await fleet.isReady(1), false)
+  await fleet.waitFor('the configuration to be taken', settleMs, async () => (await fleet.put(4, first)).status === 200)
+  for (let i = 1; i <= fleet.controls; i++) t.same(JSON.parse((await fleet.get(i)).body), first, `read at replica ${i}`)
+})
+
+tap.t.test('endpoints that announce themselves to any replica are served through any entry', async (t) => {
+  beatAll(beating)
+  for (const entry of [1, 2]) {
+    await fleet.waitFor(`entry ${entry} to be ready`, settleMs, async () => await fleet.isReady(entry))
+    await fleet.waitFor(`entry ${entry} to know endpoints`, settleMs, async () => (await fleet.call(entry, '/read/x')).status === 200)
+    const res = await fleet.call(entry, '/pay/x', 'POST')
+    t.equal(res.status, 200)
+    t.equal(res.body, 'from i-till')
+    t.equal(res.headers['x-rosemaryrack-server-stamp'], 'stamp-i-till')
+    t.equal((await fleet.call(entry, '/nowhere/x')).status, 404)
+  }
+})
+
+tap.t.test('a version that is not higher is acknowledged and changes nothing', async (t) => {
+  t.equal((await fleet.put(2, config(5, []))).status, 200, 'other content under the held version')
+  t.equal((await fleet.put(3, config(3, []))).status, 200)
+  t.same(JSON.parse((await fleet.get(1)).body), first)
+})
+
+tap.t.test('what is invalid is refused and changes nothing', async (t) => {
+  const invalid = config(9, [route('read', '/read/', 'nobody')])
+  t.equal((await fleet.put(1, invalid)).status, 422)
+  t.same(JSON.parse((await fleet.get(5)).body), first)
+  t.equal(await diary.say(fleet.control(1), 'asleep' as 'ready'), 400)
+})
+
+tap.t.test('a higher version is in force on every entry within its bound', async (t) => {
+  const second = config(12, [route('read', '/read/', 'diary'), route('more', '/more/', 'diary')])
+  t.equal((await fleet.put(3, second)).status, 200)
+  await async.sleep(boundMs)
+  for (const entry of [1, 2]) {
+    t.equal((await fleet.call(entry, '/more/x')).status, 200)
+    t.equal((await fleet.call(entry, '/pay/x', 'POST')).status, 404, 'a dropped route')
+  }
+})
+
+tap.t.test('an acknowledged drain holds although the replica that took it dies at once', async (t) => {
+  leaving.add(spare)
+  t.equal(await spare.say(fleet.control(5), 'draining'), 200)
+  await fleet.process('control-5').kill()
+  await async.sleep(boundMs)
+  const before = spare.served.length
+  t.equal(await spare.say(fleet.control(1), 'ready', 1), 200, 'a late heartbeat is taken')
+  await async.sleep(boundMs)
+  for (let i = 0; i < 20; i++) t.equal((await fleet.call(1 + i % 2, '/read/x')).status, 200)
+  t.equal(spare.served.length, before)
+})
+
+tap.t.test('an address that another service took over gets nothing meant for its former holder', async (t) => {
+  const before = till.served.length
+  const moved = new deployedFleet.StandInEndpoint('i-moved', till.host, 'diary', bornAt + 1)
+  t.equal(await moved.say(fleet.control(2), 'ready'), 200)
+  await async.sleep(boundMs)
+  for (let i = 0; i < 10; i++) t.equal((await fleet.call(1, '/read/x')).status, 200)
+  t.equal(till.served.length, before, 'the process that stands there in truth says that it is another endpoint')
+})
+
+tap.t.test('two lost disks: what was acknowledged is still there, and the replicas come back', async (t) => {
+  const third = config(20, [route('read', '/read/', 'diary')])
+  t.equal((await fleet.put(2, third)).status, 200)
+  for (const number of [2, 5]) {
+    await fleet.process(`control-${number}`).kill()
+    fs.rmSync(fleet.dataFolder(number), { recursive: true, force: true })
+  }
+  for (const number of [2, 5]) fleet.startControl(number, false)
+  for (let i = 1; i <= fleet.controls; i++) {
+    await fleet.waitFor(`replica ${i} to answer reads`, settleMs, async () => (await fleet.get(i)).status === 200)
+    t.same(JSON.parse((await fleet.get(i)).body), third, `read at replica ${i}`)
+  }
+  t.equal((await fleet.put(5, config(21, [route('read', '/read/', 'diary')]))).status, 200)
+})
+
+tap.t.test('without a quorum nothing is acknowledged and nothing is read', async (t) => {
+  for (const number of [1, 2, 3]) await fleet.process(`control-${number}`).kill()
+  await async.sleep(boundMs)
+  t.equal((await fleet.get(4)).status, 503)
+  t.ok((await fleet.put(4, config(30, []))).status >= firstServerError)
+  leaving.add(diary)
+  t.ok(await diary.say(fleet.control(4), 'draining') >= firstServerError)
+  t.equal((await fleet.call(1, '/read/x')).status, 200, 'entries go on with what they know')
+})
