--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -80,6 +80,8 @@
 })
 
 const serviceSchema = zod.strictObject({
+  /** Where endpoints answer probes. */
+  healthPath: zod.string().regex(/^\/[^\s?#]*$/, 'an absolute path').optional(),
   /** Connections that an endpoint accepts from all callers together. */
   connectionLimit: zod.number().int().min(1).optional()
 })
--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -23,6 +23,8 @@
   notRun: zod.strictObject({ name: headerName, value: zod.string().optional() }).default({ name: 'rack-outcome', value: 'not-run' }),
   /** Names the endpoint that a request is for; a target that is another one answers 421 and doesn't run it. */
   expectedEndpoint: headerName.optional(),
+  /** Load in answers, as `running,waiting,slots` and, where known, how long work takes now in percent of the usual. */
+  slotLoad: headerName.optional(),
   /** Mark of targets' own answers, without which a success is not taken for one. */
   targetStamp: headerName.optional()
 })
@@ -87,6 +89,15 @@
       extra: zod.number().min(0).max(1_000_000),
       windowS: zod.number().min(1).max(3600)
     }).optional(),
+    /** Asks endpoints for their load before a call is sent; needs `headers.slotLoad` and the service's health path. */
+    probing: zod.strictObject({
+      /** Endpoints asked for one call. */
+      candidates: zod.number().int().min(2).max(16).default(3),
+      /** Longest wait for their answers. */
+      timeoutMs: zod.number().int().min(1).max(1000).default(25),
+      /** Probes of all entries together, for each endpoint and second. */
+      perEndpointAndSecond: zod.number().min(0).max(10_000)
+    }).optional(),
     /** Writes `Retry-After` with fractions of a second. */
     fractionalRetryAfter: zod.boolean().default(false),
     headers: headersSchema.prefault({})
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -10,6 +10,7 @@
 import * as call from '@rosemaryrack/routing/common/call.js'
 import type * as deathWatch from '@rosemaryrack/routing/common/deathWatch.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
+import type * as loadProbing from '@rosemaryrack/routing/common/loadProbing.js'
 import * as requestStanding from '@rosemaryrack/routing/common/requestStanding.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
@@ -21,6 +22,7 @@
 import * as callerBody from './callerBody.js'
 import * as downloadResumer from './downloadResumer.js'
 import * as httpAttempt from './httpAttempt.js'
+import * as httpProber from './httpProber.js'
 import type * as idempotencyClaims from './idempotencyClaims.js'
 import type * as laneRegistry from './laneRegistry.js'
 import * as requestIdentity from './requestIdentity.js'
@@ -48,6 +50,7 @@
   readonly clock: clock.IClock
   readonly headers: settings.HeaderNames
   readonly fractionalRetryAfter: boolean
+  readonly probing: loadProbing.ProbingOptions | undefined
   /** False until a quorum confirmed the configuration once. */
   readonly hasConfig: () => boolean
   /** True while this instance stops: answers ask callers to close. */
@@ -196,11 +199,23 @@
       suspects,
       deaths,
       budgets,
+      probing: this.probingFor(service),
       decisions,
       clock: this.deps.clock
     }
   }
 
+  private probingFor (service: string): call.CallDeps['probing'] {
+    const { lanes, connections, probing, headers } = this.deps
+    const healthPath = lanes.healthPathOf(service)
+    if (probing === undefined || headers.slotLoad === undefined || healthPath === undefined) return undefined
+    const prober = new httpProber.HttpProber(healthPath, headers.slotLoad, connections)
+    return {
+      deps: { dispatcher: lanes.dispatcherOf(service), prober, budget: lanes.probesOf(service), clock: this.deps.clock },
+      options: probing
+    }
+  }
+
   private answer ({ lane }: laneMatcher.NamedLane, answer: call.CallAnswer, callRest: downloadResumer.RestCaller): void {
     const attempt = answer.attempt as httpAttempt.HttpAttempt
     const head = answer.head as httpAttempt.HttpHead
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -67,7 +67,8 @@
       liveEntries: () => members.liveCount,
       newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
       random,
-      repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond }
+      repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond },
+      probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0
     }, this.clock))
     this.callers = this.newCallerListener()
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
@@ -140,6 +141,7 @@
       clock: this.clock,
       headers: this.entry.headers,
       fractionalRetryAfter: this.entry.fractionalRetryAfter,
+      probing: this.entry.probing,
       hasConfig: () => Number.isFinite(this.configs.confirmedAgeMs),
       isStopping: () => this.stopping
     })
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -27,16 +27,20 @@
   readonly random: balancingPolicy.IRandom
   /** What all instances may send again of a service; the lanes' own budgets hold where it is missing. */
   readonly repeats: budget.RepeatLimits | undefined
+  /** Probes of all instances together, for each endpoint and second. */
+  readonly probesPerEndpointAndSecond: number
 }
 
 /** Follows the configuration. */
 export class LaneRegistry implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly states = new Map<string, LaneState>()
+  private readonly probes = new Map<string, budget.RateBudget>()
   private readonly repeats = new Map<string, budget.RepeatBudget>()
   private readonly dispatchers = new Map<string, dispatcher.Dispatcher>()
   private matcher: laneMatcher.LaneMatcher
   private lanes: configDocument.ConfigDocument['lanes']
+  private services: configDocument.ConfigDocument['services']
 
   constructor (
     private readonly configs: configFollower.IConfigSource,
@@ -45,6 +49,7 @@
     private readonly clock: clock.IClock
   ) {
     this.lanes = configs.current.document.lanes
+    this.services = configs.current.document.services
     this.matcher = new laneMatcher.LaneMatcher(configs.current.document)
     this.disposables.add(configs.onChanged((config) => this.take(config.document)))
   }
@@ -92,6 +97,22 @@
     return { measuring: state.measuring, retries: shared ?? state.retries, hedges: shared ?? state.hedges }
   }
 
+  /** Path at which a service's endpoints answer probes. */
+  healthPathOf (service: string): string | undefined {
+    return this.services?.[service]?.healthPath
+  }
+
+  /** This instance's part of the probes of a service. */
+  probesOf (service: string): budget.IBudget {
+    let found = this.probes.get(service)
+    if (found === undefined) {
+      const perSecond = (): number => this.options.probesPerEndpointAndSecond * this.endpoints.routable(service).length / this.options.liveEntries()
+      found = new budget.RateBudget(perSecond, this.clock)
+      this.probes.set(service, found)
+    }
+    return found
+  }
+
   private repeatsOf (service: string): budget.RepeatBudget | undefined {
     const { repeats, liveEntries } = this.options
     let found = this.repeats.get(service)
@@ -125,6 +146,7 @@
 
   private take (document: configDocument.ConfigDocument): void {
     this.lanes = document.lanes
+    this.services = document.services
     this.matcher = new laneMatcher.LaneMatcher(document)
     for (const [name, state] of this.states) {
       const lane = document.lanes[name]
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -8,6 +8,7 @@
 import type * as budget from './budget.js'
 import type * as deathWatch from './deathWatch.js'
 import type * as dispatcher from './dispatcher.js'
+import * as loadProbing from './loadProbing.js'
 import type * as requestIdentity from './requestIdentity.js'
 import * as requestStanding from './requestStanding.js'
 import type * as transport from './transport.js'
@@ -43,6 +44,8 @@
 }
 
 export interface CallDeps {
+  /** Asks endpoints for their load before a call is sent to one; missing where they don't tell it. */
+  readonly probing?: { readonly deps: loadProbing.ProbingDeps, readonly options: loadProbing.ProbingOptions } | undefined
   readonly dispatcher: dispatcher.Dispatcher
   readonly transport: transport.ITransport
   readonly suspects: suspectTable.ISuspects
@@ -89,6 +92,7 @@
   private cancelDeadline = (): void => {}
   private cancelHedge = (): void => {}
   private withdrawAsk = (): void => {}
+  private cancelProbe = (): void => {}
   private attempts = 0
   /** Attempts that certainly reached no target. */
   private unsent = 0
@@ -134,11 +138,26 @@
     this.waiting = true
     this.withdrawAsk = this.deps.dispatcher.acquire(this.ask, (outcome) => {
       this.waiting = false
-      if (outcome.placed) this.startAttempt(event, outcome.placement)
+      if (outcome.placed) this.probeThenStart(event, outcome.placement)
       else this.refuse(outcome.fault)
     })
   }
 
+  private probeThenStart (event: 'route' | 'retry' | 'hedge', placement: dispatcher.Placement): void {
+    const { probing } = this.deps
+    if (probing === undefined) {
+      this.startAttempt(event, placement)
+      return
+    }
+    this.waiting = true
+    const probe = new loadProbing.LoadProbe(probing.deps, (chosen, why) => {
+      this.waiting = false
+      this.startAttempt(event, { ...chosen, why: `${placement.why}; ${why}` })
+    })
+    this.cancelProbe = () => probe.cancel()
+    probe.start(placement, this.ask, probing.options)
+  }
+
   private startAttempt (event: 'route' | 'retry' | 'hedge', placement: dispatcher.Placement): void {
     const { endpoint, considered, candidates, why, waitedMs } = placement
     this.record({ event, considered, candidates, choice: endpoint.endpoint, why, waitedMs: Math.round(waitedMs) })
@@ -345,6 +364,7 @@
     this.cancelDeadline()
     this.cancelHedge()
     this.withdrawAsk()
+    this.cancelProbe()
     for (const attempt of this.running) {
       attempt.cancelLimit()
       attempt.handle?.cancel()
@@ -375,7 +395,7 @@
       placement.release()
       return
     }
-    this.startAttempt('hedge', placement)
+    this.probeThenStart('hedge', placement)
   }
 
   private record (decision: Omit<decisionLog.Decision, 'requestId' | 'lane'> & { readonly event: string, readonly why: string }): void {
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -122,6 +122,20 @@
     return this.place(ask, now, now)
   }
 
+  /** Gives slots beside one that was given, at other endpoints, while nobody waits for any. */
+  acquireBeside (ask: Ask, taken: Placement, most: number): readonly Placement[] {
+    const exclude = new Set([...ask.exclude, taken.endpoint.endpoint])
+    const placements: Placement[] = []
+    while (placements.length < most && this.queue.length === 0) {
+      const now = this.clock.now()
+      const placement = this.place({ ...ask, exclude }, now, now)
+      if (placement === undefined) break
+      exclude.add(placement.endpoint.endpoint)
+      placements.push(placement)
+    }
+    return placements
+  }
+
   /** Counts a latency sample of the service, in milliseconds. */
   noteLatency (ms: number): void {
     this.typicalMs += (ms - this.typicalMs) * typicalWeight
--- /dev/null
+++ b/packages/routing/src/common/loadProbing.ts
@@ -0,0 +1,123 @@
+/**
+ * Asks a few endpoints for their load before a call is sent, and takes the one that will be done first. It answers load
+ * that shifts faster than this instance's own calls can see: an entry meets one endpoint every few seconds.
+ */
+import type * as clock from '@rosemaryrack/base/common/clock.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as budget from './budget.js'
+import type * as dispatcher from './dispatcher.js'
+
+/** Load of an endpoint as it told it just now. */
+export interface LoadReport {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+  /** How long work takes at this moment, 1 as usual. */
+  readonly slowdown: number
+}
+
+/** Outcome of a probe; `refused` when nothing listens at the endpoint, `none` when it tells nothing useful. */
+export type ProbeOutcome =
+  | { readonly kind: 'report', readonly report: LoadReport }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'none', readonly message: string }
+
+/** Sends probes. */
+export interface IProber {
+  /** Calls `done` once, at any time; returns a function that gives the probe up. */
+  probe(endpoint: endpointTable.Endpoint, done: (outcome: ProbeOutcome) => void): () => void
+}
+
+export interface ProbingOptions {
+  /** Endpoints that are asked for one call. */
+  readonly candidates: number
+  /** Longest time that a call waits for answers, in milliseconds. */
+  readonly timeoutMs: number
+}
+
+export interface ProbingDeps {
+  readonly dispatcher: dispatcher.Dispatcher
+  readonly prober: IProber
+  readonly budget: budget.IBudget
+  readonly clock: clock.IClock
+}
+
+/** Expected cost up to which an endpoint is taken without waiting for the others' answers. */
+const goodCost = 1.4
+/** Share of busy slots from which on endpoints usually slow down. */
+const kneeShare = 0.75
+const kneeSlowdown = 1.7
+
+/** Expected time of one more request at an endpoint, relative to that of an idle one. */
+export function costOf ({ running, waiting, slots, slowdown }: LoadReport): number {
+  const busyShare = (running + 1) / slots
+  const knee = busyShare > kneeShare ? kneeSlowdown : 1
+  const queued = Math.max(0, running + waiting + 1 - slots) / slots
+  return slowdown * knee * (1 + busyShare / 4) + queued * slowdown
+}
+
+interface Probed {
+  readonly placement: dispatcher.Placement
+  cost: number
+  pending: boolean
+  giveUp: () => void
+}
+
+/** One choice. The placements that are not taken are released. */
+export class LoadProbe {
+  private readonly probed: Probed[] = []
+  private settled = false
+  private cancelTimer = (): void => {}
+
+  /** @param done called once, with the placement to use and the reason; not after `cancel`. */
+  constructor (private readonly deps: ProbingDeps, private readonly done: (placement: dispatcher.Placement, why: string) => void) {}
+
+  /** Probes the endpoint of a placement and others beside it. */
+  start (first: dispatcher.Placement, ask: dispatcher.Ask, { candidates, timeoutMs }: ProbingOptions): void {
+    const others = this.deps.dispatcher.acquireBeside(ask, first, candidates - 1)
+    for (const placement of [first, ...others]) this.probed.push({ placement, cost: Infinity, pending: true, giveUp: () => {} })
+    this.cancelTimer = this.deps.clock.after(timeoutMs, () => this.choose('no more answers in time'))
+    for (const each of this.probed) this.ask(each)
+  }
+
+  /** Gives all placements back. */
+  cancel (): void {
+    if (this.settled) return
+    this.settle(undefined)
+  }
+
+  private ask (each: Probed): void {
+    if (this.settled) return
+    if (!this.deps.budget.take()) {
+      this.answered(each, { kind: 'none', message: 'no probe left in the budget' })
+      return
+    }
+    const giveUp = this.deps.prober.probe(each.placement.endpoint, (outcome) => this.answered(each, outcome))
+    if (each.pending) each.giveUp = giveUp
+  }
+
+  private answered (each: Probed, outcome: ProbeOutcome): void {
+    if (this.settled || !each.pending) return
+    each.pending = false
+    if (outcome.kind === 'refused') each.placement.stats.refused(this.deps.clock.now())
+    if (outcome.kind === 'report') each.cost = costOf(outcome.report)
+    if (each.cost <= goodCost || this.probed.every(({ pending }) => !pending)) this.choose('answered')
+  }
+
+  private choose (when: string): void {
+    if (this.settled) return
+    const best = this.probed.reduce((least, each) => each.cost < least.cost ? each : least)
+    const costs = this.probed.map(({ placement, cost, pending }) => `${placement.endpoint.endpoint}:${pending ? '?' : cost.toFixed(2)}`).join(' ')
+    this.settle(best)
+    this.done(best.placement, `probed ${costs}, ${when}`)
+  }
+
+  private settle (kept: Probed | undefined): void {
+    this.settled = true
+    this.cancelTimer()
+    for (const each of this.probed) {
+      if (each.pending) each.giveUp()
+      if (each !== kept) each.placement.release()
+    }
+  }
+}
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -79,6 +79,10 @@
   }
 
   private answer (req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (req.url === '/healthz') {
+      res.writeHead(200, { 'X-Rosemaryrack-Instance-Id': this.id, 'X-Rosemaryrack-Server-Load': '0,0,4,100' }).end()
+      return
+    }
     const id = String(req.headers['x-rosemaryrack-request-id'])
     if (req.headers['x-rosemaryrack-expect-instance'] !== this.id) {
       this.refused.push(id)
@@ -186,7 +190,8 @@
       'Bounds.GraceS': 6,
       'Bounds.BudgetRatio': 0.2,
       'Bounds.BudgetExtra': 60,
-      'Bounds.BudgetWindowS': 10
+      'Bounds.BudgetWindowS': 10,
+      'Bounds.ProbesPerS': 60
     }
   }
 
