--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -108,6 +108,11 @@
     this.mesh.start()
   }
 
+  /** Takes further hubs to subscribe to. */
+  addSeeds (addresses: readonly string[]): void {
+    this.mesh.addSeeds(addresses)
+  }
+
   /** Takes an announcement; a late one changes nothing. Rejects when a departure can't be committed. */
   async announce (announced: announcement.Announcement): Promise<void> {
     if (this.freeze.check()) throw notTaken('this replica stood still; announce again')
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -67,6 +67,11 @@
     this.hub?.start()
   }
 
+  /** Takes over the seeds of changed settings; all else needs a restart. */
+  reload (cfg: settings.Settings): void {
+    this.hub?.addSeeds(settings.innerAddressesOf(this.cfg, cfg.control?.seeds ?? []))
+  }
+
   /** True when this replica can serve: it votes and knows a leader. */
   get ready (): boolean {
     return this.replica.founded && this.replica.isVoter && this.replica.leaderId !== ''
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -44,7 +44,7 @@
   private stopping = false
 
   constructor (
-    cfg: settings.Settings,
+    private readonly cfg: settings.Settings,
     private readonly entry: settings.EntrySettings,
     private readonly decisions: decisionLog.IDecisionLog,
     private readonly metrics: metrics.Metrics
@@ -107,6 +107,11 @@
     })
   }
 
+  /** Takes over the seeds of changed settings; all else needs a restart. */
+  reload (cfg: settings.Settings): void {
+    this.mesh.addSeeds(settings.innerAddressesOf(this.cfg, cfg.entry?.seeds ?? []))
+  }
+
   /** Graceful stop: not ready, then no new connections, then all answers to their end. */
   async stop (): Promise<void> {
     const since = performance.now()
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -90,6 +90,11 @@
     for (const address of this.seeds) this.subscribeTo(address)
   }
 
+  /** Takes further addresses to subscribe to. */
+  addSeeds (addresses: readonly string[]): void {
+    for (const address of addresses) this.subscribeTo(address)
+  }
+
   dispose (): void {
     this.stopped.abort()
     for (const subscription of this.subscriptions.values()) subscription.abort()
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -20,8 +20,11 @@
   readonly entry: entryRole.EntryRole | undefined
 }
 
-/** Starts all that the settings ask for; returns once it runs. */
-export async function run (cfg: settings.Settings): Promise<void> {
+/**
+ * Starts all that the settings ask for; returns once it runs.
+ * @param reload reads the settings again; throws `invalid-settings`.
+ */
+export async function run (cfg: settings.Settings, reload: () => settings.Settings): Promise<void> {
   const disposables = new lifecycle.DisposableStore()
   disposables.add(new logOutput.LogOutput())
   const logger = logOutput.createLogger('rosemaryrack', cfg.instance)
@@ -44,6 +47,7 @@
   }))
   await startAll(cfg, roles, operator, inner)
   logger.info({ inner: cfg.inner.listen, operator: cfg.operator.listen }, 'started')
+  reloadOnSignal(logger, roles, reload)
   stopOnSignal(async () => {
     logger.info('stopping')
     await roles.entry?.stop()
@@ -128,6 +132,20 @@
   return { status: ready ? 200 : notReadyStatus, body: { ready, control, entry } }
 }
 
+/** On SIGHUP the running process takes over what it can; wrong settings change nothing. */
+function reloadOnSignal (logger: logOutput.Logger, roles: Roles, reload: () => settings.Settings): void {
+  process.on('SIGHUP', () => {
+    try {
+      const cfg = reload()
+      roles.control?.reload(cfg)
+      roles.entry?.reload(cfg)
+      logger.info('settings reloaded')
+    } catch (err) {
+      logger.error({ error: errors.messageOf(err) }, 'settings not reloaded; the earlier ones stay in force')
+    }
+  })
+}
+
 function stopOnSignal (stop: () => Promise<void>): void {
   let stopping = false
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
--- a/packages/rosemaryrack/src/node/main.ts
+++ b/packages/rosemaryrack/src/node/main.ts
@@ -1,6 +1,7 @@
 /** Command line of the daemon. */
 import * as cac from 'cac'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as settings from '@rosemaryrack/config/common/settings.js'
 import * as settingsFile from '@rosemaryrack/config/node/settingsFile.js'
 
 const version = '0.1.0'
@@ -28,9 +29,10 @@
 
 async function start (file: unknown): Promise<void> {
   if (typeof file !== 'string') throw new errors.RackError({ kind: 'bad-request', message: 'the option --settings FILE is required' })
-  const cfg = settingsFile.loadSettings(file)
+  const load = (): settings.Settings => settingsFile.loadSettings(file)
+  const cfg = load()
   // The logging library reads this once, when it is loaded.
   process.env['ROARR_LOG'] = 'true'
   const daemon = await import('./daemon.js')
-  await daemon.run(cfg)
+  await daemon.run(cfg, load)
 }
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -97,6 +97,15 @@
   }
 })
 
+tap.t.test('a hangup signal cuts off nothing and ends nothing', async (t) => {
+  const calls = Array.from({ length: 20 }, async () => await fleet.call(1, '/read/x'))
+  for (const name of ['entry-1', 'control-1']) process.kill(fleet.process(name).pid, 'SIGHUP')
+  for (const res of await Promise.all(calls)) t.equal(res.status, 200)
+  t.equal((await fleet.call(1, '/read/x')).status, 200)
+  t.equal((await fleet.get(1)).status, 200)
+  t.match(fleet.process('entry-1').output(), 'settings reloaded')
+})
+
 tap.t.test('an acknowledged drain holds although the replica that took it dies at once', async (t) => {
   leaving.add(spare)
   t.equal(await spare.say(fleet.control(5), 'draining'), 200)
