--- a/packages/testbed/src/test/scenarios.test.ts
+++ b/packages/testbed/src/test/scenarios.test.ts
@@ -15,7 +15,7 @@
 const slowMark = '# slow'
 const aloneMark = '# alone'
 const seed = 1
-const jobs = 2
+const jobsAtOnce = 3
 
 interface Scenario {
   readonly name: string
@@ -49,7 +49,7 @@
 }
 
 const scenarios = readScenarios()
-const together = await prove(scenarios.filter((each) => !isAlone(each)), jobs)
+const together = await prove(scenarios.filter((each) => !isAlone(each)), jobsAtOnce)
 const alone = await prove(scenarios.filter(isAlone), 1)
 
 for (const { name } of scenarios) {
