Probing: reports colour the next choices; answers of another request are refused whatever their status

Change: a report counts in the policy until it has faded (200 ms). After: at most 3 in 100. Cause 2, read in the code: a late extra answer that is a failure was passed on with its stamp, since only successes were checked.

--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -8,6 +8,7 @@
 export const outcomeHeader = 'rack-outcome'
 /** Answer of a target that is not the endpoint which the request names; it didn't run the request. */
 const misdirectedStatus = 421
+const firstRedirect = 300
 /** Load report in an answer, as published by ORCA. */
 export const loadHeader = 'endpoint-load-metrics'
 export const idempotencyKeyHeader = 'idempotency-key'
@@ -43,10 +44,13 @@
   return names.expectedEndpoint !== undefined && status === misdirectedStatus
 }
 
-/** Why a success isn't the target's answer to this request; undefined when it is. */
-export function findForeignSign (names: settings.HeaderNames, requestId: string, headers: MessageHeaders): string | undefined {
+/** Why an answer isn't the target's to this request; undefined when it is. Only a success needs to prove it. */
+export function findForeignSign (names: settings.HeaderNames, requestId: string, status: number, headers: MessageHeaders): string | undefined {
   if (names.targetStamp === undefined) return undefined
+  const named = headers[names.requestId]
+  if (named !== undefined && named !== requestId) return `it names request ${String(named)}`
+  if (status >= firstRedirect) return undefined
+  if (named === undefined) return 'it names no request'
   if (headers[names.targetStamp] === undefined) return `no header ${names.targetStamp}`
-  if (headers[names.requestId] !== requestId) return `it names request ${String(headers[names.requestId])}`
   return headers['content-encoding'] === undefined ? undefined : 'its body is encoded, which was not asked for'
 }
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -12,7 +12,6 @@
 import type * as targetConnections from './targetConnections.js'
 
 const firstFinalStatus = 200
-const firstRedirect = 300
 const refusedCode = 'ECONNREFUSED'
 const secondLookMs = 40
 
@@ -174,7 +173,7 @@
       },
       onResponseStart: (controller, status, headers, statusMessage) => {
         if (status < firstFinalStatus || this.ended) return
-        const foreign = status < firstRedirect ? headerRules.findForeignSign(this.req.names, this.req.requestId, headers) : undefined
+        const foreign = headerRules.findForeignSign(this.req.names, this.req.requestId, status, headers)
         if (foreign !== undefined) {
           this.broken(new Error(`not the target's answer: ${foreign}`))
           return
--- a/packages/routing/src/common/adaptivePolicy.ts
+++ b/packages/routing/src/common/adaptivePolicy.ts
@@ -28,6 +28,7 @@
     const domainFactor = candidate.failureDomain === context.ownFailureDomain ? 1 : weights.remoteDomain
     return (stats.inFlight + 1) *
       relativeLatency ** weights.latency *
+      stats.costByReport(now) *
       (1 + weights.reportedLoad * candidate.reportedLoad) *
       (1 + weights.recentFailures * stats.recentFailures) *
       (1 + weights.coldness * stats.coldness(now)) *
--- a/packages/routing/src/common/endpointStats.ts
+++ b/packages/routing/src/common/endpointStats.ts
@@ -6,6 +6,8 @@
 const maxEjectionMs = 30_000
 const ejectionGrowth = 4
 const warmUpMs = 5000
+/** Time after which a load report says nothing any more: load shifts several times a second. */
+const reportFadesMs = 200
 
 /** Open calls, latency and failures of one endpoint, as this instance saw them. */
 export class EndpointStats {
@@ -15,6 +17,8 @@
   private failures = 0
   private ejectionMs = 0
   private ejectedUntil = -Infinity
+  private reportedCost = 1
+  private reportedAt = -Infinity
   /** Suspect requests in flight. */
   suspects = 0
 
@@ -80,6 +84,18 @@
     return Math.max(estimate, this.oldestOpenMs(now))
   }
 
+  /** Takes the cost of one more call, relative to an idle endpoint, as a load report told it. */
+  noteReport (cost: number, now: number): void {
+    this.reportedCost = cost
+    this.reportedAt = now
+  }
+
+  /** Cost by the newest report, which fades towards 1. */
+  costByReport (now: number): number {
+    const fresh = Math.max(0, 1 - (now - this.reportedAt) / reportFadesMs)
+    return 1 + (this.reportedCost - 1) * fresh
+  }
+
   /** From 1 for an endpoint that was just started to 0 for a warm one. */
   coldness (now: number): number {
     return Math.max(0, 1 - (now - this.knownSince) / warmUpMs)
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -100,7 +100,10 @@
     if (this.settled || !each.pending) return
     each.pending = false
     if (outcome.kind === 'refused') each.placement.stats.refused(this.deps.clock.now())
-    if (outcome.kind === 'report') each.cost = costOf(outcome.report)
+    if (outcome.kind === 'report') {
+      each.cost = costOf(outcome.report)
+      each.placement.stats.noteReport(each.cost, this.deps.clock.now())
+    }
     if (each.cost <= goodCost || this.probed.every(({ pending }) => !pending)) this.choose('answered')
   }
 
--- /dev/null
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -0,0 +1,163 @@
+/** Asking endpoints for their load: which one is taken, and what callers get while a quarter of the endpoints is slow at any moment. */
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
+import * as uniform from 'pure-rand/distribution/uniformInt'
+import * as tap from 'tap'
+import * as event from '@rosemaryrack/base/common/event.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as adaptivePolicy from '../common/adaptivePolicy.js'
+import * as dispatcher from '../common/dispatcher.js'
+import * as loadProbing from '../common/loadProbing.js'
+import * as fixtures from './fixtures.js'
+import * as manualClock from './manualClock.js'
+
+const timeoutMs = 25
+const slots = 6
+const idle: loadProbing.LoadReport = { running: 0, waiting: 0, slots, slowdown: 1 }
+const lane = fixtures.laneWith({ deadlineMs: 1200 })
+const granted = { take: () => true }
+
+/** An instance with endpoints whose answers the test gives. */
+class Service implements loadProbing.IProber {
+  readonly clock = new manualClock.ManualClock()
+  readonly pending = new Map<string, (outcome: loadProbing.ProbeOutcome) => void>()
+  readonly chosen: dispatcher.Placement[] = []
+  budget = granted
+  readonly dispatcher: dispatcher.Dispatcher
+  private readonly endpoints: readonly endpointTable.Endpoint[]
+
+  constructor (endpointCount: number, random: () => number = () => 0) {
+    this.endpoints = Array.from({ length: endpointCount }, (_value, i) => fixtures.endpointWith(`d-${i}`, slots, 0))
+    const source = { onChanged: new event.Emitter<endpointTable.Endpoint>().event, routable: () => this.endpoints }
+    const options = { service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 }
+    this.dispatcher = new dispatcher.Dispatcher(options, source, new adaptivePolicy.AdaptivePolicy({ next: random }), this.clock)
+  }
+
+  probe (endpoint: endpointTable.Endpoint, done: (outcome: loadProbing.ProbeOutcome) => void): () => void {
+    this.pending.set(endpoint.endpoint, done)
+    return () => { this.pending.delete(endpoint.endpoint) }
+  }
+
+  begin (candidates = 3): loadProbing.LoadProbe {
+    const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: this.clock.now() + lane.deadlineMs, suspect: false, exclude: new Set() }
+    const deps = { dispatcher: this.dispatcher, prober: this, budget: this.budget, clock: this.clock }
+    const probe = new loadProbing.LoadProbe(deps, (placement) => this.chosen.push(placement))
+    this.dispatcher.acquire(ask, (outcome) => {
+      if (outcome.placed) probe.start(outcome.placement, ask, { candidates, timeoutMs })
+    })
+    return probe
+  }
+
+  /** Answers the probes in the order in which they were sent. */
+  report (...reports: ReadonlyArray<loadProbing.LoadReport | 'refused' | undefined>): void {
+    const waiting = [...this.pending.values()]
+    reports.forEach((report, i) => {
+      if (report === 'refused') waiting[i]!({ kind: 'refused' })
+      else if (report !== undefined) waiting[i]!({ kind: 'report', report })
+    })
+  }
+}
+
+tap.t.test('cost grows with slowness, with busy slots, and most with a queue', async (t) => {
+  const costs = [
+    idle,
+    { ...idle, running: 3 },
+    { ...idle, running: 5 },
+    { ...idle, running: 6, waiting: 2 },
+    { ...idle, slowdown: 5 }
+  ].map(loadProbing.costOf)
+  t.same(costs, [...costs].sort((a, b) => a - b))
+})
+
+tap.t.test('the first good answer is taken at once, and the other slots are given back', async (t) => {
+  const service = new Service(5)
+  service.begin()
+  t.equal(service.pending.size, 3)
+  t.equal(service.dispatcher.inFlight, 3)
+  service.report({ ...idle, slowdown: 5 }, idle)
+  t.equal(service.chosen[0]!.endpoint.endpoint, 'd-1')
+  t.equal(service.dispatcher.inFlight, 1)
+})
+
+tap.t.test('without a good answer the best of all is taken, at the latest when the time is over', async (t) => {
+  const service = new Service(5)
+  service.begin()
+  service.report({ ...idle, slowdown: 5 }, { ...idle, slowdown: 3 })
+  t.equal(service.chosen.length, 0, 'the third may be better')
+  service.clock.advance(timeoutMs)
+  t.equal(service.chosen[0]!.endpoint.endpoint, 'd-1')
+})
+
+tap.t.test('endpoints that stay silent or refuse are not taken while another one answers', async (t) => {
+  const service = new Service(3)
+  service.begin()
+  service.report(undefined, 'refused', { ...idle, running: 6, waiting: 6 })
+  service.clock.advance(timeoutMs)
+  t.equal(service.chosen[0]!.endpoint.endpoint, 'd-2')
+  service.chosen[0]!.release()
+  service.begin()
+  service.clock.advance(timeoutMs)
+  t.not(service.chosen[1]!.endpoint.endpoint, 'd-1', 'a refusal counts against the endpoint')
+})
+
+tap.t.test('with no answer at all, or no probe left, the call goes where it was placed', async (t) => {
+  const service = new Service(3)
+  service.begin()
+  service.clock.advance(timeoutMs)
+  t.equal(service.chosen.length, 1)
+  service.budget = { take: () => false }
+  service.begin()
+  t.equal(service.chosen.length, 2, 'at once')
+})
+
+tap.t.test('a cancelled choice gives all slots back and chooses nothing', async (t) => {
+  const service = new Service(3)
+  service.begin().cancel()
+  service.clock.advance(timeoutMs)
+  t.equal(service.dispatcher.inFlight, 0)
+  t.equal(service.chosen.length, 0)
+})
+
+const seed = 20261204
+const endpointCount = 13
+const slowShare = 0.25
+const slowFactor = 5
+const redrawMs = 150
+const workMs = 160
+const goalMs = 400
+const calls = 2000
+const callEveryMs = 40
+
+/** Share of calls that end later than their goal. */
+function playNoise (candidates: number): number {
+  const source = xoroshiro.xoroshiro128plus(seed)
+  const random = (): number => uniform.uniformInt(source, 0, 999_999) / 1_000_000
+  const service = new Service(endpointCount, random)
+  let slow = new Set<string>()
+  let late = 0
+  const redraw = (): void => {
+    slow = new Set(Array.from({ length: endpointCount }, (_value, i) => `d-${i}`).filter(() => random() < slowShare))
+    service.clock.after(redrawMs, redraw)
+  }
+  redraw()
+  for (let i = 0; i < calls; i++) {
+    service.begin(candidates)
+    for (const [id, done] of service.pending) done({ kind: 'report', report: { ...idle, slowdown: slow.has(id) ? slowFactor : 1 } })
+    service.pending.clear()
+    const placement = service.chosen.at(-1)!
+    const tookMs = workMs * (slow.has(placement.endpoint.endpoint) ? slowFactor : 1)
+    if (tookMs > goalMs) late++
+    service.clock.after(tookMs, () => {
+      placement.stats.succeeded(tookMs, service.clock.now())
+      placement.release()
+    })
+    service.clock.advance(callEveryMs)
+  }
+  return late / calls
+}
+
+tap.t.test('while a quarter of the endpoints is slow at any moment, at most 3 in 100 callers wait beyond their goal', async (t) => {
+  const own = playNoise(1)
+  const asked = playNoise(3)
+  t.ok(own > 0.15, `${own} by own sight`)
+  t.ok(asked <= 0.03, `${asked} with three endpoints asked`)
+})
