Graceful stop: idle connections are closed while there is time to answer

Ruled out: readiness (new connections had stopped). Change: from 45% of the grace period on idle connections are closed.

--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -14,8 +14,8 @@
 const noRequestTimeout = 0
 const idlePollMs = 50
 const msPerSecond = 1000
-/** Time left at the end of a stop for closing what is open. */
-const closingMs = 700
+/** Part of the grace period in which requests are still taken on open connections; the rest is for answering them. */
+const acceptingShare = 0.45
 
 /** Serves callers until it is stopped. */
 export class CallerListener {
@@ -52,14 +52,16 @@
 
   /**
    * Takes no new connections, then resolves when every caller has its whole answer.
-   * Idle connections stay open for their keep-alive time, or as long as the process has: a request may be on its way on them.
+   * Idle connections stay open for their keep-alive time, since a request may be on its way on them, but no longer than
+   * leaves time to answer it before the process is killed.
    * @param stoppingSince when the stop began, on the process's monotonic clock.
    */
   async stop (stoppingSince: number): Promise<void> {
     net.Server.prototype.close.call(this.server)
-    const graceUntil = stoppingSince + this.graceS * msPerSecond - closingMs
-    const idleUntil = Math.min(performance.now() + this.server.keepAliveTimeout, graceUntil)
-    while (this.inFlight > 0 || (performance.now() < idleUntil && await this.connectionCount() > 0)) {
+    const idleUntil = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptingShare)
+    while (performance.now() < idleUntil && (this.inFlight > 0 || await this.connectionCount() > 0)) await async.sleep(idlePollMs)
+    while (this.inFlight > 0) {
+      this.server.closeIdleConnections()
       await async.sleep(idlePollMs)
     }
     this.server.closeAllConnections()
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -7,7 +7,7 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as secret from '@rosemaryrack/base/node/secret.js'
 
-const maxBodyBytes = 33_554_432
+const maxBodyBytes = 1_048_576
 const maxHeaderBytes = 16_384
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
@@ -19,7 +19,8 @@
   readonly headers: Headers
   /** Parses the body as JSON; throws `bad-request` or `too-large`. */
   json(): Promise<unknown>
-  text(): Promise<string>
+  /** @param maxBytes longest body, 1 MiB where it isn't given. */
+  text(maxBytes?: number): Promise<string>
 }
 
 /** Answer of a route; an object body is sent as JSON. */
@@ -124,16 +125,16 @@
     query: event.url.searchParams,
     headers: event.req.headers,
     json: async () => parseJson(await readText(event)),
-    text: async () => await readText(event)
+    text: async (maxBytes) => await readText(event, maxBytes)
   }
 }
 
-async function readText (event: h3.H3Event): Promise<string> {
+async function readText (event: h3.H3Event, maxBytes = maxBodyBytes): Promise<string> {
   const chunks: Uint8Array[] = []
   let size = 0
   for await (const chunk of event.req.body ?? []) {
     size += chunk.byteLength
-    if (size > maxBodyBytes) throw new errors.RackError({ kind: 'too-large', message: `the body exceeds ${maxBodyBytes} bytes` })
+    if (size > maxBytes) throw new errors.RackError({ kind: 'too-large', message: `the body exceeds ${maxBytes} bytes` })
     chunks.push(chunk)
   }
   return Buffer.concat(chunks).toString('utf8')
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -1,5 +1,6 @@
 /** The whole path as deployed on the users' platform: founding from seeds, configuration, heartbeats, drains, losses. */
 import * as fs from 'node:fs'
+import * as http from 'node:http'
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as tap from 'tap'
@@ -8,6 +9,7 @@
 
 const settleMs = 20_000
 const firstServerError = 500
+const pauseMs = 200
 /** Time within which an acknowledged drain or configuration holds on every entry. */
 const boundMs = 2000
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-deployed-'))
@@ -106,6 +108,31 @@
   t.match(fleet.process('entry-1').output(), 'settings reloaded')
 })
 
+tap.t.test('a stopping entry answers what it took and closes idle connections while there is time to answer', async (t) => {
+  const graceMs = 6000
+  const agent = new http.Agent({ keepAlive: true })
+  const closedAt = new Promise<number>((resolve) => {
+    const headers = { host: 'jepu9.example', 'x-rosemaryrack-request-id': 'kept', 'x-rosemaryrack-deadline-ms': '1500' }
+    http.get(`http://${fleet.front(2)}/read/x`, { agent, headers }, (res) => {
+      res.socket.once('close', () => resolve(performance.now()))
+      res.resume()
+    })
+  })
+  await async.sleep(pauseMs)
+  const stoppedAt = performance.now()
+  fleet.process('entry-2').act('stop')
+  await async.sleep(pauseMs)
+  t.equal(await fleet.isReady(2), false)
+  t.equal((await fleet.call(2, '/read/x')).status, 200, 'the platform still sends callers for a moment')
+  const idleMs = await closedAt - stoppedAt
+  t.ok(idleMs <= graceMs / 2, `idle connection closed after ${Math.round(idleMs)} ms`)
+  t.equal(await fleet.process('entry-2').exited, 0)
+  t.ok(performance.now() - stoppedAt < graceMs)
+  agent.destroy()
+  fleet.startEntry(2)
+  await fleet.waitFor('the entry to be back', settleMs, async () => (await fleet.call(2, '/read/x')).status === 200)
+})
+
 tap.t.test('an acknowledged drain holds although the replica that took it dies at once', async (t) => {
   leaving.add(spare)
   t.equal(await spare.say(fleet.control(5), 'draining'), 200)
--- a/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
@@ -110,12 +110,15 @@
     "services": Object {
       "huvo11a": Object {
         "connectionLimit": 240,
+        "healthPath": "/healthz",
       },
       "kafi81c": Object {
         "connectionLimit": 240,
+        "healthPath": "/healthz",
       },
       "wuno96b": Object {
         "connectionLimit": 240,
+        "healthPath": "/healthz",
       },
     },
   },
