--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -19,7 +19,7 @@
 import type * as configFeed from './configFeed.js'
 import type * as controlService from './controlService.js'
 
-/** Announcements that a target may miss in a row before its lease lapses. */
+/** Announcements that a target may miss in a row before its lease lapses: they may arrive seconds late. */
 const missedAnnouncements = 4
 const comeBackS = 1
 
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -17,7 +17,7 @@
 import * as replicaLinks from './replicaLinks.js'
 import * as replicaStorage from './replicaStorage.js'
 
-/** Replicas of a group that is learnt from seeds. */
+/** Most replicas of a group that is learnt from seeds: seven, and two newcomers while the replicas they follow are gone. */
 const maxLearntReplicas = 9
 
 /** A control replica within this process. */
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -14,7 +14,10 @@
 const noRequestTimeout = 0
 const idlePollMs = 50
 const msPerSecond = 1000
-/** Part of the grace period in which requests are still taken on open connections; the rest is for answering them. */
+/**
+ * Part of the grace period in which requests are still taken on open connections. The rest, more than half, is for
+ * answering them.
+ */
 const acceptingShare = 0.45
 
 /** Serves callers until it is stopped. */
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -30,7 +30,7 @@
 
 const comeBackS = 1
 const msPerSecond = 1000
-/** Share of what is left of the caller's time that it may be asked to stay away for. */
+/** Share of what is left of the caller's time that it may be asked to stay away for; longer times are not heeded. */
 const maxAwayShare = 1 / 3
 /** Shortest time for which a caller is asked to stay away, in seconds. */
 const minAwayS = 0.01
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -33,6 +33,10 @@
     disposables.dispose()
     process.exit(code)
   }
+  process.on('uncaughtException', (err) => {
+    logger.fatal({ error: err.stack ?? err.message }, 'uncaught exception')
+    exit(errors.answers.internal.exitCode)
+  })
   const pageMetrics = new metrics.Metrics(await histogramFactory(cfg))
   const roles = await createRoles(cfg, decisions, pageMetrics, (err) => {
     logger.fatal({ error: err.message }, 'the disk failed')
--- a/packages/routing/src/common/budget.ts
+++ b/packages/routing/src/common/budget.ts
@@ -4,7 +4,7 @@
 const ratioBurst = 10
 const minRateBurst = 1
 const msPerSecond = 1000
-/** Slots in which a window is counted; what a slot holds leaves the window together. */
+/** Slots in which a window is counted, each 5% of it; what a slot holds leaves the window together. */
 const slotsPerWindow = 20
 /** Part of the fleet's addition that is handed out: when instances die, the others take over what those may have spent. */
 const grantedShareOfExtra = 0.6
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -42,13 +42,19 @@
   readonly clock: clock.IClock
 }
 
-/** Expected cost up to which an endpoint is taken without waiting for the others' answers. */
+/**
+ * Expected cost up to which an endpoint is taken without waiting for the others' answers: at its usual speed with up to
+ * the knee's share of its slots busy.
+ */
 const goodCost = 1.4
-/** Share of busy slots from which on endpoints usually slow down. */
+/** Share of busy slots from which on endpoints usually slow down, and by how much; a guess where endpoints don't tell. */
 const kneeShare = 0.75
 const kneeSlowdown = 1.7
 
-/** Expected time of one more request at an endpoint, relative to that of an idle one. */
+/**
+ * Expected time of one more request at an endpoint, relative to that of an idle one. Busy slots below the knee count a
+ * little, so that of two equal endpoints the idler one is taken.
+ */
 export function costOf ({ running, waiting, slots, slowdown }: LoadReport): number {
   const busyShare = (running + 1) / slots
   const knee = busyShare > kneeShare ? kneeSlowdown : 1
