Connections to targets: a reset or our own close never ends as the end of an answer

Cause: an entry ended itself by ERR_ASSERTION. The HTTP client's parser asserts that it isn't paused when it finishes an answer without a length (client-h1, finish); it finishes one when the socket is reset, and when the socket closes without an error. A caller that stops reading pauses the parser; when that caller leaves (our own close, without an error) or the target resets, the assertion ends the process. The same path takes a reset for the end of an answer without a length. Ruled out: resuming a parser inside another's callback (is caught by the client and ends one connection only). Change: our close carries an error, and a reset is told with an error of its own, by the documented _destroy of the socket. Before: httpAttempt.test, 2 of 4 tests end by the assertion. After: 4 of 4.

--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -4,6 +4,18 @@
 import * as address from '@rosemaryrack/base/common/address.js'
 
 const connectTimeoutMs = 1000
+const resetCode = 'ECONNRESET'
+
+/**
+ * A socket whose end is never without an error but for the target's orderly one: the HTTP client takes a reset, or an end
+ * without an error, for the end of an answer without a length, and fails by an assertion where that answer is paused.
+ */
+class TargetSocket extends net.Socket {
+  override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
+    const wasReset = (err as NodeJS.ErrnoException | null)?.code === resetCode
+    super._destroy(wasReset ? new Error('reset by the target', { cause: err }) : err, callback)
+  }
+}
 
 /** An open connection. */
 export class TargetConnection {
@@ -34,7 +46,7 @@
   static open (targetAddress: string): Promise<TargetConnection> {
     const { host, port } = address.parseAddress(targetAddress)
     return new Promise((resolve, reject) => {
-      const socket = net.connect({ host, port, noDelay: true })
+      const socket = new TargetSocket().setNoDelay(true).connect({ host, port })
       const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)), connectTimeoutMs)
       socket.once('error', (err) => {
         clearTimeout(timer)
@@ -64,7 +76,8 @@
   }
 
   destroy (): void {
-    this.client.destroy().catch(() => {})
-    this.socket.destroy()
+    const givenUp = new Error('given up')
+    this.client.destroy(givenUp).catch(() => {})
+    this.socket.destroy(givenUp)
   }
 }
