Configured limits apply: connections to an endpoint, header bytes of callers; latency by lane

Cause: the service's connection limit and the header limit were read and never applied; the listener's subscription to configurations outlived it. One latency estimate per service mixed lanes whose work differs five times, so hedges came late on the quick lane and early on the slow one, and an endpoint looked slow after a slow lane's answer. Change: the dispatcher shares the configured connections among the instances; headers beyond the limit are refused; LaneLatency keeps a typical time per lane, takes the lane's target as its first guess, and sends a hedge in time for the target; hedges may use seven tenths of the shared repeats, the rest is for retries. Before: the first two had no test and no effect.

--- a/packages/entry/src/common/requestGuard.ts
+++ b/packages/entry/src/common/requestGuard.ts
@@ -27,6 +27,16 @@
   return requestIdPattern.test(id)
 }
 
+/**
+ * Throws `too-large` when the headers exceed a limit; without one anything goes that the parser let through.
+ * @param rawHeaders flat list of names and values, as received.
+ */
+export function checkHeaderBytes (rawHeaders: readonly string[], maxBytes: number | undefined): void {
+  // Each name and value goes with two more bytes: a colon and a space, or the line's end.
+  const bytes = rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
+  if (maxBytes !== undefined && bytes > maxBytes) throw new errors.RackError({ kind: 'too-large', message: `the headers exceed ${maxBytes} bytes` })
+}
+
 function badRequest (message: string): errors.RackError {
   return new errors.RackError({ kind: 'bad-request', message })
 }
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net'
 import * as address from '@rosemaryrack/base/common/address.js'
 import * as async from '@rosemaryrack/base/common/async.js'
+import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
@@ -23,6 +24,7 @@
 /** Serves callers until it is stopped. */
 export class CallerListener {
   private readonly server: http.Server
+  private readonly configSubscription: lifecycle.IDisposable
   private inFlight = 0
 
   /** @param graceS seconds from the start of a stop until the process is killed. */
@@ -34,7 +36,7 @@
       keepAliveTimeout: keepAliveTimeoutMs,
       noDelay: true
     }, (req, res) => { this.serve(req, res) })
-    configs.onChanged((config) => this.applyLimits(config.document))
+    this.configSubscription = configs.onChanged((config) => this.applyLimits(config.document))
     this.server.on('clientError', httpListener.answerClientError)
   }
 
@@ -68,6 +70,7 @@
       await async.sleep(idlePollMs)
     }
     this.server.closeAllConnections()
+    this.configSubscription.dispose()
   }
 
   private connectionCount (): Promise<number> {
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -87,6 +87,7 @@
 
   private async route (): Promise<void> {
     const target = this.req.url ?? ''
+    requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
     const path = requestGuard.pathOf(target)
     const named = this.findLane(path)
     this.laneName = named.name
@@ -169,7 +170,7 @@
         identity,
         replayable: () => body.isReplayable,
         avoid
-      }, this.callDeps(service, budgets, req), listener)
+      }, this.callDeps(namedLane.name, service, budgets, req), listener)
       this.running.start()
     }
     const callRest: downloadResumer.RestCaller = (headers, avoid, listener) => {
@@ -191,7 +192,7 @@
     this.refuse(fault)
   }
 
-  private callDeps (service: string, budgets: call.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
+  private callDeps (laneName: string, service: string, budgets: call.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
     const { lanes, connections, suspects, deaths, decisions } = this.deps
     return {
       dispatcher: lanes.dispatcherOf(service),
@@ -199,6 +200,7 @@
       suspects,
       deaths,
       budgets,
+      latency: lanes.stateOf(laneName).latency,
       probing: this.probingFor(service),
       decisions,
       clock: this.deps.clock
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -8,15 +8,20 @@
 import * as budget from '@rosemaryrack/routing/common/budget.js'
 import type * as call from '@rosemaryrack/routing/common/call.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
+import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as trafficSplit from '@rosemaryrack/routing/common/trafficSplit.js'
 
-/** Budgets of one lane on this instance. */
+/** Share of the repeats that hedges may use: a retry helps a call that failed, a hedge one that may only be late. */
+const hedgeShareOfRepeats = 0.7
+
+/** Budgets and latency of one lane on this instance. */
 export interface LaneState {
   readonly retries: budget.RatioBudget
   readonly hedges: budget.RatioBudget
   readonly measuring: budget.RateBudget
   readonly split: trafficSplit.TrafficSplit
+  readonly latency: laneLatency.LaneLatency
 }
 
 /** What is the same for all lanes. */
@@ -63,6 +68,11 @@
     return this.matcher.find(method, host, path)
   }
 
+  /** Bytes that a caller's headers may take; undefined where the configuration sets none. */
+  get maxHeaderBytes (): number | undefined {
+    return this.configs.current.document.callerLimits?.maxHeaderBytes
+  }
+
   /** Names of the lanes in force. */
   get names (): readonly string[] {
     return Object.keys(this.lanes)
@@ -94,7 +104,7 @@
     state.hedges.deposit()
     const shared = this.repeatsOf(service)
     shared?.noteCall()
-    return { measuring: state.measuring, retries: shared ?? state.retries, hedges: shared ?? state.hedges }
+    return { measuring: state.measuring, retries: shared ?? state.retries, hedges: shared?.upTo(hedgeShareOfRepeats) ?? state.hedges }
   }
 
   /** Path at which a service's endpoints answer probes. */
@@ -127,7 +137,8 @@
     let found = this.dispatchers.get(service)
     if (found === undefined) {
       const { ownFailureDomain, liveEntries, newPolicy } = this.options
-      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries }, this.endpoints, newPolicy(), this.clock)
+      const connectionLimit = (): number | undefined => this.services?.[service]?.connectionLimit
+      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, found)
     }
     return found
@@ -140,7 +151,8 @@
       retries: new budget.RatioBudget(budgets.retryRatio),
       hedges: new budget.RatioBudget(budgets.hedgeRatio),
       measuring: new budget.RateBudget(perSecond, this.clock),
-      split: new trafficSplit.TrafficSplit(this.options.random)
+      split: new trafficSplit.TrafficSplit(this.options.random),
+      latency: new laneLatency.LaneLatency()
     }
   }
 
--- a/packages/entry/src/test/requestGuard.test.ts
+++ b/packages/entry/src/test/requestGuard.test.ts
@@ -30,3 +30,11 @@
   const reports = ['TEXT cpu_utilization=0.3,application_utilization=0.7', 'JSON {"cpu_utilization": 1.5}', 'JSON {', 'JSON null', 'TEXT rps=3', 'BIN abc', 'TEXT cpu_utilization=-1']
   t.same(reports.map(orcaLoad.parseUtilization), [0.7, 1.5, undefined, undefined, undefined, undefined, undefined])
 })
+
+tap.t.test('headers beyond the configured bytes are refused', async (t) => {
+  const headers = ['Host', 'a.example', 'X-Long', 'x'.repeat(50)]
+  const bytes = headers.reduce((sum, text) => sum + text.length + 2, 0)
+  t.throws(() => requestGuard.checkHeaderBytes(headers, bytes - 1), { message: `the headers exceed ${bytes - 1} bytes` })
+  t.doesNotThrow(() => requestGuard.checkHeaderBytes(headers, bytes))
+  t.doesNotThrow(() => requestGuard.checkHeaderBytes(headers, undefined), 'no limit in the configuration')
+})
--- a/packages/routing/src/common/budget.ts
+++ b/packages/routing/src/common/budget.ts
@@ -95,7 +95,16 @@
     this.currentSlot().calls++
   }
 
+  /** The same budget for repeats that may use only a share of it, so that the rest is left for others. */
+  upTo (share: number): IBudget {
+    return { take: () => this.takeWithin(share) }
+  }
+
   take (): boolean {
+    return this.takeWithin(1)
+  }
+
+  private takeWithin (share: number): boolean {
     const slot = this.currentSlot()
     const { ratio, extra, windowMs } = this.limits
     const knowsWindow = this.clock.now() - this.startedAt >= windowMs
@@ -105,7 +114,7 @@
     const whole = oldest === undefined || oldest.number > slot.number - slotsPerWindow ? 0 : oldest.calls
     const calls = this.slots.reduce((sum, each) => sum + each.calls, 0) - whole
     const repeats = this.slots.reduce((sum, each) => sum + each.repeats, 0)
-    if (repeats + 1 > ratio * calls + ownExtra) return false
+    if (repeats + 1 > (ratio * calls + ownExtra) * share) return false
     slot.repeats++
     return true
   }
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -8,6 +8,7 @@
 import type * as budget from './budget.js'
 import type * as deathWatch from './deathWatch.js'
 import type * as dispatcher from './dispatcher.js'
+import type * as laneLatency from './laneLatency.js'
 import * as loadProbing from './loadProbing.js'
 import type * as requestIdentity from './requestIdentity.js'
 import * as requestStanding from './requestStanding.js'
@@ -16,7 +17,6 @@
 /** Endpoints that may have run a call without telling: one that crashes targets takes no more of them. */
 const maxUncertainRuns = 2
 const tryShareOfDeadline = 0.5
-const hedgeAtTypicalFactor = 3
 const minHedgeMs = 2
 const retryAfterFailureS = 1
 const quarantineRetryAfterS = 600
@@ -51,6 +51,7 @@
   readonly suspects: suspectTable.ISuspects
   readonly deaths: deathWatch.IDeathWatch
   readonly budgets: LaneBudgets
+  readonly latency: laneLatency.LaneLatency
   readonly decisions: decisionLog.IDecisionLog
   readonly clock: clock.IClock
 }
@@ -127,7 +128,8 @@
 
   private get ask (): dispatcher.Ask {
     const { lane, deadlineAt } = this.spec
-    return { lane, priority: lane.priority, deadlineAt, suspect: this.suspect, exclude: this.tried }
+    const typicalMs = this.deps.latency.typicalMs(lane)
+    return { lane, priority: lane.priority, deadlineAt, typicalMs, suspect: this.suspect, exclude: this.tried }
   }
 
   private askForSlot (event: 'route' | 'retry'): void {
@@ -227,8 +229,11 @@
       return
     }
     const latencyMs = now - attempt.startedAt
-    stats.succeeded(latencyMs, now)
-    this.deps.dispatcher.noteLatency(latencyMs)
+    const { dispatcher, latency } = this.deps
+    // Lanes of one service take different times: an endpoint is slow only against the lane's own.
+    stats.succeeded(latencyMs * dispatcher.typicalLatencyMs / latency.typicalMs(this.spec.lane), now)
+    dispatcher.noteLatency(latencyMs)
+    latency.note(latencyMs, this.spec.lane)
     this.deps.deaths.noteSuccess(this.spec.identity)
     if (this.deps.suspects.size > 0) this.deps.suspects.reportSuccess(this.spec.identity.fingerprint)
   }
@@ -383,7 +388,7 @@
   private hedgeDelayMs (): number {
     const configured = this.spec.lane.hedgeAfterMs
     if (configured > 0) return configured
-    return Math.max(minHedgeMs, hedgeAtTypicalFactor * this.deps.dispatcher.typicalLatencyMs)
+    return Math.max(minHedgeMs, this.deps.latency.hedgeWaitMs(this.spec.lane))
   }
 
   private hedge (): void {
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -22,6 +22,8 @@
   readonly lane: configDocument.Lane
   readonly priority: configDocument.LanePriority
   readonly deadlineAt: number
+  /** Typical time to an answer's head on the lane, in milliseconds. */
+  readonly typicalMs: number
   /** Suspect calls don't share an endpoint, so that each death has one explanation. */
   readonly suspect: boolean
   /** Endpoints that were tried already. */
@@ -58,6 +60,8 @@
   readonly ownFailureDomain: string
   /** Live entry instances that share the endpoints, this one included. */
   readonly liveEntries: () => number
+  /** Connections that the service's configuration allows to an endpoint from all instances together. */
+  readonly connectionLimit?: () => number | undefined
 }
 
 /** Gives slots by the policy while there are some, else by priority and deadline. */
@@ -169,7 +173,7 @@
   private pump (): void {
     for (const waiter of this.queue.snapshot()) {
       const now = this.clock.now()
-      if (now + this.typicalMs > waiter.deadlineAt) {
+      if (now + waiter.ask.typicalMs > waiter.deadlineAt) {
         this.withdraw(waiter)
         waiter.done({ placed: false, fault: this.notRun('the deadline can no longer be met', this.expectedWaitMs(waiter)) })
         continue
@@ -190,7 +194,7 @@
     if (endpoints.every(({ endpoint }) => ask.exclude.has(endpoint))) return this.notRun('every ready endpoint was tried', 0)
     const waitMs = this.expectedWaitMs(ask)
     if (waitMs > ask.lane.maxWaitMs) return this.notRun('all slots are taken and the wait is too long', waitMs)
-    if (now + waitMs + this.typicalMs > ask.deadlineAt) return this.notRun('the deadline can\'t be met', waitMs)
+    if (now + waitMs + ask.typicalMs > ask.deadlineAt) return this.notRun('the deadline can\'t be met', waitMs)
     return undefined
   }
 
@@ -266,7 +270,8 @@
   private limitOf (endpoint: endpointTable.Endpoint): number {
     const entries = this.options.liveEntries()
     const slots = Math.max(1, Math.ceil(endpoint.slots / entries))
-    const connections = Math.max(1, Math.floor(endpoint.connectionLimit / entries))
+    const configured = this.options.connectionLimit?.() ?? Infinity
+    const connections = Math.max(1, Math.floor(Math.min(endpoint.connectionLimit, configured) / entries))
     return Math.min(slots, connections)
   }
 
--- /dev/null
+++ b/packages/routing/src/common/laneLatency.ts
@@ -0,0 +1,47 @@
+/** Typical time to the head of an answer on one lane, and when a hedge is due by it. */
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+
+/** Share of a lane's target that is taken for its typical time before answers were seen. */
+const assumedShareOfTarget = 0.4
+const assumedMs = 10
+/** Samples that the assumption counts for. */
+const assumedSamples = 3
+const minSampleWeight = 0.02
+/** A sample counts for no more than this many typical times: slow spells are what hedges are for. */
+const maxSampleFactor = 3
+
+/** A hedge that is to be in time is sent this many typical times before the target. */
+const leadFactor = 1.1
+/** Bounds of the wait for a hedge, in typical times: most answers come before the lower one. */
+const minWaitFactor = 1.2
+const maxWaitFactor = 3
+
+/** Running estimate for one lane. */
+export class LaneLatency {
+  private samples = 0
+  private ms: number | undefined
+
+  note (latencyMs: number, lane: configDocument.Lane): void {
+    this.samples++
+    if (this.ms === undefined && lane.targetLatencyMs === undefined) {
+      this.ms = latencyMs
+      return
+    }
+    const typical = this.typicalMs(lane)
+    const weight = Math.max(minSampleWeight, 1 / (this.samples + assumedSamples))
+    this.ms = typical + (Math.min(latencyMs, typical * maxSampleFactor) - typical) * weight
+  }
+
+  /** Typical latency in milliseconds. */
+  typicalMs (lane: configDocument.Lane): number {
+    return this.ms ?? (lane.targetLatencyMs === undefined ? assumedMs : lane.targetLatencyMs * assumedShareOfTarget)
+  }
+
+  /** Wait after which a call that is still unanswered is sent once more: late enough to be rarely needless, in time for the target. */
+  hedgeWaitMs (lane: configDocument.Lane): number {
+    const typical = this.typicalMs(lane)
+    if (lane.targetLatencyMs === undefined) return typical * maxWaitFactor
+    const inTime = lane.targetLatencyMs - typical * leadFactor
+    return Math.max(typical * minWaitFactor, Math.min(typical * maxWaitFactor, inTime))
+  }
+}
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -8,6 +8,7 @@
 import * as call from '../common/call.js'
 import * as deathWatch from '../common/deathWatch.js'
 import * as dispatcher from '../common/dispatcher.js'
+import * as laneLatency from '../common/laneLatency.js'
 import type * as transport from '../common/transport.js'
 import * as fixtures from './fixtures.js'
 import * as manualClock from './manualClock.js'
@@ -53,6 +54,7 @@
       suspects: this.suspects,
       deaths: this.deaths,
       budgets: { retries: always, hedges: always, measuring: always },
+      latency: new laneLatency.LaneLatency(),
       decisions: new decisionLog.NullDecisionLog(),
       clock: this.clock
     }, {
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -7,29 +7,32 @@
 import * as dispatcher from '../common/dispatcher.js'
 import * as fixtures from './fixtures.js'
 
+const typicalMs = 10
+
 class Service {
   now = 0
   readonly dispatcher: dispatcher.Dispatcher
   private readonly endpoints: endpointTable.Endpoint[] = []
 
-  constructor (ids: readonly string[]) {
+  /** @param rest options that aren't the usual ones. */
+  constructor (ids: readonly string[], rest: Partial<dispatcher.DispatcherOptions> = {}, private readonly slots = 1) {
     for (const id of ids) this.announce(id)
     const changed = new event.Emitter<endpointTable.Endpoint>()
     const source = { onChanged: changed.event, routable: () => this.endpoints }
     const clock = { now: () => this.now, after: () => () => {} }
-    const options = { service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 }
+    const options = { service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1, ...rest }
     this.dispatcher = new dispatcher.Dispatcher(options, source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), clock)
   }
 
   announce (endpoint: string): void {
-    this.endpoints.push(fixtures.endpointWith(endpoint, 1, this.now))
+    this.endpoints.push(fixtures.endpointWith(endpoint, this.slots, this.now))
   }
 
   /** Endpoint that a call gets now; undefined when it has to wait or is refused. */
   place (priority: configDocument.LanePriority): dispatcher.Placement | undefined {
     let placement: dispatcher.Placement | undefined
     const lane = laneOf(priority)
-    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, suspect: false, exclude: new Set() }, (outcome) => {
+    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, suspect: false, exclude: new Set() }, (outcome) => {
       if (outcome.placed) placement = outcome.placement
     })
     return placement
@@ -102,3 +105,14 @@
   t.ok(dead.stats.isEjected(service.now))
   t.equal([0, 1, 2].filter(() => service.place('urgent') !== undefined).length, 2)
 })
+
+tap.t.test('the connections that the configuration allows are shared among the instances', async (t) => {
+  const placed = (connectionLimit: number | undefined, entries: number): number => {
+    const service = new Service(['d-1'], { connectionLimit: () => connectionLimit, liveEntries: () => entries }, 6)
+    return [0, 1, 2, 3, 4, 5, 6].filter(() => service.place('urgent') !== undefined).length
+  }
+  t.equal(placed(undefined, 1), 6, 'the slots bind')
+  t.equal(placed(4, 1), 4)
+  t.equal(placed(4, 2), 2)
+  t.equal(placed(4, 9), 1, 'each instance keeps one')
+})
--- a/packages/routing/src/test/loadProbing.test.ts
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -11,6 +11,7 @@
 import * as manualClock from './manualClock.js'
 
 const timeoutMs = 25
+const typicalMs = 160
 const slots = 6
 const idle: loadProbing.LoadReport = { running: 0, waiting: 0, slots, slowdown: 1 }
 const lane = fixtures.laneWith({ deadlineMs: 1200 })
@@ -38,7 +39,7 @@
   }
 
   begin (candidates = 3): loadProbing.LoadProbe {
-    const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: this.clock.now() + lane.deadlineMs, suspect: false, exclude: new Set() }
+    const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: this.clock.now() + lane.deadlineMs, typicalMs, suspect: false, exclude: new Set() }
     const deps = { dispatcher: this.dispatcher, prober: this, budget: this.budget, clock: this.clock }
     const probe = new loadProbing.LoadProbe(deps, (placement) => this.chosen.push(placement))
     this.dispatcher.acquire(ask, (outcome) => {
--- a/packages/testbed/src/common/bench/balancedRun.ts
+++ b/packages/testbed/src/common/bench/balancedRun.ts
@@ -3,6 +3,7 @@
 import * as budget from '@rosemaryrack/routing/common/budget.js'
 import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
+import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
@@ -79,6 +80,7 @@
 /** One entry instance's dispatchers and budgets. */
 class BenchEntry {
   private readonly dispatchers = new Map<string, dispatcher.Dispatcher>()
+  private readonly latencies = new Map<string, laneLatency.LaneLatency>()
   private readonly budgets = new Map<string, call.LaneBudgets & { readonly retries: budget.RatioBudget, readonly hedges: budget.RatioBudget }>()
 
   constructor (private readonly run: BalancedRun) {
@@ -88,6 +90,7 @@
       this.dispatchers.set(service.name, new dispatcher.Dispatcher(options, park.source(setup.product), setup.newPolicy(run.random), clock))
     }
     for (const { name, lane } of deployment.lanes) {
+      this.latencies.set(name, new laneLatency.LaneLatency())
       this.budgets.set(name, {
         retries: new budget.RatioBudget(lane.budgets.retryRatio),
         hedges: new budget.RatioBudget(setup.product ? lane.budgets.hedgeRatio : 0),
@@ -109,6 +112,7 @@
       suspects: noSuspects,
       deaths: noDeaths,
       budgets,
+      latency: this.latencies.get(name)!,
       decisions: new CountingLog(counts),
       clock
     }, {
