Large answers come from the own failure domain where it is about as quick

Change: DomainPreference follows the mean size of a lane's answers; from 64 KiB on an endpoint elsewhere counts as half as slow again, in the choice of candidates and among their load reports. Tests: loadProbing.test (a large answer stays unless its own domain is slow).

--- a/packages/entry/src/node/answerStream.ts
+++ b/packages/entry/src/node/answerStream.ts
@@ -27,7 +27,7 @@
     private attempt: httpAttempt.HttpAttempt,
     private readonly progressTimeoutMs: number,
     private readonly source: IAnswerSource | undefined,
-    private readonly onDone: (end: StreamEnd) => void
+    private readonly onDone: (end: StreamEnd, bytes: number) => void
   ) {
     // The head goes out with the first bytes of the body, or by itself when they are late.
     setImmediate(() => { if (this.sent === 0 && !this.done) res.flushHeaders() })
@@ -99,6 +99,6 @@
     if (this.done) return
     this.done = true
     clearTimeout(this.timer)
-    this.onDone(end)
+    this.onDone(end, this.sent)
   }
 }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -161,6 +161,8 @@
   private startCall (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
     const service = this.deps.lanes.serviceFor(namedLane)
     const budgets = this.deps.lanes.budgetsFor(namedLane.name, service)
+    // The lane may be gone when its answers end.
+    const state = this.deps.lanes.stateOf(namedLane.name)
     const callWith = (req: httpAttempt.TargetReq, deadlineAt: number, avoid: readonly string[], listener: call.ICallListener): void => {
       this.running = new call.Call({
         requestId: this.requestId,
@@ -170,7 +172,7 @@
         identity,
         replayable: () => body.isReplayable,
         avoid
-      }, this.callDeps(namedLane.name, service, budgets, req), listener)
+      }, this.callDeps(service, state, budgets, req), listener)
       this.running.start()
     }
     const callRest: downloadResumer.RestCaller = (headers, avoid, listener) => {
@@ -178,7 +180,7 @@
       callWith({ ...this.targetReq(namedLane, body, headers), deadlineAt }, deadlineAt, avoid, listener)
     }
     callWith(targetReq, targetReq.deadlineAt, [], {
-      onAnswer: (answer) => this.answer(namedLane, answer, callRest),
+      onAnswer: (answer) => this.answer(namedLane, state, answer, callRest),
       onRefused: (fault) => {
         if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
         this.refuseAfterNews(identity, body.fault ?? fault)
@@ -192,7 +194,7 @@
     this.refuse(fault)
   }
 
-  private callDeps (laneName: string, service: string, budgets: call.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
+  private callDeps (service: string, { latency, domains }: laneRegistry.LaneState, budgets: call.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
     const { lanes, connections, suspects, deaths, decisions } = this.deps
     return {
       dispatcher: lanes.dispatcherOf(service),
@@ -200,7 +202,8 @@
       suspects,
       deaths,
       budgets,
-      latency: lanes.stateOf(laneName).latency,
+      latency,
+      domains,
       probing: this.probingFor(service),
       decisions,
       clock: this.deps.clock
@@ -218,13 +221,14 @@
     }
   }
 
-  private answer ({ lane }: laneMatcher.NamedLane, answer: call.CallAnswer, callRest: downloadResumer.RestCaller): void {
+  private answer ({ lane }: laneMatcher.NamedLane, { domains }: laneRegistry.LaneState, answer: call.CallAnswer, callRest: downloadResumer.RestCaller): void {
     const attempt = answer.attempt as httpAttempt.HttpAttempt
     const head = answer.head as httpAttempt.HttpHead
     if (lane.weights.reportedLoad > 0) this.noteLoad(answer.endpoint, head)
     this.count('answered')
     this.sendHead(head)
-    const stream = new answerStream.AnswerStream(this.res, attempt, lane.progressTimeoutMs, this.resumer(lane.idempotent, answer, callRest), (end) => {
+    const stream = new answerStream.AnswerStream(this.res, attempt, lane.progressTimeoutMs, this.resumer(lane.idempotent, answer, callRest), (end, bytes) => {
+      domains.note(bytes)
       if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: answer.endpoint.endpoint, why: 'the target broke off its answer' })
       this.done.resolve()
     })
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -8,6 +8,7 @@
 import * as budget from '@rosemaryrack/routing/common/budget.js'
 import type * as call from '@rosemaryrack/routing/common/call.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
+import * as domainPreference from '@rosemaryrack/routing/common/domainPreference.js'
 import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as trafficSplit from '@rosemaryrack/routing/common/trafficSplit.js'
@@ -22,6 +23,7 @@
   readonly measuring: budget.RateBudget
   readonly split: trafficSplit.TrafficSplit
   readonly latency: laneLatency.LaneLatency
+  readonly domains: domainPreference.DomainPreference
 }
 
 /** What is the same for all lanes. */
@@ -152,7 +154,8 @@
       hedges: new budget.RatioBudget(budgets.hedgeRatio),
       measuring: new budget.RateBudget(perSecond, this.clock),
       split: new trafficSplit.TrafficSplit(this.options.random),
-      latency: new laneLatency.LaneLatency()
+      latency: new laneLatency.LaneLatency(),
+      domains: new domainPreference.DomainPreference()
     }
   }
 
--- a/packages/routing/src/common/adaptivePolicy.ts
+++ b/packages/routing/src/common/adaptivePolicy.ts
@@ -23,9 +23,9 @@
 
   score (candidate: balancingPolicy.Candidate, context: balancingPolicy.ChoiceContext): number {
     const { stats } = candidate
-    const { weights, now, typicalLatencyMs } = context
+    const { weights, now, typicalLatencyMs, remoteFactor } = context
     const relativeLatency = stats.latency(now, typicalLatencyMs) / typicalLatencyMs
-    const domainFactor = candidate.failureDomain === context.ownFailureDomain ? 1 : weights.remoteDomain
+    const domainFactor = candidate.failureDomain === context.ownFailureDomain ? 1 : remoteFactor
     return (stats.inFlight + 1) *
       relativeLatency ** weights.latency *
       stats.costByReport(now) *
--- a/packages/routing/src/common/balancingPolicy.ts
+++ b/packages/routing/src/common/balancingPolicy.ts
@@ -17,6 +17,8 @@
   readonly ownFailureDomain: string
   /** Typical latency of the service, in milliseconds. */
   readonly typicalLatencyMs: number
+  /** Factor on the cost of endpoints in other failure domains. */
+  readonly remoteFactor: number
   readonly weights: configDocument.LaneWeights
 }
 
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -8,6 +8,7 @@
 import type * as budget from './budget.js'
 import type * as deathWatch from './deathWatch.js'
 import type * as dispatcher from './dispatcher.js'
+import type * as domainPreference from './domainPreference.js'
 import type * as laneLatency from './laneLatency.js'
 import * as loadProbing from './loadProbing.js'
 import type * as requestIdentity from './requestIdentity.js'
@@ -52,6 +53,7 @@
   readonly deaths: deathWatch.IDeathWatch
   readonly budgets: LaneBudgets
   readonly latency: laneLatency.LaneLatency
+  readonly domains: domainPreference.DomainPreference
   readonly decisions: decisionLog.IDecisionLog
   readonly clock: clock.IClock
 }
@@ -129,7 +131,8 @@
   private get ask (): dispatcher.Ask {
     const { lane, deadlineAt } = this.spec
     const typicalMs = this.deps.latency.typicalMs(lane)
-    return { lane, priority: lane.priority, deadlineAt, typicalMs, suspect: this.suspect, exclude: this.tried }
+    const { remoteFactor } = this.deps.domains
+    return { lane, priority: lane.priority, deadlineAt, typicalMs, remoteFactor, suspect: this.suspect, exclude: this.tried }
   }
 
   private askForSlot (event: 'route' | 'retry'): void {
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -24,6 +24,8 @@
   readonly deadlineAt: number
   /** Typical time to an answer's head on the lane, in milliseconds. */
   readonly typicalMs: number
+  /** Factor on the cost of endpoints in other failure domains, beside the lane's weight. */
+  readonly remoteFactor: number
   /** Suspect calls don't share an endpoint, so that each death has one explanation. */
   readonly suspect: boolean
   /** Endpoints that were tried already. */
@@ -140,11 +142,20 @@
     return placements
   }
 
+  /** Factor on the cost of an endpoint for a call, by failure domain. */
+  domainFactor (endpoint: endpointTable.Endpoint, ask: Ask): number {
+    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : this.remoteFactor(ask)
+  }
+
   /** Counts a latency sample of the service, in milliseconds. */
   noteLatency (ms: number): void {
     this.typicalMs += (ms - this.typicalMs) * typicalWeight
   }
 
+  private remoteFactor (ask: Ask): number {
+    return ask.remoteFactor * ask.lane.weights.remoteDomain
+  }
+
   private enqueue (ask: Ask, now: number, done: (outcome: AskOutcome) => void): () => void {
     const expiresAt = Math.min(now + ask.lane.maxWaitMs, ask.deadlineAt)
     const waiter: Waiter = {
@@ -212,7 +223,7 @@
     if (ask.priority === 'bulk' && this.bulkInFlight >= this.bulkLimit(endpoints, ask.lane)) return undefined
     const able = this.candidates(endpoints, ask, now)
     if (able.length === 0) return undefined
-    const context = { now, ownFailureDomain: this.options.ownFailureDomain, typicalLatencyMs: this.typicalMs, weights: ask.lane.weights }
+    const context = { now, ownFailureDomain: this.options.ownFailureDomain, typicalLatencyMs: this.typicalMs, remoteFactor: this.remoteFactor(ask), weights: ask.lane.weights }
     const chosen = this.policy.choose(able, context)
     return this.take(ask, chosen, endpoints.find(({ endpoint }) => endpoint === chosen.id)!, {
       considered: able.length,
--- /dev/null
+++ b/packages/routing/src/common/domainPreference.ts
@@ -0,0 +1,25 @@
+/** Prefers endpoints of the own failure domain for a lane whose answers are large: traffic between domains is dear. */
+
+const sampleWeight = 0.1
+/** Mean size of answers from which on the whole preference holds. */
+const largeAnswerBytes = 65_536
+/**
+ * An endpoint elsewhere is taken when it is expected to be quicker by half as much again: less than a spell of slowness
+ * costs, more than the differences between sound endpoints.
+ */
+const fullPreference = 0.5
+
+/** Follows the size of one lane's answers. */
+export class DomainPreference {
+  private meanBytes = 0
+
+  /** Counts the body of an answer. */
+  note (bytes: number): void {
+    this.meanBytes += (bytes - this.meanBytes) * sampleWeight
+  }
+
+  /** Factor on the cost of an endpoint in another domain, 1 or more. */
+  get remoteFactor (): number {
+    return 1 + fullPreference * Math.min(1, this.meanBytes / largeAnswerBytes)
+  }
+}
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -64,6 +64,7 @@
 
 interface Probed {
   readonly placement: dispatcher.Placement
+  readonly domainFactor: number
   cost: number
   pending: boolean
   giveUp: () => void
@@ -81,7 +82,10 @@
   /** Probes the endpoint of a placement and others beside it. */
   start (first: dispatcher.Placement, ask: dispatcher.Ask, { candidates, timeoutMs }: ProbingOptions): void {
     const others = this.deps.dispatcher.acquireBeside(ask, first, candidates - 1)
-    for (const placement of [first, ...others]) this.probed.push({ placement, cost: Infinity, pending: true, giveUp: () => {} })
+    for (const placement of [first, ...others]) {
+      const domainFactor = this.deps.dispatcher.domainFactor(placement.endpoint, ask)
+      this.probed.push({ placement, domainFactor, cost: Infinity, pending: true, giveUp: () => {} })
+    }
     this.cancelTimer = this.deps.clock.after(timeoutMs, () => this.choose('no more answers in time'))
     for (const each of this.probed) this.ask(each)
   }
@@ -107,8 +111,9 @@
     each.pending = false
     if (outcome.kind === 'refused') each.placement.stats.refused(this.deps.clock.now())
     if (outcome.kind === 'report') {
-      each.cost = costOf(outcome.report)
-      each.placement.stats.noteReport(each.cost, this.deps.clock.now())
+      const cost = costOf(outcome.report)
+      each.cost = cost * each.domainFactor
+      each.placement.stats.noteReport(cost, this.deps.clock.now())
     }
     if (each.cost <= goodCost || this.probed.every(({ pending }) => !pending)) this.choose('answered')
   }
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -8,6 +8,7 @@
 import * as call from '../common/call.js'
 import * as deathWatch from '../common/deathWatch.js'
 import * as dispatcher from '../common/dispatcher.js'
+import * as domainPreference from '../common/domainPreference.js'
 import * as laneLatency from '../common/laneLatency.js'
 import type * as transport from '../common/transport.js'
 import * as fixtures from './fixtures.js'
@@ -55,6 +56,7 @@
       deaths: this.deaths,
       budgets: { retries: always, hedges: always, measuring: always },
       latency: new laneLatency.LaneLatency(),
+      domains: new domainPreference.DomainPreference(),
       decisions: new decisionLog.NullDecisionLog(),
       clock: this.clock
     }, {
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -32,7 +32,7 @@
   place (priority: configDocument.LanePriority): dispatcher.Placement | undefined {
     let placement: dispatcher.Placement | undefined
     const lane = laneOf(priority)
-    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, suspect: false, exclude: new Set() }, (outcome) => {
+    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, remoteFactor: 1, suspect: false, exclude: new Set() }, (outcome) => {
       if (outcome.placed) placement = outcome.placement
     })
     return placement
--- a/packages/routing/src/test/loadProbing.test.ts
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -6,6 +6,7 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as adaptivePolicy from '../common/adaptivePolicy.js'
 import * as dispatcher from '../common/dispatcher.js'
+import * as domainPreference from '../common/domainPreference.js'
 import * as loadProbing from '../common/loadProbing.js'
 import * as fixtures from './fixtures.js'
 import * as manualClock from './manualClock.js'
@@ -26,8 +27,12 @@
   readonly dispatcher: dispatcher.Dispatcher
   private readonly endpoints: readonly endpointTable.Endpoint[]
 
-  constructor (endpointCount: number, random: () => number = () => 0) {
-    this.endpoints = Array.from({ length: endpointCount }, (_value, i) => fixtures.endpointWith(`d-${i}`, slots, 0))
+  /** @param domains failure domains of the first endpoints, where it isn't the instance's own. */
+  constructor (endpointCount: number, random: () => number = () => 0, domains: readonly string[] = []) {
+    this.endpoints = Array.from({ length: endpointCount }, (_value, i) => {
+      const endpoint = fixtures.endpointWith(`d-${i}`, slots, 0)
+      return { ...endpoint, failureDomain: domains[i] ?? endpoint.failureDomain }
+    })
     const source = { onChanged: new event.Emitter<endpointTable.Endpoint>().event, routable: () => this.endpoints }
     const options = { service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 }
     this.dispatcher = new dispatcher.Dispatcher(options, source, new adaptivePolicy.AdaptivePolicy({ next: random }), this.clock)
@@ -38,8 +43,8 @@
     return () => { this.pending.delete(endpoint.endpoint) }
   }
 
-  begin (candidates = 3): loadProbing.LoadProbe {
-    const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: this.clock.now() + lane.deadlineMs, typicalMs, suspect: false, exclude: new Set() }
+  begin (candidates = 3, remoteFactor = 1): loadProbing.LoadProbe {
+    const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: this.clock.now() + lane.deadlineMs, typicalMs, remoteFactor, suspect: false, exclude: new Set() }
     const deps = { dispatcher: this.dispatcher, prober: this, budget: this.budget, clock: this.clock }
     const probe = new loadProbing.LoadProbe(deps, (placement) => this.chosen.push(placement))
     this.dispatcher.acquire(ask, (outcome) => {
@@ -110,6 +115,27 @@
   t.equal(service.chosen.length, 2, 'at once')
 })
 
+tap.t.test('large answers come from the own failure domain unless it is much slower', async (t) => {
+  const elsewhere = ['b', 'b']
+  const service = new Service(3, undefined, elsewhere)
+  service.begin(2, 1.5)
+  t.ok(service.pending.has('d-2'), 'it is asked though two others stand before it')
+  service.report({ ...idle, slowdown: 5 }, idle)
+  t.equal(service.chosen[0]!.endpoint.failureDomain, 'b')
+  const small = new Service(3, undefined, elsewhere)
+  small.begin(2)
+  t.notOk(small.pending.has('d-2'))
+})
+
+tap.t.test('the preference follows the size of the answers', async (t) => {
+  const preference = new domainPreference.DomainPreference()
+  t.equal(preference.remoteFactor, 1, 'none before anything was seen')
+  for (let i = 0; i < 100; i++) preference.note(1500)
+  t.ok(preference.remoteFactor < 1.02)
+  for (let i = 0; i < 100; i++) preference.note(90_000)
+  t.equal(preference.remoteFactor, 1.5)
+})
+
 tap.t.test('a cancelled choice gives all slots back and chooses nothing', async (t) => {
   const service = new Service(3)
   service.begin().cancel()
--- a/packages/testbed/src/common/bench/balancedRun.ts
+++ b/packages/testbed/src/common/bench/balancedRun.ts
@@ -3,6 +3,7 @@
 import * as budget from '@rosemaryrack/routing/common/budget.js'
 import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
+import * as domainPreference from '@rosemaryrack/routing/common/domainPreference.js'
 import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
@@ -21,6 +22,7 @@
   readonly product: boolean
 }
 
+const noPreference = new domainPreference.DomainPreference()
 const noSuspects = { size: 0, standing: () => 'clear' as const, reportDeath: () => {}, withdrawDeath: () => {}, reportSuccess: () => {} }
 const noDeaths = { noteLoss: () => {}, noteRefused: () => {}, noteAnswer: () => {}, noteSuccess: () => {} }
 
@@ -113,6 +115,7 @@
       deaths: noDeaths,
       budgets,
       latency: this.latencies.get(name)!,
+      domains: noPreference,
       decisions: new CountingLog(counts),
       clock
     }, {
