After a restart of all: quicker first election, endpoints remembered, requests wait for the first configuration

Processes ran again at 33.7 s, the first request was routed at 34.4 s: 0.4 to 0.8 s until the first election, confirmations tried each second, streams tried again after 0.2 to 0.3 s and later, endpoints known only as they announced themselves; meanwhile 374 requests were refused, and each caller comes back once only. Change: a replica that has met no leader since its start stands for election after a quarter of the timeout (pre-votes keep it from disturbing a leader that works); a feed that isn't confirmed tries every 100 ms and with each applied entry, its read of the leader gives up after two election timeouts instead of 6 s; streams are tried again from 50 ms on; ready endpoints are kept in a file beside the log and taken up, with half a lease, once the log is known to be applied; in the first 2 s of an instance requests wait for the configuration (0.4 of their caller's time at most) and for endpoints. Tests: deployedFleet.test (all killed, nobody announces anew; red before), endpointStore.test, startup.test, dispatcher.test.

--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -18,6 +18,7 @@
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as configFeed from './configFeed.js'
 import type * as controlService from './controlService.js'
+import * as endpointStore from './endpointStore.js'
 
 /** Announcements that a target may miss in a row before its lease lapses: they may arrive seconds late. */
 const missedAnnouncements = 4
@@ -30,6 +31,8 @@
   readonly seeds: readonly string[]
   /** Interval at which targets announce themselves. */
   readonly announceEveryMs: number
+  /** Where ready endpoints are remembered. */
+  readonly dataFolder: string
 }
 
 /** The replica's configuration as subscribers see it. */
@@ -77,12 +80,13 @@
   private readonly freeze = this.disposables.add(new freezeDetector.FreezeDetector())
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
   private readonly mesh: peerMesh.PeerMesh
+  private readonly store: endpointStore.EndpointStore
 
   constructor (
     private readonly options: HubOptions,
     identity: innerListener.LinkIdentity,
     private readonly service: controlService.ControlService,
-    feed: configFeed.ConfigFeed,
+    private readonly feed: configFeed.ConfigFeed,
     private readonly decisions: decisionLog.IDecisionLog
   ) {
     const { replica } = service
@@ -92,6 +96,7 @@
     const tables = { members, endpoints: this.endpoints, suspects, configs }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(options.self, options.seeds, identity, tables, this.freeze, decisions))
     this.disposables.add(feed.keepConfirming())
+    this.store = this.disposables.add(new endpointStore.EndpointStore(options.dataFolder, this.endpoints, decisions))
     this.disposables.add(replica.state.onDeparted((wire) => this.endpoints.applyDeparture(fleetCodec.decodeAnnouncement(wire))))
   }
 
@@ -106,6 +111,12 @@
 
   start (): void {
     this.mesh.start()
+    this.restoreEndpoints()
+  }
+
+  private async restoreEndpoints (): Promise<void> {
+    await this.feed.onceConfirmed
+    await this.store.restore()
   }
 
   /** Takes further hubs to subscribe to. */
--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -6,6 +6,8 @@
 import type * as replica from './replica.js'
 
 const confirmIntervalMs = 1000
+/** Time to the next try while no quorum confirms: after a restart the first leader is found within a few of these. */
+const unconfirmedIntervalMs = 100
 
 /** Streams each new version, and each second whether a quorum confirmed the newest one. */
 export class ConfigFeed implements lifecycle.IDisposable {
@@ -17,11 +19,17 @@
   private followers = 0
   private subscribers = 0
   private confirming = false
+  private readonly firstConfirmation = new async.Deferred<void>()
+  /** Resolves when a quorum confirmed for the first time that all of the log is applied. */
+  readonly onceConfirmed = this.firstConfirmation.promise
 
   /** @param confirmRead resolves with the index up to which a read must have applied. */
   constructor (private readonly replica: replica.Replica, private readonly confirmRead: () => Promise<number>) {
-    this.disposables.add(replica.onApplied(() => this.changed.notify()))
-    this.disposables.addInterval(() => { this.confirm() }, confirmIntervalMs)
+    this.disposables.add(replica.onApplied(() => {
+      this.changed.notify()
+      this.confirmIfDue()
+    }))
+    this.disposables.addInterval(() => this.confirmIfDue(), unconfirmedIntervalMs)
   }
 
   dispose (): void {
@@ -72,6 +80,10 @@
     return res
   }
 
+  private confirmIfDue (): void {
+    if (!this.confirmed || this.confirmedAgeMs >= confirmIntervalMs) this.confirm()
+  }
+
   /** One read by quorum serves all followers. */
   private async confirm (): Promise<void> {
     if (this.followers + this.subscribers === 0 || this.confirming) return
@@ -82,6 +94,7 @@
       this.confirmedVersion = this.replica.state.config.version
       this.confirmed = true
       this.confirmedAt = startedAt
+      this.firstConfirmation.resolve()
     } catch {
       // No quorum: followers are told so and look to other replicas.
       this.confirmed = false
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -105,7 +105,7 @@
   private hubOptions (): announcementHub.HubOptions {
     const { instance, failureDomain } = this.cfg
     const self = { instance, address: this.ownAddress, failureDomain, incarnation: Date.now(), role: 'hub' } as const
-    return { self, seeds: this.group, announceEveryMs: this.control.announceEveryMs }
+    return { self, seeds: this.group, announceEveryMs: this.control.announceEveryMs, dataFolder: this.control.dataFolder }
   }
 
   private replicaOptions (): replica.ReplicaOptions {
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -15,6 +15,8 @@
 
 const forwardTimeoutMs = 6000
 const describeTimeoutMs = 1500
+/** Time for a read's confirmation by the leader, in election timeouts: the leader itself waits for one. */
+const confirmTimeouts = 2
 
 /** A patch as an operator sent it. */
 export interface PatchReq {
@@ -145,7 +147,7 @@
     const leading = this.replica.leadership
     if (leading !== undefined) return await leading.readIndex()
     try {
-      const res = await this.throughLeader(async (client, options) => await client.readIndex({}, options))
+      const res = await this.throughLeader(async (client, options) => await client.readIndex({}, options), this.replica.electionTimeoutMs * confirmTimeouts)
       return Number(res.index)
     } catch (err) {
       // A read changes nothing, so its outcome is never unknown.
@@ -219,13 +221,13 @@
     throw new errors.RackError({ kind: 'already-founded', message: `the replica at ${address} belongs to a cluster already` })
   }
 
-  private async throughLeader<T> (run: (client: replicaLinks.ReplicaClient, options: connect.CallOptions) => Promise<T>): Promise<T> {
+  private async throughLeader<T> (run: (client: replicaLinks.ReplicaClient, options: connect.CallOptions) => Promise<T>, timeoutMs = forwardTimeoutMs): Promise<T> {
     const leader = this.replica.leaderReplica
     if (leader === undefined || leader.id === this.replica.replicaId) {
       throw new errors.RackError({ kind: 'no-quorum', message: 'no leader is known; nothing was written' })
     }
     try {
-      return await this.replica.links.to(leader.address).call(run, forwardTimeoutMs)
+      return await this.replica.links.to(leader.address).call(run, timeoutMs)
     } catch (err) {
       throw afterForwarding(errors.faultOf(err))
     }
--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -8,6 +8,11 @@
 
 const checksPerTimeout = 20
 const leaderTimeouts = 2
+/**
+ * Part of the timeout after which a replica that has heard no leader since it started stands for election. A working leader
+ * is not disturbed: those that hear it give no votes, not even before the term is raised.
+ */
+const firstTimeoutShare = 0.25
 
 /** Watches the leader on behalf of one replica. */
 export class Election implements lifecycle.IDisposable {
@@ -18,7 +23,7 @@
   /** Runs until disposed. */
   async run (): Promise<void> {
     const base = this.replica.electionTimeoutMs
-    let timeout = randomTimeout(base)
+    let timeout = this.nextTimeout()
     let lastAttemptAt = performance.now()
     while (!this.stopped.signal.aborted) {
       await async.sleep(base / checksPerTimeout, this.stopped.signal)
@@ -33,7 +38,7 @@
       if (!this.replica.isVoter || idleMs < timeout) continue
       await this.campaign()
       lastAttemptAt = performance.now()
-      timeout = randomTimeout(base)
+      timeout = this.nextTimeout()
     }
   }
 
@@ -41,6 +46,11 @@
     this.stopped.abort()
   }
 
+  private nextTimeout (): number {
+    const base = this.replica.electionTimeoutMs
+    return randomTimeout(this.replica.hasMetLeader ? base : base * firstTimeoutShare)
+  }
+
   private async campaign (): Promise<void> {
     const wouldWin = await this.askVotes(this.replica.term + 1, true)
     if (!wouldWin || this.stopped.signal.aborted) return
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -26,6 +26,7 @@
 import type * as idempotencyClaims from './idempotencyClaims.js'
 import type * as laneRegistry from './laneRegistry.js'
 import * as requestIdentity from './requestIdentity.js'
+import type * as startup from './startup.js'
 import type * as targetConnections from './targetConnections.js'
 
 const comeBackS = 1
@@ -51,8 +52,7 @@
   readonly headers: settings.HeaderNames
   readonly fractionalRetryAfter: boolean
   readonly probing: loadProbing.ProbingOptions | undefined
-  /** False until a quorum confirmed the configuration once. */
-  readonly hasConfig: () => boolean
+  readonly startup: startup.Startup
   /** True while this instance stops: answers ask callers to close. */
   readonly isStopping: () => boolean
 }
@@ -86,6 +86,8 @@
   }
 
   private async route (): Promise<void> {
+    await this.awaitConfig()
+    if (this.res.closed) return
     const target = this.req.url ?? ''
     requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
     const path = requestGuard.pathOf(target)
@@ -100,10 +102,16 @@
     else this.startCall(named, identity, body, this.targetReq(named, body, []), claim)
   }
 
+  /** An instance that just started holds requests until it knows what to do with them. */
+  private async awaitConfig (): Promise<void> {
+    const { startup, headers } = this.deps
+    if (startup.isOver) return
+    const askedMs = Number(this.req.headers[headers.deadline] ?? NaN)
+    if (await startup.waitForConfig(askedMs > 0 ? askedMs : undefined)) return
+    throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: comeBackS })
+  }
+
   private findLane (path: string): laneMatcher.NamedLane {
-    if (!this.deps.hasConfig()) {
-      throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: comeBackS })
-    }
     const host = this.req.headers.host?.replace(/:\d+$/, '')
     const named = this.deps.lanes.find(this.req.method ?? '', host, path)
     if (named !== undefined) return named
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -22,6 +22,7 @@
 import * as idempotencyClaims from './idempotencyClaims.js'
 import * as laneRegistry from './laneRegistry.js'
 import * as readiness from './readiness.js'
+import * as startup from './startup.js'
 import * as targetConnections from './targetConnections.js'
 
 const msPerSecond = 1000
@@ -41,6 +42,7 @@
   private readonly mesh: peerMesh.PeerMesh
   private readonly lanes: laneRegistry.LaneRegistry
   private readonly callers: callerListener.CallerListener
+  private readonly startup: startup.Startup
   private stopping = false
 
   constructor (
@@ -53,6 +55,7 @@
     const { members, configs } = this.addFleet(cfg, identity)
     this.members = members
     this.configs = configs
+    this.startup = new startup.Startup(configs, this.clock)
     const self = {
       instance: cfg.instance,
       address: settings.ownInnerAddress(cfg),
@@ -68,6 +71,7 @@
       newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
       random,
       repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond },
+      startingUntil: this.startup.until,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0
     }, this.clock))
     this.callers = this.newCallerListener()
@@ -147,7 +151,7 @@
       headers: this.entry.headers,
       fractionalRetryAfter: this.entry.fractionalRetryAfter,
       probing: this.entry.probing,
-      hasConfig: () => Number.isFinite(this.configs.confirmedAgeMs),
+      startup: this.startup,
       isStopping: () => this.stopping
     })
   }
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -36,6 +36,8 @@
   readonly repeats: budget.RepeatLimits | undefined
   /** Probes of all instances together, for each endpoint and second. */
   readonly probesPerEndpointAndSecond: number
+  /** Time on the clock until which endpoints may not be known yet. */
+  readonly startingUntil: number
 }
 
 /** Follows the configuration. */
@@ -138,9 +140,9 @@
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let found = this.dispatchers.get(service)
     if (found === undefined) {
-      const { ownFailureDomain, liveEntries, newPolicy } = this.options
+      const { ownFailureDomain, liveEntries, newPolicy, startingUntil } = this.options
       const connectionLimit = (): number | undefined => this.services?.[service]?.connectionLimit
-      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit }, this.endpoints, newPolicy(), this.clock)
+      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, found)
     }
     return found
--- a/packages/fleet/src/common/endpointTable.ts
+++ b/packages/fleet/src/common/endpointTable.ts
@@ -125,6 +125,12 @@
     return this.endpoints.get(id)
   }
 
+  /** True while an endpoint that didn't leave stands at an address. */
+  holds (address: string): boolean {
+    const holder = this.byAddress.get(address)
+    return holder !== undefined && this.endpoints.get(holder)?.state !== 'left'
+  }
+
   all (): readonly Endpoint[] {
     return [...this.endpoints.values()]
   }
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -11,7 +11,8 @@
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as streamWatchdog from './streamWatchdog.js'
 
-const retryMs = 300
+const minRetryMs = 50
+const maxRetryMs = 300
 const unconfirmedLimitMs = 2500
 const claimTimeoutMs = 2500
 
@@ -39,6 +40,7 @@
   private config = configDocument.emptyConfig
   private json = JSON.stringify(configDocument.emptyConfig.document)
   private confirmedAt = -Infinity
+  private readonly firstConfirmation = new async.Deferred<void>()
   private fetching = false
   private preferred = 0
 
@@ -65,6 +67,14 @@
     return performance.now() - this.confirmedAt
   }
 
+  /** Resolves when a quorum confirmed a configuration for the first time, or after a time; true if it did. */
+  async confirmedWithin (ms: number): Promise<boolean> {
+    const stop = new AbortController()
+    await Promise.race([this.firstConfirmation.promise, async.sleep(ms, stop.signal)])
+    stop.abort()
+    return Number.isFinite(this.confirmedAgeMs)
+  }
+
   /** Starts the streams. */
   start (): void {
     const first = 0
@@ -125,13 +135,16 @@
 
   /** Task of one stream: goes round the control replicas from its own starting point. */
   private async keepFollowing (start: number): Promise<void> {
+    let retryMs = minRetryMs
     for (let turn = start; !this.stopped.signal.aborted; turn++) {
       const link = this.links[turn % this.links.length]!
+      const confirmedBefore = this.confirmedAt
       try {
         await this.followOnce(link)
       } catch {
         // Unreachable, silent or without a quorum: the next replica is asked.
       }
+      retryMs = this.confirmedAt > confirmedBefore ? minRetryMs : Math.min(maxRetryMs, retryMs * 2)
       await async.sleep(retryMs, this.stopped.signal)
     }
   }
@@ -157,6 +170,7 @@
 
   private confirm (at: number): void {
     this.confirmedAt = Math.max(this.confirmedAt, at)
+    this.firstConfirmation.resolve()
   }
 
   private take (config: inner.ConfigVersion, source: string): void {
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -17,7 +17,7 @@
 import * as peerOutbox from './peerOutbox.js'
 import * as streamWatchdog from './streamWatchdog.js'
 
-const minRetryMs = 200
+const minRetryMs = 50
 const maxRetryMs = 2000
 const fetchTimeoutMs = 3000
 const sweepMs = 5000
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -64,6 +64,8 @@
   readonly liveEntries: () => number
   /** Connections that the service's configuration allows to an endpoint from all instances together. */
   readonly connectionLimit?: () => number | undefined
+  /** Time on the clock until which endpoints may not be known yet; calls without one wait for it. */
+  readonly startingUntil?: number
 }
 
 /** Gives slots by the policy while there are some, else by priority and deadline. */
@@ -152,12 +154,17 @@
     this.typicalMs += (ms - this.typicalMs) * typicalWeight
   }
 
+  private isStarting (now: number): boolean {
+    return now < (this.options.startingUntil ?? -Infinity)
+  }
+
   private remoteFactor (ask: Ask): number {
     return ask.remoteFactor * ask.lane.weights.remoteDomain
   }
 
   private enqueue (ask: Ask, now: number, done: (outcome: AskOutcome) => void): () => void {
-    const expiresAt = Math.min(now + ask.lane.maxWaitMs, ask.deadlineAt)
+    const unknown = this.isStarting(now) && this.endpoints.routable(this.options.service).length === 0
+    const expiresAt = Math.min(now + ask.lane.maxWaitMs, ask.deadlineAt, unknown ? this.options.startingUntil! : Infinity)
     const waiter: Waiter = {
       ask,
       priority: ask.priority,
@@ -201,6 +208,7 @@
 
   private refusalFor (ask: Ask, now: number): errors.Fault | undefined {
     const endpoints = this.endpoints.routable(this.options.service)
+    if (endpoints.length === 0 && this.isStarting(now)) return undefined
     if (endpoints.length === 0) return this.notRun(`service ${this.options.service} has no ready endpoint`, 0)
     if (endpoints.every(({ endpoint }) => ask.exclude.has(endpoint))) return this.notRun('every ready endpoint was tried', 0)
     const waitMs = this.expectedWaitMs(ask)
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -116,3 +116,12 @@
   t.equal(placed(4, 2), 2)
   t.equal(placed(4, 9), 1, 'each instance keeps one')
 })
+
+tap.t.test('an instance that just started lets calls wait for endpoints, later ones are refused at once', async (t) => {
+  const service = new Service([], { startingUntil: 100 })
+  t.equal(service.place('urgent'), undefined)
+  t.equal(service.dispatcher.waiting, 1)
+  service.now = 100
+  t.equal(service.place('urgent'), undefined)
+  t.equal(service.dispatcher.waiting, 1, 'the second was refused')
+})
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -162,6 +162,21 @@
   t.equal(till.served.length, before, 'the process that stands there in truth says that it is another endpoint')
 })
 
+tap.t.test('all processes killed at once: requests are served again before any target announced itself anew', async (t) => {
+  beating.stopped = true
+  await async.sleep(boundMs)
+  const names = [...Array(fleet.controls).keys()].map((i) => `control-${i + 1}`).concat(['entry-1', 'entry-2'])
+  await Promise.all(names.map(async (name) => await fleet.process(name).kill()))
+  for (let i = 1; i <= fleet.controls; i++) fleet.startControl(i, false)
+  for (let i = 1; i <= fleet.entries; i++) fleet.startEntry(i)
+  await fleet.waitFor('an answer', settleMs, async () => (await fleet.call(1, '/read/x')).status === 200)
+  const before = spare.served.length
+  for (let i = 0; i < 10; i++) await fleet.call(1 + i % 2, '/read/x')
+  t.equal(spare.served.length, before, 'an endpoint that drained is not remembered as ready')
+  beating.stopped = false
+  beatAll(beating)
+})
+
 tap.t.test('two lost disks: what was acknowledged is still there, and the replicas come back', async (t) => {
   const third = config(20, [route('read', '/read/', 'diary')])
   t.equal((await fleet.put(2, third)).status, 200)
