--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -12,6 +12,8 @@
 import type * as innerListener from './innerListener.js'
 import * as peerSessions from './peerSessions.js'
 
+/** Several round trips between regions: a machine without power doesn't answer, and TCP asks again only after seconds. */
+const connectTimeoutMs = 500
 const pingIntervalMs = 2000
 const pingTimeoutMs = 1500
 const idleConnectionTimeoutMs = 600_000
@@ -24,12 +26,7 @@
   constructor (service: S, readonly address: string, identity: innerListener.LinkIdentity) {
     const baseUrl = `http://${address}`
     this.session = new peerSessions.PeerSessions(baseUrl, { pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs }, {
-      createConnection: (authority) => net.connect({
-        host: authority.hostname,
-        port: Number(authority.port),
-        localAddress: identity.sourceHost,
-        noDelay: true
-      })
+      createConnection: (authority) => connectWithin(connectTimeoutMs, authority, identity)
     })
     const transport = connectNode.createConnectTransport({
       httpVersion: '2',
@@ -61,6 +58,14 @@
   }
 }
 
+function connectWithin (ms: number, { hostname, port }: URL, identity: innerListener.LinkIdentity): net.Socket {
+  const socket = net.connect({ host: hostname, port: Number(port), localAddress: identity.sourceHost, noDelay: true })
+  const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${ms} ms`)), ms)
+  socket.once('connect', () => clearTimeout(timer))
+  socket.once('close', () => clearTimeout(timer))
+  return socket
+}
+
 function isTimeout (err: unknown): boolean {
   return err instanceof connect.ConnectError && err.code === connect.Code.DeadlineExceeded
 }
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -121,10 +121,11 @@
     for (let i = 1; i <= this.entries; i++) this.startEntry(i)
   }
 
-  startControl (number: number, bootstrap: boolean): void {
+  /** @param seeds addresses that aren't those of the first replicas. */
+  startControl (number: number, bootstrap: boolean, seeds?: readonly string[]): void {
     const dataFolder = this.dataFolder(number)
     fs.mkdirSync(dataFolder, { recursive: true })
-    this.start(`control-${number}`, 'control', { ...this.fields(number), 'Listen.Control': this.control(number), DataDir: dataFolder, Bootstrap: bootstrap })
+    this.start(`control-${number}`, 'control', { ...this.fields(number), ...(seeds === undefined ? {} : { Seeds: seeds }), 'Listen.Control': this.control(number), DataDir: dataFolder, Bootstrap: bootstrap })
   }
 
   startEntry (number: number): void {
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -10,6 +10,8 @@
 const settleMs = 20_000
 const firstServerError = 500
 const pauseMs = 200
+/** Number of a control replica that is never started. */
+const firstUnused = 50
 /** Time within which an acknowledged drain or configuration holds on every entry. */
 const boundMs = 2000
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-deployed-'))
@@ -25,7 +27,7 @@
 }
 
 function config (version: number, routes: readonly object[]): object {
-  const services = ['diary', 'till'].map((Name) => ({ Name, HealthPath: '/healthz', MaxConns: 240, Protocol: 'h1', Tls: false }))
+  const services = ['diary', 'till', 'vault'].map((Name) => ({ Name, HealthPath: '/healthz', MaxConns: 240, Protocol: 'h1', Tls: false }))
   return { Version: version, Routes: routes, Services: services, Limits: { IdleTimeoutMs: 15000 } }
 }
 
@@ -165,8 +167,7 @@
 tap.t.test('all processes killed at once: requests are served again before any target announced itself anew', async (t) => {
   beating.stopped = true
   await async.sleep(boundMs)
-  const names = [...Array(fleet.controls).keys()].map((i) => `control-${i + 1}`).concat(['entry-1', 'entry-2'])
-  await Promise.all(names.map(async (name) => await fleet.process(name).kill()))
+  await fleet.stopAll()
   for (let i = 1; i <= fleet.controls; i++) fleet.startControl(i, false)
   for (let i = 1; i <= fleet.entries; i++) fleet.startEntry(i)
   await fleet.waitFor('an answer', settleMs, async () => (await fleet.call(1, '/read/x')).status === 200)
@@ -177,6 +178,23 @@
   beatAll(beating)
 })
 
+tap.t.test('replicas whose seeds are all away take announcements for the whole fleet', async (t) => {
+  await fleet.stopAll()
+  const away = [fleet.control(firstUnused), fleet.control(firstUnused + 1)]
+  for (let i = 1; i <= fleet.controls; i++) fleet.startControl(i, false, i > 3 ? away : undefined)
+  for (let i = 1; i <= fleet.entries; i++) fleet.startEntry(i)
+  await fleet.waitFor('reads', settleMs, async () => (await fleet.get(4)).status === 200)
+  t.equal((await fleet.put(4, config(15, [route('read', '/read/', 'diary'), route('fetch', '/fetch/', 'vault')]))).status, 200)
+  const late = new deployedFleet.StandInEndpoint('i-late', fleet.endpointHost(4), 'vault', bornAt + 2)
+  await late.listen()
+  t.equal(await late.say(fleet.control(4), 'ready'), 200)
+  for (const entry of [1, 2]) {
+    await fleet.waitFor(`entry ${entry} to know the endpoint`, boundMs, async () => (await fleet.call(entry, '/fetch/x')).status === 200)
+  }
+  t.equal(await late.say(fleet.control(4), 'draining'), 200)
+  late.close()
+})
+
 tap.t.test('two lost disks: what was acknowledged is still there, and the replicas come back', async (t) => {
   const third = config(20, [route('read', '/read/', 'diary')])
   t.equal((await fleet.put(2, third)).status, 200)
