Messages between our processes are compressed from 4 KiB on

Change: gzip for messages of 4 KiB and more, both ways; heartbeats and single changes stay as they are. Before: 29,097 bytes on the wire for a document of 28,991 (compression.test fails). After: 1,456.

--- a/packages/protocol/src/node/innerListener.ts
+++ b/packages/protocol/src/node/innerListener.ts
@@ -6,6 +6,7 @@
 import * as address from '@rosemaryrack/base/common/address.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as callGuard from './callGuard.js'
+import * as compression from './compression.js'
 
 const maxMessageBytes = 33_554_432
 const maxHeaderListPairs = 64
@@ -34,7 +35,7 @@
       },
       interceptors: [callGuard.carryFaults],
       readMaxBytes: maxMessageBytes,
-      acceptCompression: [],
+      ...compression.forServers,
       grpc: false,
       grpcWeb: false
     })
--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -8,6 +8,7 @@
 import * as secret from '@rosemaryrack/base/node/secret.js'
 import * as headers from '../common/headers.js'
 import * as rpcErrors from '../common/rpcErrors.js'
+import * as compression from './compression.js'
 import type * as callGuard from './callGuard.js'
 import type * as innerListener from './innerListener.js'
 import * as peerSessions from './peerSessions.js'
@@ -33,7 +34,7 @@
       baseUrl,
       sessionManager: this.session,
       interceptors: [identify(identity)],
-      acceptCompression: []
+      ...compression.forClients
     })
     this.client = connect.createClient(service, transport)
   }
