--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -128,9 +128,13 @@
     return requestStanding.standingOf(this.deps.suspects, this.spec.identity)
   }
 
+  private get typicalMs (): number {
+    return this.deps.latency.typicalMs(this.spec.lane, this.deps.dispatcher.typicalLatencyMs)
+  }
+
   private get ask (): dispatcher.Ask {
     const { lane, deadlineAt } = this.spec
-    const typicalMs = this.deps.latency.typicalMs(lane)
+    const typicalMs = this.typicalMs
     const { remoteFactor } = this.deps.domains
     return { lane, priority: lane.priority, deadlineAt, typicalMs, remoteFactor, suspect: this.suspect, exclude: this.tried }
   }
@@ -234,7 +238,7 @@
     const latencyMs = now - attempt.startedAt
     const { dispatcher, latency } = this.deps
     // Lanes of one service take different times: an endpoint is slow only against the lane's own.
-    stats.succeeded(latencyMs * dispatcher.typicalLatencyMs / latency.typicalMs(this.spec.lane), now)
+    stats.succeeded(latencyMs * dispatcher.typicalLatencyMs / this.typicalMs, now)
     dispatcher.noteLatency(latencyMs)
     latency.note(latencyMs, this.spec.lane)
     this.deps.deaths.noteSuccess(this.spec.identity)
@@ -391,7 +395,7 @@
   private hedgeDelayMs (): number {
     const configured = this.spec.lane.hedgeAfterMs
     if (configured > 0) return configured
-    return Math.max(minHedgeMs, this.deps.latency.hedgeWaitMs(this.spec.lane))
+    return Math.max(minHedgeMs, this.deps.latency.hedgeWaitMs(this.spec.lane, this.deps.dispatcher.typicalLatencyMs))
   }
 
   private hedge (): void {
--- a/packages/routing/src/common/laneLatency.ts
+++ b/packages/routing/src/common/laneLatency.ts
@@ -1,9 +1,11 @@
-/** Typical time to the head of an answer on one lane, and when a hedge is due by it. */
+/**
+ * Typical time to the head of an answer on one lane that has a target, and when a hedge is due by it. The lanes of a service
+ * may differ several times in what they ask of it. Without a target the service's own typical time stands.
+ */
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 
 /** Share of a lane's target that is taken for its typical time before answers were seen. */
 const assumedShareOfTarget = 0.4
-const assumedMs = 10
 /** Samples that the assumption counts for. */
 const assumedSamples = 3
 const minSampleWeight = 0.02
@@ -22,24 +24,20 @@
   private ms: number | undefined
 
   note (latencyMs: number, lane: configDocument.Lane): void {
-    this.samples++
-    if (this.ms === undefined && lane.targetLatencyMs === undefined) {
-      this.ms = latencyMs
-      return
-    }
-    const typical = this.typicalMs(lane)
-    const weight = Math.max(minSampleWeight, 1 / (this.samples + assumedSamples))
+    if (lane.targetLatencyMs === undefined) return
+    const typical = this.ms ?? lane.targetLatencyMs * assumedShareOfTarget
+    const weight = Math.max(minSampleWeight, 1 / (++this.samples + assumedSamples))
     this.ms = typical + (Math.min(latencyMs, typical * maxSampleFactor) - typical) * weight
   }
 
-  /** Typical latency in milliseconds. */
-  typicalMs (lane: configDocument.Lane): number {
-    return this.ms ?? (lane.targetLatencyMs === undefined ? assumedMs : lane.targetLatencyMs * assumedShareOfTarget)
+  /** Typical latency in milliseconds; `serviceMs` is that of all lanes of the service. */
+  typicalMs (lane: configDocument.Lane, serviceMs: number): number {
+    return lane.targetLatencyMs === undefined ? serviceMs : this.ms ?? lane.targetLatencyMs * assumedShareOfTarget
   }
 
   /** Wait after which a call that is still unanswered is sent once more: late enough to be rarely needless, in time for the target. */
-  hedgeWaitMs (lane: configDocument.Lane): number {
-    const typical = this.typicalMs(lane)
+  hedgeWaitMs (lane: configDocument.Lane, serviceMs: number): number {
+    const typical = this.typicalMs(lane, serviceMs)
     if (lane.targetLatencyMs === undefined) return typical * maxWaitFactor
     const inTime = lane.targetLatencyMs - typical * leadFactor
     return Math.max(typical * minWaitFactor, Math.min(typical * maxWaitFactor, inTime))
