A call that would be late in the queue of each endpoint asked is refused at once

Change: when every endpoint that was asked has a queue and the best of them would answer after the lane's target (after the deadline, once the target has passed), the call is refused as not run, with Retry-After by that time. Slowness alone isn't a reason, as it passes within a fraction of a second. Without the platform's fractions, Retry-After is whole seconds. Test: loadProbing.test.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -300,7 +300,7 @@
   /** Seconds to stay away; a caller that told how long it waits is left time to come back. */
   private awayTime (seconds: number): string {
     const askedMs = Number(this.req.headers[this.deps.headers.deadline] ?? NaN)
-    if (!this.deps.fractionalRetryAfter || !(askedMs > 0)) return String(seconds)
+    if (!this.deps.fractionalRetryAfter || !(askedMs > 0)) return String(Math.ceil(seconds))
     const leftS = (this.arrivedAt + askedMs - performance.now()) / msPerSecond
     return Math.max(minAwayS, Math.min(seconds, leftS * maxAwayShare)).toFixed(3)
   }
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -11,6 +11,7 @@
 import type * as domainPreference from './domainPreference.js'
 import type * as laneLatency from './laneLatency.js'
 import * as loadProbing from './loadProbing.js'
+import * as callPatience from './patience.js'
 import type * as requestIdentity from './requestIdentity.js'
 import * as requestStanding from './requestStanding.js'
 import type * as transport from './transport.js'
@@ -20,6 +21,7 @@
 const tryShareOfDeadline = 0.5
 const minHedgeMs = 2
 const retryAfterFailureS = 1
+const msPerSecond = 1000
 const quarantineRetryAfterS = 600
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 const firstServerError = 500
@@ -105,6 +107,7 @@
   /** A retry was taken from the budget before it was known to be needed. */
   private retryGranted = false
   private settled = false
+  private startedAt = 0
 
   constructor (private readonly spec: CallSpec, private readonly deps: CallDeps, private readonly listener: ICallListener) {
     for (const endpoint of spec.avoid ?? []) this.tried.add(endpoint)
@@ -113,6 +116,7 @@
 
   start (): void {
     const { clock } = this.deps
+    this.startedAt = clock.now()
     this.cancelDeadline = clock.after(this.spec.deadlineAt - clock.now(), () => this.deadlinePassed())
     this.askForSlot('route')
   }
@@ -159,9 +163,11 @@
       return
     }
     this.waiting = true
-    const probe = new loadProbing.LoadProbe(probing.deps, (chosen, why) => {
+    const patience = callPatience.patienceOf(this.spec.lane, { startedAt: this.startedAt, deadlineAt: this.spec.deadlineAt, now: this.deps.clock.now() }, this.typicalMs)
+    const probe = new loadProbing.LoadProbe(probing.deps, patience, (choice) => {
       this.waiting = false
-      this.startAttempt(event, { ...chosen, why: `${placement.why}; ${why}` })
+      if (choice.kind === 'placed') this.startAttempt(event, { ...choice.placement, why: `${placement.why}; ${choice.why}` })
+      else this.refuse({ kind: 'not-run', message: `each endpoint that was asked has a queue; ${choice.why}`, retryAfterS: choice.expectedMs / msPerSecond })
     })
     this.cancelProbe = () => probe.cancel()
     probe.start(placement, this.ask, probing.options)
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -6,6 +6,7 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as budget from './budget.js'
 import type * as dispatcher from './dispatcher.js'
+import type * as patience from './patience.js'
 
 /** Load of an endpoint as it told it just now. */
 export interface LoadReport {
@@ -62,10 +63,16 @@
   return slowdown * knee * (1 + busyShare / 4) + queued * slowdown
 }
 
+/** Outcome of a choice: a placement to use, or none, as no endpoint that was asked could answer in time. */
+export type Choice =
+  | { readonly kind: 'placed', readonly placement: dispatcher.Placement, readonly why: string }
+  | { readonly kind: 'overloaded', readonly expectedMs: number, readonly why: string }
+
 interface Probed {
   readonly placement: dispatcher.Placement
   readonly domainFactor: number
   cost: number
+  hasQueue: boolean
   pending: boolean
   giveUp: () => void
 }
@@ -76,15 +83,15 @@
   private settled = false
   private cancelTimer = (): void => {}
 
-  /** @param done called once, with the placement to use and the reason; not after `cancel`. */
-  constructor (private readonly deps: ProbingDeps, private readonly done: (placement: dispatcher.Placement, why: string) => void) {}
+  /** @param done called once, not after `cancel`. */
+  constructor (private readonly deps: ProbingDeps, private readonly patience: patience.Patience, private readonly done: (choice: Choice) => void) {}
 
   /** Probes the endpoint of a placement and others beside it. */
   start (first: dispatcher.Placement, ask: dispatcher.Ask, { candidates, timeoutMs }: ProbingOptions): void {
     const others = this.deps.dispatcher.acquireBeside(ask, first, candidates - 1)
     for (const placement of [first, ...others]) {
       const domainFactor = this.deps.dispatcher.domainFactor(placement.endpoint, ask)
-      this.probed.push({ placement, domainFactor, cost: Infinity, pending: true, giveUp: () => {} })
+      this.probed.push({ placement, domainFactor, cost: Infinity, hasQueue: false, pending: true, giveUp: () => {} })
     }
     this.cancelTimer = this.deps.clock.after(timeoutMs, () => this.choose('no more answers in time'))
     for (const each of this.probed) this.ask(each)
@@ -113,6 +120,7 @@
     if (outcome.kind === 'report') {
       const cost = costOf(outcome.report)
       each.cost = cost * each.domainFactor
+      each.hasQueue = outcome.report.waiting > 0
       each.placement.stats.noteReport(cost, this.deps.clock.now())
     }
     if (each.cost <= goodCost || this.probed.every(({ pending }) => !pending)) this.choose('answered')
@@ -122,8 +130,12 @@
     if (this.settled) return
     const best = this.probed.reduce((least, each) => each.cost < least.cost ? each : least)
     const costs = this.probed.map(({ placement, cost, pending }) => `${placement.endpoint.endpoint}:${pending ? '?' : cost.toFixed(2)}`).join(' ')
-    this.settle(best)
-    this.done(best.placement, `probed ${costs}, ${when}`)
+    const why = `probed ${costs}, ${when}`
+    const expectedMs = best.cost * this.patience.idleMs
+    // One more call in their queues would be late and make others late. An endpoint that is slow by itself may recover.
+    const overloaded = this.probed.every(({ hasQueue }) => hasQueue) && expectedMs > this.patience.usefulMs
+    this.settle(overloaded ? undefined : best)
+    this.done(overloaded ? { kind: 'overloaded', expectedMs, why } : { kind: 'placed', placement: best.placement, why })
   }
 
   private settle (kept: Probed | undefined): void {
--- a/packages/routing/src/test/loadProbing.test.ts
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -8,6 +8,7 @@
 import * as dispatcher from '../common/dispatcher.js'
 import * as domainPreference from '../common/domainPreference.js'
 import * as loadProbing from '../common/loadProbing.js'
+import type * as patience from '../common/patience.js'
 import * as fixtures from './fixtures.js'
 import * as manualClock from './manualClock.js'
 
@@ -23,6 +24,8 @@
   readonly clock = new manualClock.ManualClock()
   readonly pending = new Map<string, (outcome: loadProbing.ProbeOutcome) => void>()
   readonly chosen: dispatcher.Placement[] = []
+  overloads = 0
+  patience: patience.Patience = { idleMs: workMs, usefulMs: Infinity }
   budget = granted
   readonly dispatcher: dispatcher.Dispatcher
   private readonly endpoints: readonly endpointTable.Endpoint[]
@@ -46,7 +49,10 @@
   begin (candidates = 3, remoteFactor = 1): loadProbing.LoadProbe {
     const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: this.clock.now() + lane.deadlineMs, typicalMs, remoteFactor, suspect: false, exclude: new Set() }
     const deps = { dispatcher: this.dispatcher, prober: this, budget: this.budget, clock: this.clock }
-    const probe = new loadProbing.LoadProbe(deps, (placement) => this.chosen.push(placement))
+    const probe = new loadProbing.LoadProbe(deps, this.patience, (choice) => {
+      if (choice.kind === 'placed') this.chosen.push(choice.placement)
+      else this.overloads++
+    })
     this.dispatcher.acquire(ask, (outcome) => {
       if (outcome.placed) probe.start(outcome.placement, ask, { candidates, timeoutMs })
     })
@@ -127,6 +133,27 @@
   t.notOk(small.pending.has('d-2'))
 })
 
+tap.t.test('a call that would be late in each queue is refused at once, and takes no slot', async (t) => {
+  const service = new Service(3)
+  const full = { ...idle, running: slots, waiting: 4 }
+  service.patience = { idleMs: workMs, usefulMs: goalMs }
+  service.begin()
+  service.report(full, full, full)
+  t.same([service.overloads, service.chosen.length, service.dispatcher.inFlight], [1, 0, 0])
+  service.begin()
+  service.report(full, full, { ...full, waiting: 0 })
+  t.equal(service.chosen.length, 1, 'one without a queue is taken')
+  service.chosen[0]!.release()
+  service.begin()
+  service.report(...Array<loadProbing.LoadReport>(3).fill({ ...idle, slowdown: 5 }))
+  t.equal(service.chosen.length, 2, 'slow ones may recover')
+  service.chosen[1]!.release()
+  service.patience = { idleMs: workMs, usefulMs: 1200 }
+  service.begin()
+  service.report(full, full, full)
+  t.equal(service.chosen.length, 3, 'in time for a caller that waits longer')
+})
+
 tap.t.test('the preference follows the size of the answers', async (t) => {
   const preference = new domainPreference.DomainPreference()
   t.equal(preference.remoteFactor, 1, 'none before anything was seen')
