The caller of a request that endpoints shed may come back within half a typical answer's time

Change: half a typical answer's time where tries were made and none was run; a refusal for queues keeps its own time. Test: crashingRequests.test (red before: 1 s).

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -21,6 +21,8 @@
 const tryShareOfDeadline = 0.5
 const minHedgeMs = 2
 const retryAfterFailureS = 1
+/** Part of a typical answer's time after which the caller of a request that endpoints shed may come back. */
+const returnShareOfTypical = 0.5
 const msPerSecond = 1000
 const quarantineRetryAfterS = 600
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
@@ -349,7 +351,9 @@
   }
 
   private finalFault (why: string, timedOut: boolean): errors.Fault {
-    if (this.uncertainRuns === 0) return { kind: 'not-run', message: why, retryAfterS: retryAfterFailureS }
+    // Endpoints that shed or were gone may take the next try; one soon enough may still be in time.
+    const soonS = Math.min(retryAfterFailureS, this.typicalMs * returnShareOfTypical / msPerSecond)
+    if (this.uncertainRuns === 0) return { kind: 'not-run', message: why, retryAfterS: soonS }
     // A resend of an idempotent request is safe, and better once all instances know what this one has seen.
     return { kind: 'unknown', message: why, timedOut, ...(this.spec.lane.idempotent ? { retryAfterS: retryAfterFailureS } : {}) }
   }
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -31,6 +31,8 @@
   readonly suspects = new suspectTable.SuspectTable(this.clock)
   readonly attempts: StartedAttempt[] = []
   readonly outcomes: string[] = []
+  /** When callers of requests that were not run may come back. */
+  readonly comeBackS: number[] = []
   health: transport.TargetHealth = 'unsure'
   private readonly changed = new event.Emitter<endpointTable.Endpoint>()
   private readonly endpoints: readonly endpointTable.Endpoint[] = ['d-1', 'd-2', 'd-3', 'd-4', 'd-5'].map((id) => fixtures.endpointWith(id, slots, 0))
@@ -61,7 +63,10 @@
       clock: this.clock
     }, {
       onAnswer: ({ endpoint }) => { this.outcomes.push(`${fingerprint} answered by ${endpoint.endpoint}`) },
-      onRefused: ({ kind }) => { this.outcomes.push(`${fingerprint} ${kind}`) }
+      onRefused: (fault) => {
+        this.outcomes.push(`${fingerprint} ${fault.kind}`)
+        if (fault.kind === 'not-run') this.comeBackS.push(fault.retryAfterS)
+      }
     }).start()
   }
 
@@ -224,3 +229,11 @@
   }
   t.equal(instance.suspects.standing('poison'), 'quarantined')
 })
+
+tap.t.test('the caller of a request that every endpoint shed may come back while there is time', async (t) => {
+  const instance = new Instance()
+  instance.call('shed')
+  for (let i = 0; i < instance.attempts.length; i++) instance.attempts[i]!.events.onHead({ status: 503, notRun: true })
+  t.same(instance.outcomes, ['shed not-run'])
+  t.ok(instance.comeBackS[0]! < deadlineMs / 3 / 1000, `${instance.comeBackS[0]} s`)
+})
