--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -104,10 +104,10 @@
 
   /** An instance that just started holds requests until it knows what to do with them. */
   private async awaitConfig (): Promise<void> {
-    const { startup, headers } = this.deps
-    if (startup.isOver) return
-    const askedMs = Number(this.req.headers[headers.deadline] ?? NaN)
-    if (await startup.waitForConfig(askedMs > 0 ? askedMs : undefined)) return
+    const { deps } = this
+    if (deps.startup.isOver) return
+    const askedMs = Number(this.req.headers[deps.headers.deadline] ?? NaN)
+    if (await deps.startup.waitForConfig(askedMs > 0 ? askedMs : undefined)) return
     throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: comeBackS })
   }
 
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -71,6 +71,7 @@
 interface Probed {
   readonly placement: dispatcher.Placement
   readonly domainFactor: number
+  /** Cost by its report; infinite without one. */
   cost: number
   hasQueue: boolean
   pending: boolean
@@ -118,17 +119,16 @@
     each.pending = false
     if (outcome.kind === 'refused') each.placement.stats.refused(this.deps.clock.now())
     if (outcome.kind === 'report') {
-      const cost = costOf(outcome.report)
-      each.cost = cost * each.domainFactor
+      each.cost = costOf(outcome.report)
       each.hasQueue = outcome.report.waiting > 0
-      each.placement.stats.noteReport(cost, this.deps.clock.now())
+      each.placement.stats.noteReport(each.cost, this.deps.clock.now())
     }
-    if (each.cost <= goodCost || this.probed.every(({ pending }) => !pending)) this.choose('answered')
+    if (weighted(each) <= goodCost || this.probed.every(({ pending }) => !pending)) this.choose('answered')
   }
 
   private choose (when: string): void {
     if (this.settled) return
-    const best = this.probed.reduce((least, each) => each.cost < least.cost ? each : least)
+    const best = this.probed.reduce((least, each) => weighted(each) < weighted(least) ? each : least)
     const costs = this.probed.map(({ placement, cost, pending }) => `${placement.endpoint.endpoint}:${pending ? '?' : cost.toFixed(2)}`).join(' ')
     const why = `probed ${costs}, ${when}`
     const expectedMs = best.cost * this.patience.idleMs
@@ -147,3 +147,8 @@
     }
   }
 }
+
+/** Cost with the preference for the own failure domain. */
+function weighted ({ cost, domainFactor }: Probed): number {
+  return cost * domainFactor
+}
