A voter that is gone is removed once a newcomer votes in its place; one that comes back asks again

Change: in groups that are learnt from seeds the leader removes the longest silent voter (2 s) while more voters than 2 x tolerated losses + 1 stand; a voter that hears no leader for five election timeouts asks to be admitted. Test: deployedFleet.test 'a replica that is gone for good is replaced at another address ...'.

--- a/packages/control/src/common/quorum.ts
+++ b/packages/control/src/common/quorum.ts
@@ -16,6 +16,11 @@
   return majorityOf(membership) - 1
 }
 
+/** Fewest voters that survive a number of lost disks. */
+export function votersFor (losses: number): number {
+  return 2 * losses + 1
+}
+
 /** Highest value that a majority of the voters has reached; 0 without voters. */
 export function reachedByMajority (membership: inner.Membership, valueOf: (replicaId: string) => number): number {
   const values = votersOf(membership).map((voter) => valueOf(voter.id)).sort((a, b) => b - a)
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -19,6 +19,7 @@
 
 /** Most replicas of a group that is learnt from seeds: seven, and two newcomers while the replicas they follow are gone. */
 const maxLearntReplicas = 9
+const goneCheckMs = 500
 
 /** A control replica within this process. */
 export class ControlRole implements lifecycle.IDisposable {
@@ -61,7 +62,9 @@
     this.loaded.resolve()
     if (this.foundsCluster) await this.service.found()
     const watch = this.disposables.add(new election.Election(this.replica))
-    const admission = this.disposables.add(new joiner.Joiner(this.replica, this.group))
+    const learnt = this.control.replicas.length === 0
+    const admission = this.disposables.add(new joiner.Joiner(this.replica, this.group, learnt))
+    if (learnt) this.disposables.addInterval(() => { this.service.removeGoneVoter() }, goneCheckMs)
     watch.run()
     admission.run()
     this.hub?.start()
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -15,6 +15,8 @@
 
 const forwardTimeoutMs = 6000
 const describeTimeoutMs = 1500
+/** Silence after which a voter is taken for gone, where another votes in its place: a process restarts sooner. */
+const goneAfterMs = 2000
 /** Time for a read's confirmation by the leader, in election timeouts: the leader itself waits for one. */
 const confirmTimeouts = 2
 
@@ -52,6 +54,7 @@
 /** Answers patches, reads and claims; a replica that doesn't lead passes them to the leader. */
 export class ControlService {
   private readonly patchOrder = new async.Sequencer()
+  private removing = false
 
   constructor (
     readonly replica: replica.Replica,
@@ -195,6 +198,26 @@
     await this.throughLeader(async (client, options) => await client.removeReplica({ replicaId }, options))
   }
 
+  /**
+   * Removes a voter that is gone, once a newcomer has taken its part: a voter that can't vote counts in every majority, so
+   * the next losses would leave none. Never leaves fewer voters than the losses to be borne need.
+   */
+  async removeGoneVoter (): Promise<void> {
+    const leading = this.replica.leadership
+    const needed = quorum.votersFor(this.options.tolerateLostDisks)
+    if (leading === undefined || this.removing || this.options.tolerateLostDisks === 0) return
+    if (quorum.votersOf(this.replica.log.membership).length <= needed) return
+    const [gone] = leading.silentVoters(goneAfterMs)
+    if (gone === undefined) return
+    this.removing = true
+    try {
+      await leading.remove(gone, 'silent, and a newcomer votes in its place')
+    } catch (err) {
+      this.decisions.record({ event: 'control-membership', choice: 'not changed', replica: gone, why: errors.messageOf(err) })
+    }
+    this.removing = false
+  }
+
   /** Takes a replica into the group, when this one leads. */
   join (joining: inner.Replica): inner.JoinRes {
     const leading = this.replica.leadership
--- a/packages/control/src/node/joiner.ts
+++ b/packages/control/src/node/joiner.ts
@@ -7,6 +7,8 @@
 
 const askIntervalMs = 300
 const askTimeoutMs = 1000
+/** Silence of leaders, in election timeouts, after which a voter asks whether it was removed meanwhile. */
+const lonelyTimeouts = 5
 
 /** Asks all known replicas; the leader among them admits. */
 export class Joiner implements lifecycle.IDisposable {
@@ -14,12 +16,13 @@
   /** Leaders that others named. */
   private readonly hinted = new Set<string>()
 
-  constructor (private readonly replica: replica.Replica, private readonly group: readonly string[]) {}
+  /** @param returns a voter that was removed while it was away asks to be admitted again. */
+  constructor (private readonly replica: replica.Replica, private readonly group: readonly string[], private readonly returns: boolean) {}
 
-  /** Runs until this replica is a voter, or disposed. */
+  /** Runs until this replica is a voter that stays one, or disposed. */
   async run (): Promise<void> {
-    while (this.wantsAdmission && !this.stopped.signal.aborted) {
-      await Promise.all([...this.addresses()].map(async (address) => await this.ask(address)))
+    while ((this.wantsAdmission || this.returns) && !this.stopped.signal.aborted) {
+      if (this.wantsAdmission || this.isLonely) await Promise.all([...this.addresses()].map(async (address) => await this.ask(address)))
       await async.sleep(askIntervalMs, this.stopped.signal)
     }
   }
@@ -30,6 +33,12 @@
     return this.replica.isMember || !this.replica.founded
   }
 
+  /** A leader that still counts this replica as a voter takes its question for answered. */
+  private get isLonely (): boolean {
+    return this.returns && this.replica.founded && this.replica.leadership === undefined &&
+      this.replica.leaderSilenceMs > lonelyTimeouts * this.replica.electionTimeoutMs
+  }
+
   private addresses (): ReadonlySet<string> {
     const members = this.replica.log.membership.replicas.map(({ address }) => address)
     const addresses = new Set([...this.group, ...members, ...this.hinted])
--- a/packages/control/src/node/leadership.ts
+++ b/packages/control/src/node/leadership.ts
@@ -138,12 +138,22 @@
     }
   }
 
+  /** Voters that answered nothing sent within a time, the longest silent first. */
+  silentVoters (silentMs: number): readonly string[] {
+    const since = performance.now() - silentMs
+    return quorum.votersOf(this.host.log.membership)
+      .map(({ id }) => ({ id, ackedAt: this.ackedSentAt(id) }))
+      .filter(({ ackedAt }) => ackedAt < since)
+      .sort((a, b) => a.ackedAt - b.ackedAt)
+      .map(({ id }) => id)
+  }
+
   /** Removes a replica from the membership. */
-  async remove (replicaId: string): Promise<void> {
+  async remove (replicaId: string, why = 'removed by an operator'): Promise<void> {
     if (this.memberById(replicaId) === undefined) {
       throw new errors.RackError({ kind: 'not-found', message: `no control replica ${replicaId}` })
     }
-    await this.changeMembership('removed by an operator', (replicas) => replicas.filter((replica) => replica.id !== replicaId))
+    await this.changeMembership(why, (replicas) => replicas.filter((replica) => replica.id !== replicaId))
     if (replicaId === this.host.replicaId) this.host.stepDown(this.term, 'removed from the membership')
   }
 
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -195,6 +195,38 @@
   late.close()
 })
 
+/** How often a silent voter was removed. */
+function removals (): number {
+  const outputs = Array.from({ length: fleet.controls + 1 }, (_value, i) => fleet.process(`control-${i + 1}`).output())
+  return outputs.join('').split('a newcomer votes in its place').length - 1
+}
+
+tap.t.test('a replica that is gone for good is replaced at another address, and two disks may be lost again', async (t) => {
+  const gone = 5
+  const newcomer = 6
+  const living = [1, 2, 3, 4, newcomer]
+  await fleet.process(`control-${gone}`).kill()
+  fleet.startControl(newcomer, false)
+  await fleet.waitFor('the newcomer to answer reads', settleMs, async () => (await fleet.get(newcomer)).status === 200)
+  await fleet.waitFor('the silent voter to be removed', settleMs, async () => removals() > 0)
+  await async.sleep(boundMs)
+  const second = config(17, [route('read', '/read/', 'diary')])
+  t.equal((await fleet.put(1, second)).status, 200)
+  for (const number of living) await fleet.process(`control-${number}`).kill()
+  for (const number of [1, newcomer]) fs.rmSync(fleet.dataFolder(number), { recursive: true, force: true })
+  for (const number of living) fleet.startControl(number, false)
+  for (const number of living) {
+    await fleet.waitFor(`replica ${number} to answer reads`, settleMs, async () => (await fleet.get(number)).status === 200)
+    t.same(JSON.parse((await fleet.get(number)).body), second, `read at replica ${number}`)
+  }
+  fleet.startControl(gone, false)
+  await fleet.waitFor('the removed replica to be back', settleMs, async () => (await fleet.get(gone)).status === 200)
+  const before = removals()
+  await fleet.process(`control-${newcomer}`).kill()
+  await fleet.waitFor('the newcomer to be removed in turn', settleMs, async () => removals() > before)
+  await async.sleep(boundMs)
+})
+
 tap.t.test('two lost disks: what was acknowledged is still there, and the replicas come back', async (t) => {
   const third = config(20, [route('read', '/read/', 'diary')])
   t.equal((await fleet.put(2, third)).status, 200)
