Newcomer's read: the field's terms for time limits and unreachable voters; one body for two tests of resets

Names only (patience to time budget, lonely to without a leader, gone to unreachable, met to seen); the two tests of httpAttempt.test that differed in one value share a body, names and assertions unchanged.

--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -96,7 +96,7 @@
     const tables = { members, endpoints: this.endpoints, suspects, configs }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(options.self, options.seeds, identity, tables, this.freeze, decisions))
     this.disposables.add(feed.keepConfirming())
-    this.disposables.add(replica.onApplied(() => this.meetReplicas()))
+    this.disposables.add(replica.onApplied(() => this.subscribeToMembers()))
     this.store = this.disposables.add(new endpointStore.EndpointStore(options.dataFolder, this.endpoints, decisions))
     this.disposables.add(replica.state.onDeparted((wire) => this.endpoints.applyDeparture(fleetCodec.decodeAnnouncement(wire))))
   }
@@ -111,13 +111,13 @@
   }
 
   start (): void {
-    this.meetReplicas()
+    this.subscribeToMembers()
     this.mesh.start()
     this.restoreEndpoints()
   }
 
   /** The group as the log names it is known also while every seed is away. */
-  private meetReplicas (): void {
+  private subscribeToMembers (): void {
     this.mesh.addSeeds(this.service.replica.log.membership.replicas.map(({ address }) => address))
   }
 
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -19,7 +19,7 @@
 
 /** Most replicas of a group that is learnt from seeds: seven, and two newcomers while the replicas they follow are gone. */
 const maxLearntReplicas = 9
-const goneCheckMs = 500
+const voterCheckMs = 500
 
 /** A control replica within this process. */
 export class ControlRole implements lifecycle.IDisposable {
@@ -64,7 +64,7 @@
     const watch = this.disposables.add(new election.Election(this.replica))
     const learnt = this.control.replicas.length === 0
     const admission = this.disposables.add(new joiner.Joiner(this.replica, this.group, learnt))
-    if (learnt) this.disposables.addInterval(() => { this.service.removeGoneVoter() }, goneCheckMs)
+    if (learnt) this.disposables.addInterval(() => { this.service.removeUnreachableVoter() }, voterCheckMs)
     watch.run()
     admission.run()
     this.hub?.start()
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -16,7 +16,7 @@
 const forwardTimeoutMs = 6000
 const describeTimeoutMs = 1500
 /** Silence after which a voter is taken for gone, where another votes in its place: a process restarts sooner. */
-const goneAfterMs = 2000
+const unreachableAfterMs = 2000
 /** Time for a read's confirmation by the leader, in election timeouts: the leader itself waits for one. */
 const confirmTimeouts = 2
 
@@ -202,12 +202,12 @@
    * Removes a voter that is gone, once a newcomer has taken its part: a voter that can't vote counts in every majority, so
    * the next losses would leave none. Never leaves fewer voters than the losses to be borne need.
    */
-  async removeGoneVoter (): Promise<void> {
+  async removeUnreachableVoter (): Promise<void> {
     const leading = this.replica.leadership
     const needed = quorum.votersFor(this.options.tolerateLostDisks)
     if (leading === undefined || this.removing || this.options.tolerateLostDisks === 0) return
     if (quorum.votersOf(this.replica.log.membership).length <= needed) return
-    const [gone] = leading.silentVoters(goneAfterMs)
+    const [gone] = leading.silentVoters(unreachableAfterMs)
     if (gone === undefined) return
     this.removing = true
     try {
--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -48,7 +48,7 @@
 
   private nextTimeout (): number {
     const base = this.replica.electionTimeoutMs
-    return randomTimeout(this.replica.hasMetLeader ? base : base * firstTimeoutShare)
+    return randomTimeout(this.replica.hasSeenLeader ? base : base * firstTimeoutShare)
   }
 
   private async campaign (): Promise<void> {
--- a/packages/control/src/node/joiner.ts
+++ b/packages/control/src/node/joiner.ts
@@ -8,7 +8,7 @@
 const askIntervalMs = 300
 const askTimeoutMs = 1000
 /** Silence of leaders, in election timeouts, after which a voter asks whether it was removed meanwhile. */
-const lonelyTimeouts = 5
+const leaderlessTimeouts = 5
 
 /** Asks all known replicas; the leader among them admits. */
 export class Joiner implements lifecycle.IDisposable {
@@ -22,7 +22,7 @@
   /** Runs until this replica is a voter that stays one, or disposed. */
   async run (): Promise<void> {
     while ((this.wantsAdmission || this.returns) && !this.stopped.signal.aborted) {
-      if (this.wantsAdmission || this.isLonely) await Promise.all([...this.addresses()].map(async (address) => await this.ask(address)))
+      if (this.wantsAdmission || this.lacksLeader) await Promise.all([...this.addresses()].map(async (address) => await this.ask(address)))
       await async.sleep(askIntervalMs, this.stopped.signal)
     }
   }
@@ -34,9 +34,9 @@
   }
 
   /** A leader that still counts this replica as a voter takes its question for answered. */
-  private get isLonely (): boolean {
+  private get lacksLeader (): boolean {
     return this.returns && this.replica.founded && this.replica.leadership === undefined &&
-      this.replica.leaderSilenceMs > lonelyTimeouts * this.replica.electionTimeoutMs
+      this.replica.leaderSilenceMs > leaderlessTimeouts * this.replica.electionTimeoutMs
   }
 
   private addresses (): ReadonlySet<string> {
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -40,7 +40,7 @@
   private leading: leadership.Leadership | undefined
   private leader = ''
   private leaderContactAt = -Infinity
-  private metLeader = false
+  private seenLeader = false
   private applied = 0
   private snapshotting = false
 
@@ -107,8 +107,8 @@
   }
 
   /** True once a leader was heard, or this replica led, since the start. */
-  get hasMetLeader (): boolean {
-    return this.metLeader
+  get hasSeenLeader (): boolean {
+    return this.seenLeader
   }
 
   /** Milliseconds since a leader was heard of. */
@@ -196,7 +196,7 @@
       if (this.term !== term || this.currentRole !== 'candidate') return
       this.currentRole = 'leader'
       this.leader = this.replicaId
-      this.metLeader = true
+      this.seenLeader = true
       this.leading = new leadership.Leadership(this, term)
       this.leading.start()
       this.decisions.record({ event: 'control-leader', choice: this.replicaId, term, why: 'won the election' })
@@ -258,7 +258,7 @@
   private async acknowledgeLeader (term: number, leaderId: string): Promise<void> {
     if (term > this.term) await this.adoptTerm(term)
     if (this.leader !== leaderId || this.currentRole !== 'follower') this.follow(leaderId)
-    this.metLeader = true
+    this.seenLeader = true
     this.leaderContactAt = performance.now()
   }
 
--- a/packages/entry/src/test/httpAttempt.test.ts
+++ b/packages/entry/src/test/httpAttempt.test.ts
@@ -82,21 +82,18 @@
   t.same(exchange.seen, ['data'])
 })
 
-tap.t.test('a target resets while its answer waits to be read', async (t) => {
-  await using exchange = new Exchange(false)
-  await exchange.begin()
-  exchange.atTarget!.resetAndDestroy()
-  await timers.setTimeout(aMomentMs)
-  t.same(exchange.seen, ['data', 'broken'])
-})
-
-tap.t.test('an answer without a length that ends by a reset is incomplete', async (t) => {
-  await using exchange = new Exchange(true)
-  await exchange.begin()
-  exchange.atTarget!.resetAndDestroy()
-  await timers.setTimeout(aMomentMs)
-  t.same(exchange.seen, ['data', 'broken'])
-})
+for (const [name, reads] of [
+  ['a target resets while its answer waits to be read', false],
+  ['an answer without a length that ends by a reset is incomplete', true]
+] as const) {
+  tap.t.test(name, async (t) => {
+    await using exchange = new Exchange(reads)
+    await exchange.begin()
+    exchange.atTarget!.resetAndDestroy()
+    await timers.setTimeout(aMomentMs)
+    t.same(exchange.seen, ['data', 'broken'])
+  })
+}
 
 tap.t.test('a target ends its answer while the last of it waits to be read', async (t) => {
   await using exchange = new Exchange(false, true)
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -11,7 +11,7 @@
 import type * as domainPreference from './domainPreference.js'
 import type * as laneLatency from './laneLatency.js'
 import * as loadProbing from './loadProbing.js'
-import * as callPatience from './patience.js'
+import * as timeBudget from './timeBudget.js'
 import type * as requestIdentity from './requestIdentity.js'
 import * as requestStanding from './requestStanding.js'
 import type * as transport from './transport.js'
@@ -165,8 +165,8 @@
       return
     }
     this.waiting = true
-    const patience = callPatience.patienceOf(this.spec.lane, { startedAt: this.startedAt, deadlineAt: this.spec.deadlineAt, now: this.deps.clock.now() }, this.typicalMs)
-    const probe = new loadProbing.LoadProbe(probing.deps, patience, (choice) => {
+    const times = timeBudget.timeBudgetOf(this.spec.lane, { startedAt: this.startedAt, deadlineAt: this.spec.deadlineAt, now: this.deps.clock.now() }, this.typicalMs)
+    const probe = new loadProbing.LoadProbe(probing.deps, times, (choice) => {
       this.waiting = false
       if (choice.kind === 'placed') this.startAttempt(event, { ...choice.placement, why: `${placement.why}; ${choice.why}` })
       else this.refuse({ kind: 'not-run', message: `each endpoint that was asked has a queue; ${choice.why}`, retryAfterS: choice.expectedMs / msPerSecond })
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -6,7 +6,7 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as budget from './budget.js'
 import type * as dispatcher from './dispatcher.js'
-import type * as patience from './patience.js'
+import type * as timeBudget from './timeBudget.js'
 
 /** Load of an endpoint as it told it just now. */
 export interface LoadReport {
@@ -85,7 +85,7 @@
   private cancelTimer = (): void => {}
 
   /** @param done called once, not after `cancel`. */
-  constructor (private readonly deps: ProbingDeps, private readonly patience: patience.Patience, private readonly done: (choice: Choice) => void) {}
+  constructor (private readonly deps: ProbingDeps, private readonly times: timeBudget.TimeBudget, private readonly done: (choice: Choice) => void) {}
 
   /** Probes the endpoint of a placement and others beside it. */
   start (first: dispatcher.Placement, ask: dispatcher.Ask, { candidates, timeoutMs }: ProbingOptions): void {
@@ -131,9 +131,9 @@
     const best = this.probed.reduce((least, each) => weighted(each) < weighted(least) ? each : least)
     const costs = this.probed.map(({ placement, cost, pending }) => `${placement.endpoint.endpoint}:${pending ? '?' : cost.toFixed(2)}`).join(' ')
     const why = `probed ${costs}, ${when}`
-    const expectedMs = best.cost * this.patience.idleMs
+    const expectedMs = best.cost * this.times.idleMs
     // One more call in their queues would be late and make others late. An endpoint that is slow by itself may recover.
-    const overloaded = this.probed.every(({ hasQueue }) => hasQueue) && expectedMs > this.patience.usefulMs
+    const overloaded = this.probed.every(({ hasQueue }) => hasQueue) && expectedMs > this.times.usefulMs
     this.settle(overloaded ? undefined : best)
     this.done(overloaded ? { kind: 'overloaded', expectedMs, why } : { kind: 'placed', placement: best.placement, why })
   }
--- a/packages/routing/src/common/patience.ts
+++ b/packages/routing/src/common/timeBudget.ts
@@ -1,8 +1,8 @@
-/** What a call can bear, when endpoints tell how busy they are. */
+/** Time limits that a call sets for the choice of an endpoint. */
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 
 /** Times of one call, in milliseconds. */
-export interface Patience {
+export interface TimeBudget {
   /** Expected time at an idle endpoint. */
   readonly idleMs: number
   /** Time within which an answer is still of use. */
@@ -17,7 +17,7 @@
 }
 
 /** An answer within the target serves its caller fully; past it, any answer before the deadline still does. */
-export function patienceOf (lane: configDocument.Lane, { startedAt, deadlineAt, now }: CallTimes, idleMs: number): Patience {
+export function timeBudgetOf (lane: configDocument.Lane, { startedAt, deadlineAt, now }: CallTimes, idleMs: number): TimeBudget {
   const targetLeftMs = startedAt + (lane.targetLatencyMs ?? Infinity) - now
   const deadlineLeftMs = deadlineAt - now
   return { idleMs, usefulMs: targetLeftMs > 0 ? Math.min(targetLeftMs, deadlineLeftMs) : deadlineLeftMs }
--- a/packages/routing/src/test/loadProbing.test.ts
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -8,7 +8,7 @@
 import * as dispatcher from '../common/dispatcher.js'
 import * as domainPreference from '../common/domainPreference.js'
 import * as loadProbing from '../common/loadProbing.js'
-import type * as patience from '../common/patience.js'
+import type * as timeBudget from '../common/timeBudget.js'
 import * as fixtures from './fixtures.js'
 import * as manualClock from './manualClock.js'
 
@@ -25,7 +25,7 @@
   readonly pending = new Map<string, (outcome: loadProbing.ProbeOutcome) => void>()
   readonly chosen: dispatcher.Placement[] = []
   overloads = 0
-  patience: patience.Patience = { idleMs: workMs, usefulMs: Infinity }
+  times: timeBudget.TimeBudget = { idleMs: workMs, usefulMs: Infinity }
   budget = granted
   readonly dispatcher: dispatcher.Dispatcher
   private readonly endpoints: readonly endpointTable.Endpoint[]
@@ -49,7 +49,7 @@
   begin (candidates = 3, remoteFactor = 1): loadProbing.LoadProbe {
     const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: this.clock.now() + lane.deadlineMs, typicalMs, remoteFactor, suspect: false, exclude: new Set() }
     const deps = { dispatcher: this.dispatcher, prober: this, budget: this.budget, clock: this.clock }
-    const probe = new loadProbing.LoadProbe(deps, this.patience, (choice) => {
+    const probe = new loadProbing.LoadProbe(deps, this.times, (choice) => {
       if (choice.kind === 'placed') this.chosen.push(choice.placement)
       else this.overloads++
     })
@@ -136,7 +136,7 @@
 tap.t.test('a call that would be late in each queue is refused at once, and takes no slot', async (t) => {
   const service = new Service(3)
   const full = { ...idle, running: slots, waiting: 4 }
-  service.patience = { idleMs: workMs, usefulMs: goalMs }
+  service.times = { idleMs: workMs, usefulMs: goalMs }
   service.begin()
   service.report(full, full, full)
   t.same([service.overloads, service.chosen.length, service.dispatcher.inFlight], [1, 0, 0])
@@ -148,7 +148,7 @@
   service.report(...Array<loadProbing.LoadReport>(3).fill({ ...idle, slowdown: 5 }))
   t.equal(service.chosen.length, 2, 'slow ones may recover')
   service.chosen[1]!.release()
-  service.patience = { idleMs: workMs, usefulMs: 1200 }
+  service.times = { idleMs: workMs, usefulMs: 1200 }
   service.begin()
   service.report(full, full, full)
   t.equal(service.chosen.length, 3, 'in time for a caller that waits longer')
--- a/packages/routing/src/test/overload.test.ts
+++ b/packages/routing/src/test/overload.test.ts
@@ -7,7 +7,7 @@
 import * as adaptivePolicy from '../common/adaptivePolicy.js'
 import * as dispatcher from '../common/dispatcher.js'
 import * as loadProbing from '../common/loadProbing.js'
-import * as patience from '../common/patience.js'
+import * as timeBudget from '../common/timeBudget.js'
 import * as fixtures from './fixtures.js'
 import * as manualClock from './manualClock.js'
 
@@ -75,7 +75,7 @@
     const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt, typicalMs: workMs, remoteFactor: 1, suspect: false, exclude: new Set() }
     placer.acquire(ask, (outcome) => {
       if (!outcome.placed) return
-      const bears = refuses ? patience.patienceOf(lane, { startedAt, deadlineAt, now: clock.now() }, workMs) : { idleMs: workMs, usefulMs: Infinity }
+      const bears = refuses ? timeBudget.timeBudgetOf(lane, { startedAt, deadlineAt, now: clock.now() }, workMs) : { idleMs: workMs, usefulMs: Infinity }
       const probe = new loadProbing.LoadProbe({ dispatcher: placer, prober, budget: { take: () => true }, clock }, bears, (choice) => {
         if (choice.kind === 'overloaded') return
         endpoints.get(choice.placement.endpoint.endpoint)!.serve(() => {
