Endpoints' own words in answers: leaving, and a time without requests

An endpoint that leaves says so in all its answers, and gets nothing from an entry that passed one on later than DrainMs; one that turns a request away with 503 may name a time in which it wants no more from this instance. Nothing read either: both were passed on.

Change: `EndpointNotices` takes both from answers to requests and probes. "Leaving" marks the endpoint in the table until its next incarnation, beside its announced state, so a committed drain is still committed; hubs are told and tell all entries. With all endpoints tried or away a call is refused at once with the earliest end as Retry-After.

Ruled out: marking a leaving endpoint as draining in the table. The hub takes a draining endpoint for a committed one and would acknowledge its drain without writing it to the log.

The header stands in settings.

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -26,7 +26,9 @@
   /** Load in answers, as `running,waiting,slots` and, where known, how long work takes now in percent of the usual. */
   slotLoad: headerName.optional(),
   /** Mark of targets' own answers, without which a success is not taken for one. */
-  targetStamp: headerName.optional()
+  targetStamp: headerName.optional(),
+  /** By any of these headers, with the value 1, a target says in an answer that it leaves. */
+  targetLeaving: zod.array(headerName).max(4).optional()
 })
 
 const settingsSchema = zod.strictObject({
--- a/packages/control/src/node/endpointStore.ts
+++ b/packages/control/src/node/endpointStore.ts
@@ -72,7 +72,7 @@
 
   private async write (): Promise<void> {
     this.writing = true
-    const ready = this.endpoints.all().filter(({ state }) => state === 'ready')
+    const ready = this.usable()
     try {
       await durableFile.replaceFile(this.file, Buffer.from(JSON.stringify(ready.map(toAnnouncement))))
     } catch (err) {
@@ -83,13 +83,17 @@
     if (this.changedSince(ready)) this.scheduleWrite()
   }
 
+  private usable (): readonly endpointTable.Endpoint[] {
+    return this.endpoints.all().filter(({ state, leaving }) => state === 'ready' && leaving !== true)
+  }
+
   private changedSince (written: readonly endpointTable.Endpoint[]): boolean {
-    const ready = this.endpoints.all().filter(({ state }) => state === 'ready')
+    const ready = this.usable()
     const ids = new Set(written.map(({ endpoint }) => endpoint))
     return ready.length !== written.length || ready.some(({ endpoint }) => !ids.has(endpoint))
   }
 }
 
-function toAnnouncement ({ announcedAt, committed, ...rest }: endpointTable.Endpoint): announcement.Announcement {
+function toAnnouncement ({ announcedAt, committed, leaving, ...rest }: endpointTable.Endpoint): announcement.Announcement {
   return rest
 }
--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -1,5 +1,6 @@
 /** Which headers go on to the next hop, and the headers of this system's own. */
 import type * as settings from '@rosemaryrack/config/common/settings.js'
+import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 
 /** Headers of a message, by names in lower case. */
 export type MessageHeaders = Readonly<Record<string, string | string[] | undefined>>
@@ -9,6 +10,9 @@
 /** Answer of a target that is not the endpoint which the request names; it didn't run the request. */
 const misdirectedStatus = 421
 const firstRedirect = 300
+const unavailableStatus = 503
+const msPerSecond = 1000
+const leavingValue = '1'
 /** Load report in an answer, as published by ORCA. */
 export const loadHeader = 'endpoint-load-metrics'
 export const idempotencyKeyHeader = 'idempotency-key'
@@ -44,6 +48,15 @@
   return names.expectedEndpoint !== undefined && status === misdirectedStatus
 }
 
+/** What a target says of itself in an answer that is its own. */
+export function noticeOf (names: settings.HeaderNames, status: number, headers: MessageHeaders): endpointNotices.Notice {
+  // The endpoint that a misdirected request names isn't the one that answers.
+  if (status === misdirectedStatus) return { leaving: false }
+  const leaving = names.targetLeaving?.some((name) => headers[name] === leavingValue) === true
+  const awayMs = status === unavailableStatus ? Number(headers['retry-after'] ?? NaN) * msPerSecond : NaN
+  return awayMs > 0 ? { leaving, awayMs } : { leaving }
+}
+
 /** Why an answer isn't the target's to this request; undefined when it is. Only a success needs to prove it. */
 export function findForeignSign (names: settings.HeaderNames, requestId: string, status: number, headers: MessageHeaders): string | undefined {
   if (names.targetStamp === undefined) return undefined
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -9,6 +9,7 @@
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import * as call from '@rosemaryrack/routing/common/call.js'
 import type * as deathWatch from '@rosemaryrack/routing/common/deathWatch.js'
+import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import type * as loadProbing from '@rosemaryrack/routing/common/loadProbing.js'
 import * as requestStanding from '@rosemaryrack/routing/common/requestStanding.js'
@@ -40,6 +41,7 @@
 export interface CallerDeps {
   readonly lanes: laneRegistry.LaneRegistry
   readonly connections: targetConnections.TargetConnections
+  readonly notices: endpointNotices.IEndpointNotices
   readonly endpoints: endpointTable.EndpointTable
   readonly suspects: suspectTable.SuspectTable
   readonly deaths: deathWatch.DeathWatch
@@ -203,10 +205,10 @@
   }
 
   private callDeps (service: string, { latency, domains }: laneRegistry.LaneState, budgets: call.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
-    const { lanes, connections, suspects, deaths, decisions } = this.deps
+    const { lanes, connections, notices, suspects, deaths, decisions } = this.deps
     return {
       dispatcher: lanes.dispatcherOf(service),
-      transport: new httpAttempt.HttpTransport(req, connections),
+      transport: new httpAttempt.HttpTransport(req, connections, notices),
       suspects,
       deaths,
       budgets,
@@ -219,10 +221,10 @@
   }
 
   private probingFor (service: string): call.CallDeps['probing'] {
-    const { lanes, connections, probing, headers } = this.deps
+    const { lanes, connections, notices, probing, headers } = this.deps
     const healthPath = lanes.healthPathOf(service)
     if (probing === undefined || headers.slotLoad === undefined || healthPath === undefined) return undefined
-    const prober = new httpProber.HttpProber(healthPath, headers.slotLoad, connections)
+    const prober = new httpProber.HttpProber({ healthPath, names: headers, connections, notices })
     return {
       deps: { dispatcher: lanes.dispatcherOf(service), prober, budget: lanes.probesOf(service), clock: this.deps.clock },
       options: probing
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -15,6 +15,7 @@
 import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import * as adaptivePolicy from '@rosemaryrack/routing/common/adaptivePolicy.js'
 import * as deathWatch from '@rosemaryrack/routing/common/deathWatch.js'
+import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as callerListener from './callerListener.js'
@@ -37,6 +38,7 @@
   private readonly suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
   private readonly deaths = this.disposables.add(new deathWatch.DeathWatch(this.endpoints, this.suspects, this.clock))
   private readonly connections = this.disposables.add(new targetConnections.TargetConnections())
+  private readonly notices: endpointNotices.EndpointNotices
   private readonly members: memberTable.MemberTable
   private readonly configs: configFollower.ConfigFollower
   private readonly mesh: peerMesh.PeerMesh
@@ -65,11 +67,13 @@
     } as const
     const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [...entry.peers, ...settings.innerAddressesOf(cfg, entry.seeds)], identity, tables, this.freeze, decisions))
+    this.notices = this.disposables.add(new endpointNotices.EndpointNotices((endpoint) => this.noteLeaving(endpoint), this.clock, decisions))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveCount,
       newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
       random,
+      notices: this.notices,
       repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond },
       startingUntil: this.startup.until,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0
@@ -140,6 +144,7 @@
     return new callerListener.CallerListener(this.entry.graceS, this.configs, {
       lanes: this.lanes,
       connections: this.connections,
+      notices: this.notices,
       endpoints: this.endpoints,
       suspects: this.suspects,
       deaths: this.deaths,
@@ -156,6 +161,12 @@
     })
   }
 
+  private noteLeaving ({ endpoint, incarnation }: endpointTable.Endpoint): void {
+    if (!this.endpoints.noteLeaving(endpoint, incarnation)) return
+    this.decisions.record({ event: 'leaving', choice: endpoint, incarnation, why: 'the endpoint says so in an answer' })
+    this.mesh.noteLeaving(endpoint)
+  }
+
   private logSuspect (suspect: suspectTable.Suspect): void {
     this.decisions.record({
       event: 'suspect',
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -4,6 +4,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
+import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as callerBody from './callerBody.js'
@@ -47,10 +48,14 @@
 
 /** Starts attempts for one request. */
 export class HttpTransport implements transport.ITransport {
-  constructor (private readonly req: TargetReq, private readonly connections: targetConnections.TargetConnections) {}
+  constructor (
+    private readonly req: TargetReq,
+    private readonly connections: targetConnections.TargetConnections,
+    private readonly notices: endpointNotices.IEndpointNotices
+  ) {}
 
   start (endpoint: endpointTable.Endpoint, events: transport.IAttemptEvents, fresh: boolean): HttpAttempt {
-    const attempt = new HttpAttempt(endpoint, this.req, events, this.connections)
+    const attempt = new HttpAttempt(endpoint, this.req, events, this.connections, this.notices)
     attempt.run(fresh)
     return attempt
   }
@@ -90,7 +95,8 @@
     private readonly endpoint: endpointTable.Endpoint,
     private readonly req: TargetReq,
     private readonly events: transport.IAttemptEvents,
-    private readonly connections: targetConnections.TargetConnections
+    private readonly connections: targetConnections.TargetConnections,
+    private readonly notices: endpointNotices.IEndpointNotices
   ) {}
 
   get address (): string {
@@ -114,7 +120,8 @@
     // Lets the caller of `start` take the attempt's handle before any event, also on an idle connection.
     if (idle !== undefined) await Promise.resolve()
     if (this.ended) this.connections.discard(this.connection)
-    else this.send(this.connection)
+    else if (this.notices.maySend(this.endpoint)) this.send(this.connection)
+    else this.holdBack(this.connection)
   }
 
   cancel (): void {
@@ -143,6 +150,12 @@
     this.connection?.release()
   }
 
+  private holdBack (connection: targetConnection.TargetConnection): void {
+    this.connections.giveBack(this.address, connection)
+    this.connection = undefined
+    this.fail('not-written', 'the endpoint has asked for a time without requests')
+  }
+
   private send (connection: targetConnection.TargetConnection): void {
     try {
       connection.dispatch(this.options(), this.handler())
@@ -174,6 +187,7 @@
           this.broken(new Error(`not the target's answer: ${foreign}`))
           return
         }
+        this.notices.note(this.endpoint, headerRules.noticeOf(this.req.names, status, headers))
         this.headSeen = true
         this.keepsOpen = headers['connection'] !== 'close'
         this.events.onHead(toHead(controller, status, headers, statusMessage ?? '', headerRules.statesNotRun(this.req.names, status, headers)))
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -9,6 +9,7 @@
 import type * as call from '@rosemaryrack/routing/common/call.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
 import * as domainPreference from '@rosemaryrack/routing/common/domainPreference.js'
+import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as trafficSplit from '@rosemaryrack/routing/common/trafficSplit.js'
@@ -36,6 +37,8 @@
   readonly repeats: budget.RepeatLimits | undefined
   /** Probes of all instances together, for each endpoint and second. */
   readonly probesPerEndpointAndSecond: number
+  /** Which endpoints want no requests for a while. */
+  readonly notices: endpointNotices.EndpointNotices
   /** Time on the clock until which endpoints may not be known yet. */
   readonly startingUntil: number
 }
@@ -140,9 +143,9 @@
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let found = this.dispatchers.get(service)
     if (found === undefined) {
-      const { ownFailureDomain, liveEntries, newPolicy, startingUntil } = this.options
+      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, notices } = this.options
       const connectionLimit = (): number | undefined => this.services?.[service]?.connectionLimit
-      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil }, this.endpoints, newPolicy(), this.clock)
+      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, notices }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, found)
     }
     return found
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -5,14 +5,19 @@
 
 const connectTimeoutMs = 1000
 const resetCode = 'ECONNRESET'
+/** Most bytes between two pieces of a body, or before the first one: four times the longest head that the HTTP client takes. */
+const maxIdleBytes = 64 * 1024
 
 /**
  * A socket that holds data back by itself, and whose end is never without an error but for the target's orderly one. The
  * HTTP client's own pause isn't used: when a paused answer's connection ends, its parser fails by an assertion. It also
- * takes a reset, or an end without an error, for the end of an answer without a length.
+ * takes a reset, or an end without an error, for the end of an answer without a length. And it bounds neither status lines,
+ * interim answers nor chunk extensions.
  */
 class TargetSocket extends net.Socket {
   private held = false
+  /** Bytes that were read and were no part of a body. */
+  private idleBytes = 0
 
   /** Gives out nothing until `release`; what the target sends meanwhile waits in the socket and then in the kernel. */
   hold (): void {
@@ -27,7 +32,19 @@
   }
 
   override read (size?: number): unknown {
-    return this.held ? null : super.read(size)
+    if (this.held) return null
+    if (this.idleBytes > maxIdleBytes) {
+      this.destroy(new Error(`${this.idleBytes} bytes that are no part of an answer`))
+      return null
+    }
+    const data = super.read(size) as Buffer | null
+    this.idleBytes += data?.length ?? 0
+    return data
+  }
+
+  /** Tells that a request was sent or a piece of a body arrived. */
+  noteProgress (): void {
+    this.idleBytes = 0
   }
 
   override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
@@ -101,7 +118,14 @@
   }
 
   dispatch (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler): void {
-    this.client.dispatch(options, handler)
+    this.socket.noteProgress()
+    this.client.dispatch(options, {
+      ...handler,
+      onResponseData: (controller, chunk) => {
+        this.socket.noteProgress()
+        handler.onResponseData?.(controller, chunk)
+      }
+    })
   }
 
   destroy (): void {
--- a/packages/fleet/src/common/endpointTable.ts
+++ b/packages/fleet/src/common/endpointTable.ts
@@ -15,6 +15,8 @@
   readonly announcedAt: number
   /** Its state is a departure that the replicated log holds. */
   readonly committed?: boolean
+  /** It said in an answer that it leaves, whatever it announces until its next incarnation. */
+  readonly leaving?: boolean
 }
 
 /** What an announcement changed. */
@@ -65,8 +67,8 @@
     if (known === undefined && ageMs >= next.leaseMs) return 'stale'
     if (!this.takeAddress(next)) return 'stale'
     const state = known === undefined ? next.state : stateAfter(known, next)
-    const committed = known?.committed === true && known.incarnation === next.incarnation
-    const endpoint = { ...next, state, announcedAt: this.clock.now() - ageMs, ...(committed ? { committed } : {}) }
+    const sameLife = known?.incarnation === next.incarnation ? known : undefined
+    const endpoint = { ...next, state, announcedAt: this.clock.now() - ageMs, ...lastingMarksOf(sameLife) }
     if (known !== undefined && !isChange(known, endpoint)) {
       this.replace(known, endpoint)
       return 'renewed'
@@ -107,6 +109,14 @@
     this.setChanged(known, { ...known, state: known.state === 'left' ? 'left' : departed.state, committed: true })
   }
 
+  /** Takes that an incarnation says in its answers that it leaves; false when that is known, or of another incarnation. */
+  noteLeaving (id: string, incarnation: number): boolean {
+    const known = this.endpoints.get(id)
+    if (known === undefined || known.incarnation !== incarnation || known.leaving === true) return false
+    this.setChanged(known, { ...known, leaving: true })
+    return true
+  }
+
   /** Takes a renewal; stale when its announcement is not known. */
   renew (renewal: Renewal, ageMs: number): ApplyOutcome {
     const known = this.endpoints.get(renewal.endpoint)
@@ -172,7 +182,7 @@
   private readyOf (service: string): readonly Endpoint[] {
     let ready = this.byService.get(service)
     if (ready === undefined) {
-      ready = this.all().filter((endpoint) => endpoint.service === service && endpoint.state === 'ready')
+      ready = this.all().filter((endpoint) => endpoint.service === service && endpoint.state === 'ready' && endpoint.leaving !== true)
       this.byService.set(service, ready)
     }
     return ready
@@ -189,6 +199,14 @@
   return next.sequence > known.sequence
 }
 
+/** Marks of an incarnation that its announcements don't carry. */
+function lastingMarksOf (known: Endpoint | undefined): Pick<Endpoint, 'committed' | 'leaving'> {
+  return {
+    ...(known?.committed === true ? { committed: true } : {}),
+    ...(known?.leaving === true ? { leaving: true } : {})
+  }
+}
+
 /** Draining and leaving hold for the rest of an incarnation. */
 function stateAfter (known: Endpoint, next: announcement.Announcement): announcement.TargetState {
   if (next.incarnation !== known.incarnation) return next.state
--- a/packages/fleet/src/common/fleetCodec.ts
+++ b/packages/fleet/src/common/fleetCodec.ts
@@ -31,7 +31,8 @@
     sequence: BigInt(endpoint.sequence),
     leaseMs: endpoint.leaseMs,
     ageMs: ageMs(endpoint.announcedAt, now),
-    committed: endpoint.committed === true
+    committed: endpoint.committed === true,
+    leaving: endpoint.leaving === true
   })
 }
 
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -106,6 +106,11 @@
     this.forEachOutbox((outbox) => outbox.addRenewal(endpointId, leaseMs))
   }
 
+  /** Tells hubs that an endpoint says that it leaves, as this instance heard from the endpoint itself. */
+  noteLeaving (endpointId: string): void {
+    this.forEachOutbox((outbox) => outbox.addEndpoint(endpointId))
+  }
+
   /**
    * Resolves once the news of this moment has been written to the streams of the peers that take it: an update is
    * made in the first turn of the event loop, and HTTP/2 writes it in the next. No answer of a peer is awaited.
@@ -283,6 +288,7 @@
     const announced = fleetCodec.decodeAnnouncement(wire)
     if (wire.committed) this.tables.endpoints.applyDeparture(announced)
     else this.tables.endpoints.apply(announced, wire.ageMs)
+    if (wire.leaving) this.tables.endpoints.noteLeaving(announced.endpoint, announced.incarnation)
   }
 
   private takeUpdate (update: inner.PeerUpdate, link: EntryLink): void {
--- a/packages/fleet/src/test/endpointTable.test.ts
+++ b/packages/fleet/src/test/endpointTable.test.ts
@@ -137,3 +137,25 @@
   t.equal(table.apply(announce('a', { address, incarnation: 5, sequence: 9 }), 0), 'stale')
   t.same(routable(), ['b'])
 })
+
+tap.t.test('an endpoint that says in an answer that it leaves takes no more work until its next incarnation', async (t) => {
+  const { table, routable } = setUp()
+  table.apply(announce('a'), 0)
+  t.equal(table.noteLeaving('a', 2), false, 'of another incarnation')
+  t.equal(table.noteLeaving('a', 1), true)
+  t.equal(table.noteLeaving('a', 1), false, 'known already')
+  t.same(routable(), [])
+  table.apply(announce('a', { sequence: 5 }), 0)
+  t.same(routable(), [], 'it still announces itself as ready')
+  table.applyDeparture(announce('a', { sequence: 5, state: 'draining' }))
+  t.match(table.get('a'), { committed: true, leaving: true, state: 'draining' }, 'both hold')
+  table.apply(announce('a', { incarnation: 2 }), 0)
+  t.same(routable(), ['a'])
+})
+
+tap.t.test('that an endpoint leaves passes from table to table', async (t) => {
+  const { table: entry } = setUp()
+  entry.apply(announce('a'), 0)
+  entry.noteLeaving('a', 1)
+  t.equal(fleetCodec.encodeEndpoint(entry.get('a')!, 0).leaving, true)
+})
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -5,6 +5,7 @@
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as balancingPolicy from './balancingPolicy.js'
+import type * as endpointNotices from './endpointNotices.js'
 import * as endpointStats from './endpointStats.js'
 import * as waitingQueue from './waitingQueue.js'
 
@@ -64,6 +65,8 @@
   readonly liveEntries: () => number
   /** Connections that the service's configuration allows to an endpoint from all instances together. */
   readonly connectionLimit?: () => number | undefined
+  /** Which endpoints want no requests for a while. */
+  readonly notices?: Pick<endpointNotices.EndpointNotices, 'awayUntil' | 'onAway'>
   /** Time on the clock until which endpoints may not be known yet; calls without one wait for it. */
   readonly startingUntil?: number
 }
@@ -85,6 +88,7 @@
     private readonly clock: clock.IClock
   ) {
     this.disposables.add(endpoints.onChanged((endpoint) => this.endpointChanged(endpoint)))
+    if (options.notices !== undefined) this.disposables.add(options.notices.onAway((endpoint) => this.endpointAway(endpoint)))
   }
 
   dispose (): void {
@@ -125,8 +129,8 @@
   /** Gives a slot for a hedge, only when others won't miss it. */
   acquireSpare (ask: Ask): Placement | undefined {
     const now = this.clock.now()
-    const endpoints = this.endpoints.routable(this.options.service)
-    if (this.queue.length > 0 || this.inFlight >= ask.lane.budgets.hedgeBelowShare * this.totalLimit(endpoints)) return undefined
+    const { open } = this.askable(now)
+    if (this.queue.length > 0 || this.inFlight >= ask.lane.budgets.hedgeBelowShare * this.totalLimit(open)) return undefined
     return this.place(ask, now, now)
   }
 
@@ -197,6 +201,12 @@
         continue
       }
       const placement = this.place(waiter.ask, waiter.since, now)
+      const unasked = placement === undefined && !this.isStarting(now) ? this.unaskedFault(waiter.ask, now) : undefined
+      if (unasked !== undefined) {
+        this.withdraw(waiter)
+        waiter.done({ placed: false, fault: unasked })
+        continue
+      }
       if (placement === undefined) {
         if (this.isUnrestricted(waiter.ask, now) || waiter.priority === 'bulk') return
         continue
@@ -210,7 +220,8 @@
     const endpoints = this.endpoints.routable(this.options.service)
     if (endpoints.length === 0 && this.isStarting(now)) return undefined
     if (endpoints.length === 0) return this.notRun(`service ${this.options.service} has no ready endpoint`, 0)
-    if (endpoints.every(({ endpoint }) => ask.exclude.has(endpoint))) return this.notRun('every ready endpoint was tried', 0)
+    const unasked = this.unaskedFault(ask, now)
+    if (unasked !== undefined) return unasked
     const waitMs = this.expectedWaitMs(ask)
     if (waitMs > ask.lane.maxWaitMs) return this.notRun('all slots are taken and the wait is too long', waitMs)
     if (now + waitMs + ask.typicalMs > ask.deadlineAt) return this.notRun('the deadline can\'t be met', waitMs)
@@ -218,25 +229,48 @@
   }
 
   private expectedWaitMs (ask: waitingQueue.Waiting): number {
-    const limit = Math.max(1, this.totalLimit(this.endpoints.routable(this.options.service)))
+    const limit = Math.max(1, this.totalLimit(this.askable(this.clock.now()).open))
     return (this.queue.position(ask) + 1) * this.holdMs / limit
   }
 
+  /** Refuses a call that no endpoint can be asked to take: each was tried, or wants no requests for now. */
+  private unaskedFault (ask: Ask, now: number): errors.Fault | undefined {
+    const { open, backAt } = this.askable(now)
+    if (open.some(({ endpoint }) => !ask.exclude.has(endpoint))) return undefined
+    if (backAt === Infinity) return this.notRun('every ready endpoint was tried', 0)
+    return { kind: 'not-run', message: 'every ready endpoint was tried or asked for a time without requests', retryAfterS: (backAt - now) / msPerSecond }
+  }
+
+  /** Ready endpoints that may be asked now, and when the first of the others may be. */
+  private askable (now: number): { readonly open: readonly endpointTable.Endpoint[], readonly backAt: number } {
+    const endpoints = this.endpoints.routable(this.options.service)
+    const { notices } = this.options
+    if (notices === undefined) return { open: endpoints, backAt: Infinity }
+    let backAt = Infinity
+    const open = endpoints.filter((endpoint) => {
+      const until = notices.awayUntil(endpoint)
+      if (until > now) backAt = Math.min(backAt, until)
+      return until <= now
+    })
+    return { open, backAt }
+  }
+
   private notRun (message: string, waitMs: number): errors.Fault {
     return { kind: 'not-run', message, retryAfterS: Math.max(minRetryAfterS, Math.ceil(waitMs / msPerSecond)) }
   }
 
   private place (ask: Ask, since: number, now: number): Placement | undefined {
     const endpoints = this.endpoints.routable(this.options.service)
-    if (ask.priority === 'bulk' && this.bulkInFlight >= this.bulkLimit(endpoints, ask.lane)) return undefined
-    const able = this.candidates(endpoints, ask, now)
+    const { open } = this.askable(now)
+    if (ask.priority === 'bulk' && this.bulkInFlight >= this.bulkLimit(open, ask.lane)) return undefined
+    const able = this.candidates(open, ask, now)
     if (able.length === 0) return undefined
     const context = { now, ownFailureDomain: this.options.ownFailureDomain, typicalLatencyMs: this.typicalMs, remoteFactor: this.remoteFactor(ask), weights: ask.lane.weights }
     const chosen = this.policy.choose(able, context)
     return this.take(ask, chosen, endpoints.find(({ endpoint }) => endpoint === chosen.id)!, {
       considered: able.length,
       candidates: this.describe(able, context),
-      why: `${this.policy.name}: ${able.length} of ${endpoints.length} endpoints have a free slot`,
+      why: `${this.policy.name}: ${able.length} of ${endpoints.length} endpoints have a free slot${describeAway(endpoints.length - open.length)}`,
       waitedMs: now - since
     })
   }
@@ -317,6 +351,15 @@
     if (this.queue.length > 0) this.pump()
   }
 
+  /** Waiting calls that count on the endpoint are refused now or placed once it may be asked again. */
+  private endpointAway (endpoint: endpointTable.Endpoint): void {
+    if (endpoint.service !== this.options.service || this.queue.length === 0) return
+    this.pump()
+    const { backAt } = this.askable(this.clock.now())
+    if (this.queue.length === 0 || backAt === Infinity) return
+    this.clock.after(backAt - this.clock.now(), () => { if (this.queue.length > 0) this.pump() })
+  }
+
   private describe (candidates: readonly balancingPolicy.Candidate[], context: balancingPolicy.ChoiceContext): string {
     const best: balancingPolicy.Scored[] = []
     for (const candidate of candidates) {
@@ -330,6 +373,10 @@
   }
 }
 
+function describeAway (count: number): string {
+  return count === 0 ? '' : `, ${count} want no requests for now`
+}
+
 /** Bulk calls warm a target up, whose first answers are slow. */
 function isTooColdFor (ask: Ask, stats: endpointStats.EndpointStats, now: number): boolean {
   return ask.priority !== 'bulk' && now - stats.knownSince < ask.lane.coldStartMs
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -50,6 +50,8 @@
 export class StandInEndpoint {
   readonly served: string[] = []
   readonly refused: string[] = []
+  /** Says in each answer that it leaves. */
+  isLeaving = false
   private readonly server = http.createServer((req, res) => this.answer(req, res))
   private sequence = 0
 
@@ -90,7 +92,8 @@
       return
     }
     this.served.push(id)
-    res.writeHead(200, { 'X-Rosemaryrack-Request-Id': id, 'X-Rosemaryrack-Server-Stamp': `stamp-${this.id}` }).end(`from ${this.id}`)
+    const leaving = this.isLeaving ? { 'Server-Leaving': '1' } : {}
+    res.writeHead(200, { 'X-Rosemaryrack-Request-Id': id, 'X-Rosemaryrack-Server-Stamp': `stamp-${this.id}`, ...leaving }).end(`from ${this.id}`)
   }
 }
 
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -86,6 +86,34 @@
   }
 })
 
+tap.t.test('an endpoint that says in an answer that it leaves gets nothing more from any entry', async (t) => {
+  const leaver = new deployedFleet.StandInEndpoint('i-leaver', fleet.endpointHost(6), 'diary', bornAt)
+  await leaver.listen()
+  const readCount = 10
+  const readAll = async (): Promise<void> => {
+    for (let i = 0; i < readCount; i++) t.equal((await fleet.call(1 + i % 2, '/read/x')).status, 200)
+  }
+  await fleet.waitFor('the endpoint to be served', settleMs, async () => {
+    await leaver.say(fleet.control(1), 'ready')
+    await fleet.call(1, '/read/x')
+    return leaver.served.length > 0
+  })
+  const before = leaver.served.length
+  leaver.isLeaving = true
+  await fleet.waitFor('an answer that says so', settleMs, async () => {
+    await fleet.call(1, '/read/x')
+    return leaver.served.length > before
+  })
+  const told = leaver.served.length
+  await async.sleep(boundMs)
+  t.equal(await leaver.say(fleet.control(2), 'ready'), 200)
+  await async.sleep(pauseMs)
+  await readAll()
+  t.equal(leaver.served.length, told)
+  t.match(fleet.process('entry-1').output(), '"event":"leaving"')
+  leaver.close()
+})
+
 tap.t.test('a version that is not higher is acknowledged and changes nothing', async (t) => {
   t.equal((await fleet.put(2, config(5, []))).status, 200, 'other content under the held version')
   t.equal((await fleet.put(3, config(3, []))).status, 200)
--- /dev/null
+++ b/tap-snapshots/packages/routing/dist/test/endpointNotices.test.js.test.cjs
@@ -0,0 +1,16 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`packages/routing/dist/test/endpointNotices.test.js > TAP > with all away a call is refused at once, with the time until the first may be asked > must match snapshot 1`] = `
+Array [
+  Object {
+    "kind": "not-run",
+    "message": "every ready endpoint was tried or asked for a time without requests",
+    "retryAfterS": 0.7,
+  },
+]
+`
