A replica whose disk is full stays up without voting until there is room

Change: the storage tries such a write again every 250 ms, after removing what the earlier try left in the log; the call doesn't return meanwhile, so nothing of it counts. A leader gives its leadership back at once, and votes and entries are refused at once, so the others elect and commit without it.

Ruled out: answering appends late (the leader's stream would wait out its timeout each time), and going on as leader (its proposals would wait for its own disk). Other errors of the disk still end the process: what it holds can't be known then.

--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -36,7 +36,7 @@
         }
         continue
       }
-      if (!this.replica.isVoter || this.idleMs(lastAttemptAt) < timeout) continue
+      if (!this.replica.mayStand || this.idleMs(lastAttemptAt) < timeout) continue
       await this.campaign()
       lastAttemptAt = performance.now()
       timeout = this.nextTimeout()
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -51,6 +51,7 @@
     readonly decisions: decisionLog.IDecisionLog
   ) {
     this.log = new replicaLog.ReplicaLog(storage)
+    storage.onFullChanged((isFull) => this.fullChanged(isFull))
   }
 
   /** Loads what the data folder holds. */
@@ -102,6 +103,11 @@
     return quorum.isVoter(this.log.membership, this.replicaId)
   }
 
+  /** A replica whose disk is full can neither vote nor keep entries. */
+  get mayStand (): boolean {
+    return this.isVoter && !this.storage.isFull
+  }
+
   get isMember (): boolean {
     return this.log.membership.replicas.some((replica) => replica.id === this.replicaId)
   }
@@ -152,6 +158,7 @@
 
   async handleVote (req: inner.VoteReq): Promise<inner.VoteRes> {
     this.requireAddressee(req.toReplicaId)
+    this.requireRoom()
     return await this.lock.run(async () => await this.decideVote(req))
   }
 
@@ -229,6 +236,7 @@
 
   async handleAppend (req: inner.AppendReq): Promise<inner.AppendRes> {
     this.requireAddressee(req.toReplicaId)
+    this.requireRoom()
     return await this.lock.run(async () => {
       if (req.term < this.term) return this.appendRes(false, 0)
       await this.acknowledgeLeader(req.term, req.leaderId)
@@ -244,6 +252,7 @@
 
   async handleInstallSnapshot (req: inner.InstallSnapshotReq): Promise<inner.InstallSnapshotRes> {
     this.requireAddressee(req.toReplicaId)
+    this.requireRoom()
     return await this.lock.run(async () => {
       const snapshot = req.snapshot
       if (req.term >= this.term && snapshot !== undefined) {
@@ -306,6 +315,16 @@
     throw new errors.RackError({ kind: 'not-found', message: `replica ${replicaId} is not here; this is ${this.replicaId}` })
   }
 
+  /** Refuses at once what would wait for room on the disk. */
+  private requireRoom (): void {
+    if (this.storage.isFull) throw new errors.RackError({ kind: 'disk-failure', message: 'the disk is full' })
+  }
+
+  private fullChanged (isFull: boolean): void {
+    this.decisions.record({ event: 'disk-full', choice: isFull ? 'full' : 'room again', why: isFull ? 'a write found no room; this replica neither votes nor leads until there is some' : 'the write succeeded' })
+    if (isFull && this.leading !== undefined) this.stepDown(this.term, 'the disk is full')
+  }
+
   // ---- Applying ----
 
   commit (index: number): void {
--- a/packages/control/src/node/replicaStorage.ts
+++ b/packages/control/src/node/replicaStorage.ts
@@ -4,7 +4,9 @@
 import * as path from 'node:path'
 import * as protobuf from '@bufbuild/protobuf'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as event from '@rosemaryrack/base/common/event.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as logEntry from '../common/logEntry.js'
 import * as durableFile from './durableFile.js'
@@ -14,6 +16,9 @@
 const logFile = 'log'
 const snapshotFile = 'snapshot'
 const replicaIdBytes = 8
+const fullCode = 'ENOSPC'
+/** Time to the next try of a write that found the disk full, in milliseconds: room is back within so long for the others. */
+const fullRetryMs = 250
 
 /** What a data folder holds. */
 export interface StoredReplica {
@@ -22,8 +27,15 @@
   readonly entries: readonly logEntry.LogEntry[]
 }
 
-/** Each call returns once its data is synced; a failed one leaves the storage unusable. */
+/**
+ * Each call returns once its data is synced; a failed one leaves the storage unusable. While the disk is full a call
+ * doesn't return: nothing of it counts yet.
+ */
 export interface IReplicaStorage extends lifecycle.IDisposable {
+  /** True while a write waits for room on the disk. */
+  readonly isFull: boolean
+  /** Fires when the disk is found full, and when there is room again. */
+  readonly onFullChanged: event.Event<boolean>
   load(): Promise<StoredReplica>
   saveMeta(meta: inner.ReplicaMeta): Promise<void>
   append(entries: readonly logEntry.LogEntry[]): Promise<void>
@@ -36,6 +48,11 @@
 /** Storage in one data folder. */
 export class ReplicaStorage implements IReplicaStorage {
   private log: fs.FileHandle | undefined
+  private logBytes = 0
+  private full = false
+  private disposed = false
+  private readonly fullEmitter = new event.Emitter<boolean>()
+  readonly onFullChanged = this.fullEmitter.event
 
   /** @param onFailure called when the disk fails; what it holds can't be known any more. */
   constructor (
@@ -44,6 +61,10 @@
     private readonly onFailure: (err: Error) => void
   ) {}
 
+  get isFull (): boolean {
+    return this.full
+  }
+
   async load (): Promise<StoredReplica> {
     await fs.mkdir(this.folder, { recursive: true })
     await durableFile.syncFolder(path.dirname(path.resolve(this.folder)))
@@ -64,7 +85,8 @@
     await this.guard(async () => {
       await this.log!.appendFile(record)
       await this.log!.datasync()
-    })
+    }, async () => await this.log!.truncate(this.logBytes))
+    this.logBytes += record.length
   }
 
   async rewrite (entries: readonly logEntry.LogEntry[]): Promise<void> {
@@ -82,6 +104,8 @@
   }
 
   dispose (): void {
+    this.disposed = true
+    this.fullEmitter.dispose()
     this.log?.close()
   }
 
@@ -152,18 +176,42 @@
   private async openLog (): Promise<void> {
     await this.log?.close()
     this.log = await fs.open(this.file(logFile), 'a')
+    this.logBytes = (await this.log.stat()).size
     await durableFile.syncFolder(this.folder)
   }
 
-  private async guard (write: () => Promise<void>): Promise<void> {
+  /** @param undo removes what a write left that found the disk full; files that are replaced whole need none. */
+  private async guard (write: () => Promise<void>, undo: () => Promise<void> = async () => {}): Promise<void> {
     try {
-      await write()
+      while (!await this.hadRoom(write)) {
+        await async.sleep(fullRetryMs)
+        if (this.disposed) break
+        await undo()
+      }
     } catch (err) {
       this.onFailure(err as Error)
       throw new errors.RackError({ kind: 'disk-failure', message: `${this.folder}: ${errors.messageOf(err)}` })
     }
   }
 
+  private async hadRoom (write: () => Promise<void>): Promise<boolean> {
+    try {
+      await write()
+    } catch (err) {
+      if ((err as NodeJS.ErrnoException).code !== fullCode) throw err
+      this.setFull(true)
+      return false
+    }
+    this.setFull(false)
+    return true
+  }
+
+  private setFull (full: boolean): void {
+    if (this.full === full) return
+    this.full = full
+    this.fullEmitter.fire(full)
+  }
+
   private file (name: string): string {
     return path.join(this.folder, name)
   }
