A staggered choice holds its endpoints from the start

Calls that begin to wait at this entry keep a choice from taking further endpoints, so in a burst the first endpoint's queue alone decided that each endpoint asked has one, and the call was refused.

Change: all endpoints of a choice are taken at once, as before; only their probes wait for the first answer.

Test: loadProbing.test, red before the change.

--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -94,16 +94,21 @@
   /** Probes the endpoint of a placement and others beside it. */
   start (first: dispatcher.Placement, ask: dispatcher.Ask, { candidates, timeoutMs, staggerMs }: ProbingOptions): void {
     const { clock, dispatcher } = this.deps
+    const others = dispatcher.acquireBeside(ask, first, candidates - 1)
+    for (const placement of [first, ...others]) {
+      const domainFactor = dispatcher.domainFactor(placement.endpoint, ask)
+      this.probed.push({ placement, domainFactor, cost: Infinity, hasQueue: false, pending: true, giveUp: () => {} })
+    }
     this.cancelTimer = clock.after(timeoutMs, () => this.choose('no more answers in time'))
     this.askOthers = () => {
       if (this.settled) return
       this.askOthers = () => {}
       this.cancelStagger()
-      this.askAll(dispatcher.acquireBeside(ask, first, candidates - 1), ask)
+      for (const each of this.probed.slice(1)) this.ask(each)
     }
     // A good first answer makes the others needless, which cost their endpoints work and this instance connections.
     if (staggerMs > 0) this.cancelStagger = clock.after(staggerMs, () => this.askOthers())
-    this.askAll([first], ask)
+    this.ask(this.probed[0]!)
     if (staggerMs === 0) this.askOthers()
   }
 
@@ -113,15 +118,6 @@
     this.settle(undefined)
   }
 
-  private askAll (placements: readonly dispatcher.Placement[], ask: dispatcher.Ask): void {
-    const added = placements.map((placement): Probed => {
-      const domainFactor = this.deps.dispatcher.domainFactor(placement.endpoint, ask)
-      return { placement, domainFactor, cost: Infinity, hasQueue: false, pending: true, giveUp: () => {} }
-    })
-    this.probed.push(...added)
-    for (const each of added) this.ask(each)
-  }
-
   private ask (each: Probed): void {
     if (this.settled) return
     if (!this.deps.budget.take()) {
