Names that other systems bring along may hold capitals, dots and underscores

A deployment whose endpoints, services, routes, failure domains or instances have such names would have had its heartbeats or configuration refused, or its processes' settings.

Change: those take identifiers of up to 127 letters, digits, dots, underscores and dashes.

Ruled out: escaping such names in the adapter. An endpoint's id goes back to it as it is in the header that names the endpoint, and a process's failure domain comes from its settings, which the adapter never sees.

--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -7,7 +7,7 @@
 const maxRank = 1000
 /** Longest lag of a latency target behind its deadline; a longer one is taken for a slip of units. */
 const maxTargetBeyondDeadlineMs = 60_000
-const name = zod.string().regex(names.namePattern, names.nameRule)
+const name = zod.string().regex(names.identifierPattern, names.identifierRule)
 const milliseconds = zod.number().int().min(1).max(maxDeadlineMs)
 const ratio = zod.number().min(0).max(1)
 
@@ -131,6 +131,17 @@
   return problems.length === 0 ? { ok: true, document: result.data } : { ok: false, problems }
 }
 
+/** Names of a document that an operator of this product may not give; other systems bring theirs along. */
+export function findForeignNames ({ lanes, services = {} }: ConfigDocument): readonly string[] {
+  const isForeign = (each: string): boolean => !names.namePattern.test(each)
+  const keys = [...Object.keys(lanes).map((key) => ['lanes', key] as const), ...Object.keys(services).map((key) => ['services', key] as const)]
+  const used = Object.entries(lanes).flatMap(([key, { service, split = [] }]) => [service, ...split.map((part) => part.service)].map((each) => [key, each] as const))
+  return [
+    ...keys.filter(([, key]) => isForeign(key)).map(([section, key]) => `${section}.${key}: Invalid key in record`),
+    ...used.filter(([, service]) => isForeign(service)).map(([key, service]) => `lanes.${key}: service ${service}: ${names.nameRule}`)
+  ]
+}
+
 /** One line for a schema violation: key, what was expected, what was found. */
 export function describeIssue (issue: { readonly path: PropertyKey[], readonly message: string }): string {
   const key = issue.path.map(String).join('.')
--- a/packages/config/src/common/configPatch.ts
+++ b/packages/config/src/common/configPatch.ts
@@ -8,8 +8,9 @@
   const target: unknown = structuredClone(document)
   const patched: unknown = mergePatch.apply(target, parsePatch(mergePatchJson))
   const check = configDocument.checkDocument(patched)
-  if (check.ok) return check.document
-  throw new errors.RackError({ kind: 'invalid-config', message: check.problems.join('; ') })
+  const problems = check.ok ? configDocument.findForeignNames(check.document) : check.problems
+  if (check.ok && problems.length === 0) return check.document
+  throw new errors.RackError({ kind: 'invalid-config', message: problems.join('; ') })
 }
 
 function parsePatch (json: string): object {
--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -6,6 +6,8 @@
 
 const minTokenLength = 16
 const name = zod.string().regex(names.namePattern, names.nameRule)
+/** Names of instances and failure domains come from where a process is deployed. */
+const identifier = zod.string().regex(names.identifierPattern, names.identifierRule)
 const hostPort = zod.string().refine(address.isAddress, 'an IP number and port, such as "127.0.0.1:7000"')
 const token = zod.string().min(minTokenLength)
 
@@ -33,8 +35,8 @@
 
 const settingsSchema = zod.strictObject({
   cluster: name,
-  instance: name,
-  failureDomain: name,
+  instance: identifier,
+  failureDomain: identifier,
   inner: zod.strictObject({
     listen: hostPort,
     /** Address by which other processes reach this one, where it differs. */
@@ -72,7 +74,7 @@
     /** Where targets announce themselves to this process. */
     announcements: zod.strictObject({ listen: hostPort, token }).optional(),
     /** Control replicas, in at least two failure domains where there are. */
-    control: zod.array(zod.strictObject({ address: hostPort, failureDomain: name })).default([]),
+    control: zod.array(zod.strictObject({ address: hostPort, failureDomain: identifier })).default([]),
     /** In place of `control` and `peers`: replicas that serve as hubs are learnt from these. */
     seeds: seeds.default([]),
     /** Inner addresses of some other entry instances; the rest is learnt from them. */
--- a/packages/config/src/test/configPatch.test.ts
+++ b/packages/config/src/test/configPatch.test.ts
@@ -28,6 +28,7 @@
   'refuses a wrong type': [{ lanes: { diary: { ...lane, deadlineMs: 'soon' } } }],
   'refuses two lanes that match the same': [{ lanes: { diary: lane, other: lane } }],
   'refuses a name with capitals': [{ lanes: { Diary: lane } }],
+  'refuses a service with dots': [{ lanes: { diary: { ...lane, service: 'diary.v2' } } }],
   'refuses broken JSON': ['{"lanes":'],
   'refuses a list': ['[]']
 }
--- a/packages/fleet/src/common/announcement.ts
+++ b/packages/fleet/src/common/announcement.ts
@@ -6,7 +6,7 @@
 
 const maxLeaseMs = 600_000
 const maxSlots = 100_000
-const name = zod.string().regex(names.namePattern, names.nameRule)
+const name = zod.string().regex(names.identifierPattern, names.identifierRule)
 
 const announcementSchema = zod.strictObject({
   endpoint: name,
--- a/tap-snapshots/packages/config/dist/test/configPatch.test.js.test.cjs
+++ b/tap-snapshots/packages/config/dist/test/configPatch.test.js.test.cjs
@@ -93,6 +93,10 @@
 lanes.Diary: Invalid key in record
 `
 
+exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses a service with dots > must match snapshot 1`] = `
+lanes.diary: service diary.v2: lower-case letters, digits and dashes
+`
+
 exports[`packages/config/dist/test/configPatch.test.js > TAP > refuses a wrong type > must match snapshot 1`] = `
 lanes.diary.deadlineMs: Invalid input: expected number, received string
 `
