Instances with few calls keep to endpoints that they are connected to

Change: of endpoints that are alike the one with an idle connection is asked first (an open one counts a fifth); one that became known within 10 s isn't held back, so that what is added gets its first calls. A connection is used again for 0.8 of the time that its target names by Keep-Alive, 4 s without; the HTTP client no longer closes it 2 s before that.

--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -74,6 +74,7 @@
       newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
       random,
       notices: this.notices,
+      isConnected: ({ address }) => this.connections.hasIdle(address),
       repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond },
       startingUntil: this.startup.until,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -190,6 +190,7 @@
         this.notices.note(this.endpoint, headerRules.noticeOf(this.req.names, status, headers))
         this.headSeen = true
         this.keepsOpen = headers['connection'] !== 'close'
+        this.connection?.noteKeepAlive(headers['keep-alive'])
         this.events.onHead(toHead(controller, status, headers, statusMessage ?? '', headerRules.statesNotRun(this.req.names, status, headers)))
       },
       onResponseData: (_controller, chunk) => {
--- a/packages/entry/src/node/httpProber.ts
+++ b/packages/entry/src/node/httpProber.ts
@@ -78,6 +78,7 @@
       onRequestStart: () => {},
       onResponseStart: (_controller, status, headers) => {
         keepsOpen = headers['connection'] !== 'close'
+        connection.noteKeepAlive(headers['keep-alive'])
         notices.note(this.endpoint, headerRules.noticeOf(names, status, headers))
         this.report = reportOf(names, status, headers)
       },
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -37,6 +37,8 @@
   readonly repeats: budget.RepeatLimits | undefined
   /** Probes of all instances together, for each endpoint and second. */
   readonly probesPerEndpointAndSecond: number
+  /** True while an idle connection to an endpoint is open. */
+  readonly isConnected: (endpoint: endpointTable.Endpoint) => boolean
   /** Which endpoints want no requests for a while. */
   readonly notices: endpointNotices.EndpointNotices
   /** Time on the clock until which endpoints may not be known yet. */
@@ -143,9 +145,9 @@
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let found = this.dispatchers.get(service)
     if (found === undefined) {
-      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, notices } = this.options
+      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices } = this.options
       const connectionLimit = (): number | undefined => this.services?.[service]?.connectionLimit
-      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, notices }, this.endpoints, newPolicy(), this.clock)
+      found = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, isConnected, notices }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, found)
     }
     return found
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -4,6 +4,13 @@
 import * as address from '@rosemaryrack/base/common/address.js'
 
 const connectTimeoutMs = 1000
+/** Idle time after which a connection isn't used again where its target names none, in milliseconds. */
+export const defaultIdleLimitMs = 4000
+/** Part of the time that a target names by `Keep-Alive`: a request must arrive before its end. */
+const keepAliveShare = 0.8
+const maxIdleLimitMs = 60_000
+const msPerSecond = 1000
+const keepAliveTimeout = /(?:^|[,;\s])timeout=(\d{1,6})/i
 const resetCode = 'ECONNRESET'
 /** Most bytes between two pieces of a body, or before the first one: four times the longest head that the HTTP client takes. */
 const maxIdleBytes = 64 * 1024
@@ -57,6 +64,7 @@
 export class TargetConnection {
   readonly openedAt = performance.now()
   private idleSince = performance.now()
+  private idleLimit = defaultIdleLimitMs
   private readonly client: undici.Client
 
   private constructor (private readonly socket: TargetSocket, targetAddress: string) {
@@ -65,6 +73,8 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
+      // The pool decides how long before the end that a target names a connection is used.
+      keepAliveTimeoutThreshold: 0,
       connect: (_options, callback) => {
         // A second connection would send a request again that may have run.
         const refused = handedOver
@@ -99,6 +109,17 @@
     return !this.socket.destroyed && this.socket.readable && this.socket.writable
   }
 
+  /** Idle time after which it isn't used again, in milliseconds. */
+  get idleLimitMs (): number {
+    return this.idleLimit
+  }
+
+  /** Takes the idle time that the target allows from an answer's `Keep-Alive` header. */
+  noteKeepAlive (header: string | string[] | undefined): void {
+    const seconds = typeof header === 'string' ? keepAliveTimeout.exec(header)?.[1] : undefined
+    if (seconds !== undefined) this.idleLimit = Math.min(maxIdleLimitMs, Number(seconds) * msPerSecond * keepAliveShare)
+  }
+
   get idleMs (): number {
     return performance.now() - this.idleSince
   }
--- a/packages/entry/src/node/targetConnections.ts
+++ b/packages/entry/src/node/targetConnections.ts
@@ -2,7 +2,6 @@
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as targetConnection from './targetConnection.js'
 
-const maxIdleMs = 4000
 const maxIdleBeforeSingleDispatchMs = 500
 const sweepMs = 1000
 
@@ -35,15 +34,20 @@
   /** An idle connection, where there is a young one. A request that may be sent only once avoids those idle for long. */
   takeIdle (address: string, singleDispatch: boolean): targetConnection.TargetConnection | undefined {
     const pool = this.pools.get(address)
-    const oldest = singleDispatch ? maxIdleBeforeSingleDispatchMs : maxIdleMs
     if (pool === undefined) return undefined
     for (let connection = pool.idle.pop(); connection !== undefined; connection = pool.idle.pop()) {
+      const oldest = singleDispatch ? maxIdleBeforeSingleDispatchMs : connection.idleLimitMs
       if (connection.isOpen && connection.idleMs <= oldest && connection.openedAt >= pool.trustedSince) return connection
       this.discard(connection)
     }
     return undefined
   }
 
+  /** True while there is an idle connection that a call may use. */
+  hasIdle (address: string): boolean {
+    return this.pools.get(address)?.idle.some((connection) => connection.isOpen && connection.idleMs <= connection.idleLimitMs) === true
+  }
+
   async open (address: string): Promise<targetConnection.TargetConnection> {
     const connection = await targetConnection.TargetConnection.open(address)
     this.openCount++
@@ -84,12 +88,12 @@
 
   private sweep (): void {
     for (const [address, pool] of this.pools) {
-      const kept = pool.idle.filter((connection) => connection.isOpen && connection.idleMs <= maxIdleMs)
+      const kept = pool.idle.filter((connection) => connection.isOpen && connection.idleMs <= connection.idleLimitMs)
       for (const connection of pool.idle) {
         if (!kept.includes(connection)) this.discard(connection)
       }
       pool.idle = kept
-      if (kept.length === 0 && performance.now() - pool.trustedSince > maxIdleMs) this.pools.delete(address)
+      if (kept.length === 0 && performance.now() - pool.trustedSince > targetConnection.defaultIdleLimitMs) this.pools.delete(address)
     }
   }
 }
--- a/packages/entry/src/test/httpAttempt.test.ts
+++ b/packages/entry/src/test/httpAttempt.test.ts
@@ -69,3 +69,23 @@
   t.ok(await current.heard(['lost'], longMs))
   t.same([current.seen, current.bodyBytes, current.connections.count], [['data', 'end', 'lost'], 5, 0])
 })
+
+for (const [header, limitMs] of [
+  ['timeout=10', 8000],
+  ['max=5, timeout=2', 1600],
+  ['timeout=999999', 60_000],
+  ['timeout=soon', 4000],
+  ['', 4000]
+] as const) {
+  tap.t.test(`a connection whose target said "Keep-Alive: ${header}" is used again for ${limitMs} ms`, async (t) => {
+    await using current = new exchange.Exchange((socket) => socket.write(`HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: ${header}\r\nContent-Length: 5\r\n\r\nhello`))
+    await current.send()
+    await current.heard(['end'], longMs)
+    const { address } = current.endpoint
+    await timers.setTimeout(aMomentMs)
+    const before = current.connections.hasIdle(address)
+    const connection = current.connections.takeIdle(address, false)
+    t.same([before, connection?.idleLimitMs, current.connections.hasIdle(address)], [true, limitMs, false])
+    if (connection !== undefined) current.connections.discard(connection)
+  })
+}
--- a/packages/routing/src/common/adaptivePolicy.ts
+++ b/packages/routing/src/common/adaptivePolicy.ts
@@ -2,6 +2,13 @@
 import type * as balancingPolicy from './balancingPolicy.js'
 
 const tieWidth = 0.05
+/**
+ * Cost of an endpoint to which a connection must be opened first, against an equal one that is connected: round trips
+ * and the endpoint's own work. It makes an instance that has few calls keep to a few endpoints.
+ */
+const newConnectionFactor = 1.2
+/** Time in which an endpoint that became known isn't held back by having no connection, so that it gets its first calls. */
+const newcomerMs = 10_000
 
 /** Needs no knowledge but the instance's own, so it costs no measuring. */
 export class AdaptivePolicy implements balancingPolicy.IBalancingPolicy {
@@ -25,6 +32,8 @@
     const { stats } = candidate
     const { weights, now, typicalLatencyMs, remoteFactor } = context
     const relativeLatency = stats.latency(now, typicalLatencyMs) / typicalLatencyMs
+    const isNewcomer = now - stats.knownSince < newcomerMs
+    const connectionFactor = candidate.connected || isNewcomer ? 1 : newConnectionFactor
     const domainFactor = candidate.failureDomain === context.ownFailureDomain ? 1 : remoteFactor
     return (stats.inFlight + 1) *
       relativeLatency ** weights.latency *
@@ -32,6 +41,7 @@
       (1 + weights.reportedLoad * candidate.reportedLoad) *
       (1 + weights.recentFailures * stats.recentFailures) *
       (1 + weights.coldness * stats.coldness(now)) *
+      connectionFactor *
       domainFactor
   }
 }
--- a/packages/routing/src/common/balancingPolicy.ts
+++ b/packages/routing/src/common/balancingPolicy.ts
@@ -8,6 +8,8 @@
   readonly failureDomain: string
   /** Utilization as the target reported it; it lags and may mislead. */
   readonly reportedLoad: number
+  /** An idle connection to it is open. */
+  readonly connected: boolean
   readonly stats: endpointStats.EndpointStats
 }
 
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -65,6 +65,8 @@
   readonly liveEntries: () => number
   /** Connections that the service's configuration allows to an endpoint from all instances together. */
   readonly connectionLimit?: () => number | undefined
+  /** True while an idle connection to an endpoint is open; all are alike where it is missing. */
+  readonly isConnected?: (endpoint: endpointTable.Endpoint) => boolean
   /** Which endpoints want no requests for a while. */
   readonly notices?: Pick<endpointNotices.EndpointNotices, 'awayUntil' | 'onAway'>
   /** Time on the clock until which endpoints may not be known yet; calls without one wait for it. */
@@ -304,7 +306,7 @@
       if (isTooColdFor(ask, stats, now)) cold++
       if (stats.inFlight >= this.limitOf(endpoint) || ask.exclude.has(endpoint.endpoint)) continue
       if (ask.suspect && stats.suspects > 0) continue
-      free.push({ id: endpoint.endpoint, failureDomain: endpoint.failureDomain, reportedLoad: endpoint.load, stats })
+      free.push({ id: endpoint.endpoint, failureDomain: endpoint.failureDomain, reportedLoad: endpoint.load, connected: this.options.isConnected?.(endpoint) ?? true, stats })
     }
     const healthy = free.filter(({ stats }) => !stats.isEjected(now))
     const ejected = free.length - healthy.length
