--- a/packages/control/src/node/replicaStorage.ts
+++ b/packages/control/src/node/replicaStorage.ts
@@ -17,7 +17,7 @@
 const snapshotFile = 'snapshot'
 const replicaIdBytes = 8
 const fullCode = 'ENOSPC'
-/** Time to the next try of a write that found the disk full, in milliseconds: room is back within so long for the others. */
+/** Time to the next try of a write that found the disk full, in milliseconds: an election takes about as long. */
 const fullRetryMs = 250
 
 /** What a data folder holds. */
@@ -185,11 +185,12 @@
     try {
       while (!await this.hadRoom(write)) {
         await async.sleep(fullRetryMs)
-        if (this.disposed) break
+        // The process stops: the call must not look as if its data were synced.
+        if (this.disposed) throw new Error('no room on the disk until the end')
         await undo()
       }
     } catch (err) {
-      this.onFailure(err as Error)
+      if (!this.disposed) this.onFailure(err as Error)
       throw new errors.RackError({ kind: 'disk-failure', message: `${this.folder}: ${errors.messageOf(err)}` })
     }
   }
--- a/packages/control/src/test/replicaStorage.test.ts
+++ b/packages/control/src/test/replicaStorage.test.ts
@@ -145,3 +145,15 @@
   t.equal((await again.load()).meta.term, 7)
   again.dispose()
 })
+
+tap.t.test('a full disk: a write that still waits when the process stops fails', async (t) => {
+  const folder = path.join(t.testdir({}), 'data')
+  const storage = open(folder)
+  await storage.load()
+  const makeRoom = await fillDisk(path.join(folder, 'log'), ['appendFile'])
+  const append = faultKind(storage.append(entries(1, 1)))
+  while (!storage.isFull) await async.sleep(1)
+  storage.dispose()
+  t.equal(await append, 'disk-failure')
+  makeRoom()
+})
