A 503 with Retry-After takes an endpoint out of placing only where settings say so

Cause: three scenarios failed in the check before landing: once-resend-other-entry, once-target-failures, trace-brandpost. The stand-in target sheds single requests by 503 with `Retry-After: 1`; each took its endpoint out of placing for all calls, and with few endpoints those were refused. What such an answer means is the deployment's word: on the users' platform it concerns all requests from this process.

Ruled out: changing the stand-in, whose scenarios stand as they were.

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -30,7 +30,9 @@
   /** Mark of targets' own answers, without which a success is not taken for one. */
   targetStamp: headerName.optional(),
   /** By any of these headers, with the value 1, a target says in an answer that it leaves. */
-  targetLeaving: zod.array(headerName).max(4).optional()
+  targetLeaving: zod.array(headerName).max(4).optional(),
+  /** In a 503, seconds for which a target wants no requests from this process, whichever they are. Without it a 503 concerns one request. */
+  targetAway: headerName.optional()
 })
 
 const settingsSchema = zod.strictObject({
--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -53,7 +53,8 @@
   // The endpoint that a misdirected request names isn't the one that answers.
   if (status === misdirectedStatus) return { leaving: false }
   const leaving = names.targetLeaving?.some((name) => headers[name] === leavingValue) === true
-  const awayMs = status === unavailableStatus ? Number(headers['retry-after'] ?? NaN) * msPerSecond : NaN
+  const away = names.targetAway === undefined || status !== unavailableStatus ? undefined : headers[names.targetAway]
+  const awayMs = Number(away ?? NaN) * msPerSecond
   return awayMs > 0 ? { leaving, awayMs } : { leaving }
 }
 
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -8,7 +8,7 @@
 import * as targetConnections from '../node/targetConnections.js'
 
 /** Header names as a deployment may have them. */
-export const names: settings.HeaderNames = { requestId: 'x-id', deadline: 'x-deadline', notRun: { name: 'x-not-run' }, targetLeaving: ['x-leaving'] }
+export const names: settings.HeaderNames = { requestId: 'x-id', deadline: 'x-deadline', notRun: { name: 'x-not-run' }, targetLeaving: ['x-leaving'], targetAway: 'retry-after' }
 
 const all: endpointNotices.IEndpointNotices = { note: () => {}, maySend: () => true }
 
--- a/packages/entry/src/test/targetNotices.test.ts
+++ b/packages/entry/src/test/targetNotices.test.ts
@@ -61,6 +61,11 @@
   t.matchSnapshot(cases.map(([status, headers]) => [status, headers, headerRules.noticeOf(names, status, headers)]))
 })
 
+tap.t.test('where no header is named for it, a 503 concerns one request alone', async (t) => {
+  const { targetAway, ...others } = names
+  t.same(headerRules.noticeOf(others, 503, { 'retry-after': '2' }), { leaving: false })
+})
+
 tap.t.test('an answer to a request tells that the target leaves, and for how long it wants nothing', async (t) => {
   const notices = new Notices()
   await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 503 Full\r\nX-Id: 7\r\nX-Leaving: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n'), true, notices)
