A hedge that is about to be sent is the retry; a dropped answer counts as a run

Its hedge was waiting for a probe's answer when the first run ended with a 500; the retry that followed was sent beside the hedge, and neither counted the other.

Change: another try under way holds the retry back, whether it runs or waits for its endpoint. Besides, a call whose 500 was dropped for another try ended as `not-run` when that was refused; it is `unknown` now.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -121,7 +121,7 @@
   }
 
   private refuseQuarantined (identity: requestIdentity.RequestIdentity): void {
-    if (requestStanding.standingOf(this.deps.suspects, identity) === 'quarantined') throw new errors.RackError(call.quarantinedFault())
+    if (requestStanding.standingOf(this.deps.suspects, identity) === 'quarantined') throw new errors.RackError(requestStanding.quarantinedFault())
   }
 
   private get idempotencyKey (): string | undefined {
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -24,7 +24,6 @@
 /** Part of a typical answer's time after which the caller of a request that endpoints shed may come back. */
 const returnShareOfTypical = 0.5
 const msPerSecond = 1000
-const quarantineRetryAfterS = 600
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 const firstServerError = 500
 
@@ -82,15 +81,6 @@
   cancelLimit: () => void
 }
 
-/** Answer to a request that has brought down targets, while it is certain that it was not run again. */
-export function quarantinedFault (): errors.Fault {
-  return {
-    kind: 'quarantined',
-    message: 'targets died each time they ran this request; it was not run again',
-    retryAfterS: quarantineRetryAfterS
-  }
-}
-
 /** Runs from `start` until its outcome; `cancel` when the caller has gone. */
 export class Call {
   private readonly running = new Set<RunningAttempt>()
@@ -105,6 +95,8 @@
   private unsent = 0
   private waiting = false
   private uncertainRuns = 0
+  /** A run ended by a failure of the target's own, which was dropped for another try. */
+  private hasDroppedAnswer = false
   private silent = false
   /** A retry was taken from the budget before it was known to be needed. */
   private retryGranted = false
@@ -117,9 +109,8 @@
   }
 
   start (): void {
-    const { clock } = this.deps
-    this.startedAt = clock.now()
-    this.cancelDeadline = clock.after(this.spec.deadlineAt - clock.now(), () => this.deadlinePassed())
+    this.startedAt = this.deps.clock.now()
+    this.cancelDeadline = this.deps.clock.after(this.spec.deadlineAt - this.startedAt, () => this.deadlinePassed())
     this.askForSlot('route')
   }
 
@@ -147,7 +138,7 @@
 
   private askForSlot (event: 'route' | 'retry'): void {
     if (this.standing === 'quarantined') {
-      this.refuse(quarantinedFault())
+      this.refuse(requestStanding.quarantinedFault())
       return
     }
     this.waiting = true
@@ -223,8 +214,9 @@
     } else if (this.worthAnotherTry(head)) {
       attempt.handle?.cancel()
       attempt.placement.release()
+      this.hasDroppedAnswer = true
       this.record({ event: 'discard', choice: attempt.placement.endpoint.endpoint, why: `status ${head.status}` })
-      if (this.running.size === 0) this.askForSlot('retry')
+      if (!this.hasOtherTry) this.askForSlot('retry')
     } else {
       this.answer(attempt, head)
     }
@@ -255,7 +247,7 @@
 
   private worthAnotherTry (head: transport.AnswerHead): boolean {
     if (!this.spec.lane.idempotent || !retryableStatuses.includes(head.status)) return false
-    return this.running.size > 0 || this.mayRetry()
+    return this.hasOtherTry || this.mayRetry()
   }
 
   private answer (attempt: RunningAttempt, head: transport.AnswerHead): void {
@@ -323,7 +315,7 @@
   }
 
   private tryAgain (why: string): void {
-    if (this.running.size > 0 || this.waiting) return
+    if (this.hasOtherTry) return
     if (!this.mayRetry()) {
       this.giveUp(why)
       return
@@ -336,6 +328,11 @@
     return this.attempts - this.unsent < this.spec.lane.maxAttempts && this.uncertainRuns + this.running.size < maxUncertainRuns
   }
 
+  /** Another attempt runs, or is about to be sent once an endpoint is chosen. */
+  private get hasOtherTry (): boolean {
+    return this.running.size > 0 || this.waiting
+  }
+
   /** Spends a retry when it says yes. */
   private mayRetry (): boolean {
     if (!this.mayRunAgain || !this.spec.replayable()) return false
@@ -346,21 +343,25 @@
   }
 
   private giveUp (why: string): void {
-    if (this.running.size > 0 || this.waiting) return
+    if (this.hasOtherTry) return
     this.refuse(this.finalFault(why, false))
   }
 
+  private get mayHaveRun (): boolean {
+    return this.uncertainRuns > 0 || this.hasDroppedAnswer
+  }
+
   private finalFault (why: string, timedOut: boolean): errors.Fault {
     // Endpoints that shed or were gone may take the next try; one soon enough may still be in time.
     const soonS = Math.min(retryAfterFailureS, this.typicalMs * returnShareOfTypical / msPerSecond)
-    if (this.uncertainRuns === 0) return { kind: 'not-run', message: why, retryAfterS: soonS }
+    if (!this.mayHaveRun) return { kind: 'not-run', message: why, retryAfterS: soonS }
     // A resend of an idempotent request is safe, and better once all instances know what this one has seen.
     return { kind: 'unknown', message: why, timedOut, ...(this.spec.lane.idempotent ? { retryAfterS: retryAfterFailureS } : {}) }
   }
 
   private refuse (fault: errors.Fault): void {
     if (this.settled || this.running.size > 0) return
-    const final = this.uncertainRuns > 0 ? this.finalFault(fault.message, false) : fault
+    const final = this.mayHaveRun ? this.finalFault(fault.message, false) : fault
     this.settle()
     this.record({ event: 'refuse', choice: final.kind, attempts: this.attempts, why: final.message })
     this.listener.onRefused(final)
