Newcomer's read: one rule for a reusable connection, names that say what they count

No behaviour and no assertion changes. `isReusable` replaces a condition that stood twice in the pool; bytes without progress were called idle bytes, beside the idle time of the same connection; a local in `deadlinePassed` had the name of a getter; import order.

--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -13,7 +13,7 @@
 const keepAliveTimeout = /(?:^|[,;\s])timeout=(\d{1,6})/i
 const resetCode = 'ECONNRESET'
 /** Most bytes between two pieces of a body, or before the first one: four times the longest head that the HTTP client takes. */
-const maxIdleBytes = 64 * 1024
+const maxBytesWithoutProgress = 64 * 1024
 
 /**
  * A socket that holds data back by itself, and whose end is never without an error but for the target's orderly one. The
@@ -24,7 +24,7 @@
 class TargetSocket extends net.Socket {
   private held = false
   /** Bytes that were read and were no part of a body. */
-  private idleBytes = 0
+  private bytesWithoutProgress = 0
 
   /** Gives out nothing until `release`; what the target sends meanwhile waits in the socket and then in the kernel. */
   hold (): void {
@@ -40,18 +40,18 @@
 
   override read (size?: number): unknown {
     if (this.held) return null
-    if (this.idleBytes > maxIdleBytes) {
-      this.destroy(new Error(`${this.idleBytes} bytes that are no part of an answer`))
+    if (this.bytesWithoutProgress > maxBytesWithoutProgress) {
+      this.destroy(new Error(`${this.bytesWithoutProgress} bytes that are no part of an answer`))
       return null
     }
     const data = super.read(size) as Buffer | null
-    this.idleBytes += data?.length ?? 0
+    this.bytesWithoutProgress += data?.length ?? 0
     return data
   }
 
   /** Tells that a request was sent or a piece of a body arrived. */
   noteProgress (): void {
-    this.idleBytes = 0
+    this.bytesWithoutProgress = 0
   }
 
   override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
@@ -120,6 +120,11 @@
     if (seconds !== undefined) this.idleLimit = Math.min(maxIdleLimitMs, Number(seconds) * msPerSecond * keepAliveShare)
   }
 
+  /** True while it may carry another request that may be repeated. */
+  get isReusable (): boolean {
+    return this.isOpen && this.idleMs <= this.idleLimit
+  }
+
   get idleMs (): number {
     return performance.now() - this.idleSince
   }
--- a/packages/entry/src/node/targetConnections.ts
+++ b/packages/entry/src/node/targetConnections.ts
@@ -45,7 +45,7 @@
 
   /** True while there is an idle connection that a call may use. */
   hasIdle (address: string): boolean {
-    return this.pools.get(address)?.idle.some((connection) => connection.isOpen && connection.idleMs <= connection.idleLimitMs) === true
+    return this.pools.get(address)?.idle.some(({ isReusable }) => isReusable) === true
   }
 
   async open (address: string): Promise<targetConnection.TargetConnection> {
@@ -88,7 +88,7 @@
 
   private sweep (): void {
     for (const [address, pool] of this.pools) {
-      const kept = pool.idle.filter((connection) => connection.isOpen && connection.idleMs <= connection.idleLimitMs)
+      const kept = pool.idle.filter(({ isReusable }) => isReusable)
       for (const connection of pool.idle) {
         if (!kept.includes(connection)) this.discard(connection)
       }
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -370,9 +370,9 @@
   private deadlinePassed (): void {
     if (this.settled) return
     for (const attempt of this.running) {
-      const mayHaveRun = attempt.handle?.written !== false
-      if (mayHaveRun) this.uncertainRuns++
-      this.noteFailure(attempt, mayHaveRun ? 'silent' : 'not-written')
+      const written = attempt.handle?.written !== false
+      if (written) this.uncertainRuns++
+      this.noteFailure(attempt, written ? 'silent' : 'not-written')
       attempt.handle?.abandon()
     }
     const fault = this.finalFault('the deadline passed', true)
--- a/packages/routing/src/common/requestStanding.ts
+++ b/packages/routing/src/common/requestStanding.ts
@@ -1,6 +1,6 @@
 /** Where a request stands among the suspects. */
-import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as requestIdentity from './requestIdentity.js'
 
 const quarantineRetryAfterS = 600
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -1,5 +1,6 @@
 /** Calls whose targets die: how many endpoints they may take, and whom the deaths are blamed on. */
 import * as tap from 'tap'
+import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
@@ -12,7 +13,6 @@
 import * as laneLatency from '../common/laneLatency.js'
 import type * as transport from '../common/transport.js'
 import * as fixtures from './fixtures.js'
-import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 
 const deadlineMs = 1000
 const hedgeAfterMs = 10
--- a/packages/routing/src/test/loadProbing.test.ts
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -2,6 +2,7 @@
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
 import * as uniform from 'pure-rand/distribution/uniformInt'
 import * as tap from 'tap'
+import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as adaptivePolicy from '../common/adaptivePolicy.js'
@@ -10,7 +11,6 @@
 import * as loadProbing from '../common/loadProbing.js'
 import type * as timeBudget from '../common/timeBudget.js'
 import * as fixtures from './fixtures.js'
-import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 
 const timeoutMs = 25
 const staggerMs = 8
--- a/packages/routing/src/test/overload.test.ts
+++ b/packages/routing/src/test/overload.test.ts
@@ -2,6 +2,7 @@
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
 import * as uniform from 'pure-rand/distribution/uniformInt'
 import * as tap from 'tap'
+import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as adaptivePolicy from '../common/adaptivePolicy.js'
@@ -9,7 +10,6 @@
 import * as loadProbing from '../common/loadProbing.js'
 import * as timeBudget from '../common/timeBudget.js'
 import * as fixtures from './fixtures.js'
-import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 
 const seed = 20261204
 const entries = 17
