--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -82,6 +82,7 @@
   private holdMs = initialTypicalMs
   private bulkInFlight = 0
   private newestKnownSince = -Infinity
+  private cancelReturn = (): void => {}
 
   constructor (
     private readonly options: DispatcherOptions,
@@ -94,6 +95,7 @@
   }
 
   dispose (): void {
+    this.cancelReturn()
     this.disposables.dispose()
   }
 
@@ -355,11 +357,16 @@
 
   /** Waiting calls that count on the endpoint are refused now or placed once it may be asked again. */
   private endpointAway (endpoint: endpointTable.Endpoint): void {
-    if (endpoint.service !== this.options.service || this.queue.length === 0) return
-    this.pump()
-    const { backAt } = this.askable(this.clock.now())
-    if (this.queue.length === 0 || backAt === Infinity) return
-    this.clock.after(backAt - this.clock.now(), () => { if (this.queue.length > 0) this.pump() })
+    if (endpoint.service === this.options.service) this.pumpUntilReturned()
+  }
+
+  /** Looks at the waiting calls now, and again each time an endpoint may be asked again; calls may begin to wait meanwhile. */
+  private pumpUntilReturned (): void {
+    if (this.queue.length > 0) this.pump()
+    this.cancelReturn()
+    const now = this.clock.now()
+    const { backAt } = this.askable(now)
+    if (backAt !== Infinity) this.cancelReturn = this.clock.after(backAt - now, () => this.pumpUntilReturned())
   }
 
   private describe (candidates: readonly balancingPolicy.Candidate[], context: balancingPolicy.ChoiceContext): string {
--- a/packages/routing/src/test/endpointNotices.test.ts
+++ b/packages/routing/src/test/endpointNotices.test.ts
@@ -146,3 +146,15 @@
   for (const endpoint of instance.endpoints) instance.notices.note(endpoint, { leaving: false, awayMs: 800 })
   t.same(instance.faults.map((fault) => 'retryAfterS' in fault && fault.retryAfterS), [0.8])
 })
+
+tap.t.test('a call that begins to wait while an endpoint is away is placed once that one is back', async (t) => {
+  const clock = new manualClock.ManualClock()
+  const instance = new Instance(clock, [fixtures.endpointWith('d-0', 1, 0), fixtures.endpointWith('d-1', 1, 0), fixtures.endpointWith('d-2', 1, 0)])
+  instance.call(() => {}, ['d-1', 'd-2'])
+  instance.notices.note(instance.endpoints[1]!, { leaving: false, awayMs: 300 })
+  instance.notices.note(instance.endpoints[2]!, { leaving: false, awayMs: 800 })
+  const placedAt: number[] = []
+  for (let i = 0; i < 2; i++) instance.call(() => placedAt.push(clock.now()))
+  clock.advance(1000)
+  t.same(placedAt, [300, 800])
+})
--- a/packages/testbed/src/test/huntSummary.test.ts
+++ b/packages/testbed/src/test/huntSummary.test.ts
@@ -43,3 +43,8 @@
   t.matchSnapshot(await describe(portions))
   t.match(summarize(portions), [{ withFinding: 0, notKnown: 15 }])
 })
+
+tap.t.test('a day that the bench drew for a hunt has no seed of its own and is played again by its name', async (t) => {
+  const entry = { site: 'diary', days: [day('hunt-02f5-3', { rules: { BUDGET: 1 }, gate: false })] }
+  t.match(await describe([{ siteFile, asked: 1, entry }]), [/1 with a finding/, /BUDGET 1\n +replay sites\/diary\.toml hunt-02f5-3$/])
+})
--- a/scripts/hunt.mjs
+++ b/scripts/hunt.mjs
@@ -18,7 +18,8 @@
 /** Plays one portion; returns the journal entry that it left, or undefined. */
 function playPortion (bench, siteFile, days, { jobs, why }) {
   const before = new Set(entryFiles())
-  childProcess.spawnSync(bench, ['hunt', siteFile, '--days', String(days), '--jobs', String(jobs), '--why', why], { stdio: 'inherit' })
+  const { error } = childProcess.spawnSync(bench, ['hunt', siteFile, '--days', String(days), '--jobs', String(jobs), '--why', why], { stdio: 'inherit' })
+  if (error !== undefined) console.error(`the bench didn't run: ${error.message}`)
   const site = siteFile.split('/').at(-1).replace(/\.toml$/, '')
   return entryFiles()
     .filter((name) => !before.has(name))
--- a/scripts/huntSummary.mjs
+++ b/scripts/huntSummary.mjs
@@ -1,10 +1,13 @@
 /** What hunts found, from the bench's journal entries: days played and not known, broken rules, and how to play them again. */
 
-/** Days of one journal entry that count against the gate; `again` are the bench's arguments that play one again. */
+/**
+ * Days of one journal entry that count against the gate; `again` are the bench's arguments that play one again. A day that
+ * the bench drew for a hunt has no seed and is replayed by its name.
+ */
 function findingsOf ({ site, siteFile, days }) {
   return (days ?? [])
     .filter(({ gate, rules, fault }) => gate === false || fault || Object.keys(rules ?? {}).length > 0)
-    .map(({ name, rules, fault, short }) => ({ site, broken: rules ?? {}, fault: fault ?? undefined, short: short ?? [], again: `run ${siteFile} ${name}` }))
+    .map(({ name, rules, fault, short }) => ({ site, broken: rules ?? {}, fault: fault ?? undefined, short: short ?? [], again: `${name.includes(' --seed ') ? 'run' : 'replay'} ${siteFile} ${name}` }))
 }
 
 /**
