Elections: first tries in an order, promised votes, one candidacy for each term asked

A replica that was promised votes for one term stood for the term after the one in which it had just voted for another; votes were promised to several candidates at once; all first tries came from the same short span.

--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -11,14 +11,24 @@
 const idleCheckShare = 0.05
 const leaderTimeouts = 2
 /**
- * Part of the timeout after which a replica that has heard no leader since it started stands for election. A working leader
- * is not disturbed: those that hear it give no votes, not even before the term is raised.
+ * Parts of the timeout after which a replica that has heard no leader since it started stands for election: the replica that it
+ * voted for last first, then the others in the order of the membership, a vote's way apart. A working leader is not
+ * disturbed: those that hear it give no votes, not even before the term is raised.
  */
-const firstTimeoutShare = 0.25
+const firstTimeoutShare = 0.03
+const rankShare = 0.1
+/** Part of the timeout after which a try before any leader was heard is made again, and its growth from try to try. */
+const retryShare = 0.04
+const retryGrowth = 1.05
+/** Widest part of that time that is added by chance, so that replicas that stood at once don't again. */
+const retrySpread = 2
+/** Part of the timeout for which promises of votes are waited for, as long as no leader was heard: most replicas may just be starting. */
+const promiseTimeoutShare = 0.25
 
 /** Watches the leader on behalf of one replica. */
 export class Election implements lifecycle.IDisposable {
   private readonly stopped = new AbortController()
+  private tries = 0
 
   constructor (private readonly replica: replica.Replica) {}
 
@@ -47,12 +57,12 @@
     this.stopped.abort()
   }
 
-  /** Time in which neither a leader was heard nor an election tried. */
+  /** Time in which neither a leader was heard, nor a vote kept for another candidate, nor an election tried. */
   private idleMs (lastAttemptAt: number): number {
-    return Math.min(this.replica.leaderSilenceMs, performance.now() - lastAttemptAt)
+    return Math.min(this.replica.leaderSilenceMs, this.replica.uncommittedMs, performance.now() - lastAttemptAt)
   }
 
-  /** A leader that is heard only moves the time to stand for election, so nothing is due before. */
+  /** A leader that is heard and a promised vote only move the time to stand for election, so nothing is due before. */
   private untilDueMs (timeout: number, lastAttemptAt: number): number {
     const base = this.replica.electionTimeoutMs
     if (this.replica.leadership !== undefined) return base * leaderCheckShare
@@ -61,14 +71,29 @@
 
   private nextTimeout (): number {
     const base = this.replica.electionTimeoutMs
-    return randomTimeout(this.replica.hasSeenLeader ? base : base * firstTimeoutShare)
+    if (this.replica.hasSeenLeader) return randomTimeout(base)
+    if (this.tries === 0) return base * (firstTimeoutShare + rankShare * this.rank)
+    return Math.min(base, base * retryShare * retryGrowth ** (this.tries - 1) * (1 + retrySpread * Math.random()))
+  }
+
+  /** Place in the order of first tries, 0 for the replica that most likely led before. */
+  private get rank (): number {
+    const ids = this.voterIds
+    const own = ids.indexOf(this.replica.replicaId)
+    const first = Math.max(0, ids.indexOf(this.replica.lastVotedFor))
+    return (own - first + ids.length) % Math.max(1, ids.length)
+  }
+
+  private get voterIds (): readonly string[] {
+    return quorum.votersOf(this.replica.log.membership).map(({ id }) => id)
   }
 
   private async campaign (): Promise<void> {
-    const wouldWin = await this.askVotes(this.replica.term + 1, true)
+    this.tries++
+    const term = this.replica.term + 1
+    const wouldWin = await this.askVotes(term, true)
     if (!wouldWin || this.stopped.signal.aborted) return
-    const term = await this.replica.becomeCandidate()
-    if (term === undefined) return
+    if (!await this.replica.becomeCandidate(term)) return
     if (await this.askVotes(term, false)) await this.replica.becomeLeader(term)
   }
 
@@ -87,6 +112,11 @@
     return await outcome.promise
   }
 
+  private voteTimeoutMs (preVote: boolean): number {
+    const base = this.replica.electionTimeoutMs
+    return preVote && !this.replica.hasSeenLeader ? base * promiseTimeoutShare : base
+  }
+
   private async askVote (voter: inner.Replica, term: number, preVote: boolean): Promise<boolean> {
     const last = this.replica.log.last
     const req = protobuf.create(inner.VoteReqSchema, {
@@ -99,7 +129,7 @@
     })
     try {
       const link = this.replica.links.to(voter.address)
-      const res = await link.call(async (client, options) => await client.vote(req, options), this.replica.electionTimeoutMs)
+      const res = await link.call(async (client, options) => await client.vote(req, options), this.voteTimeoutMs(preVote))
       if (res.term > this.replica.term) this.replica.stepDown(res.term, `replica ${voter.id} is in term ${res.term}`)
       return res.granted
     } catch {
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -14,6 +14,12 @@
 import * as replicaLog from './replicaLog.js'
 import type * as replicaStorage from './replicaStorage.js'
 
+/**
+ * Part of the election timeout for which a promised vote is kept for its candidate, and the one who promised it doesn't stand
+ * itself: a candidacy takes two writes to disks, one after the other.
+ */
+const promiseShare = 0.2
+
 /** What a replica is told about itself and its group. */
 export interface ReplicaOptions {
   readonly address: string
@@ -40,6 +46,8 @@
   private leading: leadership.Leadership | undefined
   private leader = ''
   private leaderContactAt = -Infinity
+  private supportedCandidate = ''
+  private supportEndsAt = -Infinity
   private seenLeader = false
   private applied = 0
   private snapshotting = false
@@ -122,6 +130,16 @@
     return performance.now() - this.leaderContactAt
   }
 
+  /** Milliseconds since a vote, or the promise of one, was last kept for another candidate; negative while it is. */
+  get uncommittedMs (): number {
+    return this.supportedCandidate === this.replicaId ? Infinity : performance.now() - this.supportEndsAt
+  }
+
+  /** The replica that this one voted for last, which most likely led; empty where it isn't known. */
+  get lastVotedFor (): string {
+    return this.meta.votedFor
+  }
+
   /** This replica as it would stand in the membership. */
   get self (): inner.Replica {
     return protobuf.create(inner.ReplicaSchema, {
@@ -165,15 +183,32 @@
   private async decideVote (req: inner.VoteReq): Promise<inner.VoteRes> {
     if (this.hearsLeader() || req.term < this.term) return this.voteRes(false)
     const upToDate = isUpToDate(req, this.log.last)
-    if (req.preVote) return this.voteRes(upToDate && req.term > this.term)
-    if (req.term > this.term) await this.adoptTerm(req.term)
-    const free = this.meta.votedFor === '' || this.meta.votedFor === req.candidateId
-    if (!upToDate || !free) return this.voteRes(false)
-    await this.saveMeta({ votedFor: req.candidateId })
+    if (req.preVote) return this.voteRes(upToDate && req.term > this.term && this.promises(req.candidateId))
+    const isNewTerm = req.term > this.term
+    const free = isNewTerm || this.meta.votedFor === '' || this.meta.votedFor === req.candidateId
+    if (!upToDate || !free) {
+      if (isNewTerm) await this.adoptTerm(req.term)
+      return this.voteRes(false)
+    }
+    // Term and vote in one write: a candidate waits for a majority of these.
+    await this.adoptTerm(req.term, req.candidateId)
     this.leaderContactAt = performance.now()
+    this.support(req.candidateId)
     return this.voteRes(true)
   }
 
+  /** One candidate at a time is promised a vote, so that two that stand at once don't take votes from each other. */
+  private promises (candidateId: string): boolean {
+    if (performance.now() < this.supportEndsAt && this.supportedCandidate !== candidateId) return false
+    this.support(candidateId)
+    return true
+  }
+
+  private support (candidateId: string): void {
+    this.supportedCandidate = candidateId
+    this.supportEndsAt = performance.now() + this.options.electionTimeoutMs * promiseShare
+  }
+
   /** A replica that hears its leader gives no votes: a rejoining peer can't unseat a working leader. */
   private hearsLeader (): boolean {
     if (this.leading !== undefined) {
@@ -186,14 +221,16 @@
     return protobuf.create(inner.VoteResSchema, { term: this.term, granted })
   }
 
-  /** Begins a candidacy in the next term; undefined when a leader appeared meanwhile. */
-  async becomeCandidate (): Promise<number | undefined> {
+  /** Begins a candidacy in a term for which votes were promised; false when a leader or another candidate came first. */
+  async becomeCandidate (term: number): Promise<boolean> {
     return await this.lock.run(async () => {
-      if (this.hearsLeader() || !this.isVoter || this.leading !== undefined) return undefined
-      await this.saveMeta({ term: this.term + 1, votedFor: this.replicaId })
+      if (this.hearsLeader() || !this.isVoter || this.leading !== undefined || this.term + 1 !== term) return false
+      this.support(this.replicaId)
+      await this.saveMeta({ term, votedFor: this.replicaId })
+      this.support(this.replicaId)
       this.currentRole = 'candidate'
       this.leader = ''
-      return this.term
+      return true
     })
   }
 
@@ -220,9 +257,9 @@
     })
   }
 
-  private async adoptTerm (term: number): Promise<void> {
+  private async adoptTerm (term: number, votedFor = ''): Promise<void> {
     this.follow('')
-    await this.saveMeta({ term, votedFor: '' })
+    await this.saveMeta({ term, votedFor })
   }
 
   private follow (leaderId: string): void {
--- a/packages/control/src/test/fullDisk.test.ts
+++ b/packages/control/src/test/fullDisk.test.ts
@@ -37,8 +37,9 @@
   const member = new replica.Replica(options, storage, {} as unknown as replicaLinks.ReplicaLinks, new decisionLog.NullDecisionLog())
   await member.load()
   await member.found()
-  const term = await member.becomeCandidate()
-  await member.becomeLeader(term!)
+  const term = member.term + 1
+  await member.becomeCandidate(term)
+  await member.becomeLeader(term)
   return { storage, member }
 }
 
