A follower that comes during a round of confirmation gets the next one at once

Cause: after a restart of all, 14 entries ask three replicas within a few ms; a stream that began while a round was under way was told "not confirmed" and heard again only a second later. The mesh helped some of them sooner. Ruled out: sending the configuration before the confirmation (it would be read twice by an entry that is short of processor). Change: one more round follows for streams that began during one; the budget of probes starts with a second's worth.

--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -18,7 +18,7 @@
   private confirmedAt = -Infinity
   private followers = 0
   private subscribers = 0
-  private confirming = false
+  private round: Promise<void> | undefined
   private disposed = false
   private timer: NodeJS.Timeout | undefined
   private readonly firstConfirmation = new async.Deferred<void>()
@@ -62,7 +62,7 @@
     let sentVersion = req.knownVersion
     this.followers++
     try {
-      await this.confirm()
+      await this.confirmSince(startedAt)
       while (!signal.aborted) {
         const { version } = this.replica.state.config
         yield this.update(version > sentVersion, startedAt)
@@ -98,10 +98,20 @@
     if (!this.confirmed || this.confirmedAgeMs >= confirmIntervalMs) this.confirm()
   }
 
-  /** One read by quorum serves all followers. */
+  /** A round that began earlier may miss what was accepted before `time`, so one more follows it. */
+  private async confirmSince (time: number): Promise<void> {
+    await this.confirm()
+    if (this.confirmed && this.confirmedAt < time) await this.confirm()
+  }
+
+  /** One read by quorum serves all followers; resolves with the end of the round that is under way. */
   private async confirm (): Promise<void> {
-    if (this.followers + this.subscribers === 0 || this.confirming) return
-    this.confirming = true
+    if (this.followers + this.subscribers === 0) return
+    this.round ??= this.confirmOnce()
+    await this.round
+  }
+
+  private async confirmOnce (): Promise<void> {
     const startedAt = performance.now()
     try {
       await this.replica.waitApplied(await this.confirmRead())
@@ -113,7 +123,7 @@
       // No quorum: followers are told so and look to other replicas.
       this.confirmed = false
     }
-    this.confirming = false
+    this.round = undefined
     this.scheduleConfirm()
     this.changed.notify()
   }
--- a/packages/routing/src/common/budget.ts
+++ b/packages/routing/src/common/budget.ts
@@ -41,11 +41,14 @@
 
 /** Grants a number per second, with at most one second's worth, or one, saved up. */
 export class RateBudget implements IBudget {
-  private tokens = minRateBurst
+  private tokens: number | undefined
   private filledAt: number
 
-  /** @param perSecond read at each take, since the share of an instance changes with their number. */
-  constructor (private readonly perSecond: () => number, private readonly clock: clock.IClock) {
+  /**
+   * @param perSecond read at each take, since the share of an instance changes with their number.
+   * @param startsFull a second's worth may be taken at once after the start, when many calls may have waited for it.
+   */
+  constructor (private readonly perSecond: () => number, private readonly clock: clock.IClock, private readonly startsFull = false) {
     this.filledAt = clock.now()
   }
 
@@ -53,6 +56,7 @@
     const now = this.clock.now()
     const rate = this.perSecond()
     if (rate <= 0) return false
+    this.tokens ??= this.startsFull ? Math.max(minRateBurst, rate) : minRateBurst
     this.tokens = Math.min(Math.max(minRateBurst, rate), this.tokens + rate * (now - this.filledAt) / msPerSecond)
     this.filledAt = now
     if (this.tokens < 1) return false
--- a/packages/routing/src/test/limits.test.ts
+++ b/packages/routing/src/test/limits.test.ts
@@ -43,6 +43,16 @@
   t.equal(takeAll(new budget.RateBudget(() => 0, clock)), 0)
 })
 
+tap.t.test('a rate budget that starts full grants a second\'s worth at once, then its number a second', async (t) => {
+  manual.time = 0
+  const probes = new budget.RateBudget(() => 40, clock, true)
+  t.equal(takeAll(probes), 40)
+  manual.time += 500
+  t.equal(takeAll(probes), 20)
+  manual.time += 5000
+  t.equal(takeAll(probes), 40)
+})
+
 tap.t.test('waiting calls stand by priority, then by deadline', async (t) => {
   const queue = new waitingQueue.WaitingQueue<waitingQueue.Waiting & { readonly name: string }>()
   const items = [['bulk', 5], ['normal', 9], ['urgent', 8], ['normal', 3], ['urgent', 8], ['bulk', 1]] as const
