Calls that are late already take free slots only, after those that can be in time

A call's age counted from its placing, not from its arrival, so a held call passed for a new one. Ruled out: refusing them (they are worth more answered late than refused; a refused one may come back only within a third of its time). Change: a call knows when its request came. One that can't be in time waits a random part of a typical answer first, then takes an endpoint only with a free slot, looking again a little later, until four typical times before its deadline.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -7,6 +7,8 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
+import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
+import type * as budget from '@rosemaryrack/routing/common/budget.js'
 import * as call from '@rosemaryrack/routing/common/call.js'
 import type * as deathWatch from '@rosemaryrack/routing/common/deathWatch.js'
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
@@ -51,6 +53,7 @@
   readonly decisions: decisionLog.IDecisionLog
   readonly metrics: metrics.Metrics
   readonly clock: clock.IClock
+  readonly random: balancingPolicy.IRandom
   readonly headers: settings.HeaderNames
   readonly fractionalRetryAfter: boolean
   readonly probing: loadProbing.ProbingOptions | undefined
@@ -173,12 +176,13 @@
     const budgets = this.deps.lanes.budgetsFor(namedLane.name, service)
     // The lane may be gone when its answers end.
     const state = this.deps.lanes.stateOf(namedLane.name)
-    const callWith = (req: httpAttempt.TargetReq, deadlineAt: number, avoid: readonly string[], listener: call.ICallListener): void => {
+    const callWith = (req: httpAttempt.TargetReq, arrivedAt: number, avoid: readonly string[], listener: call.ICallListener): void => {
       this.running = new call.Call({
         requestId: this.requestId,
         laneName: namedLane.name,
         lane: namedLane.lane,
-        deadlineAt,
+        arrivedAt,
+        deadlineAt: req.deadlineAt,
         identity,
         replayable: () => body.isReplayable,
         avoid
@@ -186,10 +190,10 @@
       this.running.start()
     }
     const callRest: downloadResumer.RestCaller = (headers, avoid, listener) => {
-      const deadlineAt = performance.now() + namedLane.lane.deadlineMs
-      callWith({ ...this.targetReq(namedLane, body, headers), deadlineAt }, deadlineAt, avoid, listener)
+      const now = performance.now()
+      callWith({ ...this.targetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, now, avoid, listener)
     }
-    callWith(targetReq, targetReq.deadlineAt, [], {
+    callWith(targetReq, this.arrivedAt, [], {
       onAnswer: (answer) => this.answer(namedLane, state, answer, callRest),
       onRefused: (fault) => {
         if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
@@ -204,7 +208,7 @@
     this.refuse(fault)
   }
 
-  private callDeps (service: string, { latency, domains }: laneRegistry.LaneState, budgets: call.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
+  private callDeps (service: string, { latency, domains }: laneRegistry.LaneState, budgets: budget.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
     const { lanes, connections, notices, suspects, deaths, decisions } = this.deps
     return {
       dispatcher: lanes.dispatcherOf(service),
@@ -216,7 +220,8 @@
       domains,
       probing: this.probingFor(service),
       decisions,
-      clock: this.deps.clock
+      clock: this.deps.clock,
+      random: this.deps.random
     }
   }
 
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -154,6 +154,7 @@
       decisions: this.decisions,
       metrics: this.metrics,
       clock: this.clock,
+      random,
       headers: this.entry.headers,
       fractionalRetryAfter: this.entry.fractionalRetryAfter,
       probing: this.entry.probing,
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -6,7 +6,6 @@
 import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
 import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
 import * as budget from '@rosemaryrack/routing/common/budget.js'
-import type * as call from '@rosemaryrack/routing/common/call.js'
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
 import * as domainPreference from '@rosemaryrack/routing/common/domainPreference.js'
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
@@ -107,7 +106,7 @@
   }
 
   /** Counts a caller's request for a service and gives the budgets from which its repeats are taken. */
-  budgetsFor (name: string, service: string): call.LaneBudgets {
+  budgetsFor (name: string, service: string): budget.LaneBudgets {
     const state = this.stateOf(name)
     state.retries.deposit()
     state.hedges.deposit()
@@ -126,7 +125,7 @@
     let found = this.probes.get(service)
     if (found === undefined) {
       const perSecond = (): number => this.options.probesPerEndpointAndSecond * this.endpoints.routable(service).length / this.options.liveEntries()
-      found = new budget.RateBudget(perSecond, this.clock)
+      found = new budget.RateBudget(perSecond, this.clock, true)
       this.probes.set(service, found)
     }
     return found
--- a/packages/routing/src/common/budget.ts
+++ b/packages/routing/src/common/budget.ts
@@ -15,6 +15,13 @@
   take(): boolean
 }
 
+/** Budgets of a lane on this instance. */
+export interface LaneBudgets {
+  readonly retries: IBudget
+  readonly hedges: IBudget
+  readonly measuring: IBudget
+}
+
 /** Grants a share of the calls that were counted, with a small burst. */
 export class RatioBudget implements IBudget {
   private tokens: number
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -5,11 +5,14 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as balancingPolicy from './balancingPolicy.js'
 import type * as budget from './budget.js'
+import * as callFault from './callFault.js'
 import type * as deathWatch from './deathWatch.js'
 import type * as dispatcher from './dispatcher.js'
 import type * as domainPreference from './domainPreference.js'
 import type * as laneLatency from './laneLatency.js'
+import * as lateCalls from './lateCalls.js'
 import * as loadProbing from './loadProbing.js'
 import * as timeBudget from './timeBudget.js'
 import type * as requestIdentity from './requestIdentity.js'
@@ -19,11 +22,6 @@
 /** Endpoints that may have run a call without telling: one that crashes targets takes no more of them. */
 const maxUncertainRuns = 2
 const tryShareOfDeadline = 0.5
-const minHedgeMs = 2
-const retryAfterFailureS = 1
-/** Part of a typical answer's time after which the caller of a request that endpoints shed may come back. */
-const returnShareOfTypical = 0.5
-const msPerSecond = 1000
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 const firstServerError = 500
 
@@ -32,6 +30,8 @@
   readonly requestId: string
   readonly laneName: string
   readonly lane: configDocument.Lane
+  /** When the caller's request came. */
+  readonly arrivedAt: number
   readonly deadlineAt: number
   readonly identity: requestIdentity.IRequestIdentity
   /** True while the body can be sent again from its start. */
@@ -40,13 +40,6 @@
   readonly avoid?: readonly string[]
 }
 
-/** Budgets of a lane on this instance. */
-export interface LaneBudgets {
-  readonly retries: budget.IBudget
-  readonly hedges: budget.IBudget
-  readonly measuring: budget.IBudget
-}
-
 export interface CallDeps {
   /** Asks endpoints for their load before a call is sent to one; missing where they don't tell it. */
   readonly probing?: { readonly deps: loadProbing.ProbingDeps, readonly options: loadProbing.ProbingOptions } | undefined
@@ -54,11 +47,12 @@
   readonly transport: transport.ITransport
   readonly suspects: suspectTable.ISuspects
   readonly deaths: deathWatch.IDeathWatch
-  readonly budgets: LaneBudgets
+  readonly budgets: budget.LaneBudgets
   readonly latency: laneLatency.LaneLatency
   readonly domains: domainPreference.DomainPreference
   readonly decisions: decisionLog.IDecisionLog
   readonly clock: clock.IClock
+  readonly random: balancingPolicy.IRandom
 }
 
 /** The attempt whose answer the caller gets. */
@@ -101,7 +95,6 @@
   /** A retry was taken from the budget before it was known to be needed. */
   private retryGranted = false
   private settled = false
-  private startedAt = 0
 
   constructor (private readonly spec: CallSpec, private readonly deps: CallDeps, private readonly listener: ICallListener) {
     for (const endpoint of spec.avoid ?? []) this.tried.add(endpoint)
@@ -109,9 +102,9 @@
   }
 
   start (): void {
-    this.startedAt = this.deps.clock.now()
-    this.cancelDeadline = this.deps.clock.after(this.spec.deadlineAt - this.startedAt, () => this.deadlinePassed())
-    this.askForSlot('route')
+    this.cancelDeadline = this.deps.clock.after(this.spec.deadlineAt - this.deps.clock.now(), () => this.deadlinePassed())
+    if (this.times.mayYield) this.askLater('route', lateCalls.firstWaitMs(this.typicalMs, this.deps.random))
+    else this.askForSlot('route')
   }
 
   /** Ends all attempts without an outcome. */
@@ -136,6 +129,15 @@
     return { lane, priority: lane.priority, deadlineAt, typicalMs, remoteFactor, suspect: this.suspect, exclude: this.tried }
   }
 
+  private get times (): timeBudget.TimeBudget {
+    return timeBudget.timeBudgetOf(this.spec.lane, { ...this.spec, now: this.deps.clock.now() }, this.typicalMs)
+  }
+
+  private askLater (event: 'route' | 'retry', ms: number): void {
+    this.waiting = true
+    this.withdrawAsk = this.deps.clock.after(ms, () => this.askForSlot(event))
+  }
+
   private askForSlot (event: 'route' | 'retry'): void {
     if (this.standing === 'quarantined') {
       this.refuse(requestStanding.quarantinedFault())
@@ -156,16 +158,22 @@
       return
     }
     this.waiting = true
-    const times = timeBudget.timeBudgetOf(this.spec.lane, { startedAt: this.startedAt, deadlineAt: this.spec.deadlineAt, now: this.deps.clock.now() }, this.typicalMs)
-    const probe = new loadProbing.LoadProbe(probing.deps, times, (choice) => {
+    const probe = new loadProbing.LoadProbe(probing.deps, this.times, (choice) => {
       this.waiting = false
-      if (choice.kind === 'placed') this.startAttempt(event, { ...choice.placement, why: `${placement.why}; ${choice.why}` })
-      else this.refuse({ kind: 'not-run', message: `each endpoint that was asked has a queue; ${choice.why}`, retryAfterS: choice.expectedMs / msPerSecond })
+      if (choice.kind === 'busy') this.yieldSlot(event)
+      else if (choice.kind === 'placed') this.startAttempt(event, { ...choice.placement, why: `${placement.why}; ${choice.why}` })
+      else this.refuse(callFault.overloadedFault(choice))
     })
     this.cancelProbe = () => probe.cancel()
     probe.start(placement, this.ask, probing.options)
   }
 
+  /** A hedge that finds no free slot is left out, unless the attempt that it was to help has failed meanwhile. */
+  private yieldSlot (event: 'route' | 'retry' | 'hedge'): void {
+    if (event === 'hedge' && this.running.size > 0) return
+    this.askLater(event === 'route' ? event : 'retry', lateCalls.againMs(this.typicalMs, this.deps.random))
+  }
+
   private startAttempt (event: 'route' | 'retry' | 'hedge', placement: dispatcher.Placement): void {
     const { endpoint, considered, candidates, why, waitedMs } = placement
     this.record({ event, considered, candidates, choice: endpoint.endpoint, why, waitedMs: Math.round(waitedMs) })
@@ -352,11 +360,7 @@
   }
 
   private finalFault (why: string, timedOut: boolean): errors.Fault {
-    // Endpoints that shed or were gone may take the next try; one soon enough may still be in time.
-    const soonS = Math.min(retryAfterFailureS, this.typicalMs * returnShareOfTypical / msPerSecond)
-    if (!this.mayHaveRun) return { kind: 'not-run', message: why, retryAfterS: soonS }
-    // A resend of an idempotent request is safe, and better once all instances know what this one has seen.
-    return { kind: 'unknown', message: why, timedOut, ...(this.spec.lane.idempotent ? { retryAfterS: retryAfterFailureS } : {}) }
+    return callFault.finalFault(why, { mayHaveRun: this.mayHaveRun, timedOut, idempotent: this.spec.lane.idempotent, typicalMs: this.typicalMs })
   }
 
   private refuse (fault: errors.Fault): void {
@@ -400,13 +404,7 @@
 
   private scheduleHedge (): void {
     if (!this.spec.lane.idempotent || this.suspect) return
-    this.cancelHedge = this.deps.clock.after(this.hedgeDelayMs(), () => this.hedge())
-  }
-
-  private hedgeDelayMs (): number {
-    const configured = this.spec.lane.hedgeAfterMs
-    if (configured > 0) return configured
-    return Math.max(minHedgeMs, this.deps.latency.hedgeWaitMs(this.spec.lane, this.deps.dispatcher.typicalLatencyMs))
+    this.cancelHedge = this.deps.clock.after(this.deps.latency.hedgeDelayMs(this.spec.lane, this.deps.dispatcher.typicalLatencyMs), () => this.hedge())
   }
 
   private hedge (): void {
--- a/packages/routing/src/common/laneLatency.ts
+++ b/packages/routing/src/common/laneLatency.ts
@@ -12,6 +12,7 @@
 /** A sample counts for no more than this many typical times: slow spells are what hedges are for. */
 const maxSampleFactor = 3
 
+const minHedgeMs = 2
 /** A hedge that is to be in time is sent this many typical times before the target. */
 const leadFactor = 1.1
 /** Bounds of the wait for a hedge, in typical times: most answers come before the lower one. */
@@ -35,6 +36,11 @@
     return lane.targetLatencyMs === undefined ? serviceMs : this.ms ?? lane.targetLatencyMs * assumedShareOfTarget
   }
 
+  /** Wait before a hedge: what the lane sets, else what its latency suggests. */
+  hedgeDelayMs (lane: configDocument.Lane, serviceMs: number): number {
+    return lane.hedgeAfterMs > 0 ? lane.hedgeAfterMs : Math.max(minHedgeMs, this.hedgeWaitMs(lane, serviceMs))
+  }
+
   /** Wait after which a call that is still unanswered is sent once more: late enough to be rarely needless, in time for the target. */
   hedgeWaitMs (lane: configDocument.Lane, serviceMs: number): number {
     const typical = this.typicalMs(lane, serviceMs)
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -65,10 +65,11 @@
   return slowdown * knee * (1 + busyShare / 4) + queued * slowdown
 }
 
-/** Outcome of a choice: a placement to use, or none, as no endpoint that was asked could answer in time. */
+/** Outcome of a choice: a placement to use, or none, as no endpoint that was asked could answer in time, or has a free slot for a late call. */
 export type Choice =
   | { readonly kind: 'placed', readonly placement: dispatcher.Placement, readonly why: string }
   | { readonly kind: 'overloaded', readonly expectedMs: number, readonly why: string }
+  | { readonly kind: 'busy' }
 
 interface Probed {
   readonly placement: dispatcher.Placement
@@ -76,6 +77,7 @@
   /** Cost by its report; infinite without one. */
   cost: number
   hasQueue: boolean
+  isFull: boolean
   pending: boolean
   giveUp: () => void
 }
@@ -97,7 +99,7 @@
     const others = dispatcher.acquireBeside(ask, first, candidates - 1)
     for (const placement of [first, ...others]) {
       const domainFactor = dispatcher.domainFactor(placement.endpoint, ask)
-      this.probed.push({ placement, domainFactor, cost: Infinity, hasQueue: false, pending: true, giveUp: () => {} })
+      this.probed.push({ placement, domainFactor, cost: Infinity, hasQueue: false, isFull: false, pending: true, giveUp: () => {} })
     }
     this.cancelTimer = clock.after(timeoutMs, () => this.choose('no more answers in time'))
     this.askOthers = () => {
@@ -135,6 +137,7 @@
     if (outcome.kind === 'report') {
       each.cost = costOf(outcome.report)
       each.hasQueue = outcome.report.waiting > 0
+      each.isFull = outcome.report.running >= outcome.report.slots
       each.placement.stats.noteReport(each.cost, this.deps.clock.now())
     }
     if (weighted(each) <= goodCost) {
@@ -147,6 +150,11 @@
 
   private choose (when: string): void {
     if (this.settled) return
+    if (this.times.mayYield && this.probed.every(({ isFull }) => isFull)) {
+      this.settle(undefined)
+      this.done({ kind: 'busy' })
+      return
+    }
     const best = this.probed.reduce((least, each) => weighted(each) < weighted(least) ? each : least)
     const costs = this.probed.map(({ placement, cost, pending }) => `${placement.endpoint.endpoint}:${pending ? '?' : cost.toFixed(2)}`).join(' ')
     const why = `probed ${costs}, ${when}`
--- a/packages/routing/src/test/callAttempts.test.ts
+++ b/packages/routing/src/test/callAttempts.test.ts
@@ -41,7 +41,7 @@
       }
     }
     const started: transport.IAttempt = { written: true, cancel: () => {}, abandon: () => {} }
-    new call.Call({ requestId: 'r', laneName: 'diary', lane, deadlineAt: lane.deadlineMs, identity: { fingerprint: 'f', isLight: true }, replayable: () => true }, {
+    new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: lane.deadlineMs, identity: { fingerprint: 'f', isLight: true }, replayable: () => true }, {
       probing: { deps: { dispatcher: placer, prober, budget: granted, clock: this.clock }, options: { candidates: 2, timeoutMs: 25, staggerMs: 8 } },
       dispatcher: placer,
       transport: {
@@ -57,7 +57,8 @@
       latency: new laneLatency.LaneLatency(),
       domains: new domainPreference.DomainPreference(),
       decisions: new decisionLog.NullDecisionLog(),
-      clock: this.clock
+      clock: this.clock,
+      random: { next: () => 0.5 }
     }, {
       onAnswer: ({ head }) => { this.outcomes.push(String(head.status)) },
       onRefused: ({ kind }) => { this.outcomes.push(kind) }
--- a/packages/routing/src/test/connectionReuse.test.ts
+++ b/packages/routing/src/test/connectionReuse.test.ts
@@ -114,7 +114,7 @@
       const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: clock.now() + lane.deadlineMs, typicalMs: workMs, remoteFactor: 1, suspect: false, exclude: new Set() }
       placer.acquire(ask, (outcome) => {
         if (!outcome.placed) return
-        const probe = new loadProbing.LoadProbe({ dispatcher: placer, prober, budget: { take: () => true }, clock }, { idleMs: workMs, usefulMs: Infinity }, (choice) => {
+        const probe = new loadProbing.LoadProbe({ dispatcher: placer, prober, budget: { take: () => true }, clock }, { idleMs: workMs, usefulMs: Infinity, mayYield: false }, (choice) => {
           if (choice.kind === 'placed') serve(choice.placement)
         })
         probe.start(outcome.placement, ask, { candidates, timeoutMs: 25, staggerMs: 8 })
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -47,6 +47,7 @@
       requestId: fingerprint,
       laneName: 'diary',
       lane,
+      arrivedAt: this.clock.now(),
       deadlineAt: this.clock.now() + deadlineMs,
       identity: { fingerprint, isLight: true },
       replayable: () => true
@@ -60,7 +61,8 @@
       latency: new laneLatency.LaneLatency(),
       domains: new domainPreference.DomainPreference(),
       decisions: new decisionLog.NullDecisionLog(),
-      clock: this.clock
+      clock: this.clock,
+      random: { next: () => 0.5 }
     }, {
       onAnswer: ({ endpoint }) => { this.outcomes.push(`${fingerprint} answered by ${endpoint.endpoint}`) },
       onRefused: (fault) => {
--- a/packages/routing/src/test/loadProbing.test.ts
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -26,7 +26,7 @@
   readonly pending = new Map<string, (outcome: loadProbing.ProbeOutcome) => void>()
   readonly chosen: dispatcher.Placement[] = []
   overloads = 0
-  times: timeBudget.TimeBudget = { idleMs: workMs, usefulMs: Infinity }
+  times: timeBudget.TimeBudget = { idleMs: workMs, usefulMs: Infinity, mayYield: false }
   budget = granted
   readonly dispatcher: dispatcher.Dispatcher
   private readonly endpoints: readonly endpointTable.Endpoint[]
@@ -137,7 +137,7 @@
 tap.t.test('a call that would be late in each queue is refused at once, and takes no slot', async (t) => {
   const service = new Service(3)
   const full = { ...idle, running: slots, waiting: 4 }
-  service.times = { idleMs: workMs, usefulMs: goalMs }
+  service.times = { idleMs: workMs, usefulMs: goalMs, mayYield: false }
   service.begin()
   service.report(full, full, full)
   t.same([service.overloads, service.chosen.length, service.dispatcher.inFlight], [1, 0, 0])
@@ -149,7 +149,7 @@
   service.report(...Array<loadProbing.LoadReport>(3).fill({ ...idle, slowdown: 5 }))
   t.equal(service.chosen.length, 2, 'slow ones may recover')
   service.chosen[1]!.release()
-  service.times = { idleMs: workMs, usefulMs: 1200 }
+  service.times = { idleMs: workMs, usefulMs: 1200, mayYield: false }
   service.begin()
   service.report(full, full, full)
   t.equal(service.chosen.length, 3, 'in time for a caller that waits longer')
@@ -267,7 +267,7 @@
 tap.t.test('calls that begin to wait meanwhile don\'t leave a staggered choice with one endpoint', async (t) => {
   const service = new Service(3)
   const full = { ...idle, running: slots, waiting: 4 }
-  service.times = { idleMs: workMs, usefulMs: goalMs }
+  service.times = { idleMs: workMs, usefulMs: goalMs, mayYield: false }
   service.begin(3, 1, staggerMs)
   const held: dispatcher.Placement[] = []
   const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: lane.deadlineMs, typicalMs, remoteFactor: 1, suspect: false, exclude: new Set() }
--- a/packages/routing/src/test/overload.test.ts
+++ b/packages/routing/src/test/overload.test.ts
@@ -75,9 +75,9 @@
     const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt, typicalMs: workMs, remoteFactor: 1, suspect: false, exclude: new Set() }
     placer.acquire(ask, (outcome) => {
       if (!outcome.placed) return
-      const bears = refuses ? timeBudget.timeBudgetOf(lane, { startedAt, deadlineAt, now: clock.now() }, workMs) : { idleMs: workMs, usefulMs: Infinity }
+      const bears = refuses ? timeBudget.timeBudgetOf(lane, { arrivedAt: startedAt, deadlineAt, now: clock.now() }, workMs) : { idleMs: workMs, usefulMs: Infinity, mayYield: false }
       const probe = new loadProbing.LoadProbe({ dispatcher: placer, prober, budget: { take: () => true }, clock }, bears, (choice) => {
-        if (choice.kind === 'overloaded') return
+        if (choice.kind !== 'placed') return
         endpoints.get(choice.placement.endpoint.endpoint)!.serve(() => {
           choice.placement.release()
           if (clock.now() - startedAt <= lane.targetLatencyMs!) inTime++
--- a/packages/testbed/src/common/bench/balancedRun.ts
+++ b/packages/testbed/src/common/bench/balancedRun.ts
@@ -83,7 +83,7 @@
 class BenchEntry {
   private readonly dispatchers = new Map<string, dispatcher.Dispatcher>()
   private readonly latencies = new Map<string, laneLatency.LaneLatency>()
-  private readonly budgets = new Map<string, call.LaneBudgets & { readonly retries: budget.RatioBudget, readonly hedges: budget.RatioBudget }>()
+  private readonly budgets = new Map<string, budget.LaneBudgets & { readonly retries: budget.RatioBudget, readonly hedges: budget.RatioBudget }>()
 
   constructor (private readonly run: BalancedRun) {
     const { deployment, park, clock, setup } = run
@@ -108,7 +108,7 @@
     budgets.retries.deposit()
     budgets.hedges.deposit()
     const deadlineAt = arrival.at + lane.deadlineMs
-    new call.Call({ requestId: id, laneName: name, lane, deadlineAt, identity: { fingerprint: id, isLight: true }, replayable: () => true }, {
+    new call.Call({ requestId: id, laneName: name, lane, arrivedAt: arrival.at, deadlineAt, identity: { fingerprint: id, isLight: true }, replayable: () => true }, {
       dispatcher: this.dispatchers.get(lane.service)!,
       transport: new FakeTransport(this.run, arrival.costMs),
       suspects: noSuspects,
@@ -117,7 +117,8 @@
       latency: this.latencies.get(name)!,
       domains: noPreference,
       decisions: new CountingLog(counts),
-      clock
+      clock,
+      random: this.run.random
     }, {
       onAnswer: ({ head }) => noteAnswer(counts, head, clock.now() - arrival.at, lane.deadlineMs),
       onRefused: (fault) => {
