An entry that starts turns to one replica first

All entries turned to the same two seeds for the configuration. Change: one stream of configuration and one hub first, from a seed drawn by chance; the others 0.4 s after the first has brought something, or after 0.2 s without. Tests: silent replicas see the second connection no sooner; the fleet, entry and deployed-fleet tests passed.

--- a/packages/base/src/common/async.ts
+++ b/packages/base/src/common/async.ts
@@ -14,6 +14,14 @@
   })
 }
 
+/** Resolves with true when the promise settles within `ms`, else with false. */
+export async function settlesWithin (promise: Promise<unknown>, ms: number): Promise<boolean> {
+  const stop = new AbortController()
+  const outcome = await Promise.race([promise.then(() => true, () => true), sleep(ms, stop.signal).then(() => false)])
+  stop.abort()
+  return outcome
+}
+
 /** Resolves once the event loop has come round and written what tasks handed to sockets before. */
 export function nextTurn (): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve))
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -54,7 +54,8 @@
     private readonly metrics: metrics.Metrics
   ) {
     const identity = innerListener.linkIdentity(cfg.cluster, cfg.inner)
-    const { members, configs } = this.addFleet(cfg, identity)
+    const seeds = inTurn(settings.innerAddressesOf(cfg, entry.seeds))
+    const { members, configs } = this.addFleet(cfg, identity, seeds)
     this.members = members
     this.configs = configs
     this.startup = new startup.Startup(configs, this.clock)
@@ -66,7 +67,7 @@
       role: entry.seeds.length > 0 ? 'spoke' : 'peer'
     } as const
     const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs }
-    this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [...entry.peers, ...settings.innerAddressesOf(cfg, entry.seeds)], identity, tables, this.freeze, decisions))
+    this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [...entry.peers, ...seeds], identity, tables, this.freeze, decisions))
     this.notices = this.disposables.add(new endpointNotices.EndpointNotices((endpoint) => this.noteLeaving(endpoint), this.clock, decisions))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
@@ -134,10 +135,9 @@
     this.disposables.dispose()
   }
 
-  private addFleet (cfg: settings.Settings, identity: innerListener.LinkIdentity): { readonly members: memberTable.MemberTable, readonly configs: configFollower.ConfigFollower } {
-    const seeds = settings.innerAddressesOf(cfg, this.entry.seeds).map((address) => ({ address }))
+  private addFleet (cfg: settings.Settings, identity: innerListener.LinkIdentity, seeds: readonly string[]): { readonly members: memberTable.MemberTable, readonly configs: configFollower.ConfigFollower } {
     const members = this.disposables.add(new memberTable.MemberTable(this.clock, cfg.instance))
-    const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, [...this.entry.control, ...seeds], identity, this.decisions))
+    const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, [...this.entry.control, ...seeds.map((address) => ({ address }))], identity, this.decisions))
     return { members, configs }
   }
 
@@ -189,3 +189,9 @@
     this.metrics.gauge('rosemaryrack_suspects', {}, () => this.suspects.size)
   }
 }
+
+/** The list from a place drawn by chance: instances that start together turn to different replicas first. */
+function inTurn (addresses: readonly string[]): readonly string[] {
+  const first = Math.floor(random.next() * addresses.length)
+  return [...addresses.slice(first), ...addresses.slice(0, first)]
+}
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -15,6 +15,10 @@
 const maxRetryMs = 300
 const unconfirmedLimitMs = 2500
 const claimTimeoutMs = 2500
+/** Time in which the first stream may bring a confirmation before the second one is opened. */
+const firstStreamMs = 200
+/** Time from the first confirmation to the second stream, whose connection competes with the first requests. */
+const secondStreamAfterMs = 400
 
 /** Where the configuration comes from, for those that act on it. */
 export interface IConfigSource {
@@ -69,18 +73,16 @@
 
   /** Resolves when a quorum confirmed a configuration for the first time, or after a time; true if it did. */
   async confirmedWithin (ms: number): Promise<boolean> {
-    const stop = new AbortController()
-    await Promise.race([this.firstConfirmation.promise, async.sleep(ms, stop.signal)])
-    stop.abort()
-    return Number.isFinite(this.confirmedAgeMs)
+    return await async.settlesWithin(this.firstConfirmation.promise, ms)
   }
 
-  /** Starts the streams. */
-  start (): void {
+  /** Starts the streams, the second one once the first has brought a configuration, or is slow to. */
+  async start (): Promise<void> {
     const first = 0
     const elsewhere = this.control.findIndex(({ failureDomain }) => failureDomain !== this.control[first]!.failureDomain)
     const second = elsewhere > 0 ? elsewhere : first + 1
     this.keepFollowing(first)
+    if (await this.confirmedWithin(firstStreamMs)) await async.sleep(secondStreamAfterMs, this.stopped.signal)
     if (second < this.control.length) this.keepFollowing(second)
   }
 
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -22,6 +22,10 @@
 const fetchTimeoutMs = 3000
 const sweepMs = 5000
 const membersEveryMs = 10_000
+/** Time in which the first hub may tell a spoke what it knows before the others are asked too. */
+const firstHubMs = 200
+/** Time from a spoke's first update to its subscriptions to the other hubs, which compete with the first requests. */
+const otherHubsAfterMs = 400
 
 /** The configuration as a process holds it. */
 export interface IMeshConfigs {
@@ -66,6 +70,8 @@
   private readonly outboxes = new Set<peerOutbox.PeerOutbox>()
   private readonly subscriptions = new Map<string, AbortController>()
   private readonly watchdogs = new Set<streamWatchdog.StreamWatchdog>()
+  private readonly firstUpdate = new async.Deferred<void>()
+  private hasStarted = false
 
   constructor (
     private readonly self: MeshSelf,
@@ -86,8 +92,15 @@
     this.disposables.addInterval(() => this.sweep(), sweepMs)
   }
 
-  start (): void {
-    for (const address of this.seeds) this.subscribeTo(address)
+  /** Subscribes to the seeds; a spoke to one hub first, since it knows all that it needs from any of them. */
+  async start (): Promise<void> {
+    const [first] = this.seeds
+    if (this.self.role === 'spoke' && first !== undefined) {
+      this.subscribeTo(first)
+      if (await async.settlesWithin(this.firstUpdate.promise, firstHubMs)) await async.sleep(otherHubsAfterMs, this.stopped.signal)
+    }
+    this.hasStarted = true
+    for (const address of [...this.seeds, ...this.hubAddresses]) this.subscribeTo(address)
   }
 
   /** Takes further addresses to subscribe to. */
@@ -133,9 +146,13 @@
     for (const outbox of this.outboxes) add(outbox)
   }
 
+  private get hubAddresses (): readonly string[] {
+    return this.tables.members.all().filter(({ hub }) => hub).map(({ address }) => address)
+  }
+
   private memberJoined (member: memberTable.Member): void {
     this.decisions.record({ event: 'member', choice: member.instance, address: member.address, why: 'joined' })
-    if (this.self.role !== 'spoke' || member.hub) this.subscribeTo(member.address)
+    if (this.self.role !== 'spoke' || (member.hub && this.hasStarted)) this.subscribeTo(member.address)
   }
 
   private memberLeft (member: memberTable.Member): void {
@@ -274,6 +291,7 @@
         watchdog.heard()
         updates++
         this.takeUpdate(update, link)
+        this.firstUpdate.resolve()
       }
     } catch {
       // The peer is gone or silent; the task subscribes again.
--- /dev/null
+++ b/packages/fleet/src/test/firstStreams.test.ts
@@ -0,0 +1,86 @@
+/** To how many replicas an entry instance that starts turns at first: each connection delays its first requests. */
+import * as net from 'node:net'
+import * as tap from 'tap'
+import * as clock from '@rosemaryrack/base/common/clock.js'
+import * as freezeDetector from '@rosemaryrack/base/common/freezeDetector.js'
+import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as endpointTable from '../common/endpointTable.js'
+import * as memberTable from '../common/memberTable.js'
+import * as suspectTable from '../common/suspectTable.js'
+import * as configFollower from '../node/configFollower.js'
+import * as peerMesh from '../node/peerMesh.js'
+
+/** Shortest time between the first connection and the next, while the first replica says nothing. */
+const apartMs = 150
+const identity = { cluster: 'c', token: 'token-of-this-test', sourceHost: '127.0.0.1' }
+
+/** Replicas that accept connections and say nothing. */
+class SilentReplicas implements lifecycle.IDisposable {
+  readonly addresses: string[] = []
+  private readonly servers: net.Server[] = []
+  private readonly sockets: net.Socket[] = []
+  private readonly connected: Array<{ readonly port: number, readonly at: number }> = []
+  private wake = (): void => {}
+
+  async listen (count: number): Promise<void> {
+    for (let i = 0; i < count; i++) {
+      const server = net.createServer((socket) => {
+        this.sockets.push(socket)
+        this.connected.push({ port: socket.localPort ?? 0, at: performance.now() })
+        this.wake()
+      })
+      await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+      this.servers.push(server)
+      this.addresses.push(`127.0.0.1:${(server.address() as net.AddressInfo).port}`)
+    }
+  }
+
+  /** Times of the first connections to `count` different replicas. */
+  async firstConnections (count: number): Promise<readonly number[]> {
+    for (;;) {
+      const firsts = new Map<number, number>()
+      for (const { port, at } of this.connected) if (!firsts.has(port)) firsts.set(port, at)
+      if (firsts.size >= count) return [...firsts.values()]
+      await new Promise<void>((resolve) => { this.wake = resolve })
+    }
+  }
+
+  dispose (): void {
+    for (const socket of this.sockets) socket.destroy()
+    for (const server of this.servers) server.close()
+  }
+}
+
+tap.t.test('the configuration is asked of one replica, then of a second one', async (t) => {
+  const replicas = new SilentReplicas()
+  await replicas.listen(3)
+  const follower = new configFollower.ConfigFollower('entry', replicas.addresses.map((address) => ({ address })), identity, new decisionLog.NullDecisionLog())
+  follower.start()
+  const [first, second] = await replicas.firstConnections(2)
+  t.ok(second! - first! >= apartMs, `${Math.round(second! - first!)} ms apart`)
+  follower.dispose()
+  replicas.dispose()
+})
+
+tap.t.test('a spoke subscribes to one hub, then to the others together', async (t) => {
+  const replicas = new SilentReplicas()
+  await replicas.listen(3)
+  const disposables = new lifecycle.DisposableStore()
+  const systemClock = new clock.SystemClock()
+  const configs = disposables.add(new configFollower.ConfigFollower('entry', [], identity, new decisionLog.NullDecisionLog()))
+  const tables = {
+    members: disposables.add(new memberTable.MemberTable(systemClock, 'entry')),
+    endpoints: disposables.add(new endpointTable.EndpointTable(systemClock)),
+    suspects: disposables.add(new suspectTable.SuspectTable(systemClock)),
+    configs
+  }
+  const self = { instance: 'entry', address: '127.0.0.1:1', failureDomain: 'a', incarnation: 1, role: 'spoke' } as const
+  const mesh = disposables.add(new peerMesh.PeerMesh(self, replicas.addresses, identity, tables, disposables.add(new freezeDetector.FreezeDetector()), new decisionLog.NullDecisionLog()))
+  mesh.start()
+  const [first, second, third] = await replicas.firstConnections(3)
+  t.ok(second! - first! >= apartMs, `${Math.round(second! - first!)} ms apart`)
+  t.ok(third! - second! < apartMs, 'the others together')
+  disposables.dispose()
+  replicas.dispose()
+})
