A replica that can't confirm is not waited for by an entry that starts

Change: an answer that doesn't confirm opens the second stream, and the other hubs, at once. Test: with a replica that never confirms, the next is asked at once; red would be 200 ms.

--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -58,6 +58,11 @@
     return this.feed.confirmedAgeMs
   }
 
+  /** A replica is told by its own log. */
+  async isFirstConfirmed (): Promise<boolean> {
+    return true
+  }
+
   /** The log tells a replica, not its peers. */
   hearPeer (): void {}
 
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -45,6 +45,7 @@
   private json = JSON.stringify(configDocument.emptyConfig.document)
   private confirmedAt = -Infinity
   private readonly firstConfirmation = new async.Deferred<void>()
+  private readonly firstAnswer = new async.Deferred<void>()
   private fetching = false
   private preferred = 0
 
@@ -82,10 +83,16 @@
     const elsewhere = this.control.findIndex(({ failureDomain }) => failureDomain !== this.control[first]!.failureDomain)
     const second = elsewhere > 0 ? elsewhere : first + 1
     this.keepFollowing(first)
-    if (await this.confirmedWithin(firstStreamMs)) await async.sleep(secondStreamAfterMs, this.stopped.signal)
+    if (await this.isFirstConfirmed()) await async.sleep(secondStreamAfterMs, this.stopped.signal)
     if (second < this.control.length) this.keepFollowing(second)
   }
 
+  /** Resolves with true once the replica that is asked first confirms, with false when it can't, or is slow to. */
+  async isFirstConfirmed (): Promise<boolean> {
+    await async.settlesWithin(this.firstAnswer.promise, firstStreamMs)
+    return Number.isFinite(this.confirmedAgeMs)
+  }
+
   dispose (): void {
     this.stopped.abort()
     this.disposables.dispose()
@@ -146,6 +153,7 @@
       } catch {
         // Unreachable, silent or without a quorum: the next replica is asked.
       }
+      this.firstAnswer.resolve()
       retryMs = this.confirmedAt > confirmedBefore ? minRetryMs : Math.min(maxRetryMs, retryMs * 2)
       await async.sleep(retryMs, this.stopped.signal)
     }
@@ -163,6 +171,7 @@
           confirmedAt = performance.now()
           if (this.config.version >= res.confirmedVersion) this.confirm(confirmedAt)
         }
+        this.firstAnswer.resolve()
         if (performance.now() - confirmedAt > unconfirmedLimitMs) return
       }
     } finally {
@@ -173,6 +182,7 @@
   private confirm (at: number): void {
     this.confirmedAt = Math.max(this.confirmedAt, at)
     this.firstConfirmation.resolve()
+    this.firstAnswer.resolve()
   }
 
   private take (config: inner.ConfigVersion, source: string): void {
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -22,9 +22,7 @@
 const fetchTimeoutMs = 3000
 const sweepMs = 5000
 const membersEveryMs = 10_000
-/** Time in which the first hub may tell a spoke what it knows before the others are asked too. */
-const firstHubMs = 200
-/** Time from a spoke's first update to its subscriptions to the other hubs, which compete with the first requests. */
+/** Time from a spoke's first configuration to its subscriptions to the other hubs, which compete with the first requests. */
 const otherHubsAfterMs = 400
 
 /** The configuration as a process holds it. */
@@ -34,6 +32,8 @@
   /** Milliseconds since a quorum confirmed the current version; infinite before the first time. */
   readonly confirmedAgeMs: number
   readonly onChanged: event.Event<unknown>
+  /** Resolves with true once the replica that is asked first confirms the configuration, with false when it can't in time. */
+  isFirstConfirmed(): Promise<boolean>
   /** Takes what a peer told of its version. */
   hearPeer(version: number, confirmed: boolean, ageMs: number, fetch: () => Promise<inner.ConfigVersion>): void
 }
@@ -70,7 +70,6 @@
   private readonly outboxes = new Set<peerOutbox.PeerOutbox>()
   private readonly subscriptions = new Map<string, AbortController>()
   private readonly watchdogs = new Set<streamWatchdog.StreamWatchdog>()
-  private readonly firstUpdate = new async.Deferred<void>()
   private hasStarted = false
 
   constructor (
@@ -92,12 +91,12 @@
     this.disposables.addInterval(() => this.sweep(), sweepMs)
   }
 
-  /** Subscribes to the seeds; a spoke to one hub first, since it knows all that it needs from any of them. */
+  /** Subscribes to the seeds; a spoke to one hub first, which knows all endpoints unless its disk was lost. */
   async start (): Promise<void> {
     const [first] = this.seeds
     if (this.self.role === 'spoke' && first !== undefined) {
       this.subscribeTo(first)
-      if (await async.settlesWithin(this.firstUpdate.promise, firstHubMs)) await async.sleep(otherHubsAfterMs, this.stopped.signal)
+      if (await this.tables.configs.isFirstConfirmed()) await async.sleep(otherHubsAfterMs, this.stopped.signal)
     }
     this.hasStarted = true
     for (const address of [...this.seeds, ...this.hubAddresses]) this.subscribeTo(address)
@@ -291,7 +290,6 @@
         watchdog.heard()
         updates++
         this.takeUpdate(update, link)
-        this.firstUpdate.resolve()
       }
     } catch {
       // The peer is gone or silent; the task subscribes again.
--- a/packages/fleet/src/test/firstStreams.test.ts
+++ b/packages/fleet/src/test/firstStreams.test.ts
@@ -1,9 +1,12 @@
 /** To how many replicas an entry instance that starts turns at first: each connection delays its first requests. */
 import * as net from 'node:net'
 import * as tap from 'tap'
+import * as async from '@rosemaryrack/base/common/async.js'
 import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as freezeDetector from '@rosemaryrack/base/common/freezeDetector.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as endpointTable from '../common/endpointTable.js'
 import * as memberTable from '../common/memberTable.js'
@@ -13,6 +16,7 @@
 
 /** Shortest time between the first connection and the next, while the first replica says nothing. */
 const apartMs = 150
+const aMomentMs = 1000
 const identity = { cluster: 'c', token: 'token-of-this-test', sourceHost: '127.0.0.1' }
 
 /** Replicas that accept connections and say nothing. */
@@ -63,6 +67,31 @@
   replicas.dispose()
 })
 
+tap.t.test('a replica that can\'t confirm is not waited for', async (t) => {
+  const [host, firstPort] = ['127.77.0.1', 17_431]
+  const replica = new innerListener.InnerListener({ cluster: identity.cluster, token: identity.token }, (router) => {
+    router.service(inner.ControlReplica, {
+      follow: async function * () {
+        yield {}
+        await async.sleep(aMomentMs)
+      }
+    })
+  })
+  await replica.listen(`${host}:${firstPort}`)
+  const times: number[] = []
+  for (let run = 0; run < 5; run++) {
+    const follower = new configFollower.ConfigFollower('entry', [{ address: `${host}:${firstPort}` }], identity, new decisionLog.NullDecisionLog())
+    const startedAt = performance.now()
+    follower.start()
+    t.equal(await follower.isFirstConfirmed(), false)
+    times.push(performance.now() - startedAt)
+    follower.dispose()
+  }
+  const soonest = Math.min(...times)
+  t.ok(soonest < apartMs, `known after ${Math.round(soonest)} ms`)
+  replica.dispose()
+})
+
 tap.t.test('a spoke subscribes to one hub, then to the others together', async (t) => {
   const replicas = new SilentReplicas()
   await replicas.listen(3)
