--- a/packages/routing/src/test/loadProbing.test.ts
+++ b/packages/routing/src/test/loadProbing.test.ts
@@ -26,6 +26,7 @@
   readonly pending = new Map<string, (outcome: loadProbing.ProbeOutcome) => void>()
   readonly chosen: dispatcher.Placement[] = []
   overloads = 0
+  yields = 0
   times: timeBudget.TimeBudget = { idleMs: workMs, usefulMs: Infinity, mayYield: false }
   budget = granted
   readonly dispatcher: dispatcher.Dispatcher
@@ -52,6 +53,7 @@
     const deps = { dispatcher: this.dispatcher, prober: this, budget: this.budget, clock: this.clock }
     const probe = new loadProbing.LoadProbe(deps, this.times, (choice) => {
       if (choice.kind === 'placed') this.chosen.push(choice.placement)
+      else if (choice.kind === 'busy') this.yields++
       else this.overloads++
     })
     this.dispatcher.acquire(ask, (outcome) => {
@@ -155,6 +157,23 @@
   t.equal(service.chosen.length, 3, 'in time for a caller that waits longer')
 })
 
+tap.t.test('a late call that may yield takes a free slot, never a place in a queue', async (t) => {
+  const service = new Service(3)
+  const full = { ...idle, running: slots }
+  service.times = { idleMs: workMs, usefulMs: goalMs, mayYield: true }
+  service.begin()
+  service.report(full, full, { ...full, waiting: 2 })
+  t.same([service.yields, service.overloads, service.chosen.length, service.dispatcher.inFlight], [1, 0, 0, 0])
+  service.begin()
+  service.report(full, full, { ...idle, running: slots - 1, slowdown: 5 })
+  t.same([service.yields, service.chosen.length], [1, 1], 'a slow endpoint with a free slot is taken')
+  service.chosen[0]!.release()
+  service.begin()
+  service.report(full, full, undefined)
+  service.clock.advance(timeoutMs)
+  t.same([service.yields, service.chosen.length], [1, 2], 'one that tells nothing may have a free slot')
+})
+
 tap.t.test('the preference follows the size of the answers', async (t) => {
   const preference = new domainPreference.DomainPreference()
   t.equal(preference.remoteFactor, 1, 'none before anything was seen')
