--- a/packages/control/src/test/firstLeader.test.ts
+++ b/packages/control/src/test/firstLeader.test.ts
@@ -35,7 +35,7 @@
     await time.runUntil(observedMs, () => time.now - (group.won.at(-1)?.at ?? Infinity) > stayedMs)
   } finally {
     group.dispose()
-    time.dispose()
+    await time.dispose()
   }
   const majorityAt = startsAt.filter((at) => at !== undefined).sort((a, b) => a - b)[2]!
   return { ms: (group.won.at(-1)?.at ?? Infinity) - majorityAt, deposed: group.won.length - 1 }
--- a/packages/control/src/test/virtualTime.ts
+++ b/packages/control/src/test/virtualTime.ts
@@ -32,7 +32,7 @@
   /** Lets time pass until a moment, or until a condition holds. */
   async runUntil (ms: number, isDone: () => boolean = () => false): Promise<void> {
     while (!isDone()) {
-      await new Promise((resolve) => setImmediate(resolve))
+      await settled()
       const next = this.earliest()
       if (next === undefined || next.at > ms) break
       this.timers.delete(next)
@@ -42,7 +42,9 @@
     if (!isDone()) this.nowMs = Math.max(this.nowMs, ms)
   }
 
-  dispose (): void {
+  /** Gives the process its own timers back, once no task is about to set one: those that wait then wait for ever. */
+  async dispose (): Promise<void> {
+    await settled()
     globalThis.setTimeout = this.real.setTimeout
     globalThis.clearTimeout = this.real.clearTimeout
     performance.now = this.real.now
@@ -56,3 +58,8 @@
     return best
   }
 }
+
+/** Resolves when every task waits for a timer. */
+async function settled (): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve))
+}
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -98,6 +98,7 @@
       this.subscribeTo(first)
       if (await this.tables.configs.isFirstConfirmed()) await async.sleep(otherHubsAfterMs, this.stopped.signal)
     }
+    if (this.stopped.signal.aborted) return
     this.hasStarted = true
     for (const address of [...this.seeds, ...this.hubAddresses]) this.subscribeTo(address)
   }
--- a/packages/fleet/src/test/firstStreams.test.ts
+++ b/packages/fleet/src/test/firstStreams.test.ts
@@ -40,6 +40,11 @@
     }
   }
 
+  /** Replicas that were connected to. */
+  get connectedCount (): number {
+    return new Set(this.connected.map(({ port }) => port)).size
+  }
+
   /** Times of the first connections to `count` different replicas. */
   async firstConnections (count: number): Promise<readonly number[]> {
     for (;;) {
@@ -92,24 +97,40 @@
   replica.dispose()
 })
 
-tap.t.test('a spoke subscribes to one hub, then to the others together', async (t) => {
-  const replicas = new SilentReplicas()
-  await replicas.listen(3)
-  const disposables = new lifecycle.DisposableStore()
+/** Mesh of an instance that starts, which is disposed along with what it needs. */
+function spokeOf (hubs: readonly string[], disposables: lifecycle.DisposableStore): peerMesh.PeerMesh {
   const systemClock = new clock.SystemClock()
-  const configs = disposables.add(new configFollower.ConfigFollower('entry', [], identity, new decisionLog.NullDecisionLog()))
   const tables = {
     members: disposables.add(new memberTable.MemberTable(systemClock, 'entry')),
     endpoints: disposables.add(new endpointTable.EndpointTable(systemClock)),
     suspects: disposables.add(new suspectTable.SuspectTable(systemClock)),
-    configs
+    configs: disposables.add(new configFollower.ConfigFollower('entry', [], identity, new decisionLog.NullDecisionLog()))
   }
   const self = { instance: 'entry', address: '127.0.0.1:1', failureDomain: 'a', incarnation: 1, role: 'spoke' } as const
-  const mesh = disposables.add(new peerMesh.PeerMesh(self, replicas.addresses, identity, tables, disposables.add(new freezeDetector.FreezeDetector()), new decisionLog.NullDecisionLog()))
-  mesh.start()
+  return disposables.add(new peerMesh.PeerMesh(self, hubs, identity, tables, disposables.add(new freezeDetector.FreezeDetector()), new decisionLog.NullDecisionLog()))
+}
+
+tap.t.test('a spoke subscribes to one hub, then to the others together', async (t) => {
+  const replicas = new SilentReplicas()
+  await replicas.listen(3)
+  const disposables = new lifecycle.DisposableStore()
+  spokeOf(replicas.addresses, disposables).start()
   const [first, second, third] = await replicas.firstConnections(3)
   t.ok(second! - first! >= apartMs, `${Math.round(second! - first!)} ms apart`)
   t.ok(third! - second! < apartMs, 'the others together')
   disposables.dispose()
   replicas.dispose()
 })
+
+tap.t.test('a spoke that is disposed after its first subscription makes no other', async (t) => {
+  const replicas = new SilentReplicas()
+  t.teardown(() => replicas.dispose())
+  await replicas.listen(3)
+  const disposables = new lifecycle.DisposableStore()
+  const started = spokeOf(replicas.addresses, disposables).start()
+  await replicas.firstConnections(1)
+  disposables.dispose()
+  await started
+  await async.sleep(apartMs)
+  t.equal(replicas.connectedCount, 1)
+})
--- a/packages/routing/src/common/balancingPolicy.ts
+++ b/packages/routing/src/common/balancingPolicy.ts
@@ -17,8 +17,10 @@
 export interface ChoiceContext {
   readonly now: number
   readonly ownFailureDomain: string
-  /** Typical latency of the service, in milliseconds. */
+  /** Typical latency of the service as the endpoints' estimates hold it, in milliseconds. */
   readonly typicalLatencyMs: number
+  /** Latency assumed of an endpoint that has not answered yet, in milliseconds. */
+  readonly untriedLatencyMs: number
   /** Factor on the cost of endpoints in other failure domains. */
   readonly remoteFactor: number
   readonly weights: configDocument.LaneWeights
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -237,17 +237,17 @@
 
   private noteHead (attempt: RunningAttempt, head: transport.AnswerHead): void {
     const now = this.deps.clock.now()
-    const { stats } = attempt.placement
     this.deps.deaths.noteAnswer(attempt.placement.endpoint, attempt.startedAt)
     if (head.notRun || head.status >= firstServerError) {
-      stats.failed(now)
+      attempt.placement.stats.failed(now)
       return
     }
     const latencyMs = now - attempt.startedAt
     const { dispatcher, latency } = this.deps
     // Lanes of one service take different times: an endpoint is slow only against the lane's own.
-    stats.succeeded(latencyMs * dispatcher.typicalLatencyMs / this.typicalMs, now)
-    dispatcher.noteLatency(latencyMs)
+    const comparableMs = latencyMs * dispatcher.typicalLatencyMs / this.typicalMs
+    attempt.placement.stats.succeeded(comparableMs, now)
+    dispatcher.noteLatency(latencyMs, comparableMs)
     latency.note(latencyMs, this.spec.lane)
     this.deps.deaths.noteSuccess(this.spec.identity)
     if (this.deps.suspects.size > 0) this.deps.suspects.reportSuccess(this.spec.identity.fingerprint)
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -79,6 +79,9 @@
   private readonly stats = new Map<string, { readonly incarnation: number, readonly stats: endpointStats.EndpointStats }>()
   private readonly queue = new waitingQueue.WaitingQueue<Waiter>()
   private typicalMs = initialTypicalMs
+  /** Typical time as the estimates of endpoints hold it. */
+  private comparableMs = initialTypicalMs
+  private latencySamples = 0
   private holdMs = initialTypicalMs
   private bulkInFlight = 0
   private newestKnownSince = -Infinity
@@ -157,9 +160,15 @@
     return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : this.remoteFactor(ask)
   }
 
-  /** Counts a latency sample of the service, in milliseconds. */
-  noteLatency (ms: number): void {
-    this.typicalMs += (ms - this.typicalMs) * typicalWeight
+  /**
+   * Counts a latency sample of the service, in milliseconds.
+   * @param comparableMs the sample as it was given to the endpoint's own estimate, where lanes differ in what they take.
+   */
+  noteLatency (ms: number, comparableMs = ms): void {
+    // The first answers count alike, so that little is left of what was assumed.
+    const weight = Math.max(typicalWeight, 1 / ++this.latencySamples)
+    this.typicalMs += (ms - this.typicalMs) * weight
+    this.comparableMs += (comparableMs - this.comparableMs) * weight
   }
 
   private isStarting (now: number): boolean {
@@ -269,7 +278,14 @@
     if (ask.priority === 'bulk' && this.bulkInFlight >= this.bulkLimit(open, ask.lane)) return undefined
     const able = this.candidates(open, ask, now)
     if (able.length === 0) return undefined
-    const context = { now, ownFailureDomain: this.options.ownFailureDomain, typicalLatencyMs: this.typicalMs, remoteFactor: this.remoteFactor(ask), weights: ask.lane.weights }
+    const context = {
+      now,
+      ownFailureDomain: this.options.ownFailureDomain,
+      typicalLatencyMs: this.comparableMs,
+      untriedLatencyMs: this.untriedLatencyMs(able, now),
+      remoteFactor: this.remoteFactor(ask),
+      weights: ask.lane.weights
+    }
     const chosen = this.policy.choose(able, context)
     return this.take(ask, chosen, endpoints.find(({ endpoint }) => endpoint === chosen.id)!, {
       considered: able.length,
@@ -279,6 +295,18 @@
     })
   }
 
+  /**
+   * An endpoint that has not answered yet counts like the quickest that has: one that seems slow without having been
+   * asked would never be.
+   */
+  private untriedLatencyMs (candidates: readonly balancingPolicy.Candidate[], now: number): number {
+    let least = this.comparableMs
+    for (const { stats } of candidates) {
+      if (stats.isMeasured) least = Math.min(least, stats.latency(now, this.comparableMs))
+    }
+    return least
+  }
+
   private take (ask: Ask, chosen: balancingPolicy.Candidate, endpoint: endpointTable.Endpoint, reason: Pick<Placement, 'considered' | 'candidates' | 'why' | 'waitedMs'>): Placement {
     const { stats } = chosen
     const startedAt = this.clock.now()
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -1,4 +1,6 @@
 /** Choices of the dispatcher among endpoints that fail or have just started. */
+import * as float from 'pure-rand/distribution/uniformFloat64'
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
 import * as tap from 'tap'
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
@@ -15,13 +17,13 @@
   private readonly endpoints: endpointTable.Endpoint[] = []
 
   /** @param rest options that aren't the usual ones. */
-  constructor (ids: readonly string[], rest: Partial<dispatcher.DispatcherOptions> = {}, private readonly slots = 1) {
+  constructor (ids: readonly string[], rest: Partial<dispatcher.DispatcherOptions> = {}, private readonly slots = 1, random = () => 0.5) {
     for (const id of ids) this.announce(id)
     const changed = new event.Emitter<endpointTable.Endpoint>()
     const source = { onChanged: changed.event, routable: () => this.endpoints }
     const clock = { now: () => this.now, after: () => () => {} }
     const options = { service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1, ...rest }
-    this.dispatcher = new dispatcher.Dispatcher(options, source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), clock)
+    this.dispatcher = new dispatcher.Dispatcher(options, source, new adaptivePolicy.AdaptivePolicy({ next: random }), clock)
   }
 
   announce (endpoint: string): void {
@@ -125,3 +127,35 @@
   t.equal(service.place('urgent'), undefined)
   t.equal(service.dispatcher.waiting, 1, 'the second was refused')
 })
+
+tap.t.test('an endpoint that becomes known gets its share of calls, although the lane is quicker than assumed', async (t) => {
+  const generator = xoroshiro.xoroshiro128plus(1)
+  const random = (): number => float.uniformFloat64(generator)
+  const connected = new Set(['d-1', 'd-2'])
+  const service = new Service([...connected], { isConnected: ({ endpoint }) => connected.has(endpoint) }, 4, random)
+  const apartMs = 50
+  const answerMs = 2
+  // As on a lane whose target is so far that its answers are held to be twenty times as slow as they are.
+  const comparableShare = 0.05
+  const callFor = (ms: number): readonly string[] => {
+    const chosen: string[] = []
+    for (const end = service.now + ms; service.now < end; service.now += apartMs) {
+      const placement = service.place('bulk')!
+      const latencyMs = answerMs * (1 + random())
+      placement.stats.succeeded(latencyMs * comparableShare, service.now)
+      service.dispatcher.noteLatency(latencyMs, latencyMs * comparableShare)
+      placement.release()
+      connected.add(placement.endpoint.endpoint)
+      chosen.push(placement.endpoint.endpoint)
+    }
+    return chosen
+  }
+  callFor(1000)
+  service.announce('d-3')
+  t.ok(callFor(10_000).includes('d-3'))
+  const later = callFor(10_000)
+  for (const id of connected) {
+    const calls = later.filter((each) => each === id).length
+    t.ok(calls > later.length / 20, `${id}: ${calls} of ${later.length}`)
+  }
+})
--- a/packages/testbed/src/node/callVerbs.ts
+++ b/packages/testbed/src/node/callVerbs.ts
@@ -7,7 +7,10 @@
 import * as verbs from './verbs.js'
 import type * as world from './world.js'
 
+const msPerSecond = 1000
 const readyPollMs = 50
+/** Time for which a load's missed calls are made up: more at once would be a burst and no steady load. */
+const catchUpMs = 200
 const attemptEvents: readonly string[] = ['route', 'retry', 'hedge']
 const scenarioFolder = new URL('../../scenarios/', import.meta.url)
 
@@ -78,16 +81,22 @@
 
 async function runLoad (w: world.World, step: scenarioLanguage.Step, rate: number, ms: number): Promise<readonly caller.CallRecord[]> {
   const calls: Array<Promise<caller.CallRecord>> = []
-  const end = performance.now() + ms
   let ready = await readyEntries(w)
-  let polledAt = performance.now()
-  for (let i = 0; performance.now() < end; i++) {
-    if (performance.now() - polledAt > readyPollMs) {
-      polledAt = performance.now()
+  const start = performance.now()
+  let polledAt = start
+  let due = 0
+  for (let now = start; now < start + ms; now = performance.now()) {
+    if (now - polledAt > readyPollMs) {
+      polledAt = now
       readyEntries(w).then((names) => { ready = names }, () => {})
     }
-    if (ready.length > 0) calls.push(callOnce(w, ready[i % ready.length]!, planOf(w, step)))
-    await async.sleep(1000 / rate)
+    // A process that gets little processor time wakes late, and makes all calls that were due meanwhile.
+    const dueNow = Math.floor((now - start) * rate / msPerSecond) + 1
+    due = Math.max(due, dueNow - Math.ceil(rate * catchUpMs / msPerSecond))
+    for (; due < dueNow; due++) {
+      if (ready.length > 0) calls.push(callOnce(w, ready[due % ready.length]!, planOf(w, step)))
+    }
+    await async.sleep(start + due * msPerSecond / rate - performance.now())
   }
   return await Promise.all(calls)
 }
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -89,6 +89,7 @@
 tap.t.test('an endpoint that says in an answer that it leaves gets nothing more from any entry', async (t) => {
   const leaver = new deployedFleet.StandInEndpoint('i-leaver', fleet.endpointHost(6), 'diary', bornAt)
   await leaver.listen()
+  t.teardown(() => leaver.close())
   const readCount = 10
   const readAll = async (): Promise<void> => {
     for (let i = 0; i < readCount; i++) t.equal((await fleet.call(1 + i % 2, '/read/x')).status, 200)
@@ -101,6 +102,7 @@
   const before = leaver.served.length
   leaver.isLeaving = true
   await fleet.waitFor('an answer that says so', settleMs, async () => {
+    await leaver.say(fleet.control(1), 'ready')
     await fleet.call(1, '/read/x')
     return leaver.served.length > before
   })
@@ -111,7 +113,6 @@
   await readAll()
   t.equal(leaver.served.length, told)
   t.match(fleet.process('entry-1').output(), '"event":"leaving"')
-  leaver.close()
 })
 
 tap.t.test('a version that is not higher is acknowledged and changes nothing', async (t) => {
@@ -215,12 +216,12 @@
   t.equal((await fleet.put(4, config(15, [route('read', '/read/', 'diary'), route('fetch', '/fetch/', 'vault')]))).status, 200)
   const late = new deployedFleet.StandInEndpoint('i-late', fleet.endpointHost(4), 'vault', bornAt + 2)
   await late.listen()
+  t.teardown(() => late.close())
   t.equal(await late.say(fleet.control(4), 'ready'), 200)
   for (const entry of [1, 2]) {
     await fleet.waitFor(`entry ${entry} to know the endpoint`, boundMs, async () => (await fleet.call(entry, '/fetch/x')).status === 200)
   }
   t.equal(await late.say(fleet.control(4), 'draining'), 200)
-  late.close()
 })
 
 /** How often a silent voter was removed. */
