Endpoints of the own failure domain are asked for their load first

Where the first answer isn't good others are asked anyway, so asking at home first costs callers nothing.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -125,8 +125,8 @@
   private get ask (): dispatcher.Ask {
     const { lane, deadlineAt } = this.spec
     const typicalMs = this.typicalMs
-    const { remoteFactor } = this.deps.domains
-    return { lane, priority: lane.priority, deadlineAt, typicalMs, remoteFactor, suspect: this.suspect, exclude: this.tried }
+    const factors = this.deps.domains.factors(this.deps.probing !== undefined)
+    return { lane, priority: lane.priority, deadlineAt, typicalMs, ...factors, suspect: this.suspect, exclude: this.tried }
   }
 
   private get times (): timeBudget.TimeBudget {
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -27,6 +27,8 @@
   readonly typicalMs: number
   /** Factor on the cost of endpoints in other failure domains, beside the lane's weight. */
   readonly remoteFactor: number
+  /** In place of `remoteFactor` for the order in which endpoints are considered, where they differ. */
+  readonly remotePlaceFactor?: number
   /** Suspect calls don't share an endpoint, so that each death has one explanation. */
   readonly suspect: boolean
   /** Endpoints that were tried already. */
@@ -157,7 +159,7 @@
 
   /** Factor on the cost of an endpoint for a call, by failure domain. */
   domainFactor (endpoint: endpointTable.Endpoint, ask: Ask): number {
-    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : this.remoteFactor(ask)
+    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : ask.remoteFactor * ask.lane.weights.remoteDomain
   }
 
   /**
@@ -174,10 +176,6 @@
     return now < (this.options.startingUntil ?? -Infinity)
   }
 
-  private remoteFactor (ask: Ask): number {
-    return ask.remoteFactor * ask.lane.weights.remoteDomain
-  }
-
   private enqueue (ask: Ask, now: number, done: (outcome: AskOutcome) => void): () => void {
     const unknown = this.isStarting(now) && this.endpoints.routable(this.options.service).length === 0
     const expiresAt = Math.min(now + ask.lane.maxWaitMs, ask.deadlineAt, unknown ? this.options.startingUntil! : Infinity)
@@ -282,7 +280,7 @@
       ownFailureDomain: this.options.ownFailureDomain,
       typicalLatencyMs: this.comparableMs,
       untriedLatencyMs: this.untriedLatencyMs(able, now),
-      remoteFactor: this.remoteFactor(ask),
+      remoteFactor: (ask.remotePlaceFactor ?? ask.remoteFactor) * ask.lane.weights.remoteDomain,
       weights: ask.lane.weights
     }
     const chosen = this.policy.choose(able, context)
--- a/packages/routing/src/common/domainPreference.ts
+++ b/packages/routing/src/common/domainPreference.ts
@@ -9,6 +9,19 @@
  */
 const fullPreference = 0.5
 
+/**
+ * The same for the choice of the endpoints that are asked for their load, at any size of answers: an answer that isn't good
+ * leads elsewhere, so a wide preference costs callers little.
+ */
+const askedFactor = 3
+
+/** Factors on the cost of endpoints in other domains, 1 or more. */
+export interface DomainFactors {
+  readonly remoteFactor: number
+  /** In place of `remoteFactor` for the order in which endpoints are considered. */
+  readonly remotePlaceFactor: number
+}
+
 /** Follows the size of one lane's answers. */
 export class DomainPreference {
   private meanBytes = 0
@@ -22,4 +35,10 @@
   get remoteFactor (): number {
     return 1 + fullPreference * Math.min(1, this.meanBytes / largeAnswerBytes)
   }
+
+  /** @param asksLoad whether endpoints are asked for their load before one is taken. */
+  factors (asksLoad: boolean): DomainFactors {
+    const { remoteFactor } = this
+    return { remoteFactor, remotePlaceFactor: asksLoad ? Math.max(askedFactor, remoteFactor) : remoteFactor }
+  }
 }
