--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -60,22 +60,10 @@
   fs.writeFileSync(file, text.replace(/[^\x00-\x7f]/g, (char) => `\\u${char.charCodeAt(0).toString(16).padStart(4, '0')}`))
 }
 
-/** The socket for callers is open before the rest is evaluated. */
-const daemon = `
-import * as earlySocket from '@rosemaryrack/listener/node/earlySocket.js'
-async function run () {
-  const early = earlySocket.EarlySocket.fromArguments(process.argv)
-  await import('./deploy/webClasses.mjs')
-  const main = await import('@rosemaryrack/rosemaryrack/node/main.js')
-  await main.run(process.argv, early)
-}
-run()
-`
-
 fs.rmSync(outFolder, { recursive: true, force: true })
 await esbuild.build({
   stdin: {
-    contents: daemon,
+    contents: "import './deploy/webClasses.mjs'\nimport * as main from '@rosemaryrack/rosemaryrack/node/main.js'\nmain.run(process.argv)\n",
     resolveDir: process.cwd(),
     loader: 'js'
   },
--- a/deploy/codeCache.mjs
+++ b/deploy/codeCache.mjs
@@ -56,16 +56,14 @@
 }
 
 function startRole (folder, { run, template }, role, work, fields) {
-  const fill = (text) => text.replace(placeholder, (_all, field, json) => {
-    if (!Object.hasOwn(fields, field)) throw new Error(`the deploy file or ${template} names the field ${field}, which the build lacks`)
+  const text = fs.readFileSync(template, 'utf8').replace(placeholder, (_all, field, json) => {
+    if (!Object.hasOwn(fields, field)) throw new Error(`${template} names the field ${field}, which the build lacks`)
     return json === undefined ? String(fields[field]) : JSON.stringify(fields[field])
   })
   const settings = path.join(work, `${role}.toml`)
-  fs.writeFileSync(settings, fill(fs.readFileSync(template, 'utf8')))
-  const [, ...words] = run.split(' ')
-  const script = words.findIndex((word) => word.endsWith('.cjs'))
-  const options = words.slice(script + 1).map((word, i, all) => all[i - 1] === '--settings' ? settings : fill(word))
-  return childProcess.spawn(process.execPath, [...words.slice(0, script), path.join(folder, `${role}.cjs`), ...options], {
+  fs.writeFileSync(settings, text)
+  const flags = run.split(' ').filter((word) => word.startsWith('--') && word !== '--settings')
+  return childProcess.spawn(process.execPath, [...flags, path.join(folder, `${role}.cjs`), '--settings', settings], {
     stdio: ['ignore', 'ignore', 'inherit'],
     env: { ...process.env, RACK_WRITE_CODE_CACHE: cacheFile(folder, role) }
   })
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -6,7 +6,6 @@
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
-import type * as earlySocket from '@rosemaryrack/listener/node/earlySocket.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as callerTask from './callerTask.js'
 
@@ -46,9 +45,7 @@
     this.server.headersTimeout = callerLimits?.headerTimeoutMs ?? headersTimeoutMs
   }
 
-  /** @param early socket that may be open at the address already. */
-  async listen (hostPort: string, early: earlySocket.EarlySocket | undefined): Promise<void> {
-    if (await early?.handTo(this.server, hostPort) === true) return
+  async listen (hostPort: string): Promise<void> {
     const { host, port } = address.parseAddress(hostPort)
     await httpListener.listen(this.server, host, port)
   }
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -11,7 +11,6 @@
 import * as announcementRoutes from '@rosemaryrack/fleet/node/announcementRoutes.js'
 import * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
 import * as peerMesh from '@rosemaryrack/fleet/node/peerMesh.js'
-import type * as earlySocket from '@rosemaryrack/listener/node/earlySocket.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import * as adaptivePolicy from '@rosemaryrack/routing/common/adaptivePolicy.js'
@@ -94,15 +93,12 @@
     entryRoutes.addEntryRoutes(routes, { endpoints, members, configs, lanes, decisions })
   }
 
-  /**
-   * Joins the fleet, then listens for targets and callers.
-   * @param early socket that may be open at the callers' address already.
-   */
-  async start (early?: earlySocket.EarlySocket): Promise<void> {
+  /** Joins the fleet, then listens for targets and callers. */
+  async start (): Promise<void> {
     this.configs.start()
     this.mesh.start()
     if (this.entry.announcements !== undefined) await this.listenForTargets(this.entry.announcements)
-    await this.callers.listen(this.entry.callers.listen, early)
+    await this.callers.listen(this.entry.callers.listen)
     this.addGauges()
   }
 
--- a/packages/rosemaryrack/bin/rosemaryrack.mjs
+++ b/packages/rosemaryrack/bin/rosemaryrack.mjs
@@ -1,6 +1,4 @@
 #!/usr/bin/env node
-import * as earlySocket from '@rosemaryrack/listener/node/earlySocket.js'
+import * as main from '../dist/node/main.js'
 
-const early = earlySocket.EarlySocket.fromArguments(process.argv)
-const main = await import('../dist/node/main.js')
-await main.run(process.argv, early)
+await main.run(process.argv)
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -4,7 +4,6 @@
 import type * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as controlRole from '@rosemaryrack/control/node/controlRole.js'
 import type * as entryRole from '@rosemaryrack/entry/node/entryRole.js'
-import type * as earlySocket from '@rosemaryrack/listener/node/earlySocket.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import type * as latencyHistogram from '@rosemaryrack/telemetry/common/latencyHistogram.js'
@@ -21,19 +20,11 @@
   readonly entry: entryRole.EntryRole | undefined
 }
 
-/** Where the process listens besides its roles' own listeners. */
-interface Listeners {
-  readonly operator: httpListener.HttpListener
-  readonly inner: innerListener.InnerListener
-  readonly early: earlySocket.EarlySocket | undefined
-}
-
 /**
  * Starts all that the settings ask for; returns once it runs.
  * @param reload reads the settings again; throws `invalid-settings`.
- * @param early socket that was opened for callers before all else.
  */
-export async function run (cfg: settings.Settings, reload: () => settings.Settings, early: earlySocket.EarlySocket | undefined): Promise<void> {
+export async function run (cfg: settings.Settings, reload: () => settings.Settings): Promise<void> {
   const disposables = new lifecycle.DisposableStore()
   disposables.add(new logOutput.LogOutput())
   const logger = logOutput.createLogger('rosemaryrack', cfg.instance)
@@ -58,7 +49,7 @@
     roles.control?.registerRpc(router)
     roles.entry?.registerRpc(router)
   }))
-  await startAll(cfg, roles, { operator, inner, early })
+  await startAll(cfg, roles, operator, inner)
   logger.info({ inner: cfg.inner.listen, operator: cfg.operator.listen }, 'started')
   reloadOnSignal(logger, roles, reload)
   stopOnSignal(async () => {
@@ -96,11 +87,11 @@
 }
 
 /** Binds the inner address before the data folder is opened, so that no two processes ever share one. */
-async function startAll (cfg: settings.Settings, roles: Roles, { operator, inner, early }: Listeners): Promise<void> {
+async function startAll (cfg: settings.Settings, roles: Roles, operator: httpListener.HttpListener, inner: innerListener.InnerListener): Promise<void> {
   await bind('inner', cfg.inner.listen, async (address) => await inner.listen(address))
   await roles.control?.start()
   await bind('operator', cfg.operator.listen, async (address) => await operator.listen(address))
-  await roles.entry?.start(early)
+  await roles.entry?.start()
 }
 
 async function bind (name: string, address: string, listen: (address: string) => Promise<void>): Promise<void> {
--- a/packages/rosemaryrack/src/node/main.ts
+++ b/packages/rosemaryrack/src/node/main.ts
@@ -2,7 +2,6 @@
 import * as cac from 'cac'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
-import type * as earlySocket from '@rosemaryrack/listener/node/earlySocket.js'
 import * as settingsFile from '@rosemaryrack/config/node/settingsFile.js'
 
 const version = '0.1.0'
@@ -10,21 +9,17 @@
 Exit codes: 0 stopped gracefully, 1 internal error, 2 wrong arguments or settings,
 3 wrong cluster, 9 disk failure or damaged data folder`
 
-/**
- * Runs the daemon until it is told to stop by SIGTERM or SIGINT.
- * @param early socket that was opened for callers before this module was loaded.
- */
-export async function run (argv: readonly string[], early?: earlySocket.EarlySocket): Promise<void> {
+/** Runs the daemon until it is told to stop by SIGTERM or SIGINT. */
+export async function run (argv: readonly string[]): Promise<void> {
   const cli = cac.cac('rosemaryrack')
   cli.command('', 'Runs one process of the load balancer with the roles of its settings')
     .option('--settings <file>', 'TOML settings file (required)')
-    .option('--callers <address>', 'Address for callers, opened before all else; `entry.callers.listen` names the same')
   cli.help((sections) => [...sections, { body: exitCodesHelp }])
   cli.version(version)
   try {
     const { options } = cli.parse([...argv], { run: false })
     if (options['help'] === true || options['version'] === true) return
-    await start(options['settings'], early)
+    await start(options['settings'])
   } catch (err) {
     const fault = errors.faultOf(err)
     process.stderr.write(`rosemaryrack: ${fault.kind}: ${fault.message}\n`)
@@ -32,12 +27,12 @@
   }
 }
 
-async function start (file: unknown, early: earlySocket.EarlySocket | undefined): Promise<void> {
+async function start (file: unknown): Promise<void> {
   if (typeof file !== 'string') throw new errors.RackError({ kind: 'bad-request', message: 'the option --settings FILE is required' })
   const load = (): settings.Settings => settingsFile.loadSettings(file)
   const cfg = load()
   // The logging library reads this once, when it is loaded.
   process.env['ROARR_LOG'] = 'true'
   const daemon = await import('./daemon.js')
-  await daemon.run(cfg, load, early)
+  await daemon.run(cfg, load)
 }
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -133,7 +133,7 @@
 
   startEntry (number: number): void {
     const host = firstEntry + number
-    this.start(`entry-${number}`, 'entry', { ...this.fields(host), 'Listen.Front': this.front(number), 'Listen.ReadyAddr': `${this.host(host)}:${readyPort}` }, ['--callers', this.front(number)])
+    this.start(`entry-${number}`, 'entry', { ...this.fields(host), 'Listen.Front': this.front(number), 'Listen.ReadyAddr': `${this.host(host)}:${readyPort}` })
   }
 
   dataFolder (number: number): string {
@@ -199,7 +199,7 @@
     }
   }
 
-  private start (name: string, template: string, fields: Readonly<Record<string, unknown>>, options: readonly string[] = []): void {
+  private start (name: string, template: string, fields: Readonly<Record<string, unknown>>): void {
     const text = fs.readFileSync(path.join(repositoryRoot, 'deploy', `${template}.toml`), 'utf8')
     const settings = text.replace(placeholder, (_all, field: string, json: string | undefined) => {
       if (!Object.hasOwn(fields, field)) throw new Error(`${template}.toml names the field ${field}, which the stand-in lacks`)
@@ -207,6 +207,6 @@
     })
     const file = path.join(this.folder, `${name}.toml`)
     fs.writeFileSync(file, settings)
-    this.processes.set(name, new managedProcess.ManagedProcess(name, daemonScript, ['--settings', file, ...options], path.join(this.folder, `${name}.log`)))
+    this.processes.set(name, new managedProcess.ManagedProcess(name, daemonScript, ['--settings', file], path.join(this.folder, `${name}.log`)))
   }
 }
--- a/packages/testbed/src/test/deployBuild.test.ts
+++ b/packages/testbed/src/test/deployBuild.test.ts
@@ -23,8 +23,7 @@
 }
 
 function flagsOf (role: string): readonly string[] {
-  const [, ...words] = roles[role]!.run.split(' ')
-  return words.slice(0, words.findIndex((word) => word.endsWith('.cjs')))
+  return roles[role]!.run.split(' ').filter((word) => word.startsWith('--') && word !== '--settings')
 }
 
 tap.t.before(() => {
