A typical time of 0 no longer makes every score NaN

Cause: crashingRequests.test 'the calls after it go to the one that runs at once', red since estimates are compared with their own mean: the test's clock stands still, so the mean is 0 and 0 / 0 took the last endpoint. On a running clock it doesn't come up. Change: a least typical time. The test is green.

--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -11,6 +11,8 @@
 
 const initialTypicalMs = 10
 const typicalWeight = 0.01
+/** Estimates are divided by the typical time, which a clock that stood still would make 0. */
+const minTypicalMs = 0.01
 const maxEjectedShare = 0.5
 const maxColdShare = 0.25
 const loggedCandidates = 3
@@ -169,7 +171,8 @@
   noteLatency (ms: number, comparableMs = ms): void {
     this.typicalMs += (ms - this.typicalMs) * typicalWeight
     // The first answers count alike, so that nothing is left of what was assumed.
-    this.comparableMs += (comparableMs - this.comparableMs) * Math.max(typicalWeight, 1 / ++this.latencySamples)
+    const mean = this.comparableMs + (comparableMs - this.comparableMs) * Math.max(typicalWeight, 1 / ++this.latencySamples)
+    this.comparableMs = Math.max(minTypicalMs, mean)
   }
 
   private isStarting (now: number): boolean {
