--- a/packages/routing/src/test/heavyLoad.test.ts
+++ b/packages/routing/src/test/heavyLoad.test.ts
@@ -66,7 +66,7 @@
 }
 
 interface Played {
-  /** Share of the calls that end later than their target. */
+  /** Share of the calls that are refused or end later than their target. */
   readonly late: number
   /** Share of the calls that went to an endpoint in another failure domain. */
   readonly remote: number
@@ -97,25 +97,25 @@
     const entry = entries[position]!
     const arrivedAt = clock.now()
     const ask: dispatcher.Ask = { lane, priority: lane.priority, deadlineAt: arrivedAt + lane.deadlineMs, typicalMs: workMs, remoteFactor: 1, remotePlaceFactor, suspect: false, exclude: new Set() }
-    const end = (): void => {
+    const end = (served: boolean): void => {
       calls++
-      if (clock.now() - arrivedAt > targetMs) late++
+      if (!served || clock.now() - arrivedAt > targetMs) late++
     }
     const times = { idleMs: workMs, usefulMs: Infinity, mayYield: false }
     const probe = new loadProbing.LoadProbe({ dispatcher: entry, prober, budget: { take: () => true }, clock }, times, (choice) => {
-      if (choice.kind !== 'placed') return end()
+      if (choice.kind !== 'placed') return end(false)
       const { placement } = choice
       if (placement.endpoint.failureDomain !== entryDomains[position]) remote++
       const startedAt = clock.now()
       endpoints.get(placement.endpoint.endpoint)!.serve(() => {
         placement.stats.succeeded(clock.now() - startedAt, clock.now())
         placement.release()
-        end()
+        end(true)
       })
     })
     entry.acquire(ask, (outcome) => {
       if (outcome.placed) probe.start(outcome.placement, ask, { candidates: 4, timeoutMs: 35, staggerMs: 8 })
-      else end()
+      else end(false)
     })
     clock.after(-Math.log(1 - random()) * msPerSecond / callsPerS, call)
   }
