--- a/packages/routing/src/common/adaptivePolicy.ts
+++ b/packages/routing/src/common/adaptivePolicy.ts
@@ -30,8 +30,8 @@
 
   score (candidate: balancingPolicy.Candidate, context: balancingPolicy.ChoiceContext): number {
     const { stats } = candidate
-    const { weights, now, typicalLatencyMs, untriedLatencyMs, remoteFactor } = context
-    const relativeLatency = stats.latency(now, typicalLatencyMs, untriedLatencyMs) / typicalLatencyMs
+    const { weights, now, typicalLatencyMs, remoteFactor } = context
+    const relativeLatency = stats.latency(now, typicalLatencyMs) / typicalLatencyMs
     const isNewcomer = now - stats.knownSince < newcomerMs
     const connectionFactor = candidate.connected || isNewcomer ? 1 : newConnectionFactor
     const domainFactor = candidate.failureDomain === context.ownFailureDomain ? 1 : remoteFactor
--- a/packages/routing/src/common/balancingPolicy.ts
+++ b/packages/routing/src/common/balancingPolicy.ts
@@ -19,8 +19,6 @@
   readonly ownFailureDomain: string
   /** Typical latency of the service as the endpoints' estimates hold it, in milliseconds. */
   readonly typicalLatencyMs: number
-  /** Latency assumed of an endpoint that has not answered yet, in milliseconds. */
-  readonly untriedLatencyMs: number
   /** Factor on the cost of endpoints in other failure domains. */
   readonly remoteFactor: number
   readonly weights: configDocument.LaneWeights
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -245,9 +245,9 @@
     const latencyMs = now - attempt.startedAt
     const { dispatcher, latency } = this.deps
     // Lanes of one service take different times: an endpoint is slow only against the lane's own.
-    const comparableMs = latencyMs * dispatcher.typicalLatencyMs / this.typicalMs
-    attempt.placement.stats.succeeded(comparableMs, now)
-    dispatcher.noteLatency(latencyMs, comparableMs)
+    const relative = latencyMs / this.typicalMs
+    attempt.placement.stats.succeeded(relative * dispatcher.typicalLatencyMs, now)
+    dispatcher.noteLatency(latencyMs, this.spec.lane.targetLatencyMs === undefined ? 1 : relative)
     latency.note(latencyMs, this.spec.lane)
     this.deps.deaths.noteSuccess(this.spec.identity)
     if (this.deps.suspects.size > 0) this.deps.suspects.reportSuccess(this.spec.identity.fingerprint)
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -11,8 +11,8 @@
 
 const initialTypicalMs = 10
 const typicalWeight = 0.01
-/** Estimates are divided by the typical time, which a clock that stood still would make 0. */
-const minTypicalMs = 0.01
+/** Estimates are divided by the mean, which a clock that stood still would make 0. */
+const minRelative = 0.001
 const maxEjectedShare = 0.5
 const maxColdShare = 0.25
 const loggedCandidates = 3
@@ -83,8 +83,8 @@
   private readonly stats = new Map<string, { readonly incarnation: number, readonly stats: endpointStats.EndpointStats }>()
   private readonly queue = new waitingQueue.WaitingQueue<Waiter>()
   private typicalMs = initialTypicalMs
-  /** Typical time as the estimates of endpoints hold it. */
-  private comparableMs = initialTypicalMs
+  /** Mean of answers' times in typical times of their lanes, which may be far from 1 while lanes are little known. */
+  private relativeMean = 1
   private latencySamples = 0
   private holdMs = initialTypicalMs
   private bulkInFlight = 0
@@ -166,13 +166,14 @@
 
   /**
    * Counts a latency sample of the service, in milliseconds.
-   * @param comparableMs the sample as it was given to the endpoint's own estimate, where lanes differ in what they take.
+   * @param relative the sample in typical times of its lane, by which it counts in the endpoint's own estimate; 1 for a lane
+   * whose typical time is the service's.
    */
-  noteLatency (ms: number, comparableMs = ms): void {
+  noteLatency (ms: number, relative = 1): void {
     this.typicalMs += (ms - this.typicalMs) * typicalWeight
     // The first answers count alike, so that nothing is left of what was assumed.
-    const mean = this.comparableMs + (comparableMs - this.comparableMs) * Math.max(typicalWeight, 1 / ++this.latencySamples)
-    this.comparableMs = Math.max(minTypicalMs, mean)
+    const mean = this.relativeMean + (relative - this.relativeMean) * Math.max(typicalWeight, 1 / ++this.latencySamples)
+    this.relativeMean = Math.max(minRelative, mean)
   }
 
   private isStarting (now: number): boolean {
@@ -281,8 +282,7 @@
     const context = {
       now,
       ownFailureDomain: this.options.ownFailureDomain,
-      typicalLatencyMs: this.comparableMs,
-      untriedLatencyMs: this.untriedLatencyMs(able, now),
+      typicalLatencyMs: this.typicalMs * this.relativeMean,
       remoteFactor: (ask.remotePlaceFactor ?? ask.remoteFactor) * ask.lane.weights.remoteDomain,
       weights: ask.lane.weights
     }
@@ -295,18 +295,6 @@
     })
   }
 
-  /**
-   * An endpoint that has not answered yet counts like the quickest that has: one that seems slow without having been
-   * asked would never be.
-   */
-  private untriedLatencyMs (candidates: readonly balancingPolicy.Candidate[], now: number): number {
-    let least = this.comparableMs
-    for (const { stats } of candidates) {
-      if (stats.isMeasured) least = Math.min(least, stats.latency(now, this.comparableMs))
-    }
-    return least
-  }
-
   private take (ask: Ask, chosen: balancingPolicy.Candidate, endpoint: endpointTable.Endpoint, reason: Pick<Placement, 'considered' | 'candidates' | 'why' | 'waitedMs'>): Placement {
     const { stats } = chosen
     const startedAt = this.clock.now()
--- a/packages/routing/src/common/endpointStats.ts
+++ b/packages/routing/src/common/endpointStats.ts
@@ -77,23 +77,11 @@
     return this.failures
   }
 
-  /** An answer came from it. */
-  get isMeasured (): boolean {
-    return this.latencyMs !== undefined
-  }
-
-  /**
-   * Latency as known now: an estimate fades towards `typicalMs`, an open call that takes longer counts.
-   * @param untriedMs what is assumed before the first answer.
-   */
-  latency (now: number, typicalMs: number, untriedMs = typicalMs): number {
-    return Math.max(this.estimateMs(now, typicalMs, untriedMs), this.oldestOpenMs(now))
-  }
-
-  private estimateMs (now: number, typicalMs: number, untriedMs: number): number {
-    if (this.latencyMs === undefined) return untriedMs
-    const fresh = Math.exp(-(now - this.latencyAt) / (latencyDecayMs * 4))
-    return typicalMs + (this.latencyMs - typicalMs) * fresh
+  /** Latency as known now: an estimate fades towards `typicalMs`, an open call that takes longer counts. */
+  latency (now: number, typicalMs: number): number {
+    const fresh = this.latencyMs === undefined ? 0 : Math.exp(-(now - this.latencyAt) / (latencyDecayMs * 4))
+    const estimate = typicalMs + ((this.latencyMs ?? typicalMs) - typicalMs) * fresh
+    return Math.max(estimate, this.oldestOpenMs(now))
   }
 
   /** Takes the cost of one more call, relative to an idle endpoint, as a load report told it. */
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -136,14 +136,15 @@
   const apartMs = 50
   const answerMs = 2
   // As on a lane whose target is so far that its answers are held to be twenty times as slow as they are.
-  const comparableShare = 0.05
+  const laneTypicalMs = 60
   const callFor = (ms: number): readonly string[] => {
     const chosen: string[] = []
     for (const end = service.now + ms; service.now < end; service.now += apartMs) {
       const placement = service.place('bulk')!
       const latencyMs = answerMs * (1 + random())
-      placement.stats.succeeded(latencyMs * comparableShare, service.now)
-      service.dispatcher.noteLatency(latencyMs, latencyMs * comparableShare)
+      const relative = latencyMs / laneTypicalMs
+      placement.stats.succeeded(relative * service.dispatcher.typicalLatencyMs, service.now)
+      service.dispatcher.noteLatency(latencyMs, relative)
       placement.release()
       connected.add(placement.endpoint.endpoint)
       chosen.push(placement.endpoint.endpoint)
