--- a/packages/routing/src/test/heavyLoad.test.ts
+++ b/packages/routing/src/test/heavyLoad.test.ts
@@ -13,6 +13,7 @@
 import * as domainPreference from '../common/domainPreference.js'
 import * as loadProbing from '../common/loadProbing.js'
 import * as fixtures from './fixtures.js'
+import * as slottedEndpoint from './slottedEndpoint.js'
 
 /** Instances and endpoints of each failure domain, whose shares differ. */
 const domains = [{ name: 'a', entries: 6, endpoints: 8 }, { name: 'b', entries: 3, endpoints: 5 }, { name: 'c', entries: 5, endpoints: 5 }]
@@ -29,37 +30,19 @@
 const msPerSecond = 1000
 const lane = fixtures.laneWith({ deadlineMs: 1500, targetLatencyMs: targetMs })
 
-/** Runs calls in their order, as many at once as it has slots. */
-class Endpoint {
+/** Its slowness comes and goes while a call runs. */
+class Endpoint extends slottedEndpoint.SlottedEndpoint {
   slowdown = 1
-  private running = 0
-  private readonly queue: Array<() => void> = []
 
-  constructor (private readonly clock: manualClock.ManualClock) {}
-
-  get report (): loadProbing.LoadReport {
-    return { running: this.running, waiting: this.queue.length, slots, slowdown: this.slowdown }
-  }
-
-  serve (done: () => void): void {
-    if (this.running === slots) {
-      this.queue.push(() => this.serve(done))
-      return
-    }
-    this.running++
-    this.work(workMs, () => {
-      this.running--
-      done()
-      this.queue.shift()?.()
-    })
+  protected currentSlowdown (): number {
+    return this.slowdown
   }
 
-  /** Slowness comes and goes while a call runs. */
-  private work (leftMs: number, done: () => void): void {
+  protected work (done: () => void, leftMs = workMs): void {
     const stepMs = Math.min(leftMs * this.slowdown, redrawMs / 10)
     this.clock.after(stepMs, () => {
       const stillMs = leftMs - stepMs / this.slowdown
-      if (stillMs > 0.01) this.work(stillMs, done)
+      if (stillMs > 0.01) this.work(done, stillMs)
       else done()
     })
   }
@@ -78,7 +61,7 @@
   const clock = new manualClock.ManualClock()
   const announced = domains.flatMap(({ name, endpoints }) =>
     Array.from({ length: endpoints }, (_value, i) => ({ ...fixtures.endpointWith(`${name}-${i}`, slots, 0), failureDomain: name })))
-  const endpoints = new Map(announced.map(({ endpoint }) => [endpoint, new Endpoint(clock)]))
+  const endpoints = new Map(announced.map(({ endpoint }) => [endpoint, new Endpoint(clock, slots)]))
   const source = { onChanged: new event.Emitter<endpointTable.Endpoint>().event, routable: () => announced }
   const entryDomains = domains.flatMap(({ name, entries }) => Array<string>(entries).fill(name))
   const options = { service: 'diary', liveEntries: () => entryDomains.length }
--- a/packages/routing/src/test/recovery.test.ts
+++ b/packages/routing/src/test/recovery.test.ts
@@ -17,6 +17,7 @@
 import type * as loadProbing from '../common/loadProbing.js'
 import type * as transport from '../common/transport.js'
 import * as fixtures from './fixtures.js'
+import * as slottedEndpoint from './slottedEndpoint.js'
 
 const entries = 14
 const endpointCount = 18
@@ -32,32 +33,19 @@
 const seeds = [1, 2, 3, 4, 5, 6, 7, 8]
 const lane = fixtures.laneWith({ deadlineMs: 1500, targetLatencyMs: 300, maxAttempts: 2 })
 
-class Endpoint {
-  private running = 0
-  private readonly queue: Array<() => void> = []
+class Endpoint extends slottedEndpoint.SlottedEndpoint {
   private slowUntil = -Infinity
   private slow = false
 
-  constructor (private readonly clock: manualClock.ManualClock, private readonly random: () => number) {}
-
-  get report (): loadProbing.LoadReport {
-    return { running: this.running, waiting: this.queue.length, slots, slowdown: this.slowdown }
+  constructor (clock: manualClock.ManualClock, private readonly random: () => number) {
+    super(clock, slots)
   }
 
-  serve (done: () => void): void {
-    if (this.running === slots) {
-      this.queue.push(() => this.serve(done))
-      return
-    }
-    this.running++
-    this.clock.after(workMs * this.slowdown * (this.running === slots ? fullSlowdown : 1), () => {
-      this.running--
-      done()
-      this.queue.shift()?.()
-    })
+  protected work (done: () => void): void {
+    this.clock.after(workMs * this.currentSlowdown() * (this.running === slots ? fullSlowdown : 1), done)
   }
 
-  private get slowdown (): number {
+  protected currentSlowdown (): number {
     if (this.clock.now() >= this.slowUntil) {
       this.slow = this.random() < noise.share
       this.slowUntil = this.clock.now() + noise.everyMs * (0.5 + this.random())
