--- a/packages/control/src/test/virtualTime.ts
+++ b/packages/control/src/test/virtualTime.ts
@@ -42,7 +42,7 @@
     if (!isDone()) this.nowMs = Math.max(this.nowMs, ms)
   }
 
-  /** Gives the process its own timers back, once no task is about to set one: those that wait then wait for ever. */
+  /** Gives the process its own timers back, once no task is about to set one. Tasks that still wait are never resumed. */
   async dispose (): Promise<void> {
     await settled()
     globalThis.setTimeout = this.real.setTimeout
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -247,7 +247,7 @@
     // Lanes of one service take different times: an endpoint is slow only against the lane's own.
     const relative = latencyMs / this.typicalMs
     attempt.placement.stats.succeeded(relative * dispatcher.typicalLatencyMs, now)
-    dispatcher.noteLatency(latencyMs, this.spec.lane.targetLatencyMs === undefined ? 1 : relative)
+    dispatcher.noteLatency(latencyMs, latency.hasOwnTypical(this.spec.lane) ? relative : 1)
     latency.note(latencyMs, this.spec.lane)
     this.deps.deaths.noteSuccess(this.spec.identity)
     if (this.deps.suspects.size > 0) this.deps.suspects.reportSuccess(this.spec.identity.fingerprint)
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -11,7 +11,7 @@
 
 const initialTypicalMs = 10
 const typicalWeight = 0.01
-/** Estimates are divided by the mean, which a clock that stood still would make 0. */
+/** Estimates are divided by the mean of relative latencies, which answers without a measurable latency would make 0. */
 const minRelative = 0.001
 const maxEjectedShare = 0.5
 const maxColdShare = 0.25
@@ -29,7 +29,7 @@
   readonly typicalMs: number
   /** Factor on the cost of endpoints in other failure domains, beside the lane's weight. */
   readonly remoteFactor: number
-  /** In place of `remoteFactor` for the order in which endpoints are considered, where they differ. */
+  /** Replaces `remoteFactor` in the policy's choice, where the two differ. */
   readonly remotePlaceFactor?: number
   /** Suspect calls don't share an endpoint, so that each death has one explanation. */
   readonly suspect: boolean
@@ -83,7 +83,7 @@
   private readonly stats = new Map<string, { readonly incarnation: number, readonly stats: endpointStats.EndpointStats }>()
   private readonly queue = new waitingQueue.WaitingQueue<Waiter>()
   private typicalMs = initialTypicalMs
-  /** Mean of answers' times in typical times of their lanes, which may be far from 1 while lanes are little known. */
+  /** Mean of latencies relative to their lanes' typical ones; far from 1 while those are still assumed. */
   private relativeMean = 1
   private latencySamples = 0
   private holdMs = initialTypicalMs
@@ -161,13 +161,13 @@
 
   /** Factor on the cost of an endpoint for a call, by failure domain. */
   domainFactor (endpoint: endpointTable.Endpoint, ask: Ask): number {
-    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : ask.remoteFactor * ask.lane.weights.remoteDomain
+    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : weightedFactor(ask, ask.remoteFactor)
   }
 
   /**
    * Counts a latency sample of the service, in milliseconds.
-   * @param relative the sample in typical times of its lane, by which it counts in the endpoint's own estimate; 1 for a lane
-   * whose typical time is the service's.
+   * @param relative the sample relative to its lane's typical latency, as the endpoint's own estimate takes it; 1 for a lane
+   * that has no typical latency of its own.
    */
   noteLatency (ms: number, relative = 1): void {
     this.typicalMs += (ms - this.typicalMs) * typicalWeight
@@ -283,7 +283,7 @@
       now,
       ownFailureDomain: this.options.ownFailureDomain,
       typicalLatencyMs: this.typicalMs * this.relativeMean,
-      remoteFactor: (ask.remotePlaceFactor ?? ask.remoteFactor) * ask.lane.weights.remoteDomain,
+      remoteFactor: weightedFactor(ask, ask.remotePlaceFactor ?? ask.remoteFactor),
       weights: ask.lane.weights
     }
     const chosen = this.policy.choose(able, context)
@@ -398,6 +398,11 @@
   }
 }
 
+/** Factor on the cost of endpoints in other failure domains with the lane's weight. */
+function weightedFactor ({ lane }: Ask, factor: number): number {
+  return factor * lane.weights.remoteDomain
+}
+
 function describeAway (count: number): string {
   return count === 0 ? '' : `, ${count} want no requests for now`
 }
--- a/packages/routing/src/common/domainPreference.ts
+++ b/packages/routing/src/common/domainPreference.ts
@@ -10,15 +10,15 @@
 const fullPreference = 0.5
 
 /**
- * The same for the choice of the endpoints that are asked for their load, at any size of answers: an answer that isn't good
- * leads elsewhere, so a wide preference costs callers little.
+ * Factor in the choice of the endpoints that are probed, at any size of answers. A report of a slow or busy endpoint makes the call go
+ * elsewhere, so callers don't pay for a wide preference.
  */
-const askedFactor = 3
+const probedFactor = 3
 
 /** Factors on the cost of endpoints in other domains, 1 or more. */
 export interface DomainFactors {
   readonly remoteFactor: number
-  /** In place of `remoteFactor` for the order in which endpoints are considered. */
+  /** Replaces `remoteFactor` in the policy's choice. */
   readonly remotePlaceFactor: number
 }
 
@@ -36,9 +36,9 @@
     return 1 + fullPreference * Math.min(1, this.meanBytes / largeAnswerBytes)
   }
 
-  /** @param asksLoad whether endpoints are asked for their load before one is taken. */
-  factors (asksLoad: boolean): DomainFactors {
+  /** @param probes whether endpoints are probed for their load before one is taken. */
+  factors (probes: boolean): DomainFactors {
     const { remoteFactor } = this
-    return { remoteFactor, remotePlaceFactor: asksLoad ? Math.max(askedFactor, remoteFactor) : remoteFactor }
+    return { remoteFactor, remotePlaceFactor: probes ? Math.max(probedFactor, remoteFactor) : remoteFactor }
   }
 }
--- a/packages/routing/src/common/laneLatency.ts
+++ b/packages/routing/src/common/laneLatency.ts
@@ -31,6 +31,11 @@
     this.ms = typical + (Math.min(latencyMs, typical * maxSampleFactor) - typical) * weight
   }
 
+  /** Without a target a lane takes the service's typical latency. */
+  hasOwnTypical (lane: configDocument.Lane): boolean {
+    return lane.targetLatencyMs !== undefined
+  }
+
   /** Typical latency in milliseconds; `serviceMs` is that of all lanes of the service. */
   typicalMs (lane: configDocument.Lane, serviceMs: number): number {
     return lane.targetLatencyMs === undefined ? serviceMs : this.ms ?? lane.targetLatencyMs * assumedShareOfTarget
--- a/packages/routing/src/test/heavyLoad.test.ts
+++ b/packages/routing/src/test/heavyLoad.test.ts
@@ -24,6 +24,9 @@
 const slowShare = 0.25
 const slowFactor = 7
 const redrawMs = 500
+/** Time after which a running call meets a changed slowness, and what is left of one that counts as done. */
+const maxStepMs = 50
+const doneMs = 0.01
 const probeMs = 8
 const forS = 60
 const seeds = [1, 2, 3]
@@ -34,15 +37,11 @@
 class Endpoint extends slottedEndpoint.SlottedEndpoint {
   slowdown = 1
 
-  protected currentSlowdown (): number {
-    return this.slowdown
-  }
-
   protected work (done: () => void, leftMs = workMs): void {
-    const stepMs = Math.min(leftMs * this.slowdown, redrawMs / 10)
+    const stepMs = Math.min(leftMs * this.slowdown, maxStepMs)
     this.clock.after(stepMs, () => {
       const stillMs = leftMs - stepMs / this.slowdown
-      if (stillMs > 0.01) this.work(done, stillMs)
+      if (stillMs > doneMs) this.work(done, stillMs)
       else done()
     })
   }
--- a/packages/routing/src/test/recovery.test.ts
+++ b/packages/routing/src/test/recovery.test.ts
@@ -42,10 +42,10 @@
   }
 
   protected work (done: () => void): void {
-    this.clock.after(workMs * this.currentSlowdown() * (this.running === slots ? fullSlowdown : 1), done)
+    this.clock.after(workMs * this.slowdown * (this.running === slots ? fullSlowdown : 1), done)
   }
 
-  protected currentSlowdown (): number {
+  get slowdown (): number {
     if (this.clock.now() >= this.slowUntil) {
       this.slow = this.random() < noise.share
       this.slowUntil = this.clock.now() + noise.everyMs * (0.5 + this.random())
--- a/packages/routing/src/test/slottedEndpoint.ts
+++ b/packages/routing/src/test/slottedEndpoint.ts
@@ -10,7 +10,7 @@
   constructor (protected readonly clock: manualClock.ManualClock, protected readonly slots: number) {}
 
   get report (): loadProbing.LoadReport {
-    return { running: this.running, waiting: this.queue.length, slots: this.slots, slowdown: this.currentSlowdown() }
+    return { running: this.running, waiting: this.queue.length, slots: this.slots, slowdown: this.slowdown }
   }
 
   /** Calls `done` at the end of a call, which may have to wait first. */
@@ -27,6 +27,7 @@
     })
   }
 
-  protected abstract currentSlowdown (): number
+  /** How long work takes at this moment, 1 as usual. */
+  abstract readonly slowdown: number
   protected abstract work (done: () => void): void
 }
--- a/packages/testbed/src/node/callVerbs.ts
+++ b/packages/testbed/src/node/callVerbs.ts
@@ -9,7 +9,7 @@
 
 const msPerSecond = 1000
 const readyPollMs = 50
-/** Time for which a load's missed calls are made up: more at once would be a burst and no steady load. */
+/** Overdue calls of a load that are still made, as the time that they cover: more would be a burst, not a steady load. */
 const catchUpMs = 200
 const attemptEvents: readonly string[] = ['route', 'retry', 'hedge']
 const scenarioFolder = new URL('../../scenarios/', import.meta.url)
@@ -88,9 +88,10 @@
   for (let now = start; now < start + ms; now = performance.now()) {
     if (now - polledAt > readyPollMs) {
       polledAt = now
+      // A poll that fails leaves the entries of the one before, until the next.
       readyEntries(w).then((names) => { ready = names }, () => {})
     }
-    // A process that gets little processor time wakes late, and makes all calls that were due meanwhile.
+    // A starved process wakes late, when several calls are due.
     const dueNow = Math.floor((now - start) * rate / msPerSecond) + 1
     due = Math.max(due, dueNow - Math.ceil(rate * catchUpMs / msPerSecond))
     for (; due < dueNow; due++) {
