Observability: entry instances log the responses that a shutdown cuts or leaves incomplete

Now: 'cut' with the request when the shutdown closes the connection of a pending response, and 'incomplete' at nine tenths of the grace period for each response that is pending, with what it waits for (target, response of the target, rest of the body, caller to read).

--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -20,12 +20,14 @@
  * completing these requests.
  */
 const acceptShareOfGrace = 0.45
+/** Share of the grace period after which the incomplete responses are logged. */
+const reportShareOfGrace = 0.9
 
 /** Serves callers until it is stopped. */
 export class CallerListener {
   private readonly server: http.Server
   private readonly configSubscription: lifecycle.IDisposable
-  private inFlight = 0
+  private readonly tasks = new Set<callerTask.CallerTask>()
 
   /** @param graceS seconds from the start of the shutdown until the process is killed. */
   constructor (private readonly graceS: number, private readonly configs: configFollower.IConfigSource, private readonly deps: callerTask.CallerDeps) {
@@ -52,7 +54,7 @@
 
   /** Number of requests whose response is not complete. */
   get inFlightCount (): number {
-    return this.inFlight
+    return this.tasks.size
   }
 
   /**
@@ -64,22 +66,42 @@
   async stop (stoppingSince: number): Promise<void> {
     net.Server.prototype.close.call(this.server)
     const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
-    while (performance.now() < idleCloseAt && (this.inFlight > 0 || await this.connectionCount() > 0)) await async.sleep(idlePollMs)
-    while (this.inFlight > 0) {
-      this.server.closeIdleConnections()
+    while (performance.now() < idleCloseAt && (this.tasks.size > 0 || await this.connectionCount() > 0)) await async.sleep(idlePollMs)
+    const cancelReport = this.scheduleReport(stoppingSince + this.graceS * msPerSecond * reportShareOfGrace)
+    while (this.tasks.size > 0) {
+      this.closeAndLogCuts(() => this.server.closeIdleConnections())
       await async.sleep(idlePollMs)
     }
+    cancelReport()
     this.server.closeAllConnections()
     this.configSubscription.dispose()
   }
 
+  /** Logs each response that `close` cuts short. */
+  private closeAndLogCuts (close: () => void): void {
+    const openTasks = [...this.tasks].filter(({ isConnectionClosed }) => !isConnectionClosed)
+    close()
+    for (const task of openTasks) {
+      if (task.isConnectionClosed) task.recordCut('the shutdown closed the connection as idle')
+    }
+  }
+
+  /** Schedules a log line for each response that is not complete shortly before the process is killed. */
+  private scheduleReport (at: number): () => void {
+    const timer = setTimeout(() => {
+      for (const task of this.tasks) task.recordIncomplete()
+    }, at - performance.now())
+    return () => clearTimeout(timer)
+  }
+
   private connectionCount (): Promise<number> {
     return new Promise((resolve) => this.server.getConnections((_err, count) => resolve(count)))
   }
 
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    this.inFlight++
-    await new callerTask.CallerTask(req, res, this.deps).run()
-    this.inFlight--
+    const task = new callerTask.CallerTask(req, res, this.deps)
+    this.tasks.add(task)
+    await task.run()
+    this.tasks.delete(task)
   }
 }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -90,6 +90,28 @@
     await this.done.promise
   }
 
+  /** True once the caller's connection is closed, by either side. */
+  get isConnectionClosed (): boolean {
+    return this.req.socket.destroyed
+  }
+
+  /** Logs that this instance closed the caller's connection before the response was complete. */
+  recordCut (why: string): void {
+    this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, ended: this.res.writableEnded, why })
+  }
+
+  /** Logs that the response is not complete and what it waits for. */
+  recordIncomplete (): void {
+    this.deps.decisions.record({ event: 'incomplete', requestId: this.requestId, lane: this.laneName, choice: this.pendingStep, ageMs: Math.round(performance.now() - this.arrivedAt), why: 'the shutdown ends soon' })
+  }
+
+  /** What the response waits for. */
+  private get pendingStep (): string {
+    if (this.res.writableEnded) return 'caller to read'
+    if (this.res.headersSent) return 'rest of the body'
+    return this.activeCall?.awaitsResponse === true ? 'response of the target' : 'target'
+  }
+
   private async handle (): Promise<void> {
     await this.waitForConfig()
     if (this.res.closed) return
