Failing test: a stopping entry cuts responses that wait for slow callers to read them

48 callers request bodies of 2.0 to 4.8 MB and read nothing until 4 s after SIGTERM. One or a few of the responses have been ended by the entry while their last bytes wait for the caller; the entry closes that connection as idle.

--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -74,6 +74,8 @@
   limitPerSecond: number | undefined
   /** Time until the response to a request. */
   workMs = 0
+  /** Number of requests that the endpoint takes at a time, according to its heartbeats. */
+  slots = 4
   private readonly server = http.createServer((req, res) => this.handleRequest(req, res))
   private sequence = 0
 
@@ -89,7 +91,7 @@
 
   /** Sends a heartbeat with its state to a control replica; returns the status of the response. */
   async sendHeartbeat (control: string, state: 'ready' | 'draining', sequence = ++this.sequence): Promise<number> {
-    const body = { Service: this.service, Addr: this.address, Zone: 'a', Version: 'v1', Slots: 4, State: state, ColdLeftMs: 0, Seq: sequence, born: this.born }
+    const body = { Service: this.service, Addr: this.address, Zone: 'a', Version: 'v1', Slots: this.slots, State: state, ColdLeftMs: 0, Seq: sequence, born: this.born }
     return (await sendRequest('POST', `http://${control}/rosemaryrack/Instances.Heartbeat/${this.id}`, { 'content-type': 'application/json' }, JSON.stringify(body))).status
   }
 
@@ -115,14 +117,21 @@
     }
     this.servedRequestIds.push(id)
     this.servedAt.push(performance.now())
-    if (this.workMs > 0) setTimeout(() => this.respond(id, res), this.workMs)
-    else this.respond(id, res)
+    const body = this.createBody(req.url)
+    if (this.workMs > 0) setTimeout(() => this.respond(id, res, body), this.workMs)
+    else this.respond(id, res, body)
   }
 
-  private respond (id: string, res: http.ServerResponse): void {
+  /** Returns a body of the size in the query parameter `bytes`, or a short text. */
+  private createBody (requestTarget = ''): Buffer | string {
+    const size = new URLSearchParams(requestTarget.split('?')[1]).get('bytes')
+    return size === null ? `from ${this.id}` : Buffer.alloc(Number(size))
+  }
+
+  private respond (id: string, res: http.ServerResponse, body: Buffer | string): void {
     const leaving = this.isLeaving ? { 'Server-Leaving': '1' } : {}
     const limit = this.limitPerSecond === undefined ? {} : { 'Server-Limit': String(this.limitPerSecond) }
-    res.writeHead(200, { 'X-Rosemaryrack-Request-Id': id, 'X-Rosemaryrack-Server-Stamp': `stamp-${this.id}`, ...leaving, ...limit }).end(`from ${this.id}`)
+    res.writeHead(200, { 'X-Rosemaryrack-Request-Id': id, 'X-Rosemaryrack-Server-Stamp': `stamp-${this.id}`, ...leaving, ...limit }).end(body)
   }
 }
 
