Shutdown: a response that is ended but not sent keeps its connection

What callers saw: responses that stop before their end while an entry instance is stopped, on deployments with narrow links; at 1,000 Mbit/s never. Cause: the shutdown closed idle connections by Node.js's closeIdleConnections, for which a connection is busy only until its response is ended. The last bytes of an ended response still wait in the process while link or caller are slow; from 45% of the grace period on the entry looked every 50 ms and destroyed such connections. A second caller's response that was pending kept it looking. Why it works: CallerConnections counts the responses of each connection until Node.js reports that their last byte was passed to the kernel, and the bytes received since; a connection is idle when both are zero. The wait for connections uses the same table instead of a call per poll.

--- /dev/null
+++ b/packages/entry/src/node/callerConnections.ts
@@ -0,0 +1,51 @@
+/** Connections of callers: which of them are idle. */
+import type * as http from 'node:http'
+import type * as net from 'node:net'
+
+interface ConnectionState {
+  /** Responses whose last byte has not been passed to the kernel. */
+  pendingResponses: number
+  /** Bytes received until the last response was complete; more than these belong to a request whose headers are incomplete. */
+  processedBytes: number
+}
+
+/**
+ * Tracks the connections of an HTTP server. `closeIdleConnections` of Node.js cannot be used instead: it also closes connections whose
+ * response was ended but still waits in this process until the caller reads.
+ */
+export class CallerConnections {
+  private readonly states = new Map<net.Socket, ConnectionState>()
+
+  constructor (server: http.Server) {
+    server.on('connection', (socket: net.Socket) => this.add(socket))
+    server.on('request', (_req, res: http.ServerResponse) => this.trackResponse(res))
+  }
+
+  /** Number of open connections. */
+  get size (): number {
+    return this.states.size
+  }
+
+  /** Closes the connections without a pending response or a partly received request. */
+  closeIdle (): void {
+    for (const [socket, { pendingResponses, processedBytes }] of this.states) {
+      if (pendingResponses === 0 && socket.bytesRead === processedBytes) socket.destroy()
+    }
+  }
+
+  private add (socket: net.Socket): void {
+    this.states.set(socket, { pendingResponses: 0, processedBytes: 0 })
+    socket.once('close', () => this.states.delete(socket))
+  }
+
+  private trackResponse (res: http.ServerResponse): void {
+    const { socket } = res.req
+    const state = this.states.get(socket)
+    if (state === undefined) return
+    state.pendingResponses++
+    res.once('close', () => {
+      state.pendingResponses--
+      state.processedBytes = socket.bytesRead
+    })
+  }
+}
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -7,6 +7,7 @@
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
+import * as callerConnections from './callerConnections.js'
 import * as callerTask from './callerTask.js'
 
 const maxHeaderBytes = 32_768
@@ -26,6 +27,7 @@
 /** Serves callers until it is stopped. */
 export class CallerListener {
   private readonly server: http.Server
+  private readonly connections: callerConnections.CallerConnections
   private readonly configSubscription: lifecycle.IDisposable
   private readonly tasks = new Set<callerTask.CallerTask>()
 
@@ -38,6 +40,7 @@
       keepAliveTimeout: keepAliveTimeoutMs,
       noDelay: true
     }, (req, res) => { this.serve(req, res) })
+    this.connections = new callerConnections.CallerConnections(this.server)
     this.configSubscription = configs.onChanged((config) => this.applyLimits(config.document))
     this.server.on('clientError', httpListener.respondToClientError)
   }
@@ -66,14 +69,14 @@
   async stop (stoppingSince: number): Promise<void> {
     net.Server.prototype.close.call(this.server)
     const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
-    while (performance.now() < idleCloseAt && (this.tasks.size > 0 || await this.connectionCount() > 0)) await async.sleep(idlePollMs)
+    while (performance.now() < idleCloseAt && (this.tasks.size > 0 || this.connections.size > 0)) await async.sleep(idlePollMs)
     const cancelReport = this.scheduleReport(stoppingSince + this.graceS * msPerSecond * reportShareOfGrace)
     while (this.tasks.size > 0) {
-      this.closeAndLogCuts(() => this.server.closeIdleConnections())
+      this.closeAndLogCuts(() => this.connections.closeIdle())
       await async.sleep(idlePollMs)
     }
     cancelReport()
-    this.server.closeAllConnections()
+    this.closeAndLogCuts(() => this.server.closeAllConnections())
     this.configSubscription.dispose()
   }
 
@@ -94,10 +97,6 @@
     return () => clearTimeout(timer)
   }
 
-  private connectionCount (): Promise<number> {
-    return new Promise((resolve) => this.server.getConnections((_err, count) => resolve(count)))
-  }
-
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const task = new callerTask.CallerTask(req, res, this.deps)
     this.tasks.add(task)
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -47,8 +47,8 @@
 }
 
 /** Returns a route of a configuration, as operators of the platform write it. */
-export function createRoute (name: string, prefix: string, service: string, kind = 'safe'): object {
-  return { Name: name, Host: callersHost, PathPrefix: prefix, RouteKind: kind, TimeoutMs: callerDeadlineMs, TargetLatencyMs: 300, Priority: 1, Attempts: 2, Service: service }
+export function createRoute (name: string, prefix: string, service: string, kind = 'safe', timeoutMs = callerDeadlineMs): object {
+  return { Name: name, Host: callersHost, PathPrefix: prefix, RouteKind: kind, TimeoutMs: timeoutMs, TargetLatencyMs: 300, Priority: 1, Attempts: 2, Service: service }
 }
 
 /** Returns a configuration with the services `diary`, `till` and `vault`. */
--- a/packages/testbed/src/test/gracefulStop.test.ts
+++ b/packages/testbed/src/test/gracefulStop.test.ts
@@ -9,6 +9,7 @@
 
 const settleTimeoutMs = 20_000
 const entry = 1
+const deadlineMs = 10_000
 /** From the signal until the callers read: after the entry has begun to close idle connections, at 45% of the grace period of 6 s. */
 const readAfterMs = 4000
 /** Sizes around what the sockets between the entry and a caller hold, so that the end of some response waits in the entry. */
@@ -28,7 +29,7 @@
     this.closed = new Promise((resolve) => { this.socket.once('close', () => resolve()) })
     this.socket.on('error', () => {})
     this.socket.pause()
-    this.socket.write(`GET /files/x?bytes=${bodyBytes} HTTP/1.1\r\nHost: jepu9.example\r\nX-Rosemaryrack-Request-Id: ${bodyBytes}\r\nX-Rosemaryrack-Deadline-Ms: 1500\r\n\r\n`)
+    this.socket.write(`GET /files/x?bytes=${bodyBytes} HTTP/1.1\r\nHost: jepu9.example\r\nX-Rosemaryrack-Request-Id: ${bodyBytes}\r\nX-Rosemaryrack-Deadline-Ms: ${deadlineMs}\r\n\r\n`)
   }
 
   async readAll (): Promise<void> {
@@ -42,7 +43,7 @@
   endpoint.slots = bodySizes.length
   await endpoint.listen()
   fleet.startAll()
-  const cfg = deployedFleet.createConfig(5, [deployedFleet.createRoute('files', '/files/', 'vault', 'download')])
+  const cfg = deployedFleet.createConfig(5, [deployedFleet.createRoute('files', '/files/', 'vault', 'download', deadlineMs)])
   await fleet.waitFor('the configuration to be accepted', settleTimeoutMs, async () => (await fleet.putConfig(1, cfg)).status === 200)
   await fleet.waitFor('the endpoint to be announced', settleTimeoutMs, async () => await endpoint.sendHeartbeat(fleet.controlAddress(1), 'ready') === 200)
   await fleet.waitFor('a response', settleTimeoutMs, async () => (await fleet.call(entry, '/files/x')).status === 200)
