Failing test: requests whose target stays silent are cut when the grace period of an entry ends

An idempotent and a non-idempotent request with 20 s reach an endpoint that never responds; the entry gets SIGTERM and, after the grace period of 6 s, SIGKILL. On this code both callers get a closed connection and the process is killed. Expected: 502 with Connection: close before, and an exit by itself.

--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -32,9 +32,9 @@
 }
 
 /** Sends a request on a new connection; resolves with status 0 when no complete response arrives. */
-export function sendRequest (method: string, targetUrl: string, headers: http.OutgoingHttpHeaders = {}, body?: string): Promise<CallRes> {
+export function sendRequest (method: string, targetUrl: string, headers: http.OutgoingHttpHeaders = {}, body?: string, timeout = callTimeoutMs): Promise<CallRes> {
   return new Promise((resolve) => {
-    const req = http.request(targetUrl, { method, headers, agent: false, timeout: callTimeoutMs }, (res) => {
+    const req = http.request(targetUrl, { method, headers, agent: false, timeout }, (res) => {
       const chunks: Buffer[] = []
       res.on('data', (chunk: Buffer) => chunks.push(chunk))
       res.on('end', () => resolve({ status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks).toString() }))
@@ -74,6 +74,8 @@
   limitPerSecond: number | undefined
   /** Time until the response to a request. */
   workMs = 0
+  /** Whether the endpoint takes requests and never responds to them. */
+  isSilent = false
   /** Number of requests that the endpoint takes at a time, according to its heartbeats. */
   slots = 4
   private readonly server = http.createServer((req, res) => this.handleRequest(req, res))
@@ -117,6 +119,7 @@
     }
     this.servedRequestIds.push(id)
     this.servedAt.push(performance.now())
+    if (this.isSilent) return
     const body = this.createBody(req.url)
     if (this.workMs > 0) setTimeout(() => this.respond(id, res, body), this.workMs)
     else this.respond(id, res, body)
@@ -199,12 +202,12 @@
   }
 
   /** Sends a caller's request to an entry instance. */
-  async call (entry: number, requestPath: string, method = 'GET', requestId = crypto.randomBytes(8).toString('hex')): Promise<CallRes> {
+  async call (entry: number, requestPath: string, method = 'GET', requestId = crypto.randomBytes(8).toString('hex'), deadlineMs = callerDeadlineMs): Promise<CallRes> {
     return await sendRequest(method, `http://${this.callersAddress(entry)}${requestPath}`, {
       host: callersHost,
       'x-rosemaryrack-request-id': requestId,
-      'x-rosemaryrack-deadline-ms': String(callerDeadlineMs)
-    })
+      'x-rosemaryrack-deadline-ms': String(deadlineMs)
+    }, undefined, Math.max(callTimeoutMs, deadlineMs))
   }
 
   async putConfig (control: number, body: object): Promise<CallRes> {
--- a/packages/testbed/src/test/gracefulStop.test.ts
+++ b/packages/testbed/src/test/gracefulStop.test.ts
@@ -1,4 +1,4 @@
-/** Tests that the graceful shutdown of an entry instance completes the responses of callers that read slowly. */
+/** Tests that callers get complete responses while an entry instance shuts down: from slow links, and from targets that stay silent. */
 import * as fs from 'node:fs'
 import * as net from 'node:net'
 import * as os from 'node:os'
@@ -9,16 +9,23 @@
 
 const settleTimeoutMs = 20_000
 const entry = 1
-const deadlineMs = 10_000
+const deadlineMs = 20_000
+const graceMs = 6000
+const heartbeatMs = 500
 /** From the signal until the callers read: after the entry has begun to close idle connections, at 45% of the grace period of 6 s. */
 const readAfterMs = 4000
 /** Sizes around what the sockets between the entry and a caller hold, so that the end of some response waits in the entry. */
 const bodySizes = Array.from({ length: 48 }, (_value, i) => 2_000_000 + i * 60_000)
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-stop-'))
+const startedAt = 1_778_202_084_000
 const fleet = new deployedFleet.DeployedFleet(folder, 249, 1, 1)
-const endpoint = new deployedFleet.StandInEndpoint('i-files', fleet.endpointIp(1), 'vault', 1_778_202_084_000)
+const endpoint = new deployedFleet.StandInEndpoint('i-files', fleet.endpointIp(1), 'vault', startedAt)
+const silent = new deployedFleet.StandInEndpoint('i-till', fleet.endpointIp(2), 'till', startedAt)
 const [host, port] = fleet.callersAddress(entry).split(':')
 
+let heartbeats: NodeJS.Timeout | undefined
+const kinds = ['safe', 'unsafe'] as const
+
 /** Sends a request and reads nothing of the response until `readAll`. */
 class SlowCaller {
   receivedBytes = 0
@@ -41,16 +48,21 @@
 
 tap.t.before(async () => {
   endpoint.slots = bodySizes.length
-  await endpoint.listen()
+  silent.isSilent = true
+  await Promise.all([endpoint.listen(), silent.listen()])
   fleet.startAll()
-  const cfg = deployedFleet.createConfig(5, [deployedFleet.createRoute('files', '/files/', 'vault', 'download', deadlineMs)])
+  const cfg = deployedFleet.createConfig(5, [deployedFleet.createRoute('files', '/files/', 'vault', 'download', deadlineMs), ...kinds.map((kind) => deployedFleet.createRoute(kind, `/${kind}/`, 'till', kind, deadlineMs))])
   await fleet.waitFor('the configuration to be accepted', settleTimeoutMs, async () => (await fleet.putConfig(1, cfg)).status === 200)
-  await fleet.waitFor('the endpoint to be announced', settleTimeoutMs, async () => await endpoint.sendHeartbeat(fleet.controlAddress(1), 'ready') === 200)
+  heartbeats = setInterval(() => {
+    for (const each of [endpoint, silent]) each.sendHeartbeat(fleet.controlAddress(1), 'ready')
+  }, heartbeatMs)
   await fleet.waitFor('a response', settleTimeoutMs, async () => (await fleet.call(entry, '/files/x')).status === 200)
 })
 
 tap.t.teardown(async () => {
+  clearInterval(heartbeats)
   endpoint.close()
+  silent.close()
   await fleet.killAll()
   fs.rmSync(folder, { recursive: true, force: true })
 })
@@ -65,3 +77,17 @@
   t.same(cut.map(({ receivedBytes, bodyBytes }) => `${receivedBytes} of ${bodyBytes} bytes`), [])
   t.equal(await fleet.process('entry-1').exited, 0)
 })
+
+tap.t.test('a stopping entry responds to requests whose target stays silent before it is killed', async (t) => {
+  fleet.startEntry(entry)
+  await fleet.waitFor('a response', settleTimeoutMs, async () => (await fleet.call(entry, '/files/x')).status === 200)
+  const calls = kinds.map(async (kind) => await fleet.call(entry, `/${kind}/x`, kind === 'safe' ? 'GET' : 'POST', kind, deadlineMs))
+  await fleet.waitFor('the requests to reach the endpoint', settleTimeoutMs, async () => kinds.every((kind) => silent.servedRequestIds.includes(kind)))
+  const entryProcess = fleet.process('entry-1')
+  entryProcess.sendSignal('stop')
+  const killTimer = setTimeout(() => entryProcess.sendSignal('kill'), graceMs)
+  const responses = await Promise.all(calls)
+  t.same(responses.map(({ status, headers }) => ({ status, connection: headers.connection })), kinds.map(() => ({ status: 502, connection: 'close' })))
+  t.equal(await entryProcess.exited, 0, 'the entry ends before it is killed')
+  clearTimeout(killTimer)
+})
