--- a/packages/routing/src/test/retryWithoutSlot.test.ts
+++ b/packages/routing/src/test/retryWithoutSlot.test.ts
@@ -1,6 +1,6 @@
 /**
- * Retries for which no endpoint has a slot: an attempt that an endpoint still works on must go on until another attempt can
- * start. Otherwise a fault of this instance takes the place of the endpoint's response.
+ * Retries for which no endpoint has a slot: an attempt that an endpoint still works on must go on, and an error response must
+ * reach the caller, until another attempt can start. Otherwise a fault of this instance takes the place of the endpoint's response.
  */
 import * as tap from 'tap'
 import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
@@ -86,6 +86,14 @@
     harness.attempts[0]!.onHead({ status: 200, notRun: false })
     t.same(harness.outcomes, ['200'])
   })
+
+  tap.t.test(`an error response of ${name} reaches the caller, since no retry can start`, async (t) => {
+    const harness = new CallHarness(endpointIds)
+    harness.takeFreeSlots()
+    harness.attempts[0]!.onHead({ status: 500, notRun: false })
+    harness.clock.advance(deadlineMs)
+    t.same(harness.outcomes, ['500'])
+  })
 }
 
 tap.t.test('a slow attempt is given up for a retry once another endpoint can take it', async (t) => {
