Test: a pipelined request of a caller that left keeps a stop from ending

Node.js emits no close event on a response that waits behind another one when its connection closes, so CallerTask.run does not resolve and the request counts as in flight forever.

--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -2,6 +2,7 @@
 import * as tap from 'tap'
 import * as callerFixture from './callerFixture.js'
 
+const settleMs = 100
 const graceS = 1
 const msPerSecond = 1000
 const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
@@ -16,3 +17,12 @@
   await callerFixture.waitUntil(() => waiting.statuses.length > 0, graceS * msPerSecond)
   t.same(waiting.statuses, ['503'])
 })
+
+tap.t.test('pipelined requests are no longer counted once their caller has left, so that a stop can end', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, () => {}).start()
+  const caller = fixture.send(request + request)
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 2))
+  caller.socket.destroy()
+  await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 0, settleMs)
+  t.equal(fixture.listener.inFlightCount, 0)
+})
