--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -1,4 +1,5 @@
 /** Requests that a listener has read must get one complete answer, whatever the endpoint, the caller and the configuration do meanwhile. */
+import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
 import * as callerFixture from './callerFixture.js'
 
@@ -6,6 +7,7 @@
 const graceS = 1
 const msPerSecond = 1000
 const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
+const endpointHead = 'HTTP/1.1 200 OK\r\nX-Id: 7\r\n'
 
 tap.t.test('a request that waits for a slot is refused before the grace period ends', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, () => {}, { slots: 1, graceS }).start()
@@ -26,3 +28,20 @@
   await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 0, settleMs)
   t.equal(fixture.listener.inFlightCount, 0)
 })
+
+for (const [name, version, framing] of [
+  ['a response without a length', '1.1', 'Connection: close\r\n\r\n'],
+  ['a response without a length to an HTTP/1.0 caller', '1.0', 'Connection: close\r\n\r\n'],
+  ['a chunked response to an HTTP/1.0 caller', '1.0', 'Transfer-Encoding: chunked\r\n\r\n5\r\n']
+] as const) {
+  tap.t.test(`${name} does not look complete when the endpoint resets the connection`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.write(`${endpointHead}${framing}hello`)).start()
+    const caller = fixture.send(request.replace('HTTP/1.1', `HTTP/${version}`))
+    t.ok(await callerFixture.waitUntil(() => caller.received.includes('hello')))
+    fixture.targetSockets[0]!.resetAndDestroy()
+    await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed)
+    await timers.setTimeout(settleMs)
+    const isChunked = /transfer-encoding: chunked/i.test(caller.received)
+    t.notOk(isChunked ? caller.received.endsWith('0\r\n\r\n') : caller.hasEnded, 'the caller can see that the response is incomplete')
+  })
+}
