Test: an early response leaves the rest of the request body unread

The response keeps the connection open, but nobody reads the rest of the body, so the next request on the connection is not read until the idle timeout closes it.

--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -1,4 +1,5 @@
 /** Requests that a listener has read must get one complete answer, whatever the endpoint, the caller and the configuration do meanwhile. */
+import type * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
 import * as callerFixture from './callerFixture.js'
@@ -9,6 +10,10 @@
 const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
 const endpointHead = 'HTTP/1.1 200 OK\r\nX-Id: 7\r\n'
 
+function answer (socket: net.Socket): void {
+  socket.write(`${endpointHead}Content-Length: 5\r\n\r\nhello`)
+}
+
 tap.t.test('a request that waits for a slot is refused before the grace period ends', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, () => {}, { slots: 1, graceS }).start()
   fixture.send(request)
@@ -45,3 +50,15 @@
     t.notOk(isChunked ? caller.received.endsWith('0\r\n\r\n') : caller.hasEnded, 'the caller can see that the response is incomplete')
   })
 }
+
+tap.t.test('a connection is usable or closed after a response that came before the end of the request body', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  const firstPart = 'x'.repeat(100_000)
+  const rest = 'x'.repeat(200_000)
+  const caller = fixture.send(`POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: ${firstPart.length + rest.length}\r\n\r\n${firstPart}`)
+  t.ok(await callerFixture.waitUntil(() => caller.received.endsWith('hello')))
+  const isCloseAnnounced = /connection: close/i.test(caller.received)
+  caller.socket.write(rest + request)
+  await callerFixture.waitUntil(() => isCloseAnnounced || caller.statuses.length === 2, msPerSecond)
+  t.ok(isCloseAnnounced || caller.statuses.length === 2, 'the next request is answered, or the caller knows not to send it')
+})
