--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -62,3 +62,12 @@
   await callerFixture.waitUntil(() => isCloseAnnounced || caller.statuses.length === 2, msPerSecond)
   t.ok(isCloseAnnounced || caller.statuses.length === 2, 'the next request is answered, or the caller knows not to send it')
 })
+
+tap.t.test('a response whose head cannot be passed on fails the request', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ deadlineMs: 500 }, (socket) => {
+    socket.write(Buffer.from('HTTP/1.1 200 O\xffK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nhello', 'latin1'))
+  }).start()
+  const caller = fixture.send(request)
+  await callerFixture.waitUntil(() => caller.statuses.length > 0 || caller.isClosed, msPerSecond)
+  t.ok(caller.statuses.length > 0, 'the caller gets an answer by the deadline of the lane')
+})
