--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -71,3 +71,13 @@
   await callerFixture.waitUntil(() => caller.statuses.length > 0 || caller.isClosed, msPerSecond)
   t.ok(caller.statuses.length > 0, 'the caller gets an answer by the deadline of the lane')
 })
+
+tap.t.test('a request whose lane is removed while its body arrives is run or refused, and is no internal error', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  const caller = fixture.send('POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 10\r\n\r\n12345')
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 1))
+  fixture.config.replaceLanes({})
+  caller.socket.write('67890')
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+  t.notSame(caller.statuses, ['500'])
+})
