--- a/packages/listener/src/test/clientErrors.test.ts
+++ b/packages/listener/src/test/clientErrors.test.ts
@@ -48,3 +48,14 @@
   await exchange.send('GET / HTTP/1.1\r\nHost:')
   t.same(exchange.statuses, [requestTimeoutStatus])
 })
+
+tap.t.test('a request that was answered for its late headers is not handled any more', async (t) => {
+  let handled = 0
+  using exchange = new Exchange((_req, res) => {
+    handled++
+    res.end()
+  })
+  await exchange.send('GET / HTTP/1.1\r\nHost:')
+  await exchange.send(' h\r\n\r\n')
+  t.same([handled, exchange.statuses.length], [0, 1])
+})
