--- a/packages/listener/src/test/clientErrors.test.ts
+++ b/packages/listener/src/test/clientErrors.test.ts
@@ -59,3 +59,13 @@
   await exchange.send(' h\r\n\r\n')
   t.same([handled, exchange.statuses.length], [0, 1])
 })
+
+tap.t.test('an invalid request does not write into the response before it', async (t) => {
+  using exchange = new Exchange((_req, res) => {
+    res.writeHead(200, { 'Content-Length': '10' })
+    res.write('hello')
+  })
+  await exchange.send('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+  await exchange.send('no request\r\n\r\n')
+  t.same(exchange.statuses, ['200'])
+})
