--- /dev/null
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -0,0 +1,83 @@
+/** Requests that a listener has read must get one complete answer, whatever the endpoint, the caller and the configuration do meanwhile. */
+import type * as net from 'node:net'
+import * as timers from 'node:timers/promises'
+import * as tap from 'tap'
+import * as callerFixture from './callerFixture.js'
+
+const settleMs = 100
+const graceS = 1
+const msPerSecond = 1000
+const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
+const endpointHead = 'HTTP/1.1 200 OK\r\nX-Id: 7\r\n'
+
+function answer (socket: net.Socket): void {
+  socket.write(`${endpointHead}Content-Length: 5\r\n\r\nhello`)
+}
+
+tap.t.test('a request that waits for a slot is refused before the grace period ends', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, () => {}, { slots: 1, graceS }).start()
+  fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1), 'the first request has the only slot')
+  const waiting = fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 2))
+  fixture.stop()
+  await callerFixture.waitUntil(() => waiting.statuses.length > 0, graceS * msPerSecond)
+  t.same(waiting.statuses, ['503'])
+})
+
+tap.t.test('pipelined requests are no longer counted once their caller has left, so that a stop can end', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, () => {}).start()
+  const caller = fixture.send(request + request)
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 2))
+  caller.socket.destroy()
+  await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 0, settleMs)
+  t.equal(fixture.listener.inFlightCount, 0)
+})
+
+for (const [name, version, framing] of [
+  ['a response without a length', '1.1', 'Connection: close\r\n\r\n'],
+  ['a response without a length to an HTTP/1.0 caller', '1.0', 'Connection: close\r\n\r\n'],
+  ['a chunked response to an HTTP/1.0 caller', '1.0', 'Transfer-Encoding: chunked\r\n\r\n5\r\n']
+] as const) {
+  tap.t.test(`${name} does not look complete when the endpoint resets the connection`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.write(`${endpointHead}${framing}hello`)).start()
+    const caller = fixture.send(request.replace('HTTP/1.1', `HTTP/${version}`))
+    t.ok(await callerFixture.waitUntil(() => caller.received.includes('hello')))
+    fixture.targetSockets[0]!.resetAndDestroy()
+    await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed)
+    await timers.setTimeout(settleMs)
+    const isChunked = /transfer-encoding: chunked/i.test(caller.received)
+    t.notOk(isChunked ? caller.received.endsWith('0\r\n\r\n') : caller.hasEnded, 'the caller can see that the response is incomplete')
+  })
+}
+
+tap.t.test('a connection is usable or closed after a response that came before the end of the request body', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  const firstPart = 'x'.repeat(100_000)
+  const rest = 'x'.repeat(200_000)
+  const caller = fixture.send(`POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: ${firstPart.length + rest.length}\r\n\r\n${firstPart}`)
+  t.ok(await callerFixture.waitUntil(() => caller.received.endsWith('hello')))
+  const isCloseAnnounced = /connection: close/i.test(caller.received)
+  caller.socket.write(rest + request)
+  await callerFixture.waitUntil(() => isCloseAnnounced || caller.statuses.length === 2, msPerSecond)
+  t.ok(isCloseAnnounced || caller.statuses.length === 2, 'the next request is answered, or the caller knows not to send it')
+})
+
+tap.t.test('a response whose head cannot be passed on fails the request', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ deadlineMs: 500 }, (socket) => {
+    socket.write(Buffer.from('HTTP/1.1 200 O\xffK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nhello', 'latin1'))
+  }).start()
+  const caller = fixture.send(request)
+  await callerFixture.waitUntil(() => caller.statuses.length > 0 || caller.isClosed, msPerSecond)
+  t.ok(caller.statuses.length > 0, 'the caller gets an answer by the deadline of the lane')
+})
+
+tap.t.test('a request whose lane is removed while its body arrives is run or refused, and is no internal error', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  const caller = fixture.send('POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 10\r\n\r\n12345')
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 1))
+  fixture.config.replaceLanes({})
+  caller.socket.write('67890')
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+  t.notSame(caller.statuses, ['500'])
+})
