Shutdown: requests without a response get a final one before the grace period ends

What callers saw: a closed connection when an entry instance was killed at the end of its grace period, for requests that waited for a slot, a retry or a silent target. Cause: the shutdown waited for pending responses without a limit of its own, and their deadlines can end after the kill. Why it works: at nine tenths of the grace period each request without a response ends: not-run with Retry-After if no byte of it was sent, else unknown (502), both with Connection: close; the process then ends by itself. A target still at work at that moment is in the last tenth of the period, in which the rule allows the end; targets that respond earlier are waited for. Statistics of targets don't count these ends.

--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -21,8 +21,11 @@
  * completing these requests.
  */
 const acceptShareOfGrace = 0.45
-/** Share of the grace period after which the incomplete responses are logged. */
-const reportShareOfGrace = 0.9
+/**
+ * Share of the grace period after which requests without a response get a final one. The rest is left for sending the responses before the
+ * process is killed.
+ */
+const finalResponseShareOfGrace = 0.9
 
 /** Serves callers until it is stopped. */
 export class CallerListener {
@@ -63,19 +66,20 @@
   /**
    * Accepts no new connections and resolves when all responses are complete.
    * Idle connections stay open for the keep-alive timeout, since a request may be on its way on one of them. They are closed
-   * early enough to complete such a request before the process is killed.
+   * early enough to complete such a request before the process is killed. Requests that have no response by then get a fault, since their
+   * callers could not tell whether a killed process had run them.
    * @param stoppingSince when the shutdown began, on the process's monotonic clock.
    */
   async stop (stoppingSince: number): Promise<void> {
     net.Server.prototype.close.call(this.server)
     const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
     while (performance.now() < idleCloseAt && (this.tasks.size > 0 || this.connections.size > 0)) await async.sleep(idlePollMs)
-    const cancelReport = this.scheduleReport(stoppingSince + this.graceS * msPerSecond * reportShareOfGrace)
+    const cancelFinalResponses = this.scheduleFinalResponses(stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace)
     while (this.tasks.size > 0) {
       this.closeAndLogCuts(() => this.connections.closeIdle())
       await async.sleep(idlePollMs)
     }
-    cancelReport()
+    cancelFinalResponses()
     this.closeAndLogCuts(() => this.server.closeAllConnections())
     this.configSubscription.dispose()
   }
@@ -89,10 +93,13 @@
     }
   }
 
-  /** Schedules a log line for each response that is not complete shortly before the process is killed. */
-  private scheduleReport (at: number): () => void {
+  /** Schedules a final response for each request that has none shortly before the process is killed. */
+  private scheduleFinalResponses (at: number): () => void {
     const timer = setTimeout(() => {
-      for (const task of this.tasks) task.recordIncomplete()
+      for (const task of this.tasks) {
+        task.recordIncomplete()
+        task.endWithoutResponse()
+      }
     }, at - performance.now())
     return () => clearTimeout(timer)
   }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -10,6 +10,7 @@
 import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
 import type * as budget from '@rosemaryrack/routing/common/budget.js'
 import * as call from '@rosemaryrack/routing/common/call.js'
+import type * as callSpec from '@rosemaryrack/routing/common/callSpec.js'
 import type * as crashDetection from '@rosemaryrack/routing/common/crashDetection.js'
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
@@ -38,6 +39,8 @@
 const maxRetryAfterShare = 1 / 3
 /** Shortest fractional `Retry-After`, in seconds. */
 const minRetryAfterS = 0.01
+/** Other instances can take the request at once. */
+const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: minRetryAfterS } as const
 
 /** Dependencies shared by all caller tasks. */
 export interface CallerDeps {
@@ -105,6 +108,13 @@
     this.deps.decisions.record({ event: 'incomplete', requestId: this.requestId, lane: this.laneName, choice: this.pendingStep, ageMs: Math.round(performance.now() - this.arrivedAt), why: 'the shutdown ends soon' })
   }
 
+  /** Ends a request whose response has not begun with a final fault, because the process is about to be killed. */
+  endWithoutResponse (): void {
+    if (this.res.headersSent) return
+    if (this.activeCall === undefined) this.refuse(stoppingFault)
+    else this.activeCall.giveUp(stoppingFault.message)
+  }
+
   /** What the response waits for. */
   private get pendingStep (): string {
     if (this.res.writableEnded) return 'caller to read'
@@ -114,7 +124,7 @@
 
   private async handle (): Promise<void> {
     await this.waitForConfig()
-    if (this.res.closed) return
+    if (this.isAnswered) return
     const requestTarget = this.req.url ?? ''
     requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
     const path = requestGuard.parsePath(requestTarget)
@@ -125,10 +135,15 @@
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.buffered)
     this.refuseQuarantined(identity)
     const claim = await this.claimKey(namedLane)
-    if (this.res.closed) claim?.release()
+    if (this.isAnswered) claim?.release()
     else this.startCall(namedLane, identity, body, this.buildTargetReq(namedLane, body, []), claim)
   }
 
+  /** True once the caller has left or got the whole response. */
+  private get isAnswered (): boolean {
+    return this.res.closed || this.res.writableEnded
+  }
+
   /** Holds the request while this instance has just started and no configuration is confirmed yet. */
   private async waitForConfig (): Promise<void> {
     const { deps } = this
@@ -198,7 +213,7 @@
     const budgets = this.deps.lanes.countRequestAndGetBudgets(namedLane.name, service)
     // The lane may have been removed from the configuration by the time its responses end.
     const laneState = this.deps.lanes.stateOf(namedLane.name)
-    const runCall = (req: httpAttempt.TargetReq, arrivedAt: number, avoidedEndpoints: readonly string[], listener: call.ICallListener): void => {
+    const runCall = (req: httpAttempt.TargetReq, arrivedAt: number, avoidedEndpoints: readonly string[], listener: callSpec.ICallListener): void => {
       this.activeCall = new call.Call({
         requestId: this.requestId,
         laneName: namedLane.name,
@@ -230,7 +245,7 @@
     this.refuse(fault)
   }
 
-  private buildCallDeps (service: string, { latency, domainPreference }: laneRegistry.LaneState, budgets: budget.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
+  private buildCallDeps (service: string, { latency, domainPreference }: laneRegistry.LaneState, budgets: budget.LaneBudgets, req: httpAttempt.TargetReq): callSpec.CallDeps {
     const { lanes, connections, notices, suspects, crashDetector, decisions } = this.deps
     return {
       dispatcher: lanes.dispatcherOf(service),
@@ -247,7 +262,7 @@
     }
   }
 
-  private probingFor (service: string): call.CallDeps['probing'] {
+  private probingFor (service: string): callSpec.CallDeps['probing'] {
     const { lanes, connections, notices, probing, headers } = this.deps
     const healthPath = lanes.healthPathOf(service)
     if (probing === undefined || headers.slotLoad === undefined || healthPath === undefined) return undefined
@@ -258,7 +273,7 @@
     }
   }
 
-  private sendResponse ({ lane }: laneMatcher.NamedLane, { domainPreference }: laneRegistry.LaneState, response: call.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
+  private sendResponse ({ lane }: laneMatcher.NamedLane, { domainPreference }: laneRegistry.LaneState, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
     const attempt = response.attempt as httpAttempt.HttpAttempt
     const head = response.head as httpAttempt.HttpHead
     if (lane.weights.reportedLoad > 0) this.recordReportedLoad(response.endpoint, head)
@@ -272,7 +287,7 @@
     attempt.pipe(stream)
   }
 
-  private newResumer (idempotent: boolean, response: call.CallResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
+  private newResumer (idempotent: boolean, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
     const validator = downloadResumer.validatorOf(response.head as httpAttempt.HttpHead)
     if (!idempotent || this.req.method !== 'GET' || validator === undefined) return undefined
     return new downloadResumer.DownloadResumer(validator, response.endpoint.endpoint, fetchRest)
@@ -306,6 +321,7 @@
 
   private refuse (fault: errors.Fault): void {
     const { res } = this
+    if (res.writableEnded) return
     this.countOutcome(fault.kind)
     this.recordRefusal(fault)
     if (res.headersSent || res.destroyed) {
--- a/packages/entry/src/node/downloadResumer.ts
+++ b/packages/entry/src/node/downloadResumer.ts
@@ -1,5 +1,5 @@
 /** Continues an interrupted download from another endpoint with `Range` and `If-Range`. */
-import type * as call from '@rosemaryrack/routing/common/call.js'
+import type * as callSpec from '@rosemaryrack/routing/common/callSpec.js'
 import type * as responseStream from './responseStream.js'
 import type * as httpAttempt from './httpAttempt.js'
 
@@ -9,7 +9,7 @@
 const contentRangePattern = /^bytes (\d+)-(\d+)\/(\d+)$/
 
 /** Requests the rest of a download from an endpoint that is not in `avoidedEndpoints`. */
-export type RestFetcher = (headers: readonly string[], avoidedEndpoints: readonly string[], listener: call.ICallListener) => void
+export type RestFetcher = (headers: readonly string[], avoidedEndpoints: readonly string[], listener: callSpec.ICallListener) => void
 
 /** Identifies the content of a download. */
 interface Validator {
@@ -51,7 +51,7 @@
     })
   }
 
-  private attachIfMatching (response: call.CallResponse, offset: number, attach: (attempt: httpAttempt.HttpAttempt) => void): boolean {
+  private attachIfMatching (response: callSpec.CallResponse, offset: number, attach: (attempt: httpAttempt.HttpAttempt) => void): boolean {
     const attempt = response.attempt as httpAttempt.HttpAttempt
     if (this.isContinuation(response.head as httpAttempt.HttpHead, offset)) {
       attach(attempt)
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -1,21 +1,12 @@
 /** Runs one caller's request: chooses endpoints, starts attempts, retries and a hedge, and reports one final outcome. */
-import type * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
-import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
-import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
-import type * as balancingPolicy from './balancingPolicy.js'
-import type * as budget from './budget.js'
 import * as callFault from './callFault.js'
-import type * as crashDetection from './crashDetection.js'
-import type * as dispatcher from './dispatcher.js'
-import type * as domainPreference from './domainPreference.js'
-import type * as laneLatency from './laneLatency.js'
+import type * as callSpec from './callSpec.js'
 import * as lateCalls from './lateCalls.js'
 import * as loadProbing from './loadProbing.js'
 import * as timeLimits from './timeLimits.js'
-import type * as requestIdentity from './requestIdentity.js'
 import * as quarantine from './quarantine.js'
 import * as runningAttempt from './runningAttempt.js'
 import type * as slotAssignment from './slotAssignment.js'
@@ -31,50 +22,6 @@
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 const minServerErrorStatus = 500
 
-/** Describes a request for the choice of endpoints and retries. */
-export interface CallSpec {
-  readonly requestId: string
-  readonly laneName: string
-  readonly lane: configDocument.Lane
-  /** Time on the clock at which the caller's request arrived. */
-  readonly arrivedAt: number
-  readonly deadlineAt: number
-  readonly identity: requestIdentity.IRequestIdentity
-  /** Returns whether the request body can be sent again from its start. */
-  readonly replayable: () => boolean
-  /** Ids of endpoints that must not be used. */
-  readonly excludedEndpoints?: readonly string[]
-}
-
-/** Services and per-lane state that a call uses. */
-export interface CallDeps {
-  /** Probes the load of endpoints before an attempt is sent; undefined where endpoints do not report their load. */
-  readonly probing?: { readonly deps: loadProbing.ProbingDeps, readonly options: loadProbing.ProbingOptions } | undefined
-  readonly dispatcher: dispatcher.Dispatcher
-  readonly transport: transport.ITransport
-  readonly suspects: suspectTable.ISuspects
-  readonly crashDetector: crashDetection.ICrashDetector
-  readonly budgets: budget.LaneBudgets
-  readonly latency: laneLatency.LaneLatency
-  readonly domainPreference: domainPreference.DomainPreference
-  readonly decisions: decisionLog.IDecisionLog
-  readonly clock: clock.IClock
-  readonly random: balancingPolicy.IRandom
-}
-
-/** Holds the attempt whose response is passed on to the caller. */
-export interface CallResponse {
-  readonly attempt: transport.IAttempt
-  readonly endpoint: endpointTable.Endpoint
-  readonly head: transport.ResponseHead
-}
-
-/** Receives the outcome of a call, a response or a fault: exactly one of the two methods is called, once. */
-export interface ICallListener {
-  onResponse(response: CallResponse): void
-  onFailed(fault: errors.Fault): void
-}
-
 /** Runs a call from `start` until its outcome, or until `cancel` when the caller has disconnected. */
 export class Call {
   private readonly runningAttempts = new Set<runningAttempt.RunningAttempt>()
@@ -99,7 +46,7 @@
   private hasReservedRetry = false
   private isSettled = false
 
-  constructor (private readonly spec: CallSpec, private readonly deps: CallDeps, private readonly listener: ICallListener) {
+  constructor (private readonly spec: callSpec.CallSpec, private readonly deps: callSpec.CallDeps, private readonly listener: callSpec.ICallListener) {
     for (const endpoint of spec.excludedEndpoints ?? []) this.triedEndpoints.add(endpoint)
     this.isSuspect = this.suspectStatus !== 'clear'
   }
@@ -387,10 +334,14 @@
   /** Ends the call with a fault, unless an attempt is still in flight. */
   private endWithFault (fault: errors.Fault): void {
     if (this.isSettled || this.runningAttempts.size > 0) return
-    const final = this.mayHaveRun ? this.finalFault(fault.message, false) : fault
-    this.settle()
-    this.record({ event: 'refuse', choice: final.kind, attempts: this.attempts, why: final.message })
-    this.listener.onFailed(final)
+    this.settleWithFault(this.mayHaveRun ? this.finalFault(fault.message, false) : fault)
+  }
+
+  /** Ends the call with a final fault, whatever its attempts do. */
+  giveUp (why: string): void {
+    if (this.isSettled) return
+    if (this.awaitsResponse) this.uncertainAttempts++
+    this.settleWithFault(this.finalFault(why, false))
   }
 
   private onDeadline (): void {
@@ -401,7 +352,10 @@
       this.recordFailure(attempt, written ? 'silent' : 'not-written')
       attempt.handle?.abandon()
     }
-    const fault = this.finalFault('the deadline passed', true)
+    this.settleWithFault(this.finalFault('the deadline passed', true))
+  }
+
+  private settleWithFault (fault: errors.Fault): void {
     this.settle()
     this.record({ event: 'refuse', choice: fault.kind, attempts: this.attempts, why: fault.message })
     this.listener.onFailed(fault)
--- /dev/null
+++ b/packages/routing/src/common/callSpec.ts
@@ -0,0 +1,60 @@
+/** Input, dependencies and outcome of a call. */
+import type * as clock from '@rosemaryrack/base/common/clock.js'
+import type * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as balancingPolicy from './balancingPolicy.js'
+import type * as budget from './budget.js'
+import type * as crashDetection from './crashDetection.js'
+import type * as dispatcher from './dispatcher.js'
+import type * as domainPreference from './domainPreference.js'
+import type * as laneLatency from './laneLatency.js'
+import type * as loadProbing from './loadProbing.js'
+import type * as requestIdentity from './requestIdentity.js'
+import type * as transport from './transport.js'
+
+/** Describes a request for the choice of endpoints and retries. */
+export interface CallSpec {
+  readonly requestId: string
+  readonly laneName: string
+  readonly lane: configDocument.Lane
+  /** Time on the clock at which the caller's request arrived. */
+  readonly arrivedAt: number
+  readonly deadlineAt: number
+  readonly identity: requestIdentity.IRequestIdentity
+  /** Returns whether the request body can be sent again from its start. */
+  readonly replayable: () => boolean
+  /** Ids of endpoints that must not be used. */
+  readonly excludedEndpoints?: readonly string[]
+}
+
+/** Services and per-lane state that a call uses. */
+export interface CallDeps {
+  /** Probes the load of endpoints before an attempt is sent; undefined where endpoints do not report their load. */
+  readonly probing?: { readonly deps: loadProbing.ProbingDeps, readonly options: loadProbing.ProbingOptions } | undefined
+  readonly dispatcher: dispatcher.Dispatcher
+  readonly transport: transport.ITransport
+  readonly suspects: suspectTable.ISuspects
+  readonly crashDetector: crashDetection.ICrashDetector
+  readonly budgets: budget.LaneBudgets
+  readonly latency: laneLatency.LaneLatency
+  readonly domainPreference: domainPreference.DomainPreference
+  readonly decisions: decisionLog.IDecisionLog
+  readonly clock: clock.IClock
+  readonly random: balancingPolicy.IRandom
+}
+
+/** Holds the attempt whose response is passed on to the caller. */
+export interface CallResponse {
+  readonly attempt: transport.IAttempt
+  readonly endpoint: endpointTable.Endpoint
+  readonly head: transport.ResponseHead
+}
+
+/** Receives the outcome of a call, a response or a fault: exactly one of the two methods is called, once. */
+export interface ICallListener {
+  onResponse(response: CallResponse): void
+  onFailed(fault: errors.Fault): void
+}
