Attempts: one that timed out goes on until its retry starts

What callers saw: 502, or 504 at the deadline, while a target worked on their request; after SIGTERM this is an own answer in place of a target's. Cause: an attempt of an idempotent call was cancelled at half of the remaining time, and a slot for the retry requested afterwards. With all other endpoints tried, busy or full, no retry started. Evidence: retryWithoutSlot.test (the only endpoint; all others busy) failed before: the attempt was cancelled and the call ended as unknown. Why it works: the retry gets its slot and its probes first, like a hedge; the attempt is cancelled when the retry is sent. Without a slot it goes on until its response or the deadline. The budget is charged once: a retry that was reserved and not started is used by a later one. A hedge and such a retry no longer choose endpoints at the same time.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -40,8 +40,8 @@
   private uncertainAttempts = 0
   /** True once the error response of a target has been discarded in favour of another attempt. */
   private hasDiscardedResponse = false
-  /** True once an attempt has timed out without a response; later attempts then use new connections. */
-  private hasTimedOutAttempt = false
+  /** The attempt that has timed out without a response; later attempts use new connections. */
+  private timedOutAttempt: runningAttempt.RunningAttempt | undefined
   /** True while a retry has been taken from the budget but not started yet. */
   private hasReservedRetry = false
   private isSettled = false
@@ -134,6 +134,10 @@
 
   private startAttempt (event: 'route' | 'retry' | 'hedge', placement: slotAssignment.Placement): void {
     const { endpoint, considered, candidates, why, waitedMs } = placement
+    if (event === 'retry') {
+      this.hasReservedRetry = false
+      this.abandonTimedOutAttempt()
+    }
     this.record({ event, considered, candidates, choice: endpoint.endpoint, why, waitedMs: Math.round(waitedMs) })
     this.attempts++
     this.triedEndpoints.add(endpoint.endpoint)
@@ -144,7 +148,7 @@
       onHead: (head) => this.onHead(attempt, head),
       onFailure: (failure) => this.onAttemptFailed(attempt, failure),
       onBodyEnd: () => placement.release()
-    }, this.hasTimedOutAttempt || event === 'hedge')
+    }, this.timedOutAttempt !== undefined || event === 'hedge')
     this.scheduleAttemptTimeout(attempt)
     if (event === 'route') this.scheduleHedge()
   }
@@ -157,13 +161,25 @@
     attempt.cancelTimeout = clock.after(timeoutMs, () => this.onAttemptTimeout(attempt, timeoutMs))
   }
 
+  /** Requests a slot for a retry. The attempt goes on until the retry starts, since its target may be at work and no slot may become free. */
   private onAttemptTimeout (attempt: runningAttempt.RunningAttempt, timeoutMs: number): void {
-    // While a hedge is in flight or when no retry is left, no other attempt can follow, so the attempt goes on.
-    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1 || !this.takeRetry()) return
+    // While a hedge is in flight or being placed, or when no retry is left, no other attempt can follow.
+    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1 || this.isChoosingEndpoint || !this.takeRetry()) return
     this.hasReservedRetry = true
-    this.hasTimedOutAttempt = true
+    this.timedOutAttempt = attempt
+    this.record({ event: 'timeout', choice: attempt.placement.endpoint.endpoint, why: `no response within ${Math.round(timeoutMs)} ms; a retry replaces the attempt once it can start` })
+    this.requestSlot('retry')
+  }
+
+  /** Ends the attempt that timed out, if it is still running, because its retry starts. */
+  private abandonTimedOutAttempt (): void {
+    const attempt = this.timedOutAttempt
+    if (attempt === undefined || !this.runningAttempts.has(attempt)) return
     attempt.handle?.abandon()
-    this.onAttemptFailed(attempt, { kind: 'silent', message: `no response within ${Math.round(timeoutMs)} ms` })
+    this.removeAttempt(attempt)
+    this.recordFailure(attempt, 'silent')
+    attempt.placement.release()
+    this.uncertainAttempts++
   }
 
   // ---- Responses ----
@@ -384,7 +400,7 @@
   }
 
   private startHedge (): void {
-    if (this.isSettled || this.runningAttempts.size !== 1 || !this.canRunAgain || !this.spec.replayable()) return
+    if (this.isSettled || this.runningAttempts.size !== 1 || this.isChoosingEndpoint || !this.canRunAgain || !this.spec.replayable()) return
     if (this.suspectStatus !== 'clear') return
     const placement = this.deps.dispatcher.acquireForHedge(this.slotRequest)
     if (placement === undefined) return
