Retries: an error response is kept unless another endpoint can take the call now

What callers saw: 502 of the instance in place of a target's own 500, 502, 503 or 504. Cause: the error response of an idempotent call was dropped once a retry was in the budget; whether an endpoint had a slot was asked afterwards. Where the only endpoint was tried, or all others were busy, no retry started and nothing was left to pass on. Why it works: the response is dropped only if a slot is free at that moment and no call waits before this one, which the retry then takes in the same turn of the event loop.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -229,12 +229,12 @@
   }
 
   /**
-   * Returns whether an error response is discarded in favour of another attempt, which an endpoint must be able to take in time; takes a retry from the budget unless another
+   * Returns whether an error response is discarded in favour of another attempt, which an endpoint must be able to take now; takes a retry from the budget unless another
    * attempt is in flight or about to start.
    */
   private tryReplaceResponse (head: transport.ResponseHead): boolean {
     if (!this.spec.lane.idempotent || !retryableStatuses.includes(head.status)) return false
-    return this.hasOtherAttempt || (this.deps.dispatcher.canServeWithinLimits(this.slotRequest) && this.takeRetry())
+    return this.hasOtherAttempt || (this.deps.dispatcher.canPlaceNow(this.slotRequest) && this.takeRetry())
   }
 
   private deliverResponse (attempt: runningAttempt.RunningAttempt, head: transport.ResponseHead): void {
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -138,10 +138,10 @@
     return placements
   }
 
-  /** Returns false if each endpoint that is left has a limit and none of them takes the call in time. */
-  canServeWithinLimits (request: slotAssignment.SlotRequest): boolean {
+  /** Returns false if no endpoint has a slot for the call now, or each that is left has a limit and none of them takes the call in time. */
+  canPlaceNow (request: slotAssignment.SlotRequest): boolean {
     const now = this.clock.now()
-    return this.limits.findFault(request, this.queue.position(request), this.findLimitedEndpoints(now), now) === undefined
+    return this.queue.position(request) === 0 && this.findCandidates(this.findAvailable(now).available, request, now).length > 0 && this.limits.findFault(request, this.queue.position(request), this.findLimitedEndpoints(now), now) === undefined
   }
 
   /** Counts a request that is sent now; one with a permit is counted already. */
