Callers: connections are closed only after reading what has arrived on them

What callers saw: on an instance that gets little processor time, a reset hundreds of milliseconds after they sent a request, on a new connection when the notice of a shutdown ended and on a kept one when idle connections were closed. Cause: both happen in callbacks of timers, and the idle timeout of Node.js is one. Timers that are late run before the process polls its sockets, so what has arrived meanwhile is still unread. Evidence: plannedWork.test pauses a stopping entry by SIGSTOP for 700 ms; both cases failed before (closed by a reset), pass now. Why it works: the listener lets the event loop poll once before it closes the listening socket and once after; an idle connection, also one whose idle timeout has passed, is closed in the check phase after a poll and only if no byte has arrived. A response that ends before it is complete leaves a 'cut' line now, whoever ended the connection.

--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -18,6 +18,8 @@
 
   constructor (server: http.Server) {
     server.on('connection', (socket: net.Socket) => this.add(socket))
+    // Replaces the closing of idle connections by Node.js.
+    server.on('timeout', (socket: net.Socket) => this.closeAfterPoll(socket))
     server.on('request', (_req, res: http.ServerResponse) => this.trackResponse(res))
   }
 
@@ -26,13 +28,23 @@
     return this.states.size
   }
 
-  /** Closes the connections without a pending response or a partly received request. */
+  /** Closes the connections without a pending response or a partly received request, each after reading what has arrived on it. */
   closeIdle (): void {
-    for (const [socket, { pendingResponses, processedBytes }] of this.states) {
-      if (pendingResponses === 0 && socket.bytesRead === processedBytes) socket.destroy()
+    for (const socket of this.states.keys()) {
+      if (this.isIdle(socket)) this.closeAfterPoll(socket)
     }
   }
 
+  private isIdle (socket: net.Socket): boolean {
+    const state = this.states.get(socket)
+    return state === undefined || (state.pendingResponses === 0 && socket.bytesRead === state.processedBytes)
+  }
+
+  /** Closes a connection unless a request has arrived on it: the timers of a process that was busy or paused run before it reads. */
+  private closeAfterPoll (socket: net.Socket): void {
+    setImmediate(() => { if (this.isIdle(socket)) socket.destroy() })
+  }
+
   private add (socket: net.Socket): void {
     this.states.set(socket, { pendingResponses: 0, processedBytes: 0 })
     socket.once('close', () => this.states.delete(socket))
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -71,28 +71,24 @@
    * @param stoppingSince when the shutdown began, on the process's monotonic clock.
    */
   async stop (stoppingSince: number): Promise<void> {
+    // A process that was busy or paused accepts and reads what has arrived meanwhile before it closes anything.
+    await async.nextTurn()
     net.Server.prototype.close.call(this.server)
+    await async.nextTurn()
     const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
     while (performance.now() < idleCloseAt && (this.tasks.size > 0 || this.connections.size > 0)) await async.sleep(idlePollMs)
     const cancelFinalResponses = this.scheduleFinalResponses(stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace)
+    this.connections.closeIdle()
+    await async.nextTurn()
     while (this.tasks.size > 0) {
-      this.closeAndLogCuts(() => this.connections.closeIdle())
+      this.connections.closeIdle()
       await async.sleep(idlePollMs)
     }
     cancelFinalResponses()
-    this.closeAndLogCuts(() => this.server.closeAllConnections())
+    this.server.closeAllConnections()
     this.configSubscription.dispose()
   }
 
-  /** Logs each response that `close` cuts short. */
-  private closeAndLogCuts (close: () => void): void {
-    const openTasks = [...this.tasks].filter(({ isConnectionClosed }) => !isConnectionClosed)
-    close()
-    for (const task of openTasks) {
-      if (task.isConnectionClosed) task.recordCut('the shutdown closed the connection as idle')
-    }
-  }
-
   /** Schedules a final response for each request that has none shortly before the process is killed. */
   private scheduleFinalResponses (at: number): () => void {
     const timer = setTimeout(() => {
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -82,6 +82,7 @@
   /** Resolves when the response has ended; never rejects. */
   async run (): Promise<void> {
     this.res.on('close', () => {
+      this.recordIncompleteClose()
       this.activeCall?.cancel()
       this.done.resolve()
     })
@@ -93,14 +94,11 @@
     await this.done.promise
   }
 
-  /** True once the caller's connection is closed, by either side. */
-  get isConnectionClosed (): boolean {
-    return this.req.socket.destroyed
-  }
-
-  /** Logs that this instance closed the caller's connection before the response was complete. */
-  recordCut (why: string): void {
-    this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, ended: this.res.writableEnded, why })
+  /** Logs that the connection ended after the response had begun and before it was complete; a call logs the end before that. */
+  private recordIncompleteClose (): void {
+    const { res } = this
+    if (!res.headersSent || res.writableFinished) return
+    this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, ended: res.writableEnded, why: 'the connection of the caller ended before the response was complete' })
   }
 
   /** Logs that the response is not complete and what it waits for. */
