--- a/packages/control/src/node/replicaStorage.ts
+++ b/packages/control/src/node/replicaStorage.ts
@@ -1,6 +1,5 @@
 /** Durable state of a control replica: its id, term and vote, the log, and a snapshot. */
 import * as crypto from 'node:crypto'
-import * as fs from 'node:fs/promises'
 import * as path from 'node:path'
 import * as protobuf from '@bufbuild/protobuf'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
@@ -10,6 +9,7 @@
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as logEntry from '../common/logEntry.js'
 import * as durableFile from './durableFile.js'
+import * as fileSystem from './fileSystem.js'
 import * as recordFile from './recordFile.js'
 
 const metaFile = 'replica'
@@ -47,7 +47,7 @@
 
 /** Storage in a data folder. */
 export class ReplicaStorage implements IReplicaStorage {
-  private logHandle: fs.FileHandle | undefined
+  private logHandle: fileSystem.IFileHandle | undefined
   private logBytes = 0
   private diskFull = false
   private disposed = false
@@ -58,7 +58,8 @@
   constructor (
     private readonly folder: string,
     private readonly cluster: string,
-    private readonly onFailure: (err: Error) => void
+    private readonly onFailure: (err: Error) => void,
+    private readonly fs = fileSystem.machineFileSystem
   ) {}
 
   get isDiskFull (): boolean {
@@ -66,8 +67,8 @@
   }
 
   async load (): Promise<StoredReplica> {
-    await fs.mkdir(this.folder, { recursive: true })
-    await durableFile.syncFolder(path.dirname(path.resolve(this.folder)))
+    await this.fs.mkdir(this.folder, { recursive: true })
+    await durableFile.syncFolder(path.dirname(path.resolve(this.folder)), this.fs)
     const meta = await this.loadMeta()
     const snapshot = await this.loadSnapshot()
     const entries = await this.loadLog(Number(snapshot?.index ?? 0n))
@@ -77,7 +78,7 @@
 
   async saveMeta (meta: inner.ReplicaMeta): Promise<void> {
     const record = recordFile.frameRecord(protobuf.toBinary(inner.ReplicaMetaSchema, meta))
-    await this.runWrite(async () => await durableFile.replaceFile(this.filePath(metaFile), record))
+    await this.runWrite(async () => await durableFile.replaceFile(this.filePath(metaFile), record, this.fs))
   }
 
   async append (entries: readonly logEntry.LogEntry[]): Promise<void> {
@@ -92,14 +93,14 @@
   async rewrite (entries: readonly logEntry.LogEntry[]): Promise<void> {
     const record = entries.length === 0 ? Buffer.alloc(0) : recordFile.frameRecord(logEntry.encodeBatch(entries))
     await this.runWrite(async () => {
-      await durableFile.replaceFile(this.filePath(logFile), record)
+      await durableFile.replaceFile(this.filePath(logFile), record, this.fs)
       await this.openLog()
     })
   }
 
   async saveSnapshot (snapshot: inner.Snapshot, entriesAfter: readonly logEntry.LogEntry[]): Promise<void> {
     const record = recordFile.frameRecord(protobuf.toBinary(inner.SnapshotSchema, snapshot))
-    await this.runWrite(async () => await durableFile.replaceFile(this.filePath(snapshotFile), record))
+    await this.runWrite(async () => await durableFile.replaceFile(this.filePath(snapshotFile), record, this.fs))
     await this.rewrite(entriesAfter)
   }
 
@@ -110,7 +111,7 @@
   }
 
   private async loadMeta (): Promise<inner.ReplicaMeta> {
-    const data = await durableFile.readIfExists(this.filePath(metaFile))
+    const data = await durableFile.readIfExists(this.filePath(metaFile), this.fs)
     if (data === undefined) return await this.createMeta()
     const meta = protobuf.fromBinary(inner.ReplicaMetaSchema, this.readSingleRecord(metaFile, data))
     if (meta.cluster === this.cluster) return meta
@@ -131,13 +132,13 @@
   /** Throws when there is a log or a snapshot but no id. */
   private async requireNoOrphanedFiles (): Promise<void> {
     for (const name of [logFile, snapshotFile]) {
-      if (await durableFile.readIfExists(this.filePath(name)) === undefined) continue
+      if (await durableFile.readIfExists(this.filePath(name), this.fs) === undefined) continue
       throw corruptRecordError(`${this.folder} holds the file "${name}" but no replica id`)
     }
   }
 
   private async loadSnapshot (): Promise<inner.Snapshot | undefined> {
-    const data = await durableFile.readIfExists(this.filePath(snapshotFile))
+    const data = await durableFile.readIfExists(this.filePath(snapshotFile), this.fs)
     if (data === undefined) return undefined
     return protobuf.fromBinary(inner.SnapshotSchema, this.readSingleRecord(snapshotFile, data))
   }
@@ -150,7 +151,7 @@
   }
 
   private async loadLog (snapshotIndex: number): Promise<readonly logEntry.LogEntry[]> {
-    const data = await durableFile.readIfExists(this.filePath(logFile)) ?? Buffer.alloc(0)
+    const data = await durableFile.readIfExists(this.filePath(logFile), this.fs) ?? Buffer.alloc(0)
     const scan = recordFile.scanRecords(this.filePath(logFile), data)
     // Removes a record at the end that was only partly written.
     if (scan.intactBytes < data.length) await this.truncateLog(scan.intactBytes)
@@ -168,7 +169,7 @@
 
   private async truncateLog (bytes: number): Promise<void> {
     await this.runWrite(async () => {
-      const handle = await fs.open(this.filePath(logFile), 'r+')
+      const handle = await this.fs.open(this.filePath(logFile), 'r+')
       await handle.truncate(bytes)
       await handle.sync()
       await handle.close()
@@ -177,9 +178,9 @@
 
   private async openLog (): Promise<void> {
     await this.logHandle?.close()
-    this.logHandle = await fs.open(this.filePath(logFile), 'a')
+    this.logHandle = await this.fs.open(this.filePath(logFile), 'a')
     this.logBytes = (await this.logHandle.stat()).size
-    await durableFile.syncFolder(this.folder)
+    await durableFile.syncFolder(this.folder, this.fs)
   }
 
   /**
--- a/packages/control/src/test/firstLeader.test.ts
+++ b/packages/control/src/test/firstLeader.test.ts
@@ -1,7 +1,6 @@
 /** Tests how soon a group of replicas that start together has a leader, over many starts in virtual time. */
-import * as float from 'pure-rand/distribution/uniformFloat64'
-import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
 import * as tap from 'tap'
+import * as seededRandom from './seededRandom.js'
 import * as virtualGroup from './virtualGroup.js'
 import * as virtualTime from './virtualTime.js'
 
@@ -44,11 +43,6 @@
   return { leaderDelayMs: (group.wonElections.at(-1)?.wonAtMs ?? Infinity) - majorityAt, replacedLeaderCount: group.wonElections.length - 1 }
 }
 
-function seededRandom (seed: number): () => number {
-  const generator = xoroshiro.xoroshiro128plus(seed)
-  return () => float.uniformFloat64(generator)
-}
-
 for (const { syncMs, missingCount, isLastLeaderStored } of [
   { syncMs: 5, missingCount: 0, isLastLeaderStored: true },
   { syncMs: 5, missingCount: 0, isLastLeaderStored: false },
@@ -58,7 +52,7 @@
   { syncMs: 40, missingCount: 2, isLastLeaderStored: false }
 ]) {
   tap.t.test(`elects a stable leader in time: sync ${syncMs} ms, ${missingCount} of five replicas missing, last leader ${isLastLeaderStored ? 'known' : 'unknown'}`, async (t) => {
-    const random = seededRandom(1)
+    const random = seededRandom.create(1)
     const runs: StartResult[] = []
     const { random: originalRandom } = Math
     Math.random = random
