Storage: entries that a killed process had written count only once they are synced

What callers saw: an acknowledged configuration was gone after a power loss, or a replica refused to start (corrupt-record).

Cause: a process that is killed between the write of a log record and its sync leaves the record in the page cache. The next process loaded it like a synced one and confirmed it to the leader, which counted it as a copy and acknowledged the change. If the power was lost before the next sync of the log, the copy was gone. If a later record had been written meanwhile, it could survive without the one before it, which is damage that no replica starts with.

Why it works: load syncs the log before it returns, and no vote, confirmation or read is answered before. The other files are replaced as a whole, with their content synced before the rename, and load already syncs the folder.

--- a/packages/control/src/node/replicaStorage.ts
+++ b/packages/control/src/node/replicaStorage.ts
@@ -73,6 +73,8 @@
     const snapshot = await this.loadSnapshot()
     const entries = await this.loadLog(Number(snapshot?.index ?? 0n))
     await this.openLog()
+    // Syncs entries that the previous process wrote but had not synced when it was killed.
+    await this.runWrite(async () => await this.logHandle!.datasync())
     return { meta, snapshot, entries }
   }
 
