Callers: a response that cannot be passed on fails its request

What callers saw: no answer and no end of the connection, not at the deadline either, when an endpoint's reason phrase had a byte outside ASCII. Cause: writeHead threw within the event of the response. The call had ended with that response, so neither a deadline nor a retry was left, and the exception was lost in the HTTP client. An exception while an outcome was counted or a refusal was sent had the same effect, or ended the process as an unhandled rejection. Why it works: the reason phrase of an endpoint, which has no meaning in HTTP, is replaced with the standard one. Any other exception while a response is passed on cancels the attempt and refuses the request as unknown (502). If that fails too, the listener logs the error and closes the connection of this request only.

--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -105,9 +105,16 @@
   }
 
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const task = new callerTask.CallerTask(req, res, this.deps)
-    this.tasks.add(task)
-    await task.run()
-    this.tasks.delete(task)
+    let task: callerTask.CallerTask | undefined
+    try {
+      task = new callerTask.CallerTask(req, res, this.deps)
+      this.tasks.add(task)
+      await task.run()
+    } catch (err) {
+      this.deps.decisions.record({ event: 'internal-error', why: err instanceof Error ? err.stack ?? err.message : String(err) })
+      res.destroy()
+    } finally {
+      if (task !== undefined) this.tasks.delete(task)
+    }
   }
 }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -1,6 +1,6 @@
 /** Handles one caller's request, from its headers to the end of its response. */
 import * as crypto from 'node:crypto'
-import type * as http from 'node:http'
+import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as async from '@rosemaryrack/base/common/async.js'
 import type * as clock from '@rosemaryrack/base/common/clock.js'
@@ -79,7 +79,7 @@
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
   }
 
-  /** Resolves when the response has ended; never rejects. */
+  /** Resolves when the response has ended; rejects when an internal error left it open. */
   async run (): Promise<void> {
     this.res.on('close', () => {
       this.activeCall?.cancel()
@@ -231,7 +231,7 @@
       runCall({ ...this.buildTargetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, now, avoidedEndpoints, listener)
     }
     runCall(targetReq, this.arrivedAt, [], {
-      onResponse: (response) => this.sendResponse(namedLane, laneState, response, fetchRest),
+      onResponse: (response) => this.passOn(response, identity, () => this.sendResponse(namedLane, laneState, response, fetchRest)),
       onFailed: (fault) => {
         if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
@@ -239,10 +239,26 @@
     })
   }
 
+  /** Passes a response on. The call has ended with it, so that no deadline ends the request when that fails. */
+  private passOn (response: callSpec.CallResponse, identity: requestIdentity.RequestIdentity, send: () => void): void {
+    try {
+      send()
+    } catch (err) {
+      const message = `the response could not be passed on: ${errors.messageOf(err)}`
+      this.deps.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: response.endpoint.endpoint, why: message })
+      response.attempt.cancel()
+      this.refuseAfterSuspectWrites(identity, { kind: 'unknown', message, timedOut: false })
+    }
+  }
+
   /** Sends peers the update that the request crashed targets before the response, since the caller may resend it right after. */
   private async refuseAfterSuspectWrites (identity: requestIdentity.RequestIdentity, fault: errors.Fault): Promise<void> {
-    if (fault.kind === 'unknown' && quarantine.getSuspectStatus(this.deps.suspects, identity) !== 'clear') await this.deps.waitForSuspectWrites()
-    this.refuse(fault)
+    try {
+      if (fault.kind === 'unknown' && quarantine.getSuspectStatus(this.deps.suspects, identity) !== 'clear') await this.deps.waitForSuspectWrites()
+      this.refuse(fault)
+    } catch (err) {
+      this.done.reject(err as Error)
+    }
   }
 
   private buildCallDeps (service: string, { latency, domainPreference }: laneRegistry.LaneState, budgets: budget.LaneBudgets, req: httpAttempt.TargetReq): callSpec.CallDeps {
@@ -277,8 +293,8 @@
     const attempt = response.attempt as httpAttempt.HttpAttempt
     const head = response.head as httpAttempt.HttpHead
     if (lane.weights.reportedLoad > 0) this.recordReportedLoad(response.endpoint, head)
-    this.countOutcome('answered')
     this.sendHead(head)
+    this.countOutcome('answered')
     const stream = new responseStream.ResponseStream(this.res, attempt, lane.progressTimeoutMs, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
       domainPreference.recordResponseSize(bytes)
       if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: response.endpoint.endpoint, why: 'the response of the target was incomplete' })
@@ -312,7 +328,7 @@
     } else if (this.deps.isStopping()) {
       headers.push('Connection', 'close')
     }
-    res.writeHead(head.status, head.statusMessage, headers)
+    res.writeHead(head.status, headers)
   }
 
   private canHaveBody (status: number): boolean {
@@ -337,7 +353,9 @@
     if (retryAfterS !== undefined) res.setHeader('Retry-After', this.formatRetryAfter(retryAfterS))
     // The unread rest of the body would be parsed as the next request.
     if (!this.req.complete || this.deps.isStopping()) res.setHeader('Connection', 'close')
-    res.writeHead(errors.statusOf(fault))
+    const status = errors.statusOf(fault)
+    // Without a reason phrase, the one of a head that could not be sent would remain.
+    res.writeHead(status, http.STATUS_CODES[status])
     res.end(this.req.method === 'HEAD' ? undefined : body)
     if (!this.req.complete) closeAfterResponse(this.req.socket)
   }
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -33,7 +33,6 @@
 
 /** Head of a response, with everything that is forwarded to the caller. */
 export interface HttpHead extends transport.ResponseHead {
-  readonly statusMessage: string
   readonly headers: http.IncomingHttpHeaders
   /** Flat list of names and values, as received. */
   readonly rawHeaders: readonly string[]
@@ -188,7 +187,7 @@
         this.hasSentRequest = true
         this.sentAt = performance.now()
       },
-      onResponseStart: (controller, status, headers, statusMessage) => {
+      onResponseStart: (controller, status, headers) => {
         if (status < firstFinalStatus || this.hasEnded) return
         const mismatch = headerRules.findMismatch(this.req.headerNames, this.req.requestId, status, headers)
         if (mismatch !== undefined) {
@@ -199,7 +198,7 @@
         this.hasHead = true
         this.isKeptAlive = headers['connection'] !== 'close'
         this.connection?.applyKeepAlive(headers['keep-alive'])
-        this.events.onHead(toHead(controller, status, headers, statusMessage ?? '', headerRules.statesNotRun(this.req.headerNames, status, headers)))
+        this.events.onHead(toHead(controller, status, headers, headerRules.statesNotRun(this.req.headerNames, status, headers)))
       },
       onResponseData: (_controller, chunk) => {
         if (!this.hasEnded && this.sink?.onData(chunk) === false) this.pause()
@@ -256,7 +255,7 @@
   }
 }
 
-function toHead (controller: undici.Dispatcher.DispatchController, status: number, headers: http.IncomingHttpHeaders, statusMessage: string, notRun: boolean): HttpHead {
+function toHead (controller: undici.Dispatcher.DispatchController, status: number, headers: http.IncomingHttpHeaders, notRun: boolean): HttpHead {
   const rawHeaders = (controller.rawHeaders as readonly Buffer[]).map((text) => text.toString('latin1'))
-  return { status, notRun, statusMessage, headers, rawHeaders }
+  return { status, notRun, headers, rawHeaders }
 }
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -78,6 +78,7 @@
   /** Number of requests that have reached the endpoint. */
   targetRequests = 0
   isStopping = false
+  private readonly metrics = new metrics.Metrics(() => ({ count: 0, record: () => {}, valueAtQuantile: () => 0 }))
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly endpoints: endpointTable.EndpointTable
   private readonly target = net.createServer((socket) => this.acceptTarget(socket))
@@ -116,7 +117,7 @@
       claims: new idempotencyClaims.IdempotencyClaims(this.config as unknown as configFollower.ConfigFollower),
       waitForSuspectWrites: async () => {},
       decisions,
-      metrics: new metrics.Metrics(() => ({ count: 0, record: () => {}, valueAtQuantile: () => 0 })),
+      metrics: this.metrics,
       clock: systemClock,
       random,
       headers: exchange.defaultHeaderNames,
@@ -148,6 +149,12 @@
     return caller
   }
 
+  /** Lets each request fail with an exception while it is counted, until the returned function is called. */
+  failMetrics (): () => void {
+    this.metrics.count = () => { throw new Error('metrics fail in this test') }
+    return () => { Reflect.deleteProperty(this.metrics, 'count') }
+  }
+
   /** Stops the listener as a SIGTERM does. */
   async stop (): Promise<void> {
     this.isStopping = true
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -72,6 +72,18 @@
   t.ok(caller.statuses.length > 0, 'the caller gets an answer by the deadline of the lane')
 })
 
+tap.t.test('an exception in the handling of a request ends this request and no other', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  const restore = fixture.failMetrics()
+  const failed = fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => failed.hasEnded || failed.isClosed, msPerSecond), 'its connection is closed')
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 0, msPerSecond))
+  restore()
+  const next = fixture.send(request)
+  await callerFixture.waitUntil(() => next.statuses.length > 0, msPerSecond)
+  t.same(next.statuses, ['200'])
+})
+
 tap.t.test('a request whose lane is removed while its body arrives is run or refused, and is no internal error', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, answer).start()
   const caller = fixture.send('POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 10\r\n\r\n12345')
