Callers: responses queued on a connection close with it

What callers saw: entry instances that were killed at the end of their grace period. A stop waited without end for requests whose callers had left, and these kept slots and attempts until then. Cause: Node.js emits `close` only on the first response of a connection that closes, not on those queued behind it (pipelined requests). The end of a request, the cancelling of its attempt and the count of pending responses rely on this event. Evidence: the test of two pipelined requests whose caller leaves failed before with one request in flight for ever, and passes now. Why it works: the module that tracks the connections knows the responses of each; when a connection closes it destroys the queued ones and emits their `close`, so that every listener of this event sees the end. A task checks `destroyed` before it starts a call, which is set for all of these responses.

--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -4,13 +4,13 @@
 
 interface ConnectionState {
   /** Responses whose last byte has not been passed to the kernel. */
-  pendingResponses: number
+  readonly pendingResponses: Set<http.ServerResponse>
   /** Bytes received until the last response was complete; more than these belong to a request whose headers are incomplete. */
   processedBytes: number
 }
 
 /**
- * Tracks the connections of an HTTP server. `closeIdleConnections` of Node.js cannot be used instead: it also closes connections whose
+ * Tracks the connections of an HTTP server, and closes all responses of a connection with it. `closeIdleConnections` of Node.js cannot be used instead: it also closes connections whose
  * response was ended but still waits in this process until the caller reads.
  */
 export class CallerConnections {
@@ -29,23 +29,34 @@
   /** Closes the connections without a pending response or a partly received request. */
   closeIdle (): void {
     for (const [socket, { pendingResponses, processedBytes }] of this.states) {
-      if (pendingResponses === 0 && socket.bytesRead === processedBytes) socket.destroy()
+      if (pendingResponses.size === 0 && socket.bytesRead === processedBytes) socket.destroy()
     }
   }
 
   private add (socket: net.Socket): void {
-    this.states.set(socket, { pendingResponses: 0, processedBytes: 0 })
-    socket.once('close', () => this.states.delete(socket))
+    const state = { pendingResponses: new Set<http.ServerResponse>(), processedBytes: 0 }
+    this.states.set(socket, state)
+    socket.once('close', () => {
+      this.states.delete(socket)
+      for (const res of state.pendingResponses) closeQueued(res)
+    })
   }
 
   private trackResponse (res: http.ServerResponse): void {
     const { socket } = res.req
     const state = this.states.get(socket)
     if (state === undefined) return
-    state.pendingResponses++
+    state.pendingResponses.add(res)
     res.once('close', () => {
-      state.pendingResponses--
+      state.pendingResponses.delete(res)
       state.processedBytes = socket.bytesRead
     })
   }
 }
+
+/** Closes a response that is queued behind another one; Node.js closes only the first of a connection that ends. */
+function closeQueued (res: http.ServerResponse): void {
+  if (res.socket !== null || res.writableFinished) return
+  res.destroy()
+  res.emit('close')
+}
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -141,7 +141,7 @@
 
   /** True once the caller has left or got the whole response. */
   private get isAnswered (): boolean {
-    return this.res.closed || this.res.writableEnded
+    return this.res.destroyed || this.res.writableEnded
   }
 
   /** Holds the request while this instance has just started and no configuration is confirmed yet. */
