Callers: a request keeps the lane that it was matched to

What callers saw: status 500, "Cannot read properties of undefined", when the configuration removed their lane while the body arrived or the idempotency key was claimed. The claim stayed, so that resent requests were refused as duplicates of one that never ran. Cause: the state of the lane was looked up by name after these waits, and created from a configuration without the lane. Evidence: the test of the body failed before with 500 and passes now; so do new ones of the key claim (500 before) and of the release of the claim (kept before). Why it works: a match returns the lane together with its state, an object that lives as long as its requests; nothing is looked up by the lane's name later. The claim is released whenever an exception prevents the call from starting.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -136,7 +136,17 @@
     this.refuseQuarantined(identity)
     const claim = await this.claimKey(namedLane)
     if (this.isAnswered) claim?.release()
-    else this.startCall(namedLane, identity, body, this.buildTargetReq(namedLane, body, []), claim)
+    else this.startClaimedCall(namedLane, identity, body, claim)
+  }
+
+  /** Starts the call; releases the claim of its key when an exception prevents that. */
+  private startClaimedCall (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, claim: idempotencyClaims.Claim | undefined): void {
+    try {
+      this.startCall(namedLane, identity, body, this.buildTargetReq(namedLane, body, []), claim)
+    } catch (err) {
+      if (this.activeCall === undefined) claim?.release()
+      throw err
+    }
   }
 
   /** True once the caller has left or got the whole response. */
@@ -153,7 +163,7 @@
     throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: notReadyRetryAfterS })
   }
 
-  private findLane (path: string): laneMatcher.NamedLane {
+  private findLane (path: string): laneRegistry.MatchedLane {
     const host = this.req.headers.host?.replace(/:\d+$/, '')
     const namedLane = this.deps.lanes.find(this.req.method ?? '', host, path)
     if (namedLane !== undefined) return namedLane
@@ -208,11 +218,9 @@
     return typeof received === 'string' ? `${received}, ${callerAddress}` : callerAddress
   }
 
-  private startCall (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
+  private startCall (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
     const service = this.deps.lanes.chooseService(namedLane)
-    const budgets = this.deps.lanes.countRequestAndGetBudgets(namedLane.name, service)
-    // The lane may have been removed from the configuration by the time its responses end.
-    const laneState = this.deps.lanes.stateOf(namedLane.name)
+    const budgets = this.deps.lanes.countRequestAndGetBudgets(namedLane.state, service)
     const runCall = (req: httpAttempt.TargetReq, arrivedAt: number, avoidedEndpoints: readonly string[], listener: callSpec.ICallListener): void => {
       this.activeCall = new call.Call({
         requestId: this.requestId,
@@ -223,7 +231,7 @@
         identity,
         replayable: () => body.isReplayable,
         excludedEndpoints: avoidedEndpoints
-      }, this.buildCallDeps(service, laneState, budgets, req), listener)
+      }, this.buildCallDeps(service, namedLane.state, budgets, req), listener)
       this.activeCall.start()
     }
     const fetchRest: downloadResumer.RestFetcher = (headers, avoidedEndpoints, listener) => {
@@ -231,7 +239,7 @@
       runCall({ ...this.buildTargetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, now, avoidedEndpoints, listener)
     }
     runCall(targetReq, this.arrivedAt, [], {
-      onResponse: (response) => this.passOn(response, identity, () => this.sendResponse(namedLane, laneState, response, fetchRest)),
+      onResponse: (response) => this.passOn(response, identity, () => this.sendResponse(namedLane, response, fetchRest)),
       onFailed: (fault) => {
         if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
@@ -289,14 +297,14 @@
     }
   }
 
-  private sendResponse ({ lane }: laneMatcher.NamedLane, { domainPreference }: laneRegistry.LaneState, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
+  private sendResponse ({ lane, state }: laneRegistry.MatchedLane, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
     const attempt = response.attempt as httpAttempt.HttpAttempt
     const head = response.head as httpAttempt.HttpHead
     if (lane.weights.reportedLoad > 0) this.recordReportedLoad(response.endpoint, head)
     this.sendHead(head)
     this.countOutcome('answered')
     const stream = new responseStream.ResponseStream(this.res, attempt, lane.progressTimeoutMs, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
-      domainPreference.recordResponseSize(bytes)
+      state.domainPreference.recordResponseSize(bytes)
       if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: response.endpoint.endpoint, why: 'the response of the target was incomplete' })
       this.done.resolve()
     })
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -31,6 +31,11 @@
   readonly domainPreference: domainPreference.DomainPreference
 }
 
+/** The lane of a request with its state. Both last as long as the request, whatever the configuration does meanwhile. */
+export interface MatchedLane extends laneMatcher.NamedLane {
+  readonly state: LaneState
+}
+
 /** Options shared by all lanes. */
 export interface RegistryOptions {
   readonly ownFailureDomain: string
@@ -79,8 +84,9 @@
     for (const each of this.dispatchers.values()) each.dispose()
   }
 
-  find (method: string, host: string | undefined, path: string): laneMatcher.NamedLane | undefined {
-    return this.matcher.find(method, host, path)
+  find (method: string, host: string | undefined, path: string): MatchedLane | undefined {
+    const namedLane = this.matcher.find(method, host, path)
+    return namedLane === undefined ? undefined : { ...namedLane, state: this.stateOf(namedLane.name) }
   }
 
   /** Limit on the bytes of a caller's headers; undefined where the configuration sets none. */
@@ -97,7 +103,7 @@
     return this.lanes[name]
   }
 
-  /** Returns the state of a lane, which is created at its first use. */
+  /** Returns the state of a lane of the current configuration, which is created at its first use. */
   stateOf (name: string): LaneState {
     let state = this.states.get(name)
     if (state === undefined) {
@@ -108,14 +114,13 @@
   }
 
   /** Chooses the service for one call of a lane; a lane with a traffic split distributes its calls over services by weight. */
-  chooseService ({ name, lane }: laneMatcher.NamedLane): string {
+  chooseService ({ lane, state }: MatchedLane): string {
     if (lane.split === undefined) return lane.service
-    return this.stateOf(name).split.next(lane.split)
+    return state.split.next(lane.split)
   }
 
   /** Counts a caller's request for a service and returns the budgets for its health checks, retries and hedges. */
-  countRequestAndGetBudgets (name: string, service: string): budget.LaneBudgets {
-    const state = this.stateOf(name)
+  countRequestAndGetBudgets (state: LaneState, service: string): budget.LaneBudgets {
     state.retries.deposit()
     state.hedges.deposit()
     const shared = this.repeatBudgetOf(service)
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http'
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
+import * as async from '@rosemaryrack/base/common/async.js'
 import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
@@ -31,6 +32,10 @@
   private readonly emitter = new event.Emitter<configDocument.VersionedConfig>()
   readonly onChanged = this.emitter.event
   current: configDocument.VersionedConfig
+  /** Owners of the claims that wait for `grantClaims`. */
+  readonly claimOwners: string[] = []
+  readonly releasedOwners: string[] = []
+  private readonly granted = new async.Deferred<boolean>()
 
   constructor (lanes: object) {
     this.current = { version: 1, document: toDocument(lanes) }
@@ -40,6 +45,20 @@
     this.current = { version: this.current.version + 1, document: toDocument(lanes) }
     this.emitter.fire(this.current)
   }
+
+  async claim (_keyHash: string, owner: string): Promise<boolean> {
+    this.claimOwners.push(owner)
+    return await this.granted.promise
+  }
+
+  async release (_keyHash: string, owner: string): Promise<void> {
+    this.releasedOwners.push(owner)
+  }
+
+  /** Grants all claims, waiting and later ones. */
+  grantClaims (): void {
+    this.granted.resolve(true)
+  }
 }
 
 function toDocument (lanes: object): configDocument.ConfigDocument {
@@ -78,6 +97,7 @@
   /** Number of requests that have reached the endpoint. */
   targetRequests = 0
   isStopping = false
+  private readonly lanes: laneRegistry.LaneRegistry
   private readonly metrics = new metrics.Metrics(() => ({ count: 0, record: () => {}, valueAtQuantile: () => 0 }))
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly endpoints: endpointTable.EndpointTable
@@ -95,7 +115,7 @@
     const decisions = new decisionLog.NullDecisionLog()
     const random = { next: () => 0.5 }
     const notices = this.disposables.add(new endpointNotices.EndpointNotices({ onLeaving: () => {}, onLimit: () => {} }, this.endpoints, systemClock, decisions))
-    const lanes = this.disposables.add(new laneRegistry.LaneRegistry(this.config, this.endpoints, {
+    this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(this.config, this.endpoints, {
       ownFailureDomain: 'a',
       liveEntries: () => 1,
       newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
@@ -108,7 +128,7 @@
       startingUntil: 0
     }, systemClock))
     this.listener = new callerListener.CallerListener(options.graceS ?? 1, this.config, {
-      lanes,
+      lanes: this.lanes,
       connections,
       notices,
       endpoints: this.endpoints,
@@ -155,6 +175,11 @@
     return () => { Reflect.deleteProperty(this.metrics, 'count') }
   }
 
+  /** Lets each request fail with an exception while its call is prepared. */
+  failCallStarts (): void {
+    this.lanes.chooseService = () => { throw new Error('no call starts in this test') }
+  }
+
   /** Stops the listener as a SIGTERM does. */
   async stop (): Promise<void> {
     this.isStopping = true
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -93,3 +93,24 @@
   t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
   t.notSame(caller.statuses, ['500'])
 })
+
+const claimedRequest = 'POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n'
+
+tap.t.test('a request whose lane is removed while its key is claimed is run', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ idempotent: false }, answer).start()
+  const caller = fixture.send(claimedRequest)
+  t.ok(await callerFixture.waitUntil(() => fixture.config.claimOwners.length === 1))
+  fixture.config.replaceLanes({})
+  fixture.config.grantClaims()
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+  t.same([caller.statuses, fixture.config.releasedOwners], [['200'], []])
+})
+
+tap.t.test('the claim of a request whose call does not start is released', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ idempotent: false }, answer).start()
+  fixture.failCallStarts()
+  fixture.config.grantClaims()
+  const caller = fixture.send(claimedRequest)
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+  t.same([caller.statuses, fixture.config.releasedOwners], [['500'], fixture.config.claimOwners])
+})
