Callers: an incomplete response does not look complete

What callers saw: an orderly end after a part of the body, when an endpoint reset the connection of a response without a length, or of a chunked one to an HTTP/1.0 caller. Cause: where no length and no chunks mark the end of the body, closing the connection does. A response that broke off was closed in just this way. Why it works: HTTP/1.1 callers get a response without a length as chunks, whose last one is missing when it breaks off; their connection is also kept now. An incomplete response to an HTTP/1.0 caller ends with a reset, in every place that gives one up: a broken target, a stalled caller, a later fault.

--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -9,6 +9,7 @@
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as callerConnections from './callerConnections.js'
 import * as callerTask from './callerTask.js'
+import * as responseAbort from './responseAbort.js'
 
 const maxHeaderBytes = 32_768
 const headersTimeoutMs = 10_000
@@ -112,7 +113,7 @@
       await task.run()
     } catch (err) {
       this.deps.decisions.record({ event: 'internal-error', why: err instanceof Error ? err.stack ?? err.message : String(err) })
-      res.destroy()
+      responseAbort.abortResponse(res)
     } finally {
       if (task !== undefined) this.tasks.delete(task)
     }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -22,6 +22,7 @@
 import * as headerRules from '../common/headerRules.js'
 import * as orcaLoad from '../common/orcaLoad.js'
 import * as requestGuard from '../common/requestGuard.js'
+import * as responseAbort from './responseAbort.js'
 import * as responseStream from './responseStream.js'
 import * as callerBody from './callerBody.js'
 import * as downloadResumer from './downloadResumer.js'
@@ -328,28 +329,17 @@
     const { requestId } = this.deps.headers
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
     headers.push(requestId, this.requestId)
-    const isFramed = head.headers['content-length'] !== undefined || head.headers['transfer-encoding'] !== undefined
-    if (!isFramed && this.canHaveBody(head.status)) {
-      // The target marks the end of the body by closing the connection, so the connection to the caller does the same.
-      res.useChunkedEncodingByDefault = false
-      headers.push('Connection', 'close')
-    } else if (this.deps.isStopping()) {
-      headers.push('Connection', 'close')
-    }
+    if (this.deps.isStopping()) headers.push('Connection', 'close')
     res.writeHead(head.status, headers)
   }
 
-  private canHaveBody (status: number): boolean {
-    return this.req.method !== 'HEAD' && status !== 204 && status !== 304
-  }
-
   private refuse (fault: errors.Fault): void {
     const { res } = this
     if (res.writableEnded) return
     this.countOutcome(fault.kind)
     this.recordRefusal(fault)
     if (res.headersSent || res.destroyed) {
-      res.destroy()
+      responseAbort.abortResponse(res)
       return
     }
     const body = JSON.stringify(errors.bodyOf(fault))
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http'
 import type * as httpAttempt from './httpAttempt.js'
+import * as responseAbort from './responseAbort.js'
 
 const callerStallTimeoutMs = 120_000
 
@@ -43,13 +44,13 @@
     this.sentBytes += chunk.length
     const canTakeMore = this.res.write(chunk)
     if (canTakeMore) this.timer?.refresh()
-    else this.startTimer(callerStallTimeoutMs, () => this.res.destroy())
+    else this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
     return canTakeMore
   }
 
   onEnd (): void {
     this.res.end()
-    this.startTimer(callerStallTimeoutMs, () => this.res.destroy())
+    this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
   }
 
   onBroken (): void {
@@ -72,7 +73,7 @@
     const isContinued = await this.continuationSource?.continueFrom(this.sentBytes, (attempt) => this.attach(attempt)) ?? false
     if (isContinued || this.isDone) return
     this.finish('broken')
-    this.res.destroy()
+    responseAbort.abortResponse(this.res)
   }
 
   /** Must run before the attempt's first data: a drain event that follows a pause then resumes this attempt, not the previous one. */
