Listeners: late headers get status 408

What callers saw: status 400, "not valid HTTP: ERR_HTTP_REQUEST_TIMEOUT", when the headers of a request didn't arrive in time, up to 30 s after the limit. A 400 says that the request itself is wrong and states nothing on whether it was run. Cause: the timeout reaches the same handler as parser errors, which knew only 400 and 431; Node.js checks the timeout every 30 s unless told otherwise. The interval of the caller listener has no test of its own. Why it works: the timeout has its own error kind with status 408, which states that the request was not run; the caller listener checks every second.

--- a/packages/base/src/common/errors.ts
+++ b/packages/base/src/common/errors.ts
@@ -6,6 +6,8 @@
   | { readonly kind: 'too-large', readonly message: string }
   | { readonly kind: 'unauthorized', readonly message: string }
   | { readonly kind: 'not-found', readonly message: string }
+  /** The request did not arrive in time, so that it was certainly not run. */
+  | { readonly kind: 'request-timeout', readonly message: string }
   /** No lane matches the request. */
   | { readonly kind: 'no-lane', readonly message: string }
   /** The request was certainly not run, so that it may be sent again. */
@@ -45,6 +47,7 @@
   'too-large': { status: 413, exitCode: 2 },
   unauthorized: { status: 401, exitCode: 3 },
   'not-found': { status: 404, exitCode: 4 },
+  'request-timeout': { status: 408, exitCode: 8 },
   'no-lane': { status: 404, exitCode: 4 },
   'not-run': { status: 503, exitCode: 8 },
   unknown: { status: 502, exitCode: 7 },
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -13,6 +13,8 @@
 
 const maxHeaderBytes = 32_768
 const headersTimeoutMs = 10_000
+/** Precision of the limit on the time of headers. */
+const connectionsCheckingIntervalMs = 1000
 const keepAliveTimeoutMs = 5000
 const noRequestTimeout = 0
 const idlePollMs = 50
@@ -41,6 +43,7 @@
       maxHeaderSize: maxHeaderBytes,
       headersTimeout: headersTimeoutMs,
       requestTimeout: noRequestTimeout,
+      connectionsCheckingInterval: connectionsCheckingIntervalMs,
       keepAliveTimeout: keepAliveTimeoutMs,
       noDelay: true
     }, (req, res) => { this.serve(req, res) })
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -11,6 +11,9 @@
 const maxHeaderBytes = 16_384
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
+const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
+const headerOverflowCode = 'HPE_HEADER_OVERFLOW'
+const headerOverflowStatus = 431
 
 /** A request as passed to the handler of a route. */
 export interface RouteReq {
@@ -103,7 +106,7 @@
   })
 }
 
-/** Responds to a request that the HTTP parser rejected and closes the connection, whose framing is no longer reliable. */
+/** Responds to a request that the HTTP parser rejected or that did not arrive in time, and closes the connection, whose framing is no longer reliable. */
 export function respondToClientError (err: NodeJS.ErrnoException, socket: NodeJS.WritableStream & { destroy(): void, writable: boolean }): void {
   if (err.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy()
@@ -111,12 +114,13 @@
   }
   const fault = toParserFault(err)
   const body = JSON.stringify(errors.bodyOf(fault))
-  const status = err.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+  const status = err.code === headerOverflowCode ? headerOverflowStatus : errors.statusOf(fault)
+  socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
 }
 
 function toParserFault (err: NodeJS.ErrnoException): errors.Fault {
-  if (err.code === 'HPE_HEADER_OVERFLOW') return { kind: 'too-large', message: `the headers exceed ${maxHeaderBytes} bytes` }
+  if (err.code === requestTimeoutCode) return { kind: 'request-timeout', message: 'the request did not arrive in time; it was not run' }
+  if (err.code === headerOverflowCode) return { kind: 'too-large', message: `the headers exceed ${maxHeaderBytes} bytes` }
   return { kind: 'bad-request', message: `not valid HTTP: ${err.code ?? err.message}` }
 }
 
