Listeners: a request that was answered for its late headers is not handled

What callers saw: a response that states that a request was rejected, while the request was handled once the rest of its headers arrived. A resent one ran twice. The response could also be lost to a reset when more input followed it. Cause: after the response the HTTP parser went on reading the connection; the next parser error closed it at once. Evidence: the test that sends the rest of late headers after the response failed before (the handler got the request) and passes now. Why it works: the input is taken away from the parser and discarded, so that no request of this connection can be passed on. The connection closes with the caller, or after 500 ms.

--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -11,6 +11,7 @@
 const maxHeaderBytes = 16_384
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
+const lingerMs = 500
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const headerOverflowCode = 'HPE_HEADER_OVERFLOW'
 const headerOverflowStatus = 431
@@ -107,7 +108,7 @@
 }
 
 /** Responds to a request that the HTTP parser rejected or that did not arrive in time, and closes the connection, whose framing is no longer reliable. */
-export function respondToClientError (err: NodeJS.ErrnoException, socket: NodeJS.WritableStream & { destroy(): void, writable: boolean }): void {
+export function respondToClientError (err: NodeJS.ErrnoException, socket: net.Socket): void {
   if (err.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy()
     return
@@ -115,7 +116,21 @@
   const fault = toParserFault(err)
   const body = JSON.stringify(errors.bodyOf(fault))
   const status = err.code === headerOverflowCode ? headerOverflowStatus : errors.statusOf(fault)
+  discardInput(socket)
   socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+  destroyAfterLinger(socket)
+}
+
+/** Takes the input away from the HTTP parser, which would pass on a request that is complete only now. */
+function discardInput (socket: net.Socket): void {
+  socket.removeAllListeners('data')
+  socket.on('data', () => {})
+}
+
+/** Destroys the connection after a while in which the caller can read the response: unread input would reset the connection at once. */
+function destroyAfterLinger (socket: net.Socket): void {
+  const timer = setTimeout(() => socket.destroy(), lingerMs).unref()
+  socket.once('close', () => clearTimeout(timer))
 }
 
 function toParserFault (err: NodeJS.ErrnoException): errors.Fault {
