Listeners: an invalid request does not write into the response before it

What callers saw: a second status line within the body of a response, when invalid bytes followed its request on the connection; or the status 400 of the invalid request as the response to a valid one that was still at work. Cause: the response to a parser error was written to the connection whatever response it carried at that moment. A new test of two pipelined requests followed by an invalid one shows that both responses are complete before the connection closes; it was not run on the code before. Why it works: while a response is in progress nothing is written. The input is discarded from the invalid bytes on and the connection closes after the last response. An error in the body of a request whose response has not begun is still answered at once, since it concerns this request.

--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -107,12 +107,19 @@
   })
 }
 
-/** Responds to a request that the HTTP parser rejected or that did not arrive in time, and closes the connection, whose framing is no longer reliable. */
+/** Responds to a request that the HTTP parser rejected or that did not arrive in time, and closes the connection, whose framing is no longer reliable. A response in progress is completed instead. */
 export function respondToClientError (err: NodeJS.ErrnoException, socket: net.Socket): void {
   if (err.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy()
     return
   }
+  const res = responseInProgress(socket)
+  // An error in the body of a request without a response is this request's own.
+  if (res !== undefined && (res.headersSent || res.req.complete)) {
+    discardInput(socket)
+    closeAfterResponses(socket)
+    return
+  }
   const fault = toParserFault(err)
   const body = JSON.stringify(errors.bodyOf(fault))
   const status = err.code === headerOverflowCode ? headerOverflowStatus : errors.statusOf(fault)
@@ -121,6 +128,22 @@
   destroyAfterLinger(socket)
 }
 
+/** Returns the response that the connection carries at present; Node.js has no public property for it. */
+function responseInProgress (socket: net.Socket): http.ServerResponse | undefined {
+  return (socket as { _httpMessage?: http.ServerResponse | null })._httpMessage ?? undefined
+}
+
+/** Closes the connection once the current response and those queued behind it are complete. */
+function closeAfterResponses (socket: net.Socket): void {
+  const res = responseInProgress(socket)
+  if (res === undefined) {
+    socket.end()
+    destroyAfterLinger(socket)
+  } else {
+    res.once('close', () => closeAfterResponses(socket))
+  }
+}
+
 /** Takes the input away from the HTTP parser, which would pass on a request that is complete only now. */
 function discardInput (socket: net.Socket): void {
   socket.removeAllListeners('data')
--- a/packages/listener/src/test/clientErrors.test.ts
+++ b/packages/listener/src/test/clientErrors.test.ts
@@ -13,6 +13,7 @@
 /** A server whose handler the test provides, and one connection to it. */
 class Exchange {
   received = ''
+  hasEnded = false
   private readonly server: http.Server
   private socket: net.Socket | undefined
 
@@ -26,6 +27,7 @@
       await httpListener.listen(this.server, '127.0.0.1', 0)
       this.socket = net.connect({ port: (this.server.address() as net.AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true })
       this.socket.on('data', (chunk) => { this.received += chunk.toString('latin1') })
+      this.socket.on('end', () => { this.hasEnded = true })
       this.socket.on('error', () => {})
     }
     this.socket.write(text)
@@ -69,3 +71,14 @@
   await exchange.send('no request\r\n\r\n')
   t.same(exchange.statuses, ['200'])
 })
+
+tap.t.test('a connection with an invalid request closes after the responses to the requests before it', async (t) => {
+  const responses: http.ServerResponse[] = []
+  using exchange = new Exchange((_req, res) => responses.push(res))
+  const request = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+  await exchange.send(`${request}${request}no request\r\n\r\n`)
+  t.same([responses.length, exchange.received, exchange.hasEnded], [2, '', false])
+  for (const res of responses) res.end('hello')
+  await exchange.send(request)
+  t.same([responses.length, exchange.statuses, exchange.received.endsWith('hello'), exchange.hasEnded], [2, ['200', '200'], true, true])
+})
