Callers: a response before the end of the request body leaves its connection usable or closed

What callers saw: no answer to the next request on a connection that was kept open, when an endpoint had responded before it got the whole body of the request before. Cause: nobody read the rest of that body after the response, so that the connection's input stood still; no time limit covers a request that isn't read. Evidence: the test of a next request on such a connection failed before (never read) and passes now; so do new ones of a long rest, a rest of unknown length and a rest that doesn't arrive. The limits of 1 MiB and 5 s in all have no test of their own. Why it works: after the response the rest is read and discarded through the iterator that read the body so far, whose return would destroy the connection. Where more than 1 MiB is left, or an unknown number of bytes, the response announces the end of the connection; a rest that doesn't end within the limits closes it.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -4,6 +4,9 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 
 const maxBufferedBytes = 65_536
+/** Limits on reading the rest of a body whose request already has its response. */
+const maxDiscardedBytes = 1_048_576
+const discardTimeoutMs = 5000
 
 /** Body limits of the lane. */
 export interface BodyLimits {
@@ -19,9 +22,12 @@
   private hasEnded = false
   private isStreamed = false
   private streamFault: errors.Fault | undefined
+  private readonly declaredBytes: number | undefined
   private readonly iterator: AsyncIterator<Buffer>
 
   private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits) {
+    const length = req.headers['content-length']
+    this.declaredBytes = length === undefined ? undefined : Number(length)
     this.iterator = req[Symbol.asyncIterator]() as AsyncIterator<Buffer>
   }
 
@@ -58,6 +64,21 @@
     return this.hasEnded || !this.isStreamed
   }
 
+  /** True if the rest of the body is known to be short enough for `discardRest`. */
+  get hasShortRest (): boolean {
+    return this.hasEnded || (this.declaredBytes !== undefined && this.declaredBytes - this.receivedBytes <= maxDiscardedBytes)
+  }
+
+  /** Reads and discards the rest of the body. Throws when it does not end within the limits. */
+  async discardRest (): Promise<void> {
+    const maxReceivedBytes = this.receivedBytes + maxDiscardedBytes
+    const deadline = performance.now() + discardTimeoutMs
+    while (!this.hasEnded) {
+      await async.withTimeout(this.readChunk(), deadline - performance.now(), () => newIncompleteError('the rest of the body did not arrive in time'))
+      if (this.receivedBytes > maxReceivedBytes) throw newIncompleteError('the rest of the body is too long to be discarded')
+    }
+  }
+
   /** Returns the body to send: null for none, the whole body, or a stream that can be read only once. */
   takeContent (): Buffer | AsyncIterable<Buffer> | null {
     if (this.hasEnded) return this.receivedBytes === 0 ? null : this.buffered
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -240,7 +240,7 @@
       runCall({ ...this.buildTargetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, now, avoidedEndpoints, listener)
     }
     runCall(targetReq, this.arrivedAt, [], {
-      onResponse: (response) => this.passOn(response, identity, () => this.sendResponse(namedLane, response, fetchRest)),
+      onResponse: (response) => this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest)),
       onFailed: (fault) => {
         if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
@@ -298,20 +298,37 @@
     }
   }
 
-  private sendResponse ({ lane, state }: laneRegistry.MatchedLane, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
+  private sendResponse ({ lane, state }: laneRegistry.MatchedLane, body: callerBody.CallerBody, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
     const attempt = response.attempt as httpAttempt.HttpAttempt
     const head = response.head as httpAttempt.HttpHead
     if (lane.weights.reportedLoad > 0) this.recordReportedLoad(response.endpoint, head)
-    this.sendHead(head)
+    this.sendHead(head, body)
     this.countOutcome('answered')
     const stream = new responseStream.ResponseStream(this.res, attempt, lane.progressTimeoutMs, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
       state.domainPreference.recordResponseSize(bytes)
       if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: response.endpoint.endpoint, why: 'the response of the target was incomplete' })
       this.done.resolve()
+      if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
     })
     attempt.pipe(stream)
   }
 
+  /** Reads the rest of a request body that the target did not wait for, so that the next request of the connection can be read. */
+  private async discardRest (body: callerBody.CallerBody): Promise<void> {
+    const { req } = this
+    // Node.js ends a request with its connection only until the response is complete.
+    const endWithConnection = (): void => { req.destroy() }
+    req.socket.once('close', endWithConnection)
+    try {
+      await body.discardRest()
+    } catch (err) {
+      if (!this.isConnectionClosed) this.deps.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why: errors.messageOf(err) })
+      req.destroy()
+    } finally {
+      req.socket.off('close', endWithConnection)
+    }
+  }
+
   private newResumer (idempotent: boolean, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
     const validator = downloadResumer.validatorOf(response.head as httpAttempt.HttpHead)
     if (!idempotent || this.req.method !== 'GET' || validator === undefined) return undefined
@@ -324,12 +341,12 @@
     if (load !== undefined) this.deps.endpoints.updateLoad(endpoint.endpoint, load)
   }
 
-  private sendHead (head: httpAttempt.HttpHead): void {
+  private sendHead (head: httpAttempt.HttpHead, body: callerBody.CallerBody): void {
     const { res } = this
     const { requestId } = this.deps.headers
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
     headers.push(requestId, this.requestId)
-    if (this.deps.isStopping()) headers.push('Connection', 'close')
+    if (this.deps.isStopping() || !body.hasShortRest) headers.push('Connection', 'close')
     res.writeHead(head.status, headers)
   }
 
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -63,6 +63,23 @@
   t.ok(isCloseAnnounced || caller.statuses.length === 2, 'the next request is answered, or the caller knows not to send it')
 })
 
+for (const [name, header] of [['long', 'Content-Length: 10000000'], ['unknown', 'Transfer-Encoding: chunked']] as const) {
+  tap.t.test(`a response that came before the ${name} rest of a request body announces the end of the connection`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+    const chunks = `${(100_000).toString(16)}\r\n${'x'.repeat(100_000)}\r\n`
+    const caller = fixture.send(`POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n${header}\r\n\r\n${chunks}`)
+    t.ok(await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed, msPerSecond))
+    t.same([caller.statuses, /connection: close/i.test(caller.received), caller.received.endsWith('hello')], [['200'], true, true])
+  })
+}
+
+tap.t.test('a connection is closed when the rest of a request body does not arrive after the response', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ progressTimeoutMs: 200 }, answer).start()
+  const caller = fixture.send(`POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 200000\r\n\r\n${'x'.repeat(100_000)}`)
+  t.ok(await callerFixture.waitUntil(() => caller.received.endsWith('hello')))
+  t.ok(await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed, msPerSecond))
+})
+
 tap.t.test('a response whose head cannot be passed on fails the request', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({ deadlineMs: 500 }, (socket) => {
     socket.write(Buffer.from('HTTP/1.1 200 O\xffK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nhello', 'latin1'))
