--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -9,9 +9,12 @@
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as callerConnections from './callerConnections.js'
 import * as callerTask from './callerTask.js'
+import * as responseAbort from './responseAbort.js'
 
 const maxHeaderBytes = 32_768
 const headersTimeoutMs = 10_000
+/** Precision of the limit on the time of headers. */
+const connectionsCheckingIntervalMs = 1000
 const keepAliveTimeoutMs = 5000
 const noRequestTimeout = 0
 const idlePollMs = 50
@@ -40,6 +43,7 @@
       maxHeaderSize: maxHeaderBytes,
       headersTimeout: headersTimeoutMs,
       requestTimeout: noRequestTimeout,
+      connectionsCheckingInterval: connectionsCheckingIntervalMs,
       keepAliveTimeout: keepAliveTimeoutMs,
       noDelay: true
     }, (req, res) => { this.serve(req, res) })
@@ -101,9 +105,16 @@
   }
 
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const task = new callerTask.CallerTask(req, res, this.deps)
-    this.tasks.add(task)
-    await task.run()
-    this.tasks.delete(task)
+    let task: callerTask.CallerTask | undefined
+    try {
+      task = new callerTask.CallerTask(req, res, this.deps)
+      this.tasks.add(task)
+      await task.run()
+    } catch (err) {
+      this.deps.decisions.record({ event: 'internal-error', why: err instanceof Error ? err.stack ?? err.message : String(err) })
+      responseAbort.abortResponse(res)
+    } finally {
+      if (task !== undefined) this.tasks.delete(task)
+    }
   }
 }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -1,6 +1,6 @@
 /** Handles one caller's request, from its headers to the end of its response. */
 import * as crypto from 'node:crypto'
-import type * as http from 'node:http'
+import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as async from '@rosemaryrack/base/common/async.js'
 import type * as clock from '@rosemaryrack/base/common/clock.js'
@@ -22,6 +22,7 @@
 import * as headerRules from '../common/headerRules.js'
 import * as orcaLoad from '../common/orcaLoad.js'
 import * as requestGuard from '../common/requestGuard.js'
+import * as responseAbort from './responseAbort.js'
 import * as responseStream from './responseStream.js'
 import * as callerBody from './callerBody.js'
 import * as downloadResumer from './downloadResumer.js'
@@ -79,7 +80,7 @@
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
   }
 
-  /** Resolves when the response has ended; never rejects. */
+  /** Resolves when the response has ended; rejects when an internal error left it open. */
   async run (): Promise<void> {
     this.res.on('close', () => {
       this.recordIncompleteClose()
@@ -134,12 +135,22 @@
     this.refuseQuarantined(identity)
     const claim = await this.claimKey(namedLane)
     if (this.isAnswered) claim?.release()
-    else this.startCall(namedLane, identity, body, this.buildTargetReq(namedLane, body, []), claim)
+    else this.startClaimedCall(namedLane, identity, body, claim)
+  }
+
+  /** Starts the call; releases the claim of its key when an exception prevents that. */
+  private startClaimedCall (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, claim: idempotencyClaims.Claim | undefined): void {
+    try {
+      this.startCall(namedLane, identity, body, this.buildTargetReq(namedLane, body, []), claim)
+    } catch (err) {
+      if (this.activeCall === undefined) claim?.release()
+      throw err
+    }
   }
 
   /** True once the caller has left or got the whole response. */
   private get isAnswered (): boolean {
-    return this.res.closed || this.res.writableEnded
+    return this.res.destroyed || this.res.writableEnded
   }
 
   /** Holds the request while this instance has just started and no configuration is confirmed yet. */
@@ -151,7 +162,7 @@
     throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: notReadyRetryAfterS })
   }
 
-  private findLane (path: string): laneMatcher.NamedLane {
+  private findLane (path: string): laneRegistry.MatchedLane {
     const host = this.req.headers.host?.replace(/:\d+$/, '')
     const namedLane = this.deps.lanes.find(this.req.method ?? '', host, path)
     if (namedLane !== undefined) return namedLane
@@ -206,11 +217,9 @@
     return typeof received === 'string' ? `${received}, ${callerAddress}` : callerAddress
   }
 
-  private startCall (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
+  private startCall (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
     const service = this.deps.lanes.chooseService(namedLane)
-    const budgets = this.deps.lanes.countRequestAndGetBudgets(namedLane.name, service)
-    // The lane may have been removed from the configuration by the time its responses end.
-    const laneState = this.deps.lanes.stateOf(namedLane.name)
+    const budgets = this.deps.lanes.countRequestAndGetBudgets(namedLane.state, service)
     const runCall = (req: httpAttempt.TargetReq, arrivedAt: number, avoidedEndpoints: readonly string[], listener: callSpec.ICallListener): void => {
       this.activeCall = new call.Call({
         requestId: this.requestId,
@@ -221,7 +230,7 @@
         identity,
         replayable: () => body.isReplayable,
         excludedEndpoints: avoidedEndpoints
-      }, this.buildCallDeps(service, laneState, budgets, req), listener)
+      }, this.buildCallDeps(service, namedLane.state, budgets, req), listener)
       this.activeCall.start()
     }
     const fetchRest: downloadResumer.RestFetcher = (headers, avoidedEndpoints, listener) => {
@@ -229,7 +238,7 @@
       runCall({ ...this.buildTargetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, now, avoidedEndpoints, listener)
     }
     runCall(targetReq, this.arrivedAt, [], {
-      onResponse: (response) => this.sendResponse(namedLane, laneState, response, fetchRest),
+      onResponse: (response) => this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest)),
       onFailed: (fault) => {
         if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
@@ -237,10 +246,26 @@
     })
   }
 
+  /** Passes a response on. The call has ended with it, so that no deadline ends the request when that fails. */
+  private passOn (response: callSpec.CallResponse, identity: requestIdentity.RequestIdentity, send: () => void): void {
+    try {
+      send()
+    } catch (err) {
+      const message = `the response could not be passed on: ${errors.messageOf(err)}`
+      this.deps.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: response.endpoint.endpoint, why: message })
+      response.attempt.cancel()
+      this.refuseAfterSuspectWrites(identity, { kind: 'unknown', message, timedOut: false })
+    }
+  }
+
   /** Sends peers the update that the request crashed targets before the response, since the caller may resend it right after. */
   private async refuseAfterSuspectWrites (identity: requestIdentity.RequestIdentity, fault: errors.Fault): Promise<void> {
-    if (fault.kind === 'unknown' && quarantine.getSuspectStatus(this.deps.suspects, identity) !== 'clear') await this.deps.waitForSuspectWrites()
-    this.refuse(fault)
+    try {
+      if (fault.kind === 'unknown' && quarantine.getSuspectStatus(this.deps.suspects, identity) !== 'clear') await this.deps.waitForSuspectWrites()
+      this.refuse(fault)
+    } catch (err) {
+      this.done.reject(err as Error)
+    }
   }
 
   private buildCallDeps (service: string, { latency, domainPreference }: laneRegistry.LaneState, budgets: budget.LaneBudgets, req: httpAttempt.TargetReq): callSpec.CallDeps {
@@ -271,20 +296,37 @@
     }
   }
 
-  private sendResponse ({ lane }: laneMatcher.NamedLane, { domainPreference }: laneRegistry.LaneState, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
+  private sendResponse ({ lane, state }: laneRegistry.MatchedLane, body: callerBody.CallerBody, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
     const attempt = response.attempt as httpAttempt.HttpAttempt
     const head = response.head as httpAttempt.HttpHead
     if (lane.weights.reportedLoad > 0) this.recordReportedLoad(response.endpoint, head)
+    this.sendHead(head, body)
     this.countOutcome('answered')
-    this.sendHead(head)
     const stream = new responseStream.ResponseStream(this.res, attempt, lane.progressTimeoutMs, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
-      domainPreference.recordResponseSize(bytes)
+      state.domainPreference.recordResponseSize(bytes)
       if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: response.endpoint.endpoint, why: 'the response of the target was incomplete' })
       this.done.resolve()
+      if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
     })
     attempt.pipe(stream)
   }
 
+  /** Reads the rest of a request body that the target did not wait for, so that the next request of the connection can be read. */
+  private async discardRest (body: callerBody.CallerBody): Promise<void> {
+    const { req } = this
+    // Node.js ends a request with its connection only until the response is complete.
+    const endWithConnection = (): void => { req.destroy() }
+    req.socket.once('close', endWithConnection)
+    try {
+      await body.discardRest()
+    } catch (err) {
+      if (!req.socket.destroyed) this.deps.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why: errors.messageOf(err) })
+      req.destroy()
+    } finally {
+      req.socket.off('close', endWithConnection)
+    }
+  }
+
   private newResumer (idempotent: boolean, response: callSpec.CallResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
     const validator = downloadResumer.validatorOf(response.head as httpAttempt.HttpHead)
     if (!idempotent || this.req.method !== 'GET' || validator === undefined) return undefined
@@ -297,24 +339,13 @@
     if (load !== undefined) this.deps.endpoints.updateLoad(endpoint.endpoint, load)
   }
 
-  private sendHead (head: httpAttempt.HttpHead): void {
+  private sendHead (head: httpAttempt.HttpHead, body: callerBody.CallerBody): void {
     const { res } = this
     const { requestId } = this.deps.headers
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
     headers.push(requestId, this.requestId)
-    const isFramed = head.headers['content-length'] !== undefined || head.headers['transfer-encoding'] !== undefined
-    if (!isFramed && this.canHaveBody(head.status)) {
-      // The target marks the end of the body by closing the connection, so the connection to the caller does the same.
-      res.useChunkedEncodingByDefault = false
-      headers.push('Connection', 'close')
-    } else if (this.deps.isStopping()) {
-      headers.push('Connection', 'close')
-    }
-    res.writeHead(head.status, head.statusMessage, headers)
-  }
-
-  private canHaveBody (status: number): boolean {
-    return this.req.method !== 'HEAD' && status !== 204 && status !== 304
+    if (this.deps.isStopping() || !body.hasShortRest) headers.push('Connection', 'close')
+    res.writeHead(head.status, headers)
   }
 
   private refuse (fault: errors.Fault): void {
@@ -323,7 +354,7 @@
     this.countOutcome(fault.kind)
     this.recordRefusal(fault)
     if (res.headersSent || res.destroyed) {
-      res.destroy()
+      responseAbort.abortResponse(res)
       return
     }
     const body = JSON.stringify(errors.bodyOf(fault))
@@ -335,7 +366,9 @@
     if (retryAfterS !== undefined) res.setHeader('Retry-After', this.formatRetryAfter(retryAfterS))
     // The unread rest of the body would be parsed as the next request.
     if (!this.req.complete || this.deps.isStopping()) res.setHeader('Connection', 'close')
-    res.writeHead(errors.statusOf(fault))
+    const status = errors.statusOf(fault)
+    // Without a reason phrase, the one of a head that could not be sent would remain.
+    res.writeHead(status, http.STATUS_CODES[status])
     res.end(this.req.method === 'HEAD' ? undefined : body)
     if (!this.req.complete) closeAfterResponse(this.req.socket)
   }
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -63,6 +63,23 @@
   t.ok(isCloseAnnounced || caller.statuses.length === 2, 'the next request is answered, or the caller knows not to send it')
 })
 
+for (const [name, header] of [['long', 'Content-Length: 10000000'], ['unknown', 'Transfer-Encoding: chunked']] as const) {
+  tap.t.test(`a response that came before the ${name} rest of a request body announces the end of the connection`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+    const chunks = `${(100_000).toString(16)}\r\n${'x'.repeat(100_000)}\r\n`
+    const caller = fixture.send(`POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n${header}\r\n\r\n${chunks}`)
+    t.ok(await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed, msPerSecond))
+    t.same([caller.statuses, /connection: close/i.test(caller.received), caller.received.endsWith('hello')], [['200'], true, true])
+  })
+}
+
+tap.t.test('a connection is closed when the rest of a request body does not arrive after the response', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ progressTimeoutMs: 200 }, answer).start()
+  const caller = fixture.send(`POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 200000\r\n\r\n${'x'.repeat(100_000)}`)
+  t.ok(await callerFixture.waitUntil(() => caller.received.endsWith('hello')))
+  t.ok(await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed, msPerSecond))
+})
+
 tap.t.test('a response whose head cannot be passed on fails the request', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({ deadlineMs: 500 }, (socket) => {
     socket.write(Buffer.from('HTTP/1.1 200 O\xffK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nhello', 'latin1'))
@@ -72,6 +89,18 @@
   t.ok(caller.statuses.length > 0, 'the caller gets an answer by the deadline of the lane')
 })
 
+tap.t.test('an exception in the handling of a request ends this request and no other', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  const restore = fixture.failMetrics()
+  const failed = fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => failed.hasEnded || failed.isClosed, msPerSecond), 'its connection is closed')
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 0, msPerSecond))
+  restore()
+  const next = fixture.send(request)
+  await callerFixture.waitUntil(() => next.statuses.length > 0, msPerSecond)
+  t.same(next.statuses, ['200'])
+})
+
 tap.t.test('a request whose lane is removed while its body arrives is run or refused, and is no internal error', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, answer).start()
   const caller = fixture.send('POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 10\r\n\r\n12345')
@@ -81,3 +110,24 @@
   t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
   t.notSame(caller.statuses, ['500'])
 })
+
+const claimedRequest = 'POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n'
+
+tap.t.test('a request whose lane is removed while its key is claimed is run', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ idempotent: false }, answer).start()
+  const caller = fixture.send(claimedRequest)
+  t.ok(await callerFixture.waitUntil(() => fixture.config.claimOwners.length === 1))
+  fixture.config.replaceLanes({})
+  fixture.config.grantClaims()
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+  t.same([caller.statuses, fixture.config.releasedOwners], [['200'], []])
+})
+
+tap.t.test('the claim of a request whose call does not start is released', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ idempotent: false }, answer).start()
+  fixture.failCallStarts()
+  fixture.config.grantClaims()
+  const caller = fixture.send(claimedRequest)
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+  t.same([caller.statuses, fixture.config.releasedOwners], [['500'], fixture.config.claimOwners])
+})
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -11,6 +11,10 @@
 const maxHeaderBytes = 16_384
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
+const lingerMs = 500
+const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
+const headerOverflowCode = 'HPE_HEADER_OVERFLOW'
+const headerOverflowStatus = 431
 
 /** A request as passed to the handler of a route. */
 export interface RouteReq {
@@ -103,20 +107,58 @@
   })
 }
 
-/** Responds to a request that the HTTP parser rejected and closes the connection, whose framing is no longer reliable. */
-export function respondToClientError (err: NodeJS.ErrnoException, socket: NodeJS.WritableStream & { destroy(): void, writable: boolean }): void {
+/** Responds to a request that the HTTP parser rejected or that did not arrive in time, and closes the connection, whose framing is no longer reliable. A response in progress is completed instead. */
+export function respondToClientError (err: NodeJS.ErrnoException, socket: net.Socket): void {
   if (err.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy()
     return
   }
+  const res = responseInProgress(socket)
+  // An error in the body of a request without a response is this request's own.
+  if (res !== undefined && (res.headersSent || res.req.complete)) {
+    discardInput(socket)
+    closeAfterResponses(socket)
+    return
+  }
   const fault = toParserFault(err)
   const body = JSON.stringify(errors.bodyOf(fault))
-  const status = err.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+  const status = err.code === headerOverflowCode ? headerOverflowStatus : errors.statusOf(fault)
+  discardInput(socket)
+  socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+  destroyAfterLinger(socket)
+}
+
+/** Returns the response that the connection carries at present; Node.js has no public property for it. */
+function responseInProgress (socket: net.Socket): http.ServerResponse | undefined {
+  return (socket as { _httpMessage?: http.ServerResponse | null })._httpMessage ?? undefined
+}
+
+/** Closes the connection once the current response and those queued behind it are complete. */
+function closeAfterResponses (socket: net.Socket): void {
+  const res = responseInProgress(socket)
+  if (res === undefined) {
+    socket.end()
+    destroyAfterLinger(socket)
+  } else {
+    res.once('close', () => closeAfterResponses(socket))
+  }
+}
+
+/** Takes the input away from the HTTP parser, which would pass on a request that is complete only now. */
+function discardInput (socket: net.Socket): void {
+  socket.removeAllListeners('data')
+  socket.on('data', () => {})
+}
+
+/** Destroys the connection after a while in which the caller can read the response: unread input would reset the connection at once. */
+function destroyAfterLinger (socket: net.Socket): void {
+  const timer = setTimeout(() => socket.destroy(), lingerMs).unref()
+  socket.once('close', () => clearTimeout(timer))
 }
 
 function toParserFault (err: NodeJS.ErrnoException): errors.Fault {
-  if (err.code === 'HPE_HEADER_OVERFLOW') return { kind: 'too-large', message: `the headers exceed ${maxHeaderBytes} bytes` }
+  if (err.code === requestTimeoutCode) return { kind: 'request-timeout', message: 'the request did not arrive in time; it was not run' }
+  if (err.code === headerOverflowCode) return { kind: 'too-large', message: `the headers exceed ${maxHeaderBytes} bytes` }
   return { kind: 'bad-request', message: `not valid HTTP: ${err.code ?? err.message}` }
 }
 
