Listeners: a connection on which nothing was sent is closed without a response

What callers saw: a response with status 408 on a connection that they had opened ahead of a request; before the timeout was enforced each second, a 400 after up to 30 s. Cause: Node.js applies the timeout of the headers from the opening of a connection on, and the handler of the error did not ask whether a request had begun. Evidence: clientErrors.test, the new case failed before with a 408, passes now.

--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -109,7 +109,8 @@
 
 /** Responds to a request that the HTTP parser rejected or that did not arrive in time, and closes the connection, whose framing is no longer reliable. A response in progress is completed instead. */
 export function respondToClientError (err: NodeJS.ErrnoException, socket: net.Socket): void {
-  if (err.code === 'ECONNRESET' || !socket.writable) {
+  // The timeout of the headers also applies to connections on which no request has begun.
+  if (err.code === 'ECONNRESET' || !socket.writable || socket.bytesRead === 0) {
     socket.destroy()
     return
   }
--- a/packages/listener/src/test/clientErrors.test.ts
+++ b/packages/listener/src/test/clientErrors.test.ts
@@ -51,6 +51,12 @@
   t.same(exchange.statuses, [requestTimeoutStatus])
 })
 
+tap.t.test('a connection without a request is closed without a response', async (t) => {
+  using exchange = new Exchange((_req, res) => res.end())
+  await exchange.send('')
+  t.same([exchange.received, exchange.hasEnded], ['', true])
+})
+
 tap.t.test('a request that was answered for its late headers is not handled any more', async (t) => {
   let handled = 0
   using exchange = new Exchange((_req, res) => {
