Failures in a partition of this instance do not count as crashes

A reset connection whose target also refuses a new one was a proven crash, and all requests in flight there became suspects, on all instances. While the instance suspects its own link, that conclusion now waits for the checks; if it is cut off, the call is retried, nothing is recorded, and what was reported in the two seconds before is withdrawn.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -310,18 +310,16 @@
   }
 
   private recordFailure ({ placement, startedAt }: RunningAttempt, kind: transport.AttemptFailure['kind']): void {
-    if (kind === 'refused') {
-      this.recordConnectionRefused(placement)
-      return
-    }
+    if (kind === 'refused') return this.recordConnectionRefused(placement)
     placement.stats.recordFailure(this.deps.clock.now())
     if (kind === 'not-written') return
     this.deps.crashDetector.recordUnansweredAttempt(placement.endpoint, { fingerprint: this.spec.identity.fingerprint, startedAt, kind })
   }
 
-  private recordConnectionRefused ({ endpoint, stats }: slotAssignment.Placement): void {
+  /** @param done called with whether the target has crashed, once this is known. */
+  private recordConnectionRefused ({ endpoint, stats }: slotAssignment.Placement, done?: (hasCrashed: boolean) => void): void {
     stats.recordConnectionRefused(this.deps.clock.now())
-    this.deps.crashDetector.recordConnectionRefused(endpoint)
+    this.deps.crashDetector.recordConnectionRefused(endpoint, done)
   }
 
   /**
@@ -332,13 +330,15 @@
     const { transport, crashDetector: detector, budgets, clock } = this.deps
     const { endpoint } = placement
     const checkedAt = clock.now()
+    const proceed = (hasCrashed: boolean): void => {
+      if (this.isSettled) return
+      if (this.spec.lane.idempotent && !hasCrashed) this.retry(why)
+      else this.failUnlessOtherAttempt(hasCrashed ? `${why}; the target crashed` : why)
+    }
     transport.checkTarget(endpoint, () => budgets.healthChecks.take(), (health) => {
-      if (health === 'down') this.recordConnectionRefused(placement)
       if (health === 'up') detector.recordRunning(endpoint, checkedAt)
-      if (this.isSettled) return
-      if (health === 'down') this.failUnlessOtherAttempt(`${why}; the target crashed`)
-      else if (this.spec.lane.idempotent) this.retry(why)
-      else this.failUnlessOtherAttempt(why)
+      if (health === 'down') this.recordConnectionRefused(placement, proceed)
+      else proceed(false)
     })
   }
 
--- a/packages/routing/src/common/crashDetection.ts
+++ b/packages/routing/src/common/crashDetection.ts
@@ -2,16 +2,20 @@
  * Distinguishes the crash of a target from a lost connection, and reports the requests that were in flight to the table of suspects.
  */
 import type * as clock from '@rosemaryrack/base/common/clock.js'
+import * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as requestIdentity from './requestIdentity.js'
 import * as recentSuccesses from './recentSuccesses.js'
+import * as targetReachability from './targetReachability.js'
 
 /** Time for which an unanswered attempt is kept, in case a crash of its target is detected. */
 const maxPendingMs = 10_000
 /** Maximum number of unanswered attempts kept for one endpoint. */
 const maxPendingCount = 256
+/** The link of an instance that does not watch it. */
+const reliableLink: targetReachability.ILinkVerdict = { isCutOff: false, onChanged: new event.Emitter<boolean>().event, whenDecided: (done) => done(false) }
 
 /**
  * `lost` if the connection was lost, `silent` if the attempt timed out. The latter counts too, since a crashing target may keep its
@@ -33,12 +37,22 @@
   readonly endedAt: number
 }
 
+/** A crash that this instance has reported. */
+interface CrashReport {
+  readonly fingerprint: string
+  readonly crash: string
+  readonly at: number
+}
+
 /** Receives the outcomes of attempts. */
 export interface ICrashDetector {
   /** Records an attempt that got no response; whether the target crashed is not known yet. */
   recordUnansweredAttempt(endpoint: endpointTable.Endpoint, attempt: UnansweredAttempt): void
-  /** Records that the endpoint refused a connection, which means that its process has ended. */
-  recordConnectionRefused(endpoint: endpointTable.Endpoint): void
+  /**
+   * Records that the endpoint refused a connection, which means that its process has ended, unless this instance is cut off from all
+   * targets. Calls `done`, once that is known, with whether the endpoint has crashed.
+   */
+  recordConnectionRefused(endpoint: endpointTable.Endpoint, done?: (hasCrashed: boolean) => void): void
   /**
    * Records evidence that the endpoint was running at `startedAt`, such as a response to an attempt started then. Attempts that
    * ended without a response before that are then not due to a crash.
@@ -51,33 +65,42 @@
 /**
  * Reports a crash for the unanswered attempts of an endpoint when it refuses a connection or announces a new incarnation soon after.
  * Both are observed during normal operation, so detection needs no probe. A presumed crash is withdrawn when the endpoint
- * responds.
+ * responds. While this instance is cut off from all targets, nothing that it observes of them itself counts.
  */
 export class CrashDetector implements ICrashDetector, lifecycle.IDisposable {
   private readonly pendingByEndpoint = new Map<string, readonly PendingAttempt[]>()
   private readonly recentSuccesses = new recentSuccesses.RecentSuccesses()
-  private readonly subscription: lifecycle.IDisposable
+  private readonly disposables = new lifecycle.DisposableStore()
+  /** Oldest first. */
+  private recentReports: readonly CrashReport[] = []
 
   constructor (
     endpoints: endpointTable.IEndpointSource,
     private readonly suspects: suspectTable.ISuspects,
-    private readonly clock: clock.IClock
+    private readonly clock: clock.IClock,
+    private readonly link = reliableLink
   ) {
-    this.subscription = endpoints.onChanged((endpoint) => this.onEndpointChanged(endpoint))
+    this.disposables.add(endpoints.onChanged((endpoint) => this.onEndpointChanged(endpoint)))
+    this.disposables.add(link.onChanged((isCutOff) => { if (isCutOff) this.withdrawRecent() }))
   }
 
   dispose (): void {
-    this.subscription.dispose()
+    this.disposables.dispose()
   }
 
   recordUnansweredAttempt (endpoint: endpointTable.Endpoint, attempt: UnansweredAttempt): void {
+    if (this.link.isCutOff) return
     const pending = { ...attempt, incarnation: endpoint.incarnation, endedAt: this.clock.now() }
     this.pendingByEndpoint.set(endpoint.endpoint, [...this.getPending(endpoint.endpoint), pending].slice(-maxPendingCount))
-    if (this.shouldPresumeCrash(endpoint.endpoint, attempt)) this.reportPresumedCrashes(attempt.fingerprint)
+    if (!this.shouldPresumeCrash(endpoint.endpoint, attempt)) return
+    this.link.whenDecided((isCutOff) => { if (!isCutOff) this.reportPresumedCrashes(attempt.fingerprint) })
   }
 
-  recordConnectionRefused (endpoint: endpointTable.Endpoint): void {
-    if (this.pendingByEndpoint.size > 0) this.reportCrash(endpoint.endpoint)
+  recordConnectionRefused (endpoint: endpointTable.Endpoint, done?: (hasCrashed: boolean) => void): void {
+    this.link.whenDecided((isCutOff) => {
+      if (!isCutOff && this.pendingByEndpoint.size > 0) this.reportCrash(endpoint.endpoint)
+      done?.(!isCutOff)
+    })
   }
 
   recordRunning (endpoint: endpointTable.Endpoint, startedAt: number): void {
@@ -114,7 +137,7 @@
     const pending = this.getPending(endpointId)
     this.pendingByEndpoint.delete(endpointId)
     for (const attempt of this.excludeSucceeded(pending)) {
-      this.suspects.reportCrash(attempt.fingerprint, crashId(endpointId, attempt))
+      this.report(attempt.fingerprint, crashId(endpointId, attempt))
       // If the hedge of the request was lost too, one proven crash is enough to presume the other one.
       this.reportPresumedCrashes(attempt.fingerprint)
     }
@@ -129,7 +152,25 @@
   private reportPresumedCrashes (fingerprint: string): void {
     for (const endpointId of this.pendingByEndpoint.keys()) {
       const pending = this.getPending(endpointId).filter((attempt) => attempt.fingerprint === fingerprint)
-      for (const attempt of this.excludeSucceeded(pending)) this.suspects.reportCrash(fingerprint, crashId(endpointId, attempt))
+      for (const attempt of this.excludeSucceeded(pending)) this.report(fingerprint, crashId(endpointId, attempt))
+    }
+  }
+
+  private report (fingerprint: string, crash: string): void {
+    const now = this.clock.now()
+    this.recentReports = [...this.recentReports.filter(({ at }) => now - at <= targetReachability.withdrawalMs), { fingerprint, crash, at: now }]
+    this.suspects.reportCrash(fingerprint, crash)
+  }
+
+  /** Withdraws the crashes reported while the partition was not known yet, and drops the attempts that ended then. */
+  private withdrawRecent (): void {
+    const oldest = this.clock.now() - targetReachability.withdrawalMs
+    for (const { fingerprint, crash, at } of this.recentReports) {
+      if (at >= oldest) this.suspects.withdrawCrash(fingerprint, crash)
+    }
+    this.recentReports = []
+    for (const endpointId of [...this.pendingByEndpoint.keys()]) {
+      this.setPending(endpointId, this.getPending(endpointId).filter(({ endedAt }) => endedAt < oldest))
     }
   }
 
--- a/packages/routing/src/common/targetReachability.ts
+++ b/packages/routing/src/common/targetReachability.ts
@@ -31,6 +31,9 @@
 const minReachedCount = 2
 const reachedLifetimeMs = 1000
 
+/** Time before a verdict in which failures were already due to the partition: the evidence for it and the longest checks. */
+export const withdrawalMs = 2000
+
 /** Reachability of targets as a whole, as seen by this instance. */
 export interface ITargetReachability {
   /** True while this instance reaches none of the targets, although they may be running. */
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -11,6 +11,7 @@
 import * as dispatcher from '../common/dispatcher.js'
 import * as domainPreference from '../common/domainPreference.js'
 import * as laneLatency from '../common/laneLatency.js'
+import * as targetReachability from '../common/targetReachability.js'
 import type * as transport from '../common/transport.js'
 import * as fixtures from './fixtures.js'
 
@@ -28,6 +29,7 @@
 /** One entry instance and its endpoints; the test simulates the targets. */
 class Instance {
   readonly clock = new manualClock.ManualClock()
+  readonly link = new fixtures.FakeLink()
   readonly suspects = new suspectTable.SuspectTable(this.clock)
   readonly attempts: StartedAttempt[] = []
   readonly outcomes: string[] = []
@@ -37,7 +39,7 @@
   private readonly changed = new event.Emitter<endpointTable.Endpoint>()
   private readonly endpoints: readonly endpointTable.Endpoint[] = ['d-1', 'd-2', 'd-3', 'd-4', 'd-5'].map((id) => fixtures.createEndpoint(id, slots, 0))
   private readonly source = { onChanged: this.changed.event, routable: () => this.endpoints }
-  readonly crashDetector = new crashDetection.CrashDetector(this.source, this.suspects, this.clock)
+  readonly crashDetector = new crashDetection.CrashDetector(this.source, this.suspects, this.clock, this.link)
   private readonly dispatcher = new dispatcher.Dispatcher({ service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 },
     this.source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), this.clock)
 
@@ -239,3 +241,66 @@
   t.same(instance.outcomes, ['shed not-run'])
   t.ok(instance.retryAfterS[0]! < deadlineMs / 3 / 1000, `${instance.retryAfterS[0]} s`)
 })
+
+tap.t.test('while a partition is suspected, neither a crash nor an outcome is decided', async (t) => {
+  const instance = new Instance()
+  instance.health = 'down'
+  instance.call('crashing')
+  instance.link.suspect()
+  instance.loseConnection(0)
+  t.equal(instance.suspects.getStatus('crashing'), 'clear')
+  t.same(instance.outcomes, [])
+  instance.link.decide(false)
+  t.equal(instance.suspects.getStatus('crashing'), 'suspect')
+  t.same(instance.outcomes, ['crashing unknown'], 'the endpoint has crashed')
+})
+
+tap.t.test('a hedged request that loses both connections in a suspected partition is quarantined once that is refuted', async (t) => {
+  const instance = new Instance()
+  instance.health = 'down'
+  instance.call('crashing')
+  instance.clock.advance(hedgeAfterMs)
+  instance.link.suspect()
+  instance.loseConnection(0)
+  instance.loseConnection(1)
+  t.same(instance.outcomes, [])
+  const statuses: string[] = []
+  instance.suspects.onChanged(() => statuses.push(`${instance.suspects.getStatus('crashing')} after ${instance.outcomes.length} outcomes`))
+  instance.link.decide(false)
+  t.same(statuses, ['suspect after 0 outcomes', 'quarantined after 0 outcomes'])
+  t.same(instance.outcomes, ['crashing unknown'])
+})
+
+tap.t.test('a lost connection in a partition is no crash, and the call is retried', async (t) => {
+  const instance = new Instance()
+  instance.health = 'down'
+  instance.call('unlucky')
+  instance.link.suspect()
+  instance.loseConnection(0)
+  instance.link.decide(true)
+  t.equal(instance.suspects.getStatus('unlucky'), 'clear')
+  t.equal(instance.attempts.length, 2)
+  instance.loseConnection(1)
+  instance.link.decide(false)
+  instance.restartTarget(1)
+  t.equal(instance.suspects.getStatus('unlucky'), 'clear', 'attempts that failed in a partition are not kept')
+})
+
+tap.t.test('crashes reported just before the partition is noticed are withdrawn, earlier ones are not', async (t) => {
+  const instance = new Instance()
+  instance.health = 'down'
+  instance.call('crashing')
+  instance.loseConnection(0)
+  instance.clock.advance(targetReachability.withdrawalMs + 1)
+  instance.call('unlucky')
+  instance.loseConnection(1)
+  t.equal(instance.suspects.getStatus('unlucky'), 'suspect')
+  instance.call('unanswered')
+  instance.clock.advance(deadlineMs)
+  instance.link.decide(true)
+  t.equal(instance.suspects.getStatus('unlucky'), 'clear')
+  t.equal(instance.suspects.getStatus('crashing'), 'suspect')
+  instance.link.decide(false)
+  for (const attempt of instance.attempts.keys()) instance.restartTarget(attempt)
+  t.equal(instance.suspects.getStatus('unanswered'), 'clear')
+})
--- a/packages/routing/src/test/fixtures.ts
+++ b/packages/routing/src/test/fixtures.ts
@@ -1,6 +1,34 @@
 /** Creates endpoints and lanes for the tests of this package. */
+import * as event from '@rosemaryrack/base/common/event.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as targetReachability from '../common/targetReachability.js'
+
+/** Reachability of targets that the test sets. */
+export class FakeLink implements targetReachability.ILinkVerdict {
+  private readonly changedEmitter = new event.Emitter<boolean>()
+  private waiting: Array<(isCutOff: boolean) => void> = []
+  private isSuspected = false
+  readonly onChanged = this.changedEmitter.event
+  isCutOff = false
+
+  suspect (): void {
+    this.isSuspected = true
+  }
+
+  decide (isCutOff: boolean): void {
+    const hasChanged = isCutOff !== this.isCutOff
+    this.isSuspected = false
+    this.isCutOff = isCutOff
+    if (hasChanged) this.changedEmitter.fire(isCutOff)
+    for (const done of this.waiting.splice(0)) done(isCutOff)
+  }
+
+  whenDecided (done: (isCutOff: boolean) => void): void {
+    if (this.isSuspected) this.waiting.push(done)
+    else done(this.isCutOff)
+  }
+}
 
 /** Returns a ready endpoint of the service `diary`. */
 export function createEndpoint (endpoint: string, slots: number, announcedAt: number): endpointTable.Endpoint {
