Failures in a partition of this instance eject no endpoints

Each refused connection ejects an endpoint for 2 to 30 s, long after the partition is over. The dispatcher withdraws what it counted since just before the verdict. The statistics of a service move to a class of their own.

--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -7,9 +7,11 @@
 import type * as balancingPolicy from './balancingPolicy.js'
 import type * as endpointNotices from './endpointNotices.js'
 import * as endpointLimits from './endpointLimits.js'
-import * as endpointStats from './endpointStats.js'
+import type * as endpointStats from './endpointStats.js'
+import * as endpointStatsTable from './endpointStatsTable.js'
 import type * as slotAssignment from './slotAssignment.js'
 import type * as servicePermits from './servicePermits.js'
+import * as targetReachability from './targetReachability.js'
 import * as waitingQueue from './waitingQueue.js'
 
 const initialTypicalLatencyMs = 10
@@ -47,6 +49,8 @@
   readonly notices?: Pick<endpointNotices.EndpointNotices, 'awayUntil' | 'onAway'>
   /** Permits for requests to endpoints that name a limit; without them limits are not kept. */
   readonly permits?: servicePermits.ServicePermits
+  /** Whether this instance is cut off from all targets; failures meanwhile do not count. */
+  readonly reachability?: targetReachability.ITargetReachability
   /** Time until which endpoints may still be unknown because the process has just started; calls that find no endpoint wait until then. */
   readonly startingUntil?: number
 }
@@ -54,7 +58,7 @@
 /** Assigns free slots by the balancing policy, and queues calls by priority and deadline while there are none. */
 export class Dispatcher implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
-  private readonly statsById = new Map<string, { readonly incarnation: number, readonly stats: endpointStats.EndpointStats }>()
+  private readonly stats = new endpointStatsTable.EndpointStatsTable()
   private readonly queue = new waitingQueue.WaitingQueue<Waiter>()
   private typicalMs = initialTypicalLatencyMs
   /** Mean of the latencies relative to the typical latency of their lane; far from 1 while lanes still use initial estimates. */
@@ -62,7 +66,7 @@
   private latencySampleCount = 0
   private meanHoldMs = initialTypicalLatencyMs
   private bulkInFlight = 0
-  private newestEndpointSeenAt = -Infinity
+  private cutOffSince = -Infinity
   private cancelAvailabilityTimer = (): void => {}
   private readonly limits: endpointLimits.EndpointLimits
 
@@ -75,6 +79,7 @@
     this.limits = new endpointLimits.EndpointLimits(options.permits, policy)
     this.disposables.add(endpoints.onChanged((endpoint) => this.onEndpointChanged(endpoint)))
     if (options.notices !== undefined) this.disposables.add(options.notices.onAway((endpoint) => this.onEndpointAway(endpoint)))
+    if (options.reachability !== undefined) this.disposables.add(options.reachability.onChanged((isCutOff) => this.withdrawFailures(isCutOff)))
     if (options.permits !== undefined) this.disposables.add(options.permits.onChanged(() => this.onPermitsChanged()))
   }
 
@@ -95,9 +100,7 @@
 
   /** Number of slots in use by this instance. */
   get inFlight (): number {
-    let sum = 0
-    for (const { stats } of this.statsById.values()) sum += stats.inFlight
-    return sum
+    return this.stats.inFlight
   }
 
   /** Assigns a slot now or later, or rejects the call; returns a function that cancels the request. */
@@ -120,7 +123,7 @@
   acquireForHedge (request: slotAssignment.SlotRequest): slotAssignment.Placement | undefined {
     const now = this.clock.now()
     const { available } = this.findAvailable(now)
-    if (this.queue.length > 0 || this.inFlight >= request.lane.budgets.hedgeBelowShare * this.totalLimit(available)) return undefined
+    if (this.queue.length > 0 || this.stats.inFlight >= request.lane.budgets.hedgeBelowShare * this.totalLimit(available)) return undefined
     return this.tryPlace(request, now, now, false)
   }
 
@@ -322,7 +325,7 @@
     const free: balancingPolicy.Candidate[] = []
     let coldCount = 0
     for (const endpoint of endpoints) {
-      const stats = this.statsFor(endpoint, now)
+      const stats = this.stats.statsFor(endpoint, now)
       if (isTooCold(request, stats, now)) coldCount++
       if (stats.inFlight >= this.slotLimit(endpoint) || request.excludedEndpoints.has(endpoint.endpoint)) continue
       if (request.isSuspect && stats.suspectCount > 0) continue
@@ -337,7 +340,7 @@
 
   /** Returns whether any endpoint with a free slot can take the call; if such a call gets no slot, none is free. */
   private isUnrestricted (request: slotAssignment.SlotRequest, now: number): boolean {
-    const allWarm = now - this.newestEndpointSeenAt >= request.lane.coldStartMs
+    const allWarm = now - this.stats.newestEndpointSeenAt >= request.lane.coldStartMs
     return request.excludedEndpoints.size === 0 && !request.isSuspect && allWarm
   }
 
@@ -359,29 +362,21 @@
     return Math.max(1, Math.floor(lane.budgets.bulkShare * this.totalLimit(endpoints)))
   }
 
-  private statsFor (endpoint: endpointTable.Endpoint, now: number): endpointStats.EndpointStats {
-    const known = this.statsById.get(endpoint.endpoint)
-    if (known !== undefined && known.incarnation === endpoint.incarnation) return known.stats
-    const stats = new endpointStats.EndpointStats(now)
-    this.newestEndpointSeenAt = now
-    this.statsById.set(endpoint.endpoint, { incarnation: endpoint.incarnation, stats })
-    return stats
+  /** Withdraws the failures that were due to a partition of this instance: at the verdict those just before, at its end those since. */
+  private withdrawFailures (isCutOff: boolean): void {
+    const now = this.clock.now()
+    if (isCutOff) this.cutOffSince = now
+    this.stats.withdrawFailures(this.cutOffSince - targetReachability.withdrawalMs)
+    if (!isCutOff && this.queue.length > 0) this.serveQueue()
   }
 
   private onEndpointChanged (endpoint: endpointTable.Endpoint): void {
     if (endpoint.service !== this.options.service) return
-    if (this.limits.noteChange(endpoint)) this.restartWarmUp(endpoint)
-    if (endpoint.state === 'left') this.statsById.delete(endpoint.endpoint)
+    if (this.limits.noteChange(endpoint)) this.stats.restartWarmUp(endpoint, this.clock.now())
+    if (endpoint.state === 'left') this.stats.delete(endpoint.endpoint)
     if (this.queue.length > 0) this.serveQueue()
   }
 
-  /** Gives an endpoint whose limit has ended its calls gradually, like a new one. */
-  private restartWarmUp (endpoint: endpointTable.Endpoint): void {
-    const now = this.clock.now()
-    this.statsFor(endpoint, now).restartWarmUp(now)
-    this.newestEndpointSeenAt = now
-  }
-
   /** Serves the queue, and rejects the calls that cannot be served in time within the limits of the endpoints. */
   private onPermitsChanged (): void {
     if (this.queue.length === 0) return
--- a/packages/routing/src/common/endpointStats.ts
+++ b/packages/routing/src/common/endpointStats.ts
@@ -22,6 +22,8 @@
   private failures = 0
   private ejectionMs = 0
   private ejectedUntil = -Infinity
+  private lastFailureAt = -Infinity
+  private ejectedAt = -Infinity
   private reportedCost = 1
   private reportedAt = -Infinity
   /** Number of suspect requests in flight. */
@@ -73,6 +75,7 @@
 
   /** Counts a failure; consecutive failures eject the endpoint for a while, longer each time. */
   recordFailure (now: number): void {
+    this.lastFailureAt = now
     this.failures++
     if (this.failures >= ejectAfterFailures) this.eject(now)
   }
@@ -82,10 +85,20 @@
    * flight together count once.
    */
   recordConnectionRefused (now: number): void {
+    this.lastFailureAt = now
     this.failures = Math.max(this.failures, ejectAfterFailures - 1)
     if (!this.isEjected(now)) this.eject(now)
   }
 
+  /** Withdraws the failures since a time, which were not the endpoint's, and an ejection because of them. */
+  withdrawFailures (since: number): void {
+    if (this.lastFailureAt < since) return
+    this.failures = 0
+    if (this.ejectedAt < since) return
+    this.ejectionMs = 0
+    this.ejectedUntil = -Infinity
+  }
+
   isEjected (now: number): boolean {
     return now < this.ejectedUntil
   }
@@ -124,6 +137,7 @@
   }
 
   private eject (now: number): void {
+    this.ejectedAt = now
     this.ejectionMs = Math.min(maxEjectionMs, Math.max(minEjectionMs, this.ejectionMs * ejectionGrowthFactor))
     this.ejectedUntil = now + this.ejectionMs
     this.failures = ejectAfterFailures - 1
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -8,9 +8,11 @@
 import * as adaptivePolicy from '../common/adaptivePolicy.js'
 import * as dispatcher from '../common/dispatcher.js'
 import type * as slotAssignment from '../common/slotAssignment.js'
+import * as targetReachability from '../common/targetReachability.js'
 import * as fixtures from './fixtures.js'
 
 const typicalMs = 10
+const minEjectionMs = 2000
 
 /** A dispatcher with a service whose endpoints and time the test sets. */
 class TestService {
@@ -28,6 +30,10 @@
     this.dispatcher = new dispatcher.Dispatcher(options, source, new adaptivePolicy.AdaptivePolicy({ next: random }), clock)
   }
 
+  get endpointIds (): readonly string[] {
+    return this.endpoints.map(({ endpoint }) => endpoint)
+  }
+
   announce (endpoint: string): void {
     this.endpoints.push(fixtures.createEndpoint(endpoint, this.slots, this.now))
   }
@@ -110,6 +116,32 @@
   t.equal([0, 1, 2].filter(() => service.place('urgent') !== undefined).length, 2)
 })
 
+tap.t.test('failures in a partition of the instance eject no endpoint once it is over, earlier ones still do', async (t) => {
+  const link = new fixtures.FakeLink()
+  const service = new TestService(['d-1', 'd-2', 'd-3', 'd-4', 'd-5'], { reachability: link })
+  service.discoverAll()
+  service.now = 60_000
+  const placements = service.endpointIds.map(() => service.place('urgent')!)
+  for (const { release } of placements) release()
+  const [crashed, ...unreachable] = placements
+  crashed!.stats.recordConnectionRefused(service.now)
+  service.now += targetReachability.withdrawalMs + 1
+  for (const { stats } of unreachable) stats.recordConnectionRefused(service.now)
+  link.decide(true)
+  t.notOk(unreachable.some(({ stats }) => stats.isEjected(service.now)), 'those just before the verdict are withdrawn')
+  for (let ms = 0; ms < 12_000; ms += 100) {
+    service.now += 100
+    for (const { stats } of unreachable) stats.recordFailure(service.now)
+  }
+  link.decide(false)
+  t.notOk(unreachable.some(({ stats }) => stats.isEjected(service.now)))
+  t.ok(unreachable.every(({ stats }) => stats.recentFailures === 0 && stats.coldness(service.now) === 0))
+  unreachable[0]!.stats.recordConnectionRefused(service.now)
+  service.now += minEjectionMs
+  t.notOk(unreachable[0]!.stats.isEjected(service.now), 'a later ejection is as short as the first one')
+  t.ok(crashed!.stats.recentFailures > 0)
+})
+
 tap.t.test('the configured connection limit is divided among the instances', async (t) => {
   const placed = (connectionLimit: number | undefined, entries: number): number => {
     const service = new TestService(['d-1'], { connectionLimit: () => connectionLimit, liveEntries: () => entries }, 6)
