Feed target reachability from connections, requests and load probes

Connects that fail or hang, connections that are reset in use or idle, requests given up or lost before a response, and silent load probes are failed contacts. At the verdict, connections that are open are no longer reused.

--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -16,6 +16,8 @@
 import * as adaptivePolicy from '@rosemaryrack/routing/common/adaptivePolicy.js'
 import * as crashDetection from '@rosemaryrack/routing/common/crashDetection.js'
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
+import * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
+import * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as callerListener from './callerListener.js'
@@ -25,6 +27,7 @@
 import * as permitClient from './permitClient.js'
 import * as readiness from './readiness.js'
 import * as startup from './startup.js'
+import * as targetChecker from './targetChecker.js'
 import * as targetConnections from './targetConnections.js'
 
 const msPerSecond = 1000
@@ -38,8 +41,10 @@
   private readonly pauses = this.disposables.add(new pauseDetector.PauseDetector())
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
   private readonly suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
-  private readonly crashDetector = this.disposables.add(new crashDetection.CrashDetector(this.endpoints, this.suspects, this.clock))
-  private readonly connections = this.disposables.add(new targetConnections.TargetConnections())
+  private readonly contacts = this.disposables.add(new targetContacts.TargetContacts(this.clock))
+  private readonly connections = this.disposables.add(new targetConnections.TargetConnections(this.contacts))
+  private readonly reachability: targetReachability.TargetReachability
+  private readonly crashDetector: crashDetection.CrashDetector
   private readonly notices: endpointNotices.EndpointNotices
   private readonly members: memberTable.MemberTable
   private readonly configs: configFollower.ConfigFollower
@@ -76,6 +81,8 @@
       onLeaving: (endpoint) => this.noteLeaving(endpoint),
       onLimit: (endpoint, limit, requestedAt) => this.noteLimit(endpoint, limit, requestedAt)
     }, this.endpoints, this.clock, decisions))
+    this.reachability = this.createReachability()
+    this.crashDetector = this.disposables.add(new crashDetection.CrashDetector(this.endpoints, this.suspects, this.clock, this.reachability))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveEntryCount,
@@ -86,6 +93,7 @@
       repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond },
       startingUntil: this.startup.holdEndsAt,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0,
+      reachability: this.reachability,
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
     this.callers = this.createCallerListener()
@@ -149,6 +157,15 @@
     return { members, configs }
   }
 
+  private createReachability (): targetReachability.TargetReachability {
+    const healthPathOf = (service: string): string | undefined => this.lanes.healthPathOf(service)
+    const checker = new targetChecker.TargetChecker({ connections: this.connections, notices: this.notices, names: this.entry.headers, healthPathOf })
+    const reachability = this.disposables.add(new targetReachability.TargetReachability(this.contacts, this.endpoints, checker, random, this.clock, this.decisions))
+    // Connections whose packets were lost for a while may be silent for much longer.
+    this.disposables.add(reachability.onChanged((isCutOff) => { if (isCutOff) this.connections.retireEverything() }))
+    return reachability
+  }
+
   private createCallerListener (): callerListener.CallerListener {
     return new callerListener.CallerListener(this.entry.graceS, this.configs, {
       lanes: this.lanes,
@@ -211,6 +228,7 @@
     this.metrics.registerGauge('rosemaryrack_endpoints_live', {}, () => this.endpoints.liveCount)
     this.metrics.registerGauge('rosemaryrack_endpoints_limited', {}, () => this.endpoints.all().filter(endpointTable.isLimited).length)
     this.metrics.registerGauge('rosemaryrack_entries_live', {}, () => this.members.liveEntryCount)
+    this.metrics.registerGauge('rosemaryrack_cut_off', {}, () => this.reachability.isCutOff ? 1 : 0)
     this.metrics.registerGauge('rosemaryrack_target_connections', {}, () => this.connections.count)
     this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.callers.inFlightCount)
     this.metrics.registerGauge('rosemaryrack_suspects', {}, () => this.suspects.size)
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -136,9 +136,12 @@
 
   /** Cancels the attempt after a timeout. If the request was sent and its response is incomplete, connections to the target that are open now are no longer reused. */
   abandon (): void {
+    const { connection } = this
     const wasWaiting = this.hasSentRequest && !this.hasEnded
     this.cancel()
-    if (wasWaiting) this.connections.retireAll(this.address)
+    if (!wasWaiting) return
+    if (connection !== undefined && !this.hasHead) this.connections.recordNoResponse(this.address, connection, this.sentAt)
+    this.connections.retireAll(this.address)
   }
 
   /** Sets the sink of the body; to be called within `onHead`. */
@@ -189,6 +192,7 @@
         this.sentAt = performance.now()
       },
       onResponseStart: (controller, status, headers, statusMessage) => {
+        if (this.connection !== undefined) this.connections.recordResponse(this.address, this.connection)
         if (status < firstFinalStatus || this.hasEnded) return
         const mismatch = headerRules.findMismatch(this.req.headerNames, this.req.requestId, status, headers)
         if (mismatch !== undefined) {
@@ -205,7 +209,10 @@
         if (!this.hasEnded && this.sink?.onData(chunk) === false) this.pause()
       },
       onResponseEnd: () => this.complete(),
-      onResponseError: (_controller, err) => this.handleError(err)
+      onResponseError: (_controller, err) => {
+        this.recordLoss()
+        this.handleError(err)
+      }
     }
   }
 
@@ -250,6 +257,12 @@
     this.events.onFailure({ kind, message })
   }
 
+  /** Records that the connection was lost before a response, unless the caller's own body has failed. */
+  private recordLoss (): void {
+    if (this.hasEnded || this.hasHead || this.connection === undefined || this.req.body.fault !== undefined) return
+    this.connections.recordNoResponse(this.address, this.connection, this.sentAt)
+  }
+
   private discardConnection (): void {
     if (this.connection !== undefined) this.connections.discard(this.connection)
     this.connection = undefined
--- a/packages/entry/src/node/httpProber.ts
+++ b/packages/entry/src/node/httpProber.ts
@@ -71,13 +71,17 @@
   }
 
   private send (connection: targetConnection.TargetConnection): void {
-    const { healthPath, names, notices } = this.deps
+    const { healthPath, names, notices, connections } = this.deps
     this.connection = connection
     let isKeptAlive = true
     const sentAt = performance.now()
+    const { address } = this.endpoint
+    const endWatch = connections.watchResponse(address, connection)
     connection.dispatch({ path: healthPath, method: 'GET' }, {
       onRequestStart: () => {},
       onResponseStart: (_controller, status, headers) => {
+        endWatch()
+        connections.recordResponse(address, connection)
         isKeptAlive = headers['connection'] !== 'close'
         connection.applyKeepAlive(headers['keep-alive'])
         notices.recordNotice(this.endpoint, headerRules.parseHealthCheckNotice(names, status, headers), sentAt)
@@ -99,6 +103,8 @@
         })
       },
       onResponseError: (_controller, err) => {
+        endWatch()
+        if (this.connection !== undefined) connections.recordNoResponse(address, connection, sentAt)
         this.discardConnection()
         this.settle({ kind: 'none', message: err.message })
       }
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -12,6 +12,7 @@
 import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as servicePermits from '@rosemaryrack/routing/common/servicePermits.js'
+import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import * as trafficSplit from '@rosemaryrack/routing/common/trafficSplit.js'
 
 /** Share of the repeat budget that hedges may use. The rest is reserved for retries: a retried call has failed, a hedged one may only be late. */
@@ -47,6 +48,8 @@
   readonly notices: endpointNotices.EndpointNotices
   /** Grants permits for requests to endpoints that name a limit. */
   readonly permitSource: servicePermits.IPermitSource
+  /** Whether this instance is cut off from all targets. */
+  readonly reachability: targetReachability.ITargetReachability
   /** Time on the clock until which some endpoints may not be known yet after the start of this instance. */
   readonly startingUntil: number
 }
@@ -153,10 +156,10 @@
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let serviceDispatcher = this.dispatchers.get(service)
     if (serviceDispatcher === undefined) {
-      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices, permitSource, random } = this.options
+      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices, permitSource, random, reachability } = this.options
       const permits = this.disposables.add(new servicePermits.ServicePermits(permitSource, liveEntries, random, this.clock))
       const connectionLimit = (): number | undefined => this.services?.[service]?.connectionLimit
-      serviceDispatcher = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, isConnected, notices, permits }, this.endpoints, newPolicy(), this.clock)
+      serviceDispatcher = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, isConnected, notices, permits, reachability }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, serviceDispatcher)
     }
     return serviceDispatcher
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -66,10 +66,13 @@
   readonly openedAt = performance.now()
   private idleSince = performance.now()
   private idleLimit = defaultIdleLimitMs
+  private responseCount = 0
   private readonly client: undici.Client
 
-  private constructor (private readonly socket: TargetSocket, targetAddress: string) {
+  /** @param onLost called when the connection fails in the network, in use or idle; not when either side closes it. */
+  private constructor (private readonly socket: TargetSocket, targetAddress: string, onLost: (connection: TargetConnection) => void) {
     let isSocketTaken = false
+    socket.on('error', (err) => { if (isNetworkError(err)) onLost(this) })
     this.client = new undici.Client(`http://${targetAddress}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -90,7 +93,7 @@
   }
 
   /** Connects; rejects when the target does not accept in time. */
-  static open (targetAddress: string): Promise<TargetConnection> {
+  static open (targetAddress: string, onLost: (connection: TargetConnection) => void): Promise<TargetConnection> {
     const { host, port } = address.parseAddress(targetAddress)
     return new Promise((resolve, reject) => {
       const socket = new TargetSocket().setNoDelay(true).connect({ host, port })
@@ -101,7 +104,7 @@
       })
       socket.once('connect', () => {
         clearTimeout(timer)
-        resolve(new TargetConnection(socket, targetAddress))
+        resolve(new TargetConnection(socket, targetAddress, onLost))
       })
     })
   }
@@ -110,6 +113,15 @@
     return !this.socket.destroyed && this.socket.readable && this.socket.writable
   }
 
+  /** True once bytes of a response have arrived. */
+  get hasResponded (): boolean {
+    return this.responseCount > 0
+  }
+
+  countResponse (): void {
+    this.responseCount++
+  }
+
   /** Idle time after which the connection is not reused, in milliseconds. */
   get idleLimitMs (): number {
     return this.idleLimit
@@ -161,3 +173,8 @@
     this.socket.destroy(reason)
   }
 }
+
+/** Returns whether the operating system reported the error, such as a reset, unlike the errors of undici and of this process. */
+function isNetworkError (err: Error): boolean {
+  return ((err.cause ?? err) as NodeJS.ErrnoException).syscall !== undefined
+}
--- a/packages/entry/src/node/targetConnections.ts
+++ b/packages/entry/src/node/targetConnections.ts
@@ -1,5 +1,6 @@
 /** Connection pools for all targets; an idle connection is reused for a limited time. */
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
 import * as targetConnection from './targetConnection.js'
 
 const maxIdleForNonIdempotentMs = 500
@@ -18,6 +19,9 @@
   private readonly timer = setInterval(() => this.sweep(), sweepIntervalMs)
   private openCount = 0
 
+  /** @param contacts receives the outcomes of contacts with targets. */
+  constructor (private readonly contacts: targetContacts.ITargetContacts = new targetContacts.NullTargetContacts()) {}
+
   dispose (): void {
     clearInterval(this.timer)
     for (const pool of this.pools.values()) {
@@ -49,9 +53,34 @@
   }
 
   async open (address: string): Promise<targetConnection.TargetConnection> {
-    const connection = await targetConnection.TargetConnection.open(address)
-    this.openCount++
-    return connection
+    const startedAt = performance.now()
+    const endWatch = this.contacts.watch({ address, isNewConnection: true })
+    try {
+      const connection = await targetConnection.TargetConnection.open(address, (lost) => this.recordNoResponse(address, lost, performance.now()))
+      this.openCount++
+      return connection
+    } catch (err) {
+      this.contacts.recordFailure({ address, isNewConnection: true }, performance.now() - startedAt)
+      throw err
+    } finally {
+      endWatch()
+    }
+  }
+
+  /** Watches a request that the target normally responds to at once; returns a function that ends the watch. */
+  watchResponse (address: string, { hasResponded }: targetConnection.TargetConnection): () => void {
+    return this.contacts.watch({ address, isNewConnection: !hasResponded })
+  }
+
+  /** Records that bytes of a response arrived on a connection. */
+  recordResponse (address: string, connection: targetConnection.TargetConnection): void {
+    this.contacts.recordSuccess({ address, isNewConnection: !connection.hasResponded })
+    connection.countResponse()
+  }
+
+  /** Records that a connection was lost, or that no response came in time to what was sent at `sentAt`. */
+  recordNoResponse (address: string, { hasResponded }: targetConnection.TargetConnection, sentAt: number): void {
+    this.contacts.recordFailure({ address, isNewConnection: !hasResponded }, performance.now() - sentAt)
   }
 
   /** Returns a connection to the pool after a complete response. */
@@ -76,6 +105,15 @@
    */
   retireAll (address: string): void {
     const pool = this.poolOf(address)
+    this.retire(pool)
+  }
+
+  /** Prevents the reuse of all connections to all targets that are open now, after this instance was cut off from the targets. */
+  retireEverything (): void {
+    for (const pool of this.pools.values()) this.retire(pool)
+  }
+
+  private retire (pool: TargetPool): void {
     pool.reusableSince = performance.now()
     for (const connection of pool.idle.splice(0)) this.discard(connection)
   }
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -3,6 +3,7 @@
 import * as timers from 'node:timers/promises'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
+import type * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import * as httpAttempt from '../node/httpAttempt.js'
 import * as targetConnections from '../node/targetConnections.js'
@@ -12,9 +13,29 @@
 
 const ignoreNotices: endpointNotices.IEndpointNotices = { recordNotice: () => {}, canSend: () => true }
 
+/** Records the outcomes of contacts, for example `failed new` for a connection that could not be opened. */
+export class RecordedContacts implements targetContacts.ITargetContacts {
+  readonly outcomes: string[] = []
+  watchCount = 0
+
+  watch (): () => void {
+    this.watchCount++
+    return () => { this.watchCount-- }
+  }
+
+  recordSuccess ({ isNewConnection }: targetContacts.Contact): void {
+    this.outcomes.push(`answered ${isNewConnection ? 'new' : 'living'}`)
+  }
+
+  recordFailure ({ isNewConnection }: targetContacts.Contact): void {
+    this.outcomes.push(`failed ${isNewConnection ? 'new' : 'living'}`)
+  }
+}
+
 /** Sends requests and records the events of their responses, each kind once. */
 export class Exchange implements httpAttempt.IBodySink {
-  readonly connections = new targetConnections.TargetConnections()
+  readonly contacts = new RecordedContacts()
+  readonly connections = new targetConnections.TargetConnections(this.contacts)
   readonly events: string[] = []
   readonly server = net.createServer((socket) => this.accept(socket))
   head: transport.ResponseHead | undefined
--- a/packages/routing/src/common/contactEvidence.ts
+++ b/packages/routing/src/common/contactEvidence.ts
@@ -6,7 +6,8 @@
 const failureLifetimeMs = 1000
 
 interface Failure {
-  readonly at: number
+  readonly startedAt: number
+  readonly endedAt: number
   readonly isNewConnection: boolean
 }
 
@@ -18,8 +19,8 @@
 
   constructor (private readonly clock: clock.IClock) {}
 
-  recordFailure ({ address, isNewConnection }: targetContacts.Contact): void {
-    this.failures.set(address, { at: this.clock.now(), isNewConnection })
+  recordFailure ({ address, isNewConnection, startedAt }: targetContacts.FailedContact): void {
+    this.failures.set(address, { startedAt, endedAt: this.clock.now(), isNewConnection })
   }
 
   recordSuccess ({ isNewConnection }: targetContacts.Contact): void {
@@ -32,15 +33,15 @@
   }
 
   /**
-   * Returns the targets with an unrefuted failure. Open connections may outlive the loss of reachability, so a response on one of
+   * Returns the targets with an unrefuted failure: none succeeded since that contact began. Open connections may outlive the loss of reachability, so a response on one of
    * them does not refute that new ones fail.
    */
   failedAddresses (): ReadonlySet<string> {
     const oldest = this.clock.now() - failureLifetimeMs
     const failed = new Set<string>()
-    for (const [address, { at, isNewConnection }] of this.failures) {
+    for (const [address, { startedAt, endedAt, isNewConnection }] of this.failures) {
       const refutedAt = isNewConnection ? this.lastNewConnectionAt : this.lastSuccessAt
-      if (at < oldest || at < refutedAt) this.failures.delete(address)
+      if (endedAt < oldest || startedAt < refutedAt) this.failures.delete(address)
       else failed.add(address)
     }
     return failed
--- a/packages/routing/src/common/targetContacts.ts
+++ b/packages/routing/src/common/targetContacts.ts
@@ -13,14 +13,23 @@
   readonly isNewConnection: boolean
 }
 
+/** A contact that failed. */
+export interface FailedContact extends Contact {
+  /** Time on the clock at which the contact began. */
+  readonly startedAt: number
+}
+
 /** Receives the outcomes of contacts. */
 export interface ITargetContacts {
   /** Watches a contact that targets normally answer at once, such as opening a connection; returns a function that ends the watch. */
   watch(contact: Contact): () => void
   /** Records that bytes of a response arrived. */
   recordSuccess(contact: Contact): void
-  /** Records that a connection could not be opened or was lost, or that no response came. */
-  recordFailure(contact: Contact): void
+  /**
+   * Records that a connection could not be opened or was lost, or that no response came.
+   * @param ageMs time since the contact began.
+   */
+  recordFailure(contact: Contact, ageMs: number): void
 }
 
 /** Discards all outcomes. */
@@ -34,16 +43,12 @@
   recordFailure (): void {}
 }
 
-interface WatchedContact extends Contact {
-  readonly dueAt: number
-}
-
 /** Passes on the outcomes of contacts as events, with those that time out. */
 export class TargetContacts implements ITargetContacts, lifecycle.IDisposable {
   /** Oldest first. */
-  private readonly watched = new Set<WatchedContact>()
+  private readonly watched = new Set<FailedContact>()
   private readonly succeededEmitter = new event.Emitter<Contact>()
-  private readonly failedEmitter = new event.Emitter<Contact>()
+  private readonly failedEmitter = new event.Emitter<FailedContact>()
   private cancelTimer: (() => void) | undefined
   readonly onSucceeded = this.succeededEmitter.event
   readonly onFailed = this.failedEmitter.event
@@ -58,7 +63,7 @@
   }
 
   watch (contact: Contact): () => void {
-    const watched = { ...contact, dueAt: this.clock.now() + contactTimeoutMs }
+    const watched = { ...contact, startedAt: this.clock.now() }
     this.watched.add(watched)
     if (this.cancelTimer === undefined) this.scheduleExpiry(contactTimeoutMs)
     return () => this.watched.delete(watched)
@@ -68,8 +73,8 @@
     this.succeededEmitter.fire(contact)
   }
 
-  recordFailure (contact: Contact): void {
-    this.failedEmitter.fire(contact)
+  recordFailure (contact: Contact, ageMs: number): void {
+    this.failedEmitter.fire({ ...contact, startedAt: this.clock.now() - ageMs })
   }
 
   /** All watches are equally long, so one timer for the oldest is enough. */
@@ -80,10 +85,10 @@
   private expireWatched (): void {
     this.cancelTimer = undefined
     const now = this.clock.now()
-    const expired = [...this.watched].filter(({ dueAt }) => dueAt <= now)
+    const expired = [...this.watched].filter(({ startedAt }) => startedAt + contactTimeoutMs <= now)
     for (const contact of expired) this.watched.delete(contact)
     const [oldest] = this.watched
-    if (oldest !== undefined) this.scheduleExpiry(oldest.dueAt - now)
-    for (const contact of expired) this.recordFailure(contact)
+    if (oldest !== undefined) this.scheduleExpiry(oldest.startedAt + contactTimeoutMs - now)
+    for (const contact of expired) this.failedEmitter.fire(contact)
   }
 }
--- a/packages/routing/src/common/targetReachability.ts
+++ b/packages/routing/src/common/targetReachability.ts
@@ -99,7 +99,7 @@
     this.disposables.dispose()
   }
 
-  private onContactFailed (contact: targetContacts.Contact): void {
+  private onContactFailed (contact: targetContacts.FailedContact): void {
     this.evidence.recordFailure(contact)
     if (this.state.kind === 'reachable') this.suspectIfFailing()
   }
--- a/packages/routing/src/test/targetReachability.test.ts
+++ b/packages/routing/src/test/targetReachability.test.ts
@@ -55,7 +55,7 @@
   }
 
   refuse (...addresses: readonly string[]): void {
-    for (const address of addresses) this.contacts.recordFailure({ address, isNewConnection: true })
+    for (const address of addresses) this.contacts.recordFailure({ address, isNewConnection: true }, 0)
   }
 
   respond (address: string, isNewConnection: boolean): void {
@@ -134,13 +134,22 @@
   const instance = new Instance(servicesOfThree)
   for (let i = 0; i < 100; i++) {
     instance.clock.advance(20)
-    instance.contacts.recordFailure({ address: `diary-${i % 4}:1`, isNewConnection: false })
+    instance.contacts.recordFailure({ address: `diary-${i % 4}:1`, isNewConnection: false }, 0)
     instance.clock.advance(1)
     instance.respond('vault-0:1', false)
   }
   t.same(instance.events, [])
 })
 
+tap.t.test('contacts that take long raise no suspicion if another one succeeded since they began', async (t) => {
+  const instance = new Instance(servicesOfThree)
+  for (const address of ['diary-0:1', 'diary-1:1']) instance.contacts.watch({ address, isNewConnection: true })
+  instance.clock.advance(targetContacts.contactTimeoutMs / 2)
+  instance.respond('vault-0:1', true)
+  instance.clock.advance(noticeMs)
+  t.same(instance.events, [])
+})
+
 tap.t.test('the crash of all endpoints of a service does not lead to a verdict', async (t) => {
   const instance = new Instance(servicesOfThree)
   const crashed = instance.addresses.filter((address) => address.startsWith('diary'))
