Entry instances that are cut off learn which others reach the targets

An entry advertises in its member record where it accepts requests from others and whether it is cut off. In a full mesh the table of members is enough. Builds that don't know the new fields ignore them.

--- a/packages/fleet/src/common/fleetCodec.ts
+++ b/packages/fleet/src/common/fleetCodec.ts
@@ -1,9 +1,11 @@
 /** Converts between table entries and messages of the protocol between processes. */
 import * as protobuf from '@bufbuild/protobuf'
+import * as address from '@rosemaryrack/base/common/address.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as announcement from './announcement.js'
 import type * as endpointLimit from './endpointLimit.js'
 import type * as endpointTable from './endpointTable.js'
+import type * as forwardingPeers from './forwardingPeers.js'
 import type * as memberTable from './memberTable.js'
 
 const stateToWire: { readonly [S in announcement.TargetState]: inner.TargetState } = {
@@ -105,6 +107,8 @@
     failureDomain: member.failureDomain,
     incarnation: BigInt(member.incarnation),
     hub: member.hub,
+    forwardAddress: member.forwardAddress ?? '',
+    cutOff: member.cutOff === true,
     ageMs: ageMs(member.lastSeenAt, now)
   })
 }
@@ -116,6 +120,15 @@
     address: wire.address,
     failureDomain: wire.failureDomain,
     incarnation: Number(wire.incarnation),
-    hub: wire.hub
+    hub: wire.hub,
+    forwardAddress: wire.forwardAddress === '' ? undefined : wire.forwardAddress,
+    cutOff: wire.cutOff
   }
 }
+
+/** Decodes entry instances that requests can be forwarded to. */
+export function decodeForwardingPeers (wire: inner.ForwardingPeers): readonly forwardingPeers.ForwardingPeer[] {
+  return wire.peers
+    .filter(({ forwardAddress }) => address.isAddress(forwardAddress))
+    .map(({ instance, forwardAddress, failureDomain }) => ({ instance, forwardAddress, failureDomain }))
+}
--- a/packages/fleet/src/common/memberTable.ts
+++ b/packages/fleet/src/common/memberTable.ts
@@ -5,6 +5,8 @@
 
 const livenessTimeoutMs = 5000
 const removeAfterMs = 60_000
+/** Time after which an instance that sent nothing is no longer a forwarding peer; longer than the interval of heartbeats. */
+const forwardingSilenceMs = 3000
 
 /** Another process of the cluster and when it was last seen. */
 export interface Member {
@@ -14,6 +16,10 @@
   readonly incarnation: number
   /** True for a control replica, which serves all entry instances; false for an entry instance. */
   readonly hub: boolean
+  /** Address at which an entry instance accepts requests from others; undefined if it accepts none or is stopping. */
+  readonly forwardAddress?: string | undefined
+  /** True for an entry instance that reaches no targets. */
+  readonly cutOff?: boolean
   readonly lastSeenAt: number
 }
 
@@ -29,15 +35,19 @@
   private readonly entryCounts = new Map<string, EntryCount>()
   private readonly joinedEmitter = new event.Emitter<Member>()
   private readonly leftEmitter = new event.Emitter<Member>()
+  private readonly forwardingEmitter = new event.Emitter<Member>()
   /** Fires when a member is added and when its address changes. */
   readonly onJoined = this.joinedEmitter.event
   readonly onLeft = this.leftEmitter.event
+  /** Fires when a member starts or stops to reach targets or to accept requests from others. */
+  readonly onForwardingChanged = this.forwardingEmitter.event
 
   constructor (private readonly clock: clock.IClock, private readonly self: string, private readonly isHub = false) {}
 
   dispose (): void {
     this.joinedEmitter.dispose()
     this.leftEmitter.dispose()
+    this.forwardingEmitter.dispose()
   }
 
   /** Applies information on a member that was last seen `ageMs` ago. */
@@ -45,9 +55,24 @@
     if (update.instance === this.self || ageMs >= removeAfterMs) return
     const known = this.members.get(update.instance)
     if (known !== undefined && known.incarnation > update.incarnation) return
-    const lastSeenAt = Math.max(this.clock.now() - ageMs, known?.lastSeenAt ?? -Infinity)
-    this.members.set(update.instance, { ...update, lastSeenAt })
-    if (known === undefined || known.address !== update.address) this.joinedEmitter.fire({ ...update, lastSeenAt })
+    const seenAt = this.clock.now() - ageMs
+    // What other members relay may be older than the member's own last update.
+    const newest = known !== undefined && known.incarnation === update.incarnation && seenAt < known.lastSeenAt ? known : update
+    const { forwardAddress, cutOff } = newest
+    const member = { ...update, forwardAddress, cutOff: cutOff === true, lastSeenAt: Math.max(seenAt, known?.lastSeenAt ?? -Infinity) }
+    this.members.set(update.instance, member)
+    if (known === undefined || known.address !== update.address) this.joinedEmitter.fire(member)
+    if (known?.forwardAddress !== forwardAddress || (known?.cutOff === true) !== member.cutOff) this.forwardingEmitter.fire(member)
+  }
+
+  get (instance: string): Member | undefined {
+    return this.members.get(instance)
+  }
+
+  /** Returns the entry instances that reach targets and accept requests from others. */
+  forwardingMembers (): readonly Member[] {
+    const now = this.clock.now()
+    return this.all().filter(({ forwardAddress, cutOff, lastSeenAt }) => forwardAddress !== undefined && cutOff !== true && now - lastSeenAt < forwardingSilenceMs)
   }
 
   all (): readonly Member[] {
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -14,11 +14,14 @@
 import type * as endpointLimit from '../common/endpointLimit.js'
 import * as endpointTable from '../common/endpointTable.js'
 import * as fleetCodec from '../common/fleetCodec.js'
+import type * as forwardingPeers from '../common/forwardingPeers.js'
 import type * as memberTable from '../common/memberTable.js'
 import type * as suspectTable from '../common/suspectTable.js'
+import * as forwardingFeed from './forwardingFeed.js'
 import * as peerOutbox from './peerOutbox.js'
 import * as streamWatchdog from './streamWatchdog.js'
 
+const random = { next: Math.random }
 const minRetryMs = 50
 const maxRetryMs = 2000
 const fetchTimeoutMs = 3000
@@ -46,6 +49,8 @@
   readonly endpoints: endpointTable.EndpointTable
   readonly suspects: suspectTable.SuspectTable
   readonly configs: IMeshConfigs
+  /** Receives the peers that hubs name; undefined for a process that forwards no requests. */
+  readonly forwardingPeers?: forwardingPeers.ForwardingPeers
 }
 
 /**
@@ -63,6 +68,14 @@
   readonly role: MeshRole
 }
 
+/** What an entry instance tells others about the forwarding of requests. */
+export interface ForwardingState {
+  /** Where it accepts requests from others; undefined if it accepts none. */
+  readonly forwardAddress: string | undefined
+  /** Whether it reaches no targets. */
+  readonly cutOff: boolean
+}
+
 type MeshLink = peerLink.PeerLink<typeof inner.EntryPeer>
 
 /** Subscribes to the other members, as far as the role requires it, and serves their subscriptions. */
@@ -73,6 +86,7 @@
   private readonly subscriptions = new Map<string, AbortController>()
   private readonly watchdogs = new Set<streamWatchdog.StreamWatchdog>()
   private hasStarted = false
+  private forwarding: ForwardingState = { forwardAddress: undefined, cutOff: false }
 
   constructor (
     private readonly self: MeshSelf,
@@ -127,6 +141,12 @@
     if (endpoint !== undefined) this.addToOutboxes(endpoint)
   }
 
+  /** Tells all subscribed peers at once. */
+  publishForwarding (state: ForwardingState): void {
+    this.forwarding = state
+    this.forEachOutbox((outbox) => outbox.scheduleImmediately())
+  }
+
   /**
    * Resolves once all updates that are due now have been written to the streams of the subscribed peers: an update is
    * created in the first turn of the event loop, and HTTP/2 writes it in the next. Does not wait for peers to acknowledge.
@@ -190,20 +210,27 @@
     const outbox = new peerOutbox.PeerOutbox(this.timingFor(req.from))
     this.outboxes.add(outbox)
     if (req.from !== undefined) this.tables.members.apply(fleetCodec.decodeMember(req.from), 0)
+    const feed = this.createForwardingFeed(req.from, outbox)
     try {
-      yield this.createFullUpdate(startedAt)
+      yield addForwardingPeers(this.createFullUpdate(startedAt), feed)
       let membersSentAt = startedAt
       while (!signal.aborted && !this.stopped.signal.aborted) {
         const batch = await outbox.nextBatch(signal)
         const includeMembers = performance.now() - membersSentAt >= memberListIntervalMs
         if (includeMembers) membersSentAt = performance.now()
-        yield this.createDeltaUpdate(batch, startedAt, includeMembers)
+        yield addForwardingPeers(this.createDeltaUpdate(batch, startedAt, includeMembers), feed)
       }
     } finally {
+      feed?.dispose()
       this.outboxes.delete(outbox)
     }
   }
 
+  private createForwardingFeed (subscriber: inner.Member | undefined, outbox: peerOutbox.PeerOutbox): forwardingFeed.ForwardingFeed | undefined {
+    if (this.self.role !== 'hub' || subscriber === undefined || subscriber.hub) return undefined
+    return new forwardingFeed.ForwardingFeed(subscriber, this.tables.members, outbox, random)
+  }
+
   private timingFor (peer: inner.Member | undefined): peerOutbox.OutboxTiming {
     if (this.self.role === 'spoke') return peerOutbox.spokeToHubTiming
     return this.self.role === 'hub' && peer?.hub !== true ? peerOutbox.hubToSpokeTiming : peerOutbox.peerTiming
@@ -261,8 +288,8 @@
   }
 
   private encodeSelf (): inner.Member {
-    const { role, incarnation, ...rest } = this.self
-    return protobuf.create(inner.MemberSchema, { ...rest, incarnation: BigInt(incarnation), hub: role === 'hub' })
+    const { role, ...rest } = this.self
+    return fleetCodec.encodeMember({ ...rest, ...this.forwarding, hub: role === 'hub', lastSeenAt: 0 }, 0)
   }
 
   // ---- Own subscriptions ----
@@ -329,6 +356,9 @@
   private applyUpdate (update: inner.PeerUpdate, link: MeshLink): void {
     const { members, endpoints, suspects, configs } = this.tables
     if (update.self !== undefined) members.apply(fleetCodec.decodeMember(update.self), 0)
+    if (update.forwardingPeers !== undefined && update.self !== undefined) {
+      this.tables.forwardingPeers?.applyList(update.self.instance, fleetCodec.decodeForwardingPeers(update.forwardingPeers))
+    }
     if (update.liveEntries > 0 && update.self !== undefined) members.setEntryCount(update.self.instance, update.liveEntries)
     for (const member of update.members) members.apply(fleetCodec.decodeMember(member), member.ageMs)
     for (const wire of update.announcements) this.applyAnnouncement(wire)
@@ -339,6 +369,12 @@
   }
 }
 
+function addForwardingPeers (update: inner.PeerUpdate, feed: forwardingFeed.ForwardingFeed | undefined): inner.PeerUpdate {
+  const list = feed?.takeList(performance.now())
+  if (list !== undefined) update.forwardingPeers = list
+  return update
+}
+
 function encodeSuspect (suspect: suspectTable.Suspect, now: number): inner.Suspect {
   return protobuf.create(inner.SuspectSchema, {
     fingerprint: suspect.fingerprint,
--- a/packages/fleet/src/node/peerOutbox.ts
+++ b/packages/fleet/src/node/peerOutbox.ts
@@ -67,6 +67,11 @@
     this.scheduleWithin(0)
   }
 
+  /** Schedules an update soon, together with other changes. */
+  scheduleSoon (): void {
+    this.scheduleWithin(changeDelayMs)
+  }
+
   /** Waits for the next batch, which is empty when only a heartbeat is due. Returns what is queued once the signal is aborted. */
   async nextBatch (signal: AbortSignal): Promise<OutboxBatch> {
     const heartbeatAt = nextMultiple(performance.now(), this.timing.heartbeatMs)
