--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -77,6 +77,8 @@
     callers: zod.strictObject({ listen: hostPort }),
     /** Where targets announce themselves to this process. */
     announcements: zod.strictObject({ listen: hostPort, token }).optional(),
+    /** Where other entry instances forward requests to this one while they are partitioned from the targets. */
+    forwarding: zod.strictObject({ listen: hostPort }).optional(),
     /** Control replicas, from at least two failure domains if the cluster has as many. */
     control: zod.array(zod.strictObject({ address: hostPort, failureDomain: identifier })).default([]),
     /** Alternative to `control` and `peers`: control replicas that relay announcements (hubs) are discovered through these. */
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -6,6 +6,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as settings from '@rosemaryrack/config/common/settings.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as forwardingPeers from '@rosemaryrack/fleet/common/forwardingPeers.js'
 import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import * as announcementRoutes from '@rosemaryrack/fleet/node/announcementRoutes.js'
@@ -47,6 +48,8 @@
   private readonly crashDetector: crashDetection.CrashDetector
   private readonly notices: endpointNotices.EndpointNotices
   private readonly members: memberTable.MemberTable
+  /** Entry instances that requests can be forwarded to while this one is cut off. */
+  readonly forwardingPeers: forwardingPeers.ForwardingPeers
   private readonly configs: configFollower.ConfigFollower
   private readonly mesh: peerMesh.PeerMesh
   private readonly lanes: laneRegistry.LaneRegistry
@@ -75,7 +78,8 @@
       // A spoke subscribes only to hubs, a peer to all entry instances.
       role: entry.seeds.length > 0 ? 'spoke' : 'peer'
     } as const
-    const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs }
+    this.forwardingPeers = new forwardingPeers.ForwardingPeers(members, cfg.failureDomain, random, this.clock)
+    const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs, forwardingPeers: this.forwardingPeers }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [...entry.peers, ...seeds], identity, tables, this.pauses, decisions))
     this.notices = this.disposables.add(new endpointNotices.EndpointNotices({
       onLeaving: (endpoint) => this.noteLeaving(endpoint),
@@ -97,6 +101,8 @@
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
     this.callers = this.createCallerListener()
+    this.publishForwarding()
+    this.disposables.add(this.reachability.onChanged(() => this.publishForwarding()))
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
   }
 
@@ -142,6 +148,7 @@
   async stop (): Promise<void> {
     const startedAt = performance.now()
     this.isStopping = true
+    this.publishForwarding()
     this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's load balancer, then for ${this.callers.inFlightCount} requests in flight` })
     await async.sleep(this.entry.drainNoticeMs)
     await this.callers.stop(startedAt)
@@ -166,6 +173,11 @@
     return reachability
   }
 
+  private publishForwarding (): void {
+    const forwardAddress = this.isStopping ? undefined : this.entry.forwarding?.listen
+    this.mesh.publishForwarding({ forwardAddress, cutOff: this.reachability.isCutOff })
+  }
+
   private createCallerListener (): callerListener.CallerListener {
     return new callerListener.CallerListener(this.entry.graceS, this.configs, {
       lanes: this.lanes,
