--- a/packages/entry/src/test/targetReachability.test.ts
+++ b/packages/entry/src/test/targetReachability.test.ts
@@ -1,11 +1,16 @@
 /** What connections, requests, load probes and checks report of the reachability of their targets. */
-import type * as net from 'node:net'
+import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
+import * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as targetCheck from '@rosemaryrack/routing/common/targetCheck.js'
+import * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
+import * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
+import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as httpProber from '../node/httpProber.js'
 import * as targetChecker from '../node/targetChecker.js'
+import * as targetConnections from '../node/targetConnections.js'
 import * as exchange from './exchange.js'
 
 const eventTimeoutMs = 20_000
@@ -138,3 +143,99 @@
   t.same(await check(current, current.endpoint, eventTimeoutMs, false), ['accepted', 'answered'])
   t.equal(requests, 0)
 })
+
+/** What happens to the connections of an instance in a partition. */
+type Partition = 'none' | 'reset' | 'silent' | 'refused'
+
+/** Targets of three services, and an instance that probes them. */
+class ProbedTargets {
+  readonly contacts = new targetContacts.TargetContacts(new clock.SystemClock())
+  readonly connections = new targetConnections.TargetConnections(this.contacts)
+  readonly reachability: targetReachability.TargetReachability
+  private readonly servers: net.Server[] = []
+  private readonly sockets = new Set<net.Socket>()
+  private readonly endpoints: endpointTable.Endpoint[] = []
+  private readonly prober: httpProber.HttpProber
+  private partition: Partition = 'none'
+
+  constructor () {
+    const deps = { connections: this.connections, notices, names: exchange.defaultHeaderNames }
+    this.prober = new httpProber.HttpProber({ ...deps, healthPath: '/healthz' })
+    const checker = new targetChecker.TargetChecker({ ...deps, healthPathOf: () => '/healthz' })
+    this.reachability = new targetReachability.TargetReachability(this.contacts, { all: () => this.endpoints }, checker, { next: Math.random }, new clock.SystemClock(), new decisionLog.NullDecisionLog())
+  }
+
+  async listen (): Promise<void> {
+    for (let i = 0; i < 6; i++) {
+      const server = net.createServer((socket) => this.accept(socket))
+      await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+      this.servers.push(server)
+      const { port } = server.address() as net.AddressInfo
+      this.endpoints.push({ endpoint: `e-${i}`, service: `s-${i % 3}`, address: `127.0.0.1:${port}`, failureDomain: 'a', state: 'ready', incarnation: 1, announcedAt: performance.now(), leaseMs: 60_000 } as unknown as endpointTable.Endpoint)
+    }
+  }
+
+  get addresses (): readonly string[] {
+    return this.endpoints.map(({ address }) => address)
+  }
+
+  async setPartition (partition: Partition): Promise<void> {
+    if (this.partition === 'refused') {
+      for (const [i, server] of this.servers.entries()) {
+        const port = Number(this.endpoints[i]!.address.split(':')[1])
+        await new Promise<void>((resolve) => { server.listen(port, '127.0.0.1', resolve) })
+      }
+    }
+    this.partition = partition
+    if (partition === 'reset') for (const socket of this.sockets) reset(socket)
+    if (partition === 'refused') for (const server of this.servers) server.close()
+  }
+
+  /** Probes the endpoints in turn until the condition holds; returns false on a timeout. */
+  async probeUntil (condition: () => boolean): Promise<boolean> {
+    const deadline = performance.now() + eventTimeoutMs
+    for (let i = 0; !condition(); i++) {
+      if (performance.now() > deadline) return false
+      const cancel = this.prober.probe(this.endpoints[i % this.endpoints.length]!, () => {})
+      await timers.setTimeout(settleMs / 2)
+      cancel()
+    }
+    return true
+  }
+
+  dispose (): void {
+    this.reachability.dispose()
+    this.contacts.dispose()
+    this.connections.dispose()
+    for (const socket of this.sockets) socket.destroy()
+    for (const server of this.servers) server.close()
+  }
+
+  private accept (socket: net.Socket): void {
+    this.sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => this.sockets.delete(socket))
+    socket.on('data', () => {
+      if (this.partition === 'reset') reset(socket)
+      // Connections that were open live on while new ones are refused.
+      else if (this.partition !== 'silent') socket.write(response)
+    })
+  }
+}
+
+for (const partition of ['reset', 'silent', 'refused'] as const) {
+  tap.t.test(`an instance whose connections are ${partition} is cut off until they succeed again`, async (t) => {
+    const targets = new ProbedTargets()
+    t.teardown(() => targets.dispose())
+    await targets.listen()
+    let probes = 0
+    await targets.probeUntil(() => ++probes > 20)
+    t.notOk(targets.reachability.isCutOff)
+    await targets.setPartition(partition)
+    // The other connections go on.
+    if (partition === 'refused') for (const address of targets.addresses.slice(0, 3)) targets.connections.retireAll(address)
+    t.ok(await targets.probeUntil(() => targets.reachability.isCutOff))
+    await targets.setPartition('none')
+    t.ok(await targets.probeUntil(() => !targets.reachability.isCutOff))
+  })
+}
