Reachability checks prefer endpoints that renew their leases

After a loss of many endpoints most of those known may be down, so that five of them were not enough to tell that from a partition, and its end was found late. Once one endpoint has answered, the next check follows sooner.

--- a/packages/routing/src/common/targetReachability.ts
+++ b/packages/routing/src/common/targetReachability.ts
@@ -27,9 +27,13 @@
 /** Number of endpoints checked each time while cut off, and the interval. */
 const returnCheckCount = 3
 const returnCheckIntervalMs = 300
-/** Number of endpoints that answer, within a second, when the partition is over. */
+/** Interval after an endpoint has answered, so that a second one is soon found. */
+const confirmIntervalMs = 100
+/** Number of endpoints that answer, within a short time, when the partition is over. */
 const minReachedCount = 2
-const reachedLifetimeMs = 1000
+const reachedLifetimeMs = 2000
+/** Share of its lease after which an endpoint that has not renewed it may have crashed; the lease covers several renewals. */
+const overdueLeaseShare = 0.5
 
 /** Time before a verdict in which failures were already due to the partition: the evidence for it and the longest checks. */
 export const withdrawalMs = 2000
@@ -129,7 +133,7 @@
   private suspect (failed: readonly endpointTable.Endpoint[], known: readonly endpointTable.Endpoint[]): void {
     this.cancelCheck()
     this.lastSuspicionAt = this.clock.now()
-    const avoided = new Set(failed.map(({ address }) => address))
+    const avoided = new Set([...failed, ...this.overdue(known)].map(({ address }) => address))
     const checked = targetSelection.selectDiverse(known, suspicionCheckCount, avoided, this.random)
     this.decisions.record({ event: 'partition-suspected', choice: listIds(checked), considered: known.length, why: `${failed.length} endpoints failed without a success since: ${listIds(failed.slice(0, suspicionCheckCount))}` })
     const check = new targetCheck.TargetCheck(this.checker, this.clock, {
@@ -179,12 +183,17 @@
       return
     }
     if (known.every(({ address }) => this.checkedAddresses.has(address))) this.checkedAddresses.clear()
-    const checked = targetSelection.selectDiverse(known, returnCheckCount, this.checkedAddresses, this.random)
+    const avoided = new Set([...this.checkedAddresses, ...this.overdue(known).map(({ address }) => address)])
+    const checked = targetSelection.selectDiverse(known, returnCheckCount, avoided, this.random)
     for (const { address } of checked) this.checkedAddresses.add(address)
     const startedAt = this.clock.now()
+    let intervalMs = returnCheckIntervalMs
     this.state.check = new targetCheck.TargetCheck(this.checker, this.clock, {
-      onAnswered: ({ address }) => this.noteReached(address),
-      onEnd: () => this.scheduleReturnCheck(Math.max(0, startedAt + returnCheckIntervalMs - this.clock.now()))
+      onAnswered: ({ address }) => {
+        intervalMs = confirmIntervalMs
+        this.noteReached(address)
+      },
+      onEnd: () => this.scheduleReturnCheck(Math.max(0, startedAt + intervalMs - this.clock.now()))
     })
     this.state.check.start(checked)
   }
@@ -216,6 +225,11 @@
     if (this.state.kind !== 'reachable') this.state.check?.dispose()
   }
 
+  private overdue (endpoints: readonly endpointTable.Endpoint[]): readonly endpointTable.Endpoint[] {
+    const now = this.clock.now()
+    return endpoints.filter(({ announcedAt, leaseMs }) => now - announcedAt > leaseMs * overdueLeaseShare)
+  }
+
   /** Returns the endpoints with a live lease, or all if there are none, since announcements may be lost in a partition too. */
   private checkableEndpoints (): readonly endpointTable.Endpoint[] {
     const now = this.clock.now()
--- a/packages/routing/src/test/targetReachability.test.ts
+++ b/packages/routing/src/test/targetReachability.test.ts
@@ -225,6 +225,31 @@
   t.same(single.events, [])
 })
 
+tap.t.test('after many endpoints were lost, those that still announce themselves are checked first', async (t) => {
+  const instance = new Instance(servicesOfThree, 12)
+  instance.setAll('refuses')
+  instance.clock.advance(leaseMs * 0.6)
+  for (const service of servicesOfThree) {
+    for (const failureDomain of ['a', 'b']) instance.addEndpoint(service, `${service}-restarted-${failureDomain}`, failureDomain)
+  }
+  for (let ms = 0; ms < 5000; ms += 50) {
+    instance.refuse(...instance.addresses.slice(0, 12))
+    instance.clock.advance(50)
+    t.notOk(instance.reachability.isCutOff)
+  }
+})
+
+tap.t.test('a partition ends soon even if most endpoints have crashed meanwhile', async (t) => {
+  const instance = new Instance(servicesOfThree, 12)
+  instance.setAll('hangs')
+  instance.refuse('diary-0:1', 'diary-1:1')
+  instance.clock.advance(5000)
+  t.ok(instance.reachability.isCutOff)
+  for (const service of servicesOfThree) instance.addEndpoint(service, `${service}-new`, 'a')
+  instance.clock.advance(instance.addresses.length * 300 / 3 + 300)
+  t.notOk(instance.reachability.isCutOff)
+})
+
 tap.t.test('one target that answers does not end a partition', async (t) => {
   const instance = new Instance(servicesOfThree)
   instance.setAll('hangs')
@@ -234,6 +259,14 @@
   instance.clock.advance(5000)
   t.ok(instance.reachability.isCutOff)
   t.equal(new Set(instance.checkedAt.map(({ address }) => address)).size, instance.endpoints.length, 'all targets are checked in turn')
+  const small = new Instance(['diary'], 3)
+  small.setAll('refuses')
+  small.refuse('diary-0:1', 'diary-1:1')
+  small.clock.advance(noticeMs)
+  small.reactions.set('diary-0:1', 'answers')
+  small.clock.advance(5000)
+  t.ok(small.reachability.isCutOff)
+  t.ok(small.checkedAt.length < 200, `${small.checkedAt.length} checks in 5 s`)
 })
 
 tap.t.test('failures long ago raise no suspicion', async (t) => {
