--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -6,6 +6,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as settings from '@rosemaryrack/config/common/settings.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as forwardingPeers from '@rosemaryrack/fleet/common/forwardingPeers.js'
 import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import * as announcementRoutes from '@rosemaryrack/fleet/node/announcementRoutes.js'
@@ -16,6 +17,8 @@
 import * as adaptivePolicy from '@rosemaryrack/routing/common/adaptivePolicy.js'
 import * as crashDetection from '@rosemaryrack/routing/common/crashDetection.js'
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
+import * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
+import * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as callerListener from './callerListener.js'
@@ -25,6 +28,7 @@
 import * as permitClient from './permitClient.js'
 import * as readiness from './readiness.js'
 import * as startup from './startup.js'
+import * as targetChecker from './targetChecker.js'
 import * as targetConnections from './targetConnections.js'
 
 const msPerSecond = 1000
@@ -38,10 +42,14 @@
   private readonly pauses = this.disposables.add(new pauseDetector.PauseDetector())
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
   private readonly suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
-  private readonly crashDetector = this.disposables.add(new crashDetection.CrashDetector(this.endpoints, this.suspects, this.clock))
-  private readonly connections = this.disposables.add(new targetConnections.TargetConnections())
+  private readonly contacts = this.disposables.add(new targetContacts.TargetContacts(this.clock))
+  private readonly connections = this.disposables.add(new targetConnections.TargetConnections(this.contacts))
+  private readonly reachability: targetReachability.TargetReachability
+  private readonly crashDetector: crashDetection.CrashDetector
   private readonly notices: endpointNotices.EndpointNotices
   private readonly members: memberTable.MemberTable
+  /** Entry instances that requests can be forwarded to while this one is cut off. */
+  readonly forwardingPeers: forwardingPeers.ForwardingPeers
   private readonly configs: configFollower.ConfigFollower
   private readonly mesh: peerMesh.PeerMesh
   private readonly lanes: laneRegistry.LaneRegistry
@@ -70,12 +78,15 @@
       // A spoke subscribes only to hubs, a peer to all entry instances.
       role: entry.seeds.length > 0 ? 'spoke' : 'peer'
     } as const
-    const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs }
+    this.forwardingPeers = new forwardingPeers.ForwardingPeers(members, cfg.failureDomain, random, this.clock)
+    const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs, forwardingPeers: this.forwardingPeers }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [...entry.peers, ...seeds], identity, tables, this.pauses, decisions))
     this.notices = this.disposables.add(new endpointNotices.EndpointNotices({
       onLeaving: (endpoint) => this.noteLeaving(endpoint),
       onLimit: (endpoint, limit, requestedAt) => this.noteLimit(endpoint, limit, requestedAt)
     }, this.endpoints, this.clock, decisions))
+    this.reachability = this.createReachability()
+    this.crashDetector = this.disposables.add(new crashDetection.CrashDetector(this.endpoints, this.suspects, this.clock, this.reachability))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveEntryCount,
@@ -86,9 +97,12 @@
       repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond },
       startingUntil: this.startup.holdEndsAt,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0,
+      reachability: this.reachability,
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
     this.callers = this.createCallerListener()
+    this.publishForwarding()
+    this.disposables.add(this.reachability.onChanged(() => this.publishForwarding()))
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
   }
 
@@ -134,6 +148,7 @@
   async stop (): Promise<void> {
     const startedAt = performance.now()
     this.isStopping = true
+    this.publishForwarding()
     this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's load balancer, then for ${this.callers.inFlightCount} requests in flight` })
     await async.sleep(this.entry.drainNoticeMs)
     await this.callers.stop(startedAt)
@@ -149,6 +164,20 @@
     return { members, configs }
   }
 
+  private createReachability (): targetReachability.TargetReachability {
+    const healthPathOf = (service: string): string | undefined => this.lanes.healthPathOf(service)
+    const checker = new targetChecker.TargetChecker({ connections: this.connections, notices: this.notices, names: this.entry.headers, healthPathOf })
+    const reachability = this.disposables.add(new targetReachability.TargetReachability(this.contacts, this.endpoints, checker, random, this.clock, this.decisions))
+    // Connections whose packets were lost for a while may be silent for much longer.
+    this.disposables.add(reachability.onChanged((isCutOff) => { if (isCutOff) this.connections.retireEverything() }))
+    return reachability
+  }
+
+  private publishForwarding (): void {
+    const forwardAddress = this.isStopping ? undefined : this.entry.forwarding?.listen
+    this.mesh.publishForwarding({ forwardAddress, cutOff: this.reachability.isCutOff })
+  }
+
   private createCallerListener (): callerListener.CallerListener {
     return new callerListener.CallerListener(this.entry.graceS, this.configs, {
       lanes: this.lanes,
@@ -211,6 +240,7 @@
     this.metrics.registerGauge('rosemaryrack_endpoints_live', {}, () => this.endpoints.liveCount)
     this.metrics.registerGauge('rosemaryrack_endpoints_limited', {}, () => this.endpoints.all().filter(endpointTable.isLimited).length)
     this.metrics.registerGauge('rosemaryrack_entries_live', {}, () => this.members.liveEntryCount)
+    this.metrics.registerGauge('rosemaryrack_cut_off', {}, () => this.reachability.isCutOff ? 1 : 0)
     this.metrics.registerGauge('rosemaryrack_target_connections', {}, () => this.connections.count)
     this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.callers.inFlightCount)
     this.metrics.registerGauge('rosemaryrack_suspects', {}, () => this.suspects.size)
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -125,6 +125,7 @@
       isConnected: () => true,
       notices,
       permitSource: { request: () => {} },
+      reachability: { isCutOff: false, onChanged: new event.Emitter<boolean>().event },
       startingUntil: 0
     }, systemClock))
     this.listener = new callerListener.CallerListener(options.graceS ?? 1, this.config, {
