--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -48,6 +48,37 @@
   onBroken(err: Error): void
 }
 
+/** Where an attempt is sent: an endpoint or a peer. */
+export interface IAttemptTarget {
+  readonly address: string
+  /** Value of the header that names the expected endpoint. */
+  readonly endpoint: string
+  /** Checked once the connection is open. */
+  canSend(): boolean
+  /** @param sentAt when the request of the response was sent. */
+  recordNotice(notice: endpointNotices.Notice, sentAt: number): void
+}
+
+class EndpointTarget implements IAttemptTarget {
+  constructor (private readonly target: endpointTable.Endpoint, private readonly notices: endpointNotices.IEndpointNotices) {}
+
+  get address (): string {
+    return this.target.address
+  }
+
+  get endpoint (): string {
+    return this.target.endpoint
+  }
+
+  canSend (): boolean {
+    return this.notices.canSend(this.target)
+  }
+
+  recordNotice (notice: endpointNotices.Notice, sentAt: number): void {
+    this.notices.recordNotice(this.target, notice, sentAt)
+  }
+}
+
 /** Starts attempts for one request. */
 export class HttpTransport implements transport.ITransport {
   constructor (
@@ -57,7 +88,7 @@
   ) {}
 
   start (endpoint: endpointTable.Endpoint, events: transport.IAttemptEvents, isNewConnection: boolean): HttpAttempt {
-    const attempt = new HttpAttempt(endpoint, this.req, events, this.connections, this.notices)
+    const attempt = new HttpAttempt(new EndpointTarget(endpoint, this.notices), this.req, events, this.connections)
     attempt.run(isNewConnection)
     return attempt
   }
@@ -95,15 +126,14 @@
   private isKeptAlive = true
 
   constructor (
-    private readonly endpoint: endpointTable.Endpoint,
+    private readonly target: IAttemptTarget,
     private readonly req: TargetReq,
     private readonly events: transport.IAttemptEvents,
-    private readonly connections: targetConnections.TargetConnections,
-    private readonly notices: endpointNotices.IEndpointNotices
+    private readonly connections: targetConnections.TargetConnections
   ) {}
 
   get address (): string {
-    return this.endpoint.address
+    return this.target.address
   }
 
   get written (): boolean {
@@ -123,7 +153,7 @@
     // Lets `start` return the attempt before its first event, on an idle connection too.
     if (idle !== undefined) await Promise.resolve()
     if (this.hasEnded) this.connections.discard(this.connection)
-    else if (this.notices.canSend(this.endpoint)) this.send(this.connection)
+    else if (this.target.canSend()) this.send(this.connection)
     else this.skipSend(this.connection)
   }
 
@@ -173,7 +203,7 @@
   private dispatchOptions (): undici.Dispatcher.DispatchOptions {
     const { headerNames } = this.req
     const remainingMs = Math.max(0, Math.round(this.req.deadlineAt - performance.now()))
-    const expectedEndpointHeader = headerNames.expectedEndpoint === undefined ? [] : [headerNames.expectedEndpoint, this.endpoint.endpoint]
+    const expectedEndpointHeader = headerNames.expectedEndpoint === undefined ? [] : [headerNames.expectedEndpoint, this.target.endpoint]
     return {
       path: this.req.requestTarget,
       method: this.req.method as undici.Dispatcher.HttpMethod,
@@ -195,7 +225,7 @@
           this.handleError(new Error(`not the target's response to this request: ${mismatch}`))
           return
         }
-        this.notices.recordNotice(this.endpoint, headerRules.parseNotice(this.req.headerNames, status, headers), this.sentAt)
+        this.target.recordNotice(headerRules.parseNotice(this.req.headerNames, status, headers), this.sentAt)
         this.hasHead = true
         this.isKeptAlive = headers['connection'] !== 'close'
         this.connection?.applyKeepAlive(headers['keep-alive'])
