--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -9,6 +9,7 @@
 /** Names of instances and failure domains are given by the deployment, so they may contain more characters than `name`. */
 const identifier = zod.string().regex(names.identifierPattern, names.identifierRule)
 const hostPort = zod.string().refine(address.isAddress, 'an IP address and port, such as "127.0.0.1:7000"')
+const host = zod.string().refine((text) => address.isAddress(`${text}:0`), 'an IP address, such as "127.0.0.1"')
 const token = zod.string().min(minTokenLength)
 
 const headerName = zod.string().regex(/^[a-z0-9-]{1,64}$/, 'a header name in lower case')
@@ -75,6 +76,8 @@
   }).optional(),
   entry: zod.strictObject({
     callers: zod.strictObject({ listen: hostPort }),
+    /** Source address of the connections to targets, on instances with several addresses. */
+    targetSourceHost: host.optional(),
     /** Where targets announce themselves to this process. */
     announcements: zod.strictObject({ listen: hostPort, token }).optional(),
     /** Control replicas, from at least two failure domains if the cluster has as many. */
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -39,7 +39,7 @@
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
   private readonly suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
   private readonly crashDetector = this.disposables.add(new crashDetection.CrashDetector(this.endpoints, this.suspects, this.clock))
-  private readonly connections = this.disposables.add(new targetConnections.TargetConnections())
+  private readonly connections: targetConnections.TargetConnections
   private readonly notices: endpointNotices.EndpointNotices
   private readonly members: memberTable.MemberTable
   private readonly configs: configFollower.ConfigFollower
@@ -56,6 +56,7 @@
     private readonly decisions: decisionLog.IDecisionLog,
     private readonly metrics: metrics.Metrics
   ) {
+    this.connections = this.disposables.add(new targetConnections.TargetConnections({ sourceHost: entry.targetSourceHost }))
     const identity = innerListener.createLinkIdentity(cfg.cluster, cfg.inner)
     const seeds = rotateRandomly(settings.seedInnerAddresses(cfg, entry.seeds))
     const { members, configs } = this.createFleetTables(cfg, identity, seeds)
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -3,7 +3,8 @@
 import * as undici from 'undici'
 import * as address from '@rosemaryrack/base/common/address.js'
 
-const connectTimeoutMs = 1000
+/** Default of `ConnectOptions.timeoutMs`. */
+const defaultConnectTimeoutMs = 1000
 /** Idle time after which a connection is not reused, in milliseconds; for targets that send no `Keep-Alive` timeout. */
 export const defaultIdleLimitMs = 4000
 /** Share of a target's `Keep-Alive` timeout in which a connection is reused: a request must arrive before the timeout ends. */
@@ -61,6 +62,13 @@
   }
 }
 
+/** How connections are opened. */
+export interface ConnectOptions {
+  readonly timeoutMs?: number
+  /** Source address; undefined lets the system choose. */
+  readonly sourceHost?: string | undefined
+}
+
 /** An open connection and its undici client. */
 export class TargetConnection {
   readonly openedAt = performance.now()
@@ -90,11 +98,11 @@
   }
 
   /** Connects; rejects when the target does not accept in time. */
-  static open (targetAddress: string): Promise<TargetConnection> {
+  static open (targetAddress: string, { timeoutMs = defaultConnectTimeoutMs, sourceHost }: ConnectOptions = {}): Promise<TargetConnection> {
     const { host, port } = address.parseAddress(targetAddress)
     return new Promise((resolve, reject) => {
-      const socket = new TargetSocket().setNoDelay(true).connect({ host, port })
-      const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)), connectTimeoutMs)
+      const socket = new TargetSocket().setNoDelay(true).connect({ host, port, ...(sourceHost === undefined ? {} : { localAddress: sourceHost }) })
+      const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)), timeoutMs)
       socket.once('error', (err) => {
         clearTimeout(timer)
         reject(err)
--- a/packages/entry/src/node/targetConnections.ts
+++ b/packages/entry/src/node/targetConnections.ts
@@ -18,6 +18,8 @@
   private readonly timer = setInterval(() => this.sweep(), sweepIntervalMs)
   private openCount = 0
 
+  constructor (private readonly options: targetConnection.ConnectOptions = {}) {}
+
   dispose (): void {
     clearInterval(this.timer)
     for (const pool of this.pools.values()) {
@@ -49,7 +51,7 @@
   }
 
   async open (address: string): Promise<targetConnection.TargetConnection> {
-    const connection = await targetConnection.TargetConnection.open(address)
+    const connection = await targetConnection.TargetConnection.open(address, this.options)
     this.openCount++
     return connection
   }
