--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -8,6 +8,7 @@
 import type * as balancingPolicy from './balancingPolicy.js'
 import type * as budget from './budget.js'
 import * as callFault from './callFault.js'
+import * as callProgress from './callProgress.js'
 import type * as crashDetection from './crashDetection.js'
 import type * as dispatcher from './dispatcher.js'
 import type * as domainPreference from './domainPreference.js'
@@ -74,16 +75,9 @@
   onFailed(fault: errors.Fault): void
 }
 
-interface RunningAttempt {
-  readonly placement: slotAssignment.Placement
-  readonly startedAt: number
-  handle: transport.IAttempt | undefined
-  cancelTimeout: () => void
-}
-
 /** Runs a call from `start` until its outcome, or until `cancel` when the caller has disconnected. */
 export class Call {
-  private readonly runningAttempts = new Set<RunningAttempt>()
+  private readonly runningAttempts = new Set<callProgress.RunningAttempt>()
   private readonly triedEndpoints = new Set<string>()
   private readonly isSuspect: boolean
   private cancelDeadline = (): void => {}
@@ -117,10 +111,15 @@
   }
 
   /** Cancels all attempts without reporting an outcome. */
-  cancel (): void {
+  cancel (why = 'the caller disconnected'): void {
     if (this.isSettled) return
     this.settle()
-    this.record({ event: 'cancel', why: 'the caller disconnected' })
+    this.record({ event: 'cancel', why })
+  }
+
+  /** What the call has done so far, for a decision to run it elsewhere. */
+  get progress (): callProgress.CallProgress {
+    return callProgress.computeProgress(this.mayHaveRun, this.attempts - this.unsentAttempts, this.runningAttempts)
   }
 
   private get suspectStatus (): suspectTable.SuspectStatus {
@@ -192,7 +191,7 @@
     this.attempts++
     this.triedEndpoints.add(endpoint.endpoint)
     this.deps.dispatcher.recordSend(placement)
-    const attempt: RunningAttempt = { placement, startedAt: this.deps.clock.now(), handle: undefined, cancelTimeout: () => {} }
+    const attempt: callProgress.RunningAttempt = { placement, startedAt: this.deps.clock.now(), handle: undefined, cancelTimeout: () => {} }
     this.runningAttempts.add(attempt)
     attempt.handle = this.deps.transport.start(endpoint, {
       onHead: (head) => this.onHead(attempt, head),
@@ -204,14 +203,14 @@
   }
 
   /** Limits an attempt of an idempotent call to a part of the remaining time, so that a retry can follow. */
-  private scheduleAttemptTimeout (attempt: RunningAttempt): void {
+  private scheduleAttemptTimeout (attempt: callProgress.RunningAttempt): void {
     const { clock } = this.deps
     if (!this.spec.lane.idempotent || !this.canRunAgain) return
     const timeoutMs = (this.spec.deadlineAt - clock.now()) * attemptTimeoutShare
     attempt.cancelTimeout = clock.after(timeoutMs, () => this.onAttemptTimeout(attempt, timeoutMs))
   }
 
-  private onAttemptTimeout (attempt: RunningAttempt, timeoutMs: number): void {
+  private onAttemptTimeout (attempt: callProgress.RunningAttempt, timeoutMs: number): void {
     // While a hedge is in flight or when no retry is left, no other attempt can follow, so the attempt goes on.
     if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1 || !this.takeRetry()) return
     this.hasReservedRetry = true
@@ -222,7 +221,7 @@
 
   // ---- Responses ----
 
-  private onHead (attempt: RunningAttempt, received: transport.ResponseHead): void {
+  private onHead (attempt: callProgress.RunningAttempt, received: transport.ResponseHead): void {
     const shed = this.spec.lane.shedStatuses.includes(received.status)
     const head = shed ? { ...received, notRun: true } : received
     this.removeAttempt(attempt)
@@ -243,12 +242,12 @@
     }
   }
 
-  private removeAttempt (attempt: RunningAttempt): void {
+  private removeAttempt (attempt: callProgress.RunningAttempt): void {
     attempt.cancelTimeout()
     this.runningAttempts.delete(attempt)
   }
 
-  private recordHead (attempt: RunningAttempt, head: transport.ResponseHead): void {
+  private recordHead (attempt: callProgress.RunningAttempt, head: transport.ResponseHead): void {
     const now = this.deps.clock.now()
     this.deps.crashDetector.recordRunning(attempt.placement.endpoint, attempt.startedAt)
     if (head.notRun || head.status >= minServerErrorStatus) {
@@ -275,7 +274,7 @@
     return this.hasOtherAttempt || (this.deps.dispatcher.canServeWithinLimits(this.slotRequest) && this.takeRetry())
   }
 
-  private deliverResponse (attempt: RunningAttempt, head: transport.ResponseHead): void {
+  private deliverResponse (attempt: callProgress.RunningAttempt, head: transport.ResponseHead): void {
     this.settle()
     this.deps.decisions.recordWithoutLogging({
       requestId: this.spec.requestId,
@@ -292,7 +291,7 @@
 
   // ---- Failures ----
 
-  private onAttemptFailed (attempt: RunningAttempt, failure: transport.AttemptFailure): void {
+  private onAttemptFailed (attempt: callProgress.RunningAttempt, failure: transport.AttemptFailure): void {
     this.removeAttempt(attempt)
     this.recordFailure(attempt, failure.kind)
     attempt.placement.release()
@@ -309,7 +308,7 @@
     else this.failUnlessOtherAttempt(why)
   }
 
-  private recordFailure ({ placement, startedAt }: RunningAttempt, kind: transport.AttemptFailure['kind']): void {
+  private recordFailure ({ placement, startedAt }: callProgress.RunningAttempt, kind: transport.AttemptFailure['kind']): void {
     if (kind === 'refused') {
       this.recordConnectionRefused(placement)
       return
--- /dev/null
+++ b/packages/routing/src/common/callProgress.ts
@@ -0,0 +1,30 @@
+/** Attempts of a call, and what they have done so far. */
+import type * as slotAssignment from './slotAssignment.js'
+import type * as transport from './transport.js'
+
+/** An attempt whose outcome is not known yet. */
+export interface RunningAttempt {
+  readonly placement: slotAssignment.Placement
+  readonly startedAt: number
+  handle: transport.IAttempt | undefined
+  cancelTimeout: () => void
+}
+
+/** Progress of a call. */
+export interface CallProgress {
+  /** True if an endpoint may have run the call. */
+  readonly mayHaveRun: boolean
+  /** Number of attempts that may have reached an endpoint. */
+  readonly sentAttempts: number
+}
+
+/**
+ * Computes the progress of a call.
+ * @param hasUncertainEnd true if an attempt that has ended may have run.
+ * @param attempts started attempts without those that certainly did not reach an endpoint.
+ */
+export function computeProgress (hasUncertainEnd: boolean, attempts: number, running: Iterable<RunningAttempt>): CallProgress {
+  const handles = [...running].map(({ handle }) => handle)
+  const unwritten = handles.filter((handle) => handle?.written === false).length
+  return { mayHaveRun: hasUncertainEnd || handles.length > unwritten, sentAttempts: attempts - unwritten }
+}
