--- /dev/null
+++ b/packages/entry/src/common/forwardHeaders.ts
@@ -0,0 +1,75 @@
+/**
+ * Headers that an instance adds to a request that it forwards to a peer, and the peer to its response. Callers and targets cannot set
+ * them: they are never passed on from one hop to the next.
+ */
+import * as headerRules from './headerRules.js'
+
+const prefix = headerRules.forwardHeaderPrefix
+/** Carries the inner token. The `Authorization` header belongs to the caller. */
+export const tokenHeader = `${prefix}token`
+export const clusterHeader = `${prefix}cluster`
+const senderHeader = `${prefix}sender`
+const configVersionHeader = `${prefix}config-version`
+const ageHeader = `${prefix}age-ms`
+const attemptsLeftHeader = `${prefix}attempts-left`
+const countedHeader = `${prefix}counted`
+const claimedHeader = `${prefix}claimed`
+/** Response header with an `Outcome`. */
+export const outcomeHeader = `${prefix}outcome`
+/** Response header with the number of attempts that may have reached an endpoint. */
+export const attemptsHeader = `${prefix}attempts`
+
+/** The response is that of an endpoint. */
+export const answeredOutcome = 'answered'
+/** The peer has not started to run the request. Other outcomes are the error kinds of requests that it refused later. */
+export const declinedOutcome = 'declined'
+
+const trueValue = '1'
+
+/** What a peer has to know about a forwarded request, besides the request itself. */
+export interface ForwardInfo {
+  /** Instance that forwards the request. */
+  readonly sender: string
+  /** Version of the sender's configuration. */
+  readonly configVersion: number
+  /** Milliseconds since the caller's request arrived at the sender. */
+  readonly ageMs: number
+  /** Limit on the attempts, if some of them were used before. */
+  readonly attemptsLeft: number | undefined
+  /** True if the request was counted for the budget of repeats before. */
+  readonly isCounted: boolean
+  /** True if the sender has claimed the idempotency key. */
+  readonly isClaimed: boolean
+}
+
+/** Returns the headers for a request, as a flat list of names and values. */
+export function formatInfo (info: ForwardInfo): readonly string[] {
+  return [
+    senderHeader, info.sender,
+    configVersionHeader, String(info.configVersion),
+    ageHeader, String(Math.max(0, Math.round(info.ageMs))),
+    ...(info.attemptsLeft === undefined ? [] : [attemptsLeftHeader, String(info.attemptsLeft)]),
+    ...(info.isCounted ? [countedHeader, trueValue] : []),
+    ...(info.isClaimed ? [claimedHeader, trueValue] : [])
+  ]
+}
+
+/** Returns the information in the headers of a request; undefined if it is incomplete or invalid. */
+export function parseInfo (headers: headerRules.MessageHeaders): ForwardInfo | undefined {
+  const sender = headers[senderHeader]
+  const configVersion = parseCount(headers[configVersionHeader])
+  const ageMs = parseCount(headers[ageHeader])
+  const attemptsLeft = parseCount(headers[attemptsLeftHeader])
+  const hasValidAttempts = headers[attemptsLeftHeader] === undefined || (attemptsLeft !== undefined && attemptsLeft > 0)
+  if (typeof sender !== 'string' || configVersion === undefined || ageMs === undefined || !hasValidAttempts) return undefined
+  return { sender, configVersion, ageMs, attemptsLeft, isCounted: headers[countedHeader] === trueValue, isClaimed: headers[claimedHeader] === trueValue }
+}
+
+/** Returns the number of attempts in the headers of a response. */
+export function parseAttempts (headers: headerRules.MessageHeaders): number {
+  return parseCount(headers[attemptsHeader]) ?? 0
+}
+
+function parseCount (text: string | string[] | undefined): number | undefined {
+  return typeof text === 'string' && /^\d{1,15}$/.test(text) ? Number(text) : undefined
+}
--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -23,6 +23,9 @@
   'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
 ])
 
+/** Begins the names of the headers between an instance that forwards a request and its peer; they go no further. */
+export const forwardHeaderPrefix = 'rack-forward-'
+
 /** Returns the names that a `Connection` header lists, which are hop-by-hop headers too. */
 function parseConnectionHeader (connection: string | undefined): ReadonlySet<string> {
   if (connection === undefined) return new Set()
@@ -30,7 +33,7 @@
 }
 
 /**
- * Returns the headers that are forwarded, without hop-by-hop headers and those in `excluded`.
+ * Returns the headers that are forwarded, without hop-by-hop headers, those of forwarding and those in `excluded`.
  * @param raw flat list of names and values.
  */
 export function forwardableHeaders (raw: readonly string[], connection: string | undefined, excluded: ReadonlySet<string>): string[] {
@@ -38,7 +41,7 @@
   const kept: string[] = []
   for (let i = 0; i + 1 < raw.length; i += 2) {
     const name = raw[i]!.toLowerCase()
-    if (hopByHopHeaders.has(name) || connectionHeaders.has(name) || excluded.has(name)) continue
+    if (hopByHopHeaders.has(name) || name.startsWith(forwardHeaderPrefix) || connectionHeaders.has(name) || excluded.has(name)) continue
     kept.push(raw[i]!, raw[i + 1]!)
   }
   return kept
