Requests are forwarded to a peer while an instance cannot reach targets

Callers of an instance that is partitioned from all targets got 502, 503 or 504 though its peers reach the targets. PeerForwarder sends such a request to a peer over HTTP/1.1; ForwardListener runs it there through CallerTask, one hop at most. RequestRun, split off CallerTask, runs a request at the endpoints or through a peer and moves it when the instance is cut off. GracefulServer, the response to a fault and the origin of a request are split off too, since both listeners use them.

The reachability and the list of peers are stand-ins (never cut off, no peers) until their detection is there.

forwarding.test, forwardListener.test: pass-through, streaming with a slow reader, uploads, declined and lost peers, one hop, bound, tokens, forged headers, stop.

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -76,6 +76,12 @@
   }).optional(),
   entry: zod.strictObject({
     callers: zod.strictObject({ listen: hostPort }),
+    /** Takes requests that peers forward because they cannot reach targets. */
+    forwarding: zod.strictObject({
+      listen: hostPort,
+      /** Forwarded requests that run at a time; further ones are declined. */
+      maxConcurrent: zod.number().int().min(1).max(100_000).default(128)
+    }).optional(),
     /** Source address of the connections to targets, on instances with several addresses. */
     targetSourceHost: host.optional(),
     /** Where targets announce themselves to this process. */
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -1,85 +1,46 @@
-/** HTTP listener for callers, with its graceful shutdown. */
-import * as http from 'node:http'
-import * as net from 'node:net'
-import * as address from '@rosemaryrack/base/common/address.js'
-import * as async from '@rosemaryrack/base/common/async.js'
+/** HTTP listener for callers. */
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
-import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as callerTask from './callerTask.js'
+import * as gracefulServer from './gracefulServer.js'
+import * as requestOrigin from './requestOrigin.js'
 
 const maxHeaderBytes = 32_768
-const headersTimeoutMs = 10_000
-const keepAliveTimeoutMs = 5000
-const noRequestTimeout = 0
-const idlePollMs = 50
-const msPerSecond = 1000
-/**
- * Share of the grace period in which open connections still accept requests. The rest, more than half, is left for
- * completing these requests.
- */
-const acceptShareOfGrace = 0.45
+const defaultTimeouts = { headersTimeoutMs: 10_000, keepAliveTimeoutMs: 5000 }
 
 /** Serves callers until it is stopped. */
 export class CallerListener {
-  private readonly server: http.Server
+  private readonly server: gracefulServer.GracefulServer
   private readonly configSubscription: lifecycle.IDisposable
-  private inFlight = 0
 
   /** @param graceS seconds from the start of the shutdown until the process is killed. */
-  constructor (private readonly graceS: number, private readonly configs: configFollower.IConfigSource, private readonly deps: callerTask.CallerDeps) {
-    this.server = http.createServer({
-      maxHeaderSize: maxHeaderBytes,
-      headersTimeout: headersTimeoutMs,
-      requestTimeout: noRequestTimeout,
-      keepAliveTimeout: keepAliveTimeoutMs,
-      noDelay: true
-    }, (req, res) => { this.serve(req, res) })
+  constructor (graceS: number, configs: configFollower.IConfigSource, deps: callerTask.CallerDeps) {
+    this.server = new gracefulServer.GracefulServer({ maxHeaderBytes, ...defaultTimeouts }, graceS, async (req, res) => {
+      await new callerTask.CallerTask(req, res, requestOrigin.fromCaller(req, deps.headers), deps).run()
+    })
     this.configSubscription = configs.onChanged((config) => this.applyLimits(config.document))
-    this.server.on('clientError', httpListener.respondToClientError)
   }
 
   private applyLimits ({ callerLimits }: configDocument.ConfigDocument): void {
-    this.server.keepAliveTimeout = callerLimits?.idleTimeoutMs ?? keepAliveTimeoutMs
-    this.server.headersTimeout = callerLimits?.headerTimeoutMs ?? headersTimeoutMs
+    this.server.setTimeouts({
+      headersTimeoutMs: callerLimits?.headerTimeoutMs ?? defaultTimeouts.headersTimeoutMs,
+      keepAliveTimeoutMs: callerLimits?.idleTimeoutMs ?? defaultTimeouts.keepAliveTimeoutMs
+    })
   }
 
   async listen (hostPort: string): Promise<void> {
-    const { host, port } = address.parseAddress(hostPort)
-    await httpListener.listen(this.server, host, port)
+    await this.server.listen(hostPort)
   }
 
   /** Number of requests whose response is not complete. */
   get inFlightCount (): number {
-    return this.inFlight
+    return this.server.inFlightCount
   }
 
-  /**
-   * Accepts no new connections and resolves when all responses are complete.
-   * Idle connections stay open for the keep-alive timeout, since a request may be on its way on one of them. They are closed
-   * early enough to complete such a request before the process is killed.
-   * @param stoppingSince when the shutdown began, on the process's monotonic clock.
-   */
+  /** Stops as `GracefulServer.stop` does. */
   async stop (stoppingSince: number): Promise<void> {
-    net.Server.prototype.close.call(this.server)
-    const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
-    while (performance.now() < idleCloseAt && (this.inFlight > 0 || await this.connectionCount() > 0)) await async.sleep(idlePollMs)
-    while (this.inFlight > 0) {
-      this.server.closeIdleConnections()
-      await async.sleep(idlePollMs)
-    }
-    this.server.closeAllConnections()
+    await this.server.stop(stoppingSince)
     this.configSubscription.dispose()
   }
-
-  private connectionCount (): Promise<number> {
-    return new Promise((resolve) => this.server.getConnections((_err, count) => resolve(count)))
-  }
-
-  private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    this.inFlight++
-    await new callerTask.CallerTask(req, res, this.deps).run()
-    this.inFlight--
-  }
 }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -1,36 +1,28 @@
-/** Handles one caller's request, from its headers to the end of its response. */
+/** Handles one request of a caller or a peer, from its headers to the end of its response. */
 import * as crypto from 'node:crypto'
 import type * as http from 'node:http'
-import type * as net from 'node:net'
 import * as async from '@rosemaryrack/base/common/async.js'
-import type * as clock from '@rosemaryrack/base/common/clock.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
-import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
-import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
-import type * as budget from '@rosemaryrack/routing/common/budget.js'
-import * as call from '@rosemaryrack/routing/common/call.js'
-import type * as crashDetection from '@rosemaryrack/routing/common/crashDetection.js'
-import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
-import type * as loadProbing from '@rosemaryrack/routing/common/loadProbing.js'
 import * as quarantine from '@rosemaryrack/routing/common/quarantine.js'
-import type * as settings from '@rosemaryrack/config/common/settings.js'
-import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as forwardHeaders from '../common/forwardHeaders.js'
 import * as headerRules from '../common/headerRules.js'
 import * as orcaLoad from '../common/orcaLoad.js'
 import * as requestGuard from '../common/requestGuard.js'
 import * as responseStream from './responseStream.js'
 import * as callerBody from './callerBody.js'
 import * as downloadResumer from './downloadResumer.js'
+import * as faultResponse from './faultResponse.js'
 import * as httpAttempt from './httpAttempt.js'
-import * as httpProber from './httpProber.js'
 import type * as idempotencyClaims from './idempotencyClaims.js'
 import type * as laneRegistry from './laneRegistry.js'
+import * as requestCount from './requestCount.js'
 import * as requestIdentity from './requestIdentity.js'
+import type * as requestOrigin from './requestOrigin.js'
+import * as requestRun from './requestRun.js'
 import type * as startup from './startup.js'
-import type * as targetConnections from './targetConnections.js'
 
 const notReadyRetryAfterS = 1
 const msPerSecond = 1000
@@ -40,23 +32,13 @@
 const minRetryAfterS = 0.01
 
 /** Dependencies shared by all caller tasks. */
-export interface CallerDeps {
-  readonly lanes: laneRegistry.LaneRegistry
-  readonly connections: targetConnections.TargetConnections
-  readonly notices: endpointNotices.IEndpointNotices
+export interface CallerDeps extends requestRun.RunDeps {
   readonly endpoints: endpointTable.EndpointTable
-  readonly suspects: suspectTable.SuspectTable
-  readonly crashDetector: crashDetection.CrashDetector
   readonly claims: idempotencyClaims.IdempotencyClaims
   /** Resolves once the current updates on suspects are written to the streams of the peers; awaits no acknowledgement. */
   readonly waitForSuspectWrites: () => Promise<void>
-  readonly decisions: decisionLog.IDecisionLog
   readonly metrics: metrics.Metrics
-  readonly clock: clock.IClock
-  readonly random: balancingPolicy.IRandom
-  readonly headers: settings.HeaderNames
   readonly fractionalRetryAfter: boolean
-  readonly probing: loadProbing.ProbingOptions | undefined
   readonly startup: startup.Startup
   /** True during graceful shutdown: responses ask callers to close their connections. */
   readonly isStopping: () => boolean
@@ -64,13 +46,12 @@
 
 /** Handles one request. */
 export class CallerTask {
-  private readonly arrivedAt = performance.now()
   private readonly requestId: string
   private readonly done = new async.Deferred<void>()
-  private activeCall: call.Call | undefined
+  private activeRun: requestRun.RequestRun | undefined
   private laneName = 'none'
 
-  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly deps: CallerDeps) {
+  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly deps: CallerDeps) {
     const suppliedId = req.headers[deps.headers.requestId]
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
@@ -79,7 +60,7 @@
   /** Resolves when the response has ended; never rejects. */
   async run (): Promise<void> {
     this.res.on('close', () => {
-      this.activeCall?.cancel()
+      this.activeRun?.cancel()
       this.done.resolve()
     })
     try {
@@ -94,9 +75,10 @@
     await this.waitForConfig()
     if (this.res.closed) return
     const requestTarget = this.req.url ?? ''
-    requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
+    // The peer has checked a forwarded request, before it added headers.
+    if (this.origin.forwarded === undefined) requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
     const path = requestGuard.parsePath(requestTarget)
-    const namedLane = this.findLane(path)
+    const namedLane = this.limitAttempts(this.findLane(path))
     this.laneName = namedLane.name
     const { lane } = namedLane
     const body = await callerBody.CallerBody.open(this.req, { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs })
@@ -104,15 +86,15 @@
     this.refuseQuarantined(identity)
     const claim = await this.claimKey(namedLane)
     if (this.res.closed) claim?.release()
-    else this.startCall(namedLane, identity, body, this.buildTargetReq(namedLane, body, []), claim)
+    else this.startRun(namedLane, identity, body, claim)
   }
 
   /** Holds the request while this instance has just started and no configuration is confirmed yet. */
   private async waitForConfig (): Promise<void> {
     const { deps } = this
     if (deps.startup.isOver) return
-    const callerDeadlineMs = Number(this.req.headers[deps.headers.deadline] ?? NaN)
-    if (await deps.startup.waitForConfig(callerDeadlineMs > 0 ? callerDeadlineMs : undefined)) return
+    const { callerDeadlineAt } = this.origin
+    if (await deps.startup.waitForConfig(callerDeadlineAt === undefined ? undefined : callerDeadlineAt - performance.now())) return
     throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: notReadyRetryAfterS })
   }
 
@@ -123,6 +105,13 @@
     throw new errors.RackError({ kind: 'no-lane', message: `no lane matches ${this.req.method ?? ''} ${path}` })
   }
 
+  /** Applies the limit on attempts that came with a forwarded request. */
+  private limitAttempts (namedLane: laneMatcher.NamedLane): laneMatcher.NamedLane {
+    const attemptsLeft = this.origin.forwarded?.attemptsLeft
+    if (attemptsLeft === undefined || attemptsLeft >= namedLane.lane.maxAttempts) return namedLane
+    return { ...namedLane, lane: { ...namedLane.lane, maxAttempts: attemptsLeft } }
+  }
+
   private refuseQuarantined (identity: requestIdentity.RequestIdentity): void {
     if (quarantine.getSuspectStatus(this.deps.suspects, identity) === 'quarantined') throw new errors.RackError(quarantine.quarantinedFault())
   }
@@ -134,15 +123,13 @@
 
   private async claimKey ({ name, lane }: laneMatcher.NamedLane): Promise<idempotencyClaims.Claim | undefined> {
     const key = this.idempotencyKey
-    if (lane.idempotent || key === undefined) return undefined
+    if (lane.idempotent || key === undefined || this.origin.forwarded?.isClaimed === true) return undefined
     return await this.deps.claims.claim(name, key, this.deadlineAt(lane))
   }
 
   /** Returns when the lane's deadline ends, or the caller's when that is earlier. */
   private deadlineAt ({ deadlineMs }: { readonly deadlineMs: number }): number {
-    const callerDeadlineMs = Number(this.req.headers[this.deps.headers.deadline] ?? NaN)
-    const ms = Number.isFinite(callerDeadlineMs) && callerDeadlineMs > 0 ? Math.min(callerDeadlineMs, deadlineMs) : deadlineMs
-    return this.arrivedAt + ms
+    return Math.min(this.origin.arrivedAt + deadlineMs, this.origin.callerDeadlineAt ?? Infinity)
   }
 
   private buildTargetReq ({ lane }: laneMatcher.NamedLane, body: callerBody.CallerBody, extraHeaders: readonly string[]): httpAttempt.TargetReq {
@@ -150,7 +137,7 @@
     const headerNames = this.deps.headers
     const replaced = new Set([headerNames.requestId, headerNames.deadline, headerNames.expectedEndpoint ?? '', 'content-length', 'x-forwarded-for'])
     const headers = headerRules.forwardableHeaders(req.rawHeaders, req.headers.connection, replaced)
-    headers.push(headerNames.requestId, this.requestId, 'x-forwarded-for', this.forwardedFor())
+    headers.push(headerNames.requestId, this.requestId, 'x-forwarded-for', this.origin.forwardedFor)
     const length = req.headers['content-length']
     if (!body.isFullyBuffered && length !== undefined) headers.push('content-length', length)
     return {
@@ -165,36 +152,36 @@
     }
   }
 
-  private forwardedFor (): string {
-    const received = this.req.headers['x-forwarded-for']
-    const callerAddress = this.req.socket.remoteAddress ?? 'unknown'
-    return typeof received === 'string' ? `${received}, ${callerAddress}` : callerAddress
-  }
-
-  private startCall (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, targetReq: httpAttempt.TargetReq, claim: idempotencyClaims.Claim | undefined): void {
-    const service = this.deps.lanes.chooseService(namedLane)
-    const budgets = this.deps.lanes.countRequestAndGetBudgets(namedLane.name, service)
+  private startRun (namedLane: laneMatcher.NamedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, claim: idempotencyClaims.Claim | undefined): void {
+    const { lanes } = this.deps
+    const service = lanes.chooseService(namedLane)
     // The lane may have been removed from the configuration by the time its responses end.
-    const laneState = this.deps.lanes.stateOf(namedLane.name)
-    const runCall = (req: httpAttempt.TargetReq, arrivedAt: number, avoidedEndpoints: readonly string[], listener: call.ICallListener): void => {
-      this.activeCall = new call.Call({
-        requestId: this.requestId,
-        laneName: namedLane.name,
-        lane: namedLane.lane,
-        arrivedAt,
-        deadlineAt: req.deadlineAt,
-        identity,
-        replayable: () => body.isReplayable,
-        excludedEndpoints: avoidedEndpoints
-      }, this.buildCallDeps(service, laneState, budgets, req), listener)
-      this.activeCall.start()
+    const laneState = lanes.stateOf(namedLane.name)
+    const { arrivedAt, forwarded } = this.origin
+    const spec = {
+      namedLane,
+      service,
+      laneState,
+      budgets: lanes.budgetsOf(namedLane.name, service),
+      count: new requestCount.RequestCount(lanes, namedLane.name, service, forwarded?.isCounted === true),
+      identity,
+      body,
+      canForward: forwarded === undefined,
+      isClaimed: claim !== undefined
     }
-    const fetchRest: downloadResumer.RestFetcher = (headers, avoidedEndpoints, listener) => {
+    const run = (target: Pick<requestRun.RunSpec, 'req' | 'arrivedAt' | 'excludedEndpoints'>, listener: requestRun.IRunListener): void => {
+      this.activeRun = new requestRun.RequestRun({ ...spec, ...target }, this.deps, listener)
+      this.activeRun.start()
+    }
+    const fetchRest: downloadResumer.RestFetcher = (headers, excludedEndpoints, listener) => {
       const now = performance.now()
-      runCall({ ...this.buildTargetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, now, avoidedEndpoints, listener)
+      run({ req: { ...this.buildTargetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, arrivedAt: now, excludedEndpoints }, listener)
     }
-    runCall(targetReq, this.arrivedAt, [], {
-      onResponse: (response) => this.sendResponse(namedLane, laneState, response, fetchRest),
+    run({ req: this.buildTargetReq(namedLane, body, []), arrivedAt, excludedEndpoints: [] }, {
+      onResponse: (response) => {
+        if (response.outcome === 'quarantined') claim?.release()
+        this.sendResponse(namedLane, laneState, response, fetchRest)
+      },
       onFailed: (fault) => {
         if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
@@ -208,52 +195,23 @@
     this.refuse(fault)
   }
 
-  private buildCallDeps (service: string, { latency, domainPreference }: laneRegistry.LaneState, budgets: budget.LaneBudgets, req: httpAttempt.TargetReq): call.CallDeps {
-    const { lanes, connections, notices, suspects, crashDetector, decisions } = this.deps
-    return {
-      dispatcher: lanes.dispatcherOf(service),
-      transport: new httpAttempt.HttpTransport(req, connections, notices),
-      suspects,
-      crashDetector,
-      budgets,
-      latency,
-      domainPreference,
-      probing: this.probingFor(service),
-      decisions,
-      clock: this.deps.clock,
-      random: this.deps.random
-    }
-  }
-
-  private probingFor (service: string): call.CallDeps['probing'] {
-    const { lanes, connections, notices, probing, headers } = this.deps
-    const healthPath = lanes.healthPathOf(service)
-    if (probing === undefined || headers.slotLoad === undefined || healthPath === undefined) return undefined
-    const prober = new httpProber.HttpProber({ healthPath, names: headers, connections, notices })
-    return {
-      deps: { dispatcher: lanes.dispatcherOf(service), prober, budget: lanes.probeBudgetOf(service), clock: this.deps.clock },
-      options: probing
-    }
-  }
-
-  private sendResponse ({ lane }: laneMatcher.NamedLane, { domainPreference }: laneRegistry.LaneState, response: call.CallResponse, fetchRest: downloadResumer.RestFetcher): void {
-    const attempt = response.attempt as httpAttempt.HttpAttempt
-    const head = response.head as httpAttempt.HttpHead
-    if (lane.weights.reportedLoad > 0) this.recordReportedLoad(response.endpoint, head)
-    this.countOutcome('answered')
+  private sendResponse ({ lane }: laneMatcher.NamedLane, { domainPreference }: laneRegistry.LaneState, response: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): void {
+    const { attempt, head, endpoint, source } = response
+    if (endpoint !== undefined && lane.weights.reportedLoad > 0) this.recordReportedLoad(endpoint, head)
+    this.countOutcome(response.outcome)
     this.sendHead(head)
     const stream = new responseStream.ResponseStream(this.res, attempt, lane.progressTimeoutMs, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
-      domainPreference.recordResponseSize(bytes)
-      if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: response.endpoint.endpoint, why: 'the response of the target was incomplete' })
+      if (endpoint !== undefined) domainPreference.recordResponseSize(bytes)
+      if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: source, why: 'the response of the target was incomplete' })
       this.done.resolve()
     })
     attempt.pipe(stream)
   }
 
-  private newResumer (idempotent: boolean, response: call.CallResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
-    const validator = downloadResumer.validatorOf(response.head as httpAttempt.HttpHead)
+  private newResumer (idempotent: boolean, { head, source }: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
+    const validator = downloadResumer.validatorOf(head)
     if (!idempotent || this.req.method !== 'GET' || validator === undefined) return undefined
-    return new downloadResumer.DownloadResumer(validator, response.endpoint.endpoint, fetchRest)
+    return new downloadResumer.DownloadResumer(validator, source, fetchRest)
   }
 
   private recordReportedLoad (endpoint: endpointTable.Endpoint, head: httpAttempt.HttpHead): void {
@@ -268,7 +226,10 @@
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
     headers.push(requestId, this.requestId)
     const isFramed = head.headers['content-length'] !== undefined || head.headers['transfer-encoding'] !== undefined
-    if (!isFramed && this.canHaveBody(head.status)) {
+    // Between instances an unframed body is sent in chunks, so that an incomplete one is recognized.
+    const isForwarded = this.origin.forwarded !== undefined
+    if (isForwarded) headers.push(forwardHeaders.outcomeHeader, forwardHeaders.answeredOutcome)
+    if (!isFramed && !isForwarded && this.canHaveBody(head.status)) {
       // The target marks the end of the body by closing the connection, so the connection to the caller does the same.
       res.useChunkedEncodingByDefault = false
       headers.push('Connection', 'close')
@@ -290,47 +251,39 @@
       res.destroy()
       return
     }
-    const body = JSON.stringify(errors.bodyOf(fault))
-    res.setHeader('Content-Type', 'application/json')
-    res.setHeader('Content-Length', Buffer.byteLength(body))
-    res.setHeader(this.deps.headers.requestId, this.requestId)
-    res.setHeader(headerRules.outcomeHeader, fault.kind)
     const retryAfterS = errors.retryAfterSecondsOf(fault)
-    if (retryAfterS !== undefined) res.setHeader('Retry-After', this.formatRetryAfter(retryAfterS))
-    // The unread rest of the body would be parsed as the next request.
-    if (!this.req.complete || this.deps.isStopping()) res.setHeader('Connection', 'close')
-    res.writeHead(errors.statusOf(fault))
-    res.end(this.req.method === 'HEAD' ? undefined : body)
-    if (!this.req.complete) closeAfterResponse(this.req.socket)
+    faultResponse.sendFault(this.req, res, fault, {
+      headers: { [this.deps.headers.requestId]: this.requestId, ...this.forwardOutcome(fault) },
+      retryAfter: retryAfterS === undefined ? undefined : this.formatRetryAfter(retryAfterS),
+      close: this.deps.isStopping()
+    })
+  }
+
+  /** Returns the headers that tell a peer how its forwarded request ended. */
+  private forwardOutcome ({ kind }: errors.Fault): Readonly<Record<string, string>> {
+    if (this.origin.forwarded === undefined) return {}
+    return { [forwardHeaders.outcomeHeader]: kind, [forwardHeaders.attemptsHeader]: String(this.activeRun?.sentAttempts ?? 0) }
   }
 
   /** Returns the value of `Retry-After`. If the caller sent a deadline, the value is limited so that a retry is still possible before it. */
   private formatRetryAfter (seconds: number): string {
-    const callerDeadlineMs = Number(this.req.headers[this.deps.headers.deadline] ?? NaN)
-    if (!this.deps.fractionalRetryAfter || !(callerDeadlineMs > 0)) return String(Math.ceil(seconds))
-    const remainingS = (this.arrivedAt + callerDeadlineMs - performance.now()) / msPerSecond
+    const { callerDeadlineAt } = this.origin
+    if (!this.deps.fractionalRetryAfter || callerDeadlineAt === undefined) return String(Math.ceil(seconds))
+    const remainingS = (callerDeadlineAt - performance.now()) / msPerSecond
     return Math.max(minRetryAfterS, Math.min(seconds, remainingS * maxRetryAfterShare)).toFixed(3)
   }
 
-  /** Records a refusal before a call was started; a call records its own. */
+  /** Records a refusal before a run was started; a run records its own. */
   private recordRefusal (fault: errors.Fault): void {
-    if (this.activeCall !== undefined) return
+    if (this.activeRun !== undefined) return
     this.deps.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: fault.kind, why: fault.message })
   }
 
   private countOutcome (outcome: string): void {
     const { metrics } = this.deps
+    // The peer counts a forwarded request as its caller's.
+    if (this.origin.forwarded !== undefined) return
     metrics.count('rosemaryrack_requests_total', { lane: this.laneName, outcome })
-    metrics.recordLatency('rosemaryrack_latency_seconds', { lane: this.laneName }, performance.now() - this.arrivedAt)
+    metrics.recordLatency('rosemaryrack_latency_seconds', { lane: this.laneName }, performance.now() - this.origin.arrivedAt)
   }
 }
-
-/**
- * Reads and discards the rest of a refused request for a moment before the connection is closed, so that the caller can
- * read the response.
- */
-function closeAfterResponse (socket: net.Socket): void {
-  const lingerMs = 500
-  socket.resume()
-  setTimeout(() => socket.destroy(), lingerMs).unref()
-}
--- a/packages/entry/src/node/downloadResumer.ts
+++ b/packages/entry/src/node/downloadResumer.ts
@@ -1,7 +1,7 @@
 /** Continues an interrupted download from another endpoint with `Range` and `If-Range`. */
-import type * as call from '@rosemaryrack/routing/common/call.js'
 import type * as responseStream from './responseStream.js'
 import type * as httpAttempt from './httpAttempt.js'
+import type * as requestRun from './requestRun.js'
 
 const maxContinuations = 5
 const okStatus = 200
@@ -9,7 +9,7 @@
 const contentRangePattern = /^bytes (\d+)-(\d+)\/(\d+)$/
 
 /** Requests the rest of a download from an endpoint that is not in `avoidedEndpoints`. */
-export type RestFetcher = (headers: readonly string[], avoidedEndpoints: readonly string[], listener: call.ICallListener) => void
+export type RestFetcher = (headers: readonly string[], avoidedEndpoints: readonly string[], listener: requestRun.IRunListener) => void
 
 /** Identifies the content of a download. */
 interface Validator {
@@ -43,7 +43,7 @@
     return await new Promise((resolve) => {
       this.fetchRest(headers, [...this.triedEndpoints], {
         onResponse: (response) => {
-          this.triedEndpoints.push(response.endpoint.endpoint)
+          this.triedEndpoints.push(response.source)
           resolve(this.attachIfMatching(response, offset, attach))
         },
         onFailed: () => resolve(false)
@@ -51,9 +51,8 @@
     })
   }
 
-  private attachIfMatching (response: call.CallResponse, offset: number, attach: (attempt: httpAttempt.HttpAttempt) => void): boolean {
-    const attempt = response.attempt as httpAttempt.HttpAttempt
-    if (this.isContinuation(response.head as httpAttempt.HttpHead, offset)) {
+  private attachIfMatching ({ attempt, head }: requestRun.RunResponse, offset: number, attach: (attempt: httpAttempt.HttpAttempt) => void): boolean {
+    if (this.isContinuation(head, offset)) {
       attach(attempt)
       return true
     }
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -6,6 +6,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as settings from '@rosemaryrack/config/common/settings.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as forwardingPeers from '@rosemaryrack/fleet/common/forwardingPeers.js'
 import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import * as announcementRoutes from '@rosemaryrack/fleet/node/announcementRoutes.js'
@@ -16,12 +17,16 @@
 import * as adaptivePolicy from '@rosemaryrack/routing/common/adaptivePolicy.js'
 import * as crashDetection from '@rosemaryrack/routing/common/crashDetection.js'
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
+import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as callerListener from './callerListener.js'
+import type * as callerTask from './callerTask.js'
 import * as entryRoutes from './entryRoutes.js'
+import * as forwardListener from './forwardListener.js'
 import * as idempotencyClaims from './idempotencyClaims.js'
 import * as laneRegistry from './laneRegistry.js'
+import * as peerForwarder from './peerForwarder.js'
 import * as permitClient from './permitClient.js'
 import * as readiness from './readiness.js'
 import * as startup from './startup.js'
@@ -30,6 +35,8 @@
 const msPerSecond = 1000
 const maxLoggedValueLength = 100
 const random = { next: Math.random }
+const alwaysReachable: targetReachability.ITargetReachability = { isCutOff: false, onChanged: () => lifecycle.toDisposable(() => {}) }
+const noForwardingPeers: forwardingPeers.IForwardingPeers = { peers: () => [] }
 
 /** An entry instance within this process. */
 export class EntryRole implements lifecycle.IDisposable {
@@ -46,6 +53,9 @@
   private readonly mesh: peerMesh.PeerMesh
   private readonly lanes: laneRegistry.LaneRegistry
   private readonly callers: callerListener.CallerListener
+  private readonly forwarder: peerForwarder.PeerForwarder
+  /** Undefined where this instance takes no requests from peers. */
+  private readonly forwards: forwardListener.ForwardListener | undefined
   private readonly startup: startup.Startup
   private readonly invalidLimits = new Map<string, string>()
   private isStopping = false
@@ -89,7 +99,20 @@
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0,
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
-    this.callers = this.createCallerListener()
+    this.forwarder = this.disposables.add(new peerForwarder.PeerForwarder({
+      instance: cfg.instance,
+      failureDomain: cfg.failureDomain,
+      identity,
+      peers: noForwardingPeers,
+      configVersion: this.configVersion,
+      decisions,
+      metrics,
+      clock: this.clock,
+      random
+    }))
+    const callerDeps = this.createCallerDeps()
+    this.callers = new callerListener.CallerListener(entry.graceS, configs, callerDeps)
+    this.forwards = entry.forwarding === undefined ? undefined : this.createForwardListener(entry.forwarding, identity, callerDeps)
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
   }
 
@@ -107,6 +130,7 @@
     this.configs.start()
     this.mesh.start()
     if (this.entry.announcements !== undefined) await this.listenForTargets(this.entry.announcements)
+    if (this.entry.forwarding !== undefined) await this.forwards?.listen(this.entry.forwarding.listen)
     await this.callers.listen(this.entry.callers.listen)
     this.addGauges()
   }
@@ -135,9 +159,9 @@
   async stop (): Promise<void> {
     const startedAt = performance.now()
     this.isStopping = true
-    this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's load balancer, then for ${this.callers.inFlightCount} requests in flight` })
+    this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's load balancer, then for ${this.inFlightCount} requests in flight` })
     await async.sleep(this.entry.drainNoticeMs)
-    await this.callers.stop(startedAt)
+    await Promise.all([this.callers.stop(startedAt), this.forwards?.stop(startedAt)])
   }
 
   dispose (): void {
@@ -150,8 +174,21 @@
     return { members, configs }
   }
 
-  private createCallerListener (): callerListener.CallerListener {
-    return new callerListener.CallerListener(this.entry.graceS, this.configs, {
+  private readonly configVersion = (): number => this.configs.current.version
+
+  /** Number of requests of callers and peers whose response is not complete. */
+  private get inFlightCount (): number {
+    return this.callers.inFlightCount + (this.forwards?.inFlightCount ?? 0)
+  }
+
+  private createForwardListener ({ maxConcurrent }: NonNullable<settings.EntrySettings['forwarding']>, identity: innerListener.LinkIdentity, deps: callerTask.CallerDeps): forwardListener.ForwardListener {
+    return new forwardListener.ForwardListener({ graceS: this.entry.graceS, maxConcurrent, identity, configVersion: this.configVersion }, deps)
+  }
+
+  private createCallerDeps (): callerTask.CallerDeps {
+    return {
+      reachability: alwaysReachable,
+      forwarder: this.forwarder,
       lanes: this.lanes,
       connections: this.connections,
       notices: this.notices,
@@ -169,7 +206,7 @@
       probing: this.entry.probing,
       startup: this.startup,
       isStopping: () => this.isStopping
-    })
+    }
   }
 
   private noteLeaving ({ endpoint, incarnation }: endpointTable.Endpoint): void {
@@ -213,7 +250,8 @@
     this.metrics.registerGauge('rosemaryrack_endpoints_limited', {}, () => this.endpoints.all().filter(endpointTable.isLimited).length)
     this.metrics.registerGauge('rosemaryrack_entries_live', {}, () => this.members.liveEntryCount)
     this.metrics.registerGauge('rosemaryrack_target_connections', {}, () => this.connections.count)
-    this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.callers.inFlightCount)
+    this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.inFlightCount)
+    this.metrics.registerGauge('rosemaryrack_forwarded_in_flight', {}, () => this.forwards?.inFlightCount ?? 0)
     this.metrics.registerGauge('rosemaryrack_suspects', {}, () => this.suspects.size)
   }
 }
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -113,13 +113,18 @@
     return this.stateOf(name).split.next(lane.split)
   }
 
-  /** Counts a caller's request for a service and returns the budgets for its health checks, retries and hedges. */
-  countRequestAndGetBudgets (name: string, service: string): budget.LaneBudgets {
+  /** Counts a caller's request for a service, which adds to the budgets for retries and hedges. */
+  countRequest (name: string, service: string): void {
     const state = this.stateOf(name)
     state.retries.deposit()
     state.hedges.deposit()
+    this.repeatBudgetOf(service)?.recordCall()
+  }
+
+  /** Returns the budgets for the health checks, retries and hedges of requests for a service. */
+  budgetsOf (name: string, service: string): budget.LaneBudgets {
+    const state = this.stateOf(name)
     const shared = this.repeatBudgetOf(service)
-    shared?.recordCall()
     return { healthChecks: state.healthChecks, retries: shared ?? state.retries, hedges: shared?.limitToShare(hedgeShareOfRepeats) ?? state.hedges }
   }
 
