--- a/deploy/codeCache.mjs
+++ b/deploy/codeCache.mjs
@@ -11,7 +11,7 @@
 import * as timers from 'node:timers/promises'
 
 const placeholder = /\{\{([A-Za-z.0-9]+)(\|json)?\}\}/g
-const [innerPort, controlPort, frontPort, readyPort, targetPort] = [7200, 8382, 8381, 8388, 8080]
+const [innerPort, forwardPort, controlPort, frontPort, readyPort, targetPort] = [7200, 7215, 8382, 8381, 8388, 8080]
 const pollMs = 20
 const timeoutMs = 20_000
 const callCount = 20
@@ -87,6 +87,7 @@
     Zone: 'a',
     Ip: host,
     'InternalPorts.0': innerPort,
+    'InternalPorts.1': forwardPort,
     Seeds: [`${control}:${controlPort}`],
     HeartbeatMs: 1500,
     'Tolerate.Machines': 0,
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -13,6 +13,7 @@
 const frontPort = 8381
 const readyPort = 8388
 const innerPort = 7200
+const forwardPort = 7215
 const endpointPort = 8080
 const entryOctetOffset = 100
 const endpointOctetOffset = 200
@@ -220,6 +221,7 @@
       Zone: 'a',
       Ip: this.ipAddress(octet),
       'InternalPorts.0': innerPort,
+      'InternalPorts.1': forwardPort,
       Seeds: Array.from({ length: seedCount }, (_value, i) => this.controlAddress(i + 1)),
       HeartbeatMs: heartbeatMs,
       'Tolerate.Machines': (this.controls - 1) / 2,
