--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto'
 import * as fs from 'node:fs'
 import * as http from 'node:http'
+import type * as net from 'node:net'
 import * as path from 'node:path'
 import * as url from 'node:url'
 import * as async from '@rosemaryrack/base/common/async.js'
@@ -60,6 +61,12 @@
 
 const noResponse: CallRes = { status: 0, headers: {}, body: '' }
 
+/**
+ * What becomes of the connections from a host that is cut off from an endpoint: all of them stay open without a response, all of them are
+ * reset, or only new ones are reset.
+ */
+export type CutKind = 'silent' | 'reset' | 'refuse'
+
 /**
  * Simulates an endpoint of the platform: returns the request id in each response and refuses requests meant for another
  * endpoint.
@@ -76,6 +83,8 @@
   /** Time until the response to a request. */
   workMs = 0
   private readonly server = http.createServer((req, res) => this.handleRequest(req, res))
+  private readonly sockets = new Set<net.Socket>()
+  private readonly cuts = new Map<string, CutKind>()
   private sequence = 0
 
   constructor (readonly id: string, readonly host: string, readonly service: string, readonly born: number) {}
@@ -85,6 +94,7 @@
   }
 
   async listen (): Promise<void> {
+    this.server.on('connection', (socket: net.Socket) => this.trackConnection(socket))
     await new Promise<void>((resolve) => { this.server.listen(endpointPort, this.host, resolve) })
   }
 
@@ -103,7 +113,38 @@
     this.server.closeAllConnections()
   }
 
+  /** Cuts a host off from this endpoint. */
+  cut (host: string, kind: CutKind): void {
+    this.cuts.set(host, kind)
+    if (kind === 'reset') for (const socket of this.socketsOf(host)) socket.resetAndDestroy()
+  }
+
+  /** Ends the cut of a host; connections that were silent are lost. */
+  heal (host: string): void {
+    if (this.cuts.get(host) === 'silent') for (const socket of this.socketsOf(host)) socket.resetAndDestroy()
+    this.cuts.delete(host)
+  }
+
+  private trackConnection (socket: net.Socket): void {
+    const cut = this.cuts.get(socket.remoteAddress ?? '')
+    if (cut === 'reset' || cut === 'refuse') {
+      socket.resetAndDestroy()
+      return
+    }
+    this.sockets.add(socket)
+    socket.on('close', () => this.sockets.delete(socket))
+  }
+
+  private socketsOf (host: string): readonly net.Socket[] {
+    return [...this.sockets].filter(({ remoteAddress }) => remoteAddress === host)
+  }
+
+  private isSilentTo ({ socket }: http.IncomingMessage): boolean {
+    return this.cuts.get(socket.remoteAddress ?? '') === 'silent'
+  }
+
   private handleRequest (req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (this.isSilentTo(req)) return
     if (req.url === '/healthz') {
       res.writeHead(200, { 'X-Rosemaryrack-Instance-Id': this.id, 'X-Rosemaryrack-Server-Load': '0,0,4,100' }).end()
       return
@@ -116,23 +157,30 @@
     }
     this.servedRequestIds.push(id)
     this.servedAt.push(performance.now())
-    if (this.workMs > 0) setTimeout(() => this.respond(id, res), this.workMs)
-    else this.respond(id, res)
+    if (this.workMs > 0) setTimeout(() => this.respond(id, req, res), this.workMs)
+    else this.respond(id, req, res)
   }
 
-  private respond (id: string, res: http.ServerResponse): void {
+  private respond (id: string, req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (this.isSilentTo(req)) return
     const leaving = this.isLeaving ? { 'Server-Leaving': '1' } : {}
     const limit = this.limitPerSecond === undefined ? {} : { 'Server-Limit': String(this.limitPerSecond) }
     res.writeHead(200, { 'X-Rosemaryrack-Request-Id': id, 'X-Rosemaryrack-Server-Stamp': `stamp-${this.id}`, ...leaving, ...limit }).end(`from ${this.id}`)
   }
 }
 
+/** Options of a fleet. */
+export interface FleetOptions {
+  /** Entries connect to endpoints from their own IP address, so that the endpoints can tell them apart. */
+  readonly hasTargetSource?: boolean
+}
+
 /** Starts control replicas and entry instances, numbered from 1, and sends requests to them. */
 export class DeployedFleet {
   private readonly processes = new Map<string, managedProcess.ManagedProcess>()
 
   /** @param subnet second octet of the IP addresses; fleets that run concurrently need different ones. */
-  constructor (private readonly folder: string, private readonly subnet: number, readonly controls: number, readonly entries: number) {
+  constructor (private readonly folder: string, private readonly subnet: number, readonly controls: number, readonly entries: number, private readonly options: FleetOptions = {}) {
     fs.mkdirSync(folder, { recursive: true })
   }
 
@@ -144,6 +192,11 @@
     return `${this.ipAddress(number)}:${controlPort}`
   }
 
+  /** Address from which an entry connects to endpoints. */
+  entryIp (number: number): string {
+    return this.ipAddress(entryOctetOffset + number)
+  }
+
   callersAddress (number: number): string {
     return `${this.ipAddress(entryOctetOffset + number)}:${frontPort}`
   }
@@ -166,7 +219,8 @@
 
   startEntry (number: number): void {
     const octet = entryOctetOffset + number
-    this.startProcess(`entry-${number}`, 'entry', { ...this.createTemplateFields(octet), 'Listen.Front': this.callersAddress(number), 'Listen.ReadyAddr': `${this.ipAddress(octet)}:${readyPort}` })
+    const targetSource = this.options.hasTargetSource === true ? `targetSourceHost = "${this.entryIp(number)}"\n` : ''
+    this.startProcess(`entry-${number}`, 'entry', { ...this.createTemplateFields(octet), 'Listen.Front': this.callersAddress(number), 'Listen.ReadyAddr': `${this.ipAddress(octet)}:${readyPort}` }, targetSource)
   }
 
   dataFolder (number: number): string {
@@ -233,14 +287,14 @@
     }
   }
 
-  private startProcess (name: string, template: string, templateFields: Readonly<Record<string, unknown>>): void {
+  private startProcess (name: string, template: string, templateFields: Readonly<Record<string, unknown>>, addedEntrySettings = ''): void {
     const text = fs.readFileSync(path.join(repositoryRoot, 'deploy', `${template}.toml`), 'utf8')
     const settings = text.replace(placeholder, (_all, field: string, json: string | undefined) => {
       if (!Object.hasOwn(templateFields, field)) throw new Error(`${template}.toml uses the field ${field}, for which the testbed has no value`)
       return json === undefined ? String(templateFields[field]) : JSON.stringify(templateFields[field])
     })
     const file = path.join(this.folder, `${name}.toml`)
-    fs.writeFileSync(file, settings)
+    fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${addedEntrySettings}`))
     this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`)))
   }
 }
