Idempotent requests that were sent into a partition move to a peer without taking a repeat

When the instance was cut off silently, only as many waiting idempotent requests moved to a peer as the budget of repeats allowed; the others ended at their deadline. A request that was sent after the last response of any target has not arrived anywhere, so a peer's run of it is no repeat. Others still need one.

--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -30,7 +30,7 @@
 import type * as targetConnections from './targetConnections.js'
 
 const cutOffRetryAfterS = 1
-const notStarted: callProgress.CallProgress = { mayHaveRun: false, sentAttempts: 0 }
+const notStarted: callProgress.CallProgress = { mayHaveRun: false, sentAttempts: 0, firstStartedAt: Infinity }
 
 /** Services that runs use. */
 export interface RunDeps {
@@ -173,7 +173,7 @@
     if (this.hasEnded || this.forwarded !== undefined || !this.deps.reachability.isCutOff) return
     const progress = this.direct!.progress
     if (!this.spec.body.isReplayable) return
-    if (progress.mayHaveRun && !(this.spec.canForward && this.takeRepeat())) return
+    if (progress.mayHaveRun && !(this.spec.canForward && this.takeRepeat(progress))) return
     this.direct!.cancel('this instance cannot reach any target')
     if (this.spec.canForward) this.forward(progress)
     else this.refuse({ kind: 'not-run', message: 'this instance cannot reach any target', retryAfterS: cutOffRetryAfterS })
@@ -183,13 +183,18 @@
     const mayHaveRun = fault.kind !== 'not-run'
     const isFinal = mayHaveRun && (fault.kind !== 'unknown' || fault.timedOut)
     const hasTime = this.spec.req.deadlineAt > this.deps.clock.now()
-    if (isFinal || !hasTime || !this.shouldForward || !this.spec.body.isReplayable || (mayHaveRun && !this.takeRepeat())) this.fail(fault)
-    else this.forward({ mayHaveRun, sentAttempts: this.sentAttempts })
-  }
-
-  /** Returns whether the request may be sent again though an endpoint may have run it; takes a repeat from the budget. */
-  private takeRepeat (): boolean {
-    return this.spec.namedLane.lane.idempotent && this.spec.budgets.retries.take()
+    const progress = { ...this.direct!.progress, mayHaveRun }
+    if (isFinal || !hasTime || !this.shouldForward || !this.spec.body.isReplayable || (mayHaveRun && !this.takeRepeat(progress))) this.fail(fault)
+    else this.forward(progress)
+  }
+
+  /**
+   * Returns whether the request may be sent again though an endpoint may have run it. Takes a repeat from the budget, unless nothing has
+   * arrived from any target since the request was first sent: then it was sent into the partition.
+   */
+  private takeRepeat ({ firstStartedAt }: callProgress.CallProgress): boolean {
+    if (!this.spec.namedLane.lane.idempotent) return false
+    return firstStartedAt > this.deps.connections.lastResponseAt || this.spec.budgets.retries.take()
   }
 
   private forward ({ mayHaveRun, sentAttempts }: callProgress.CallProgress): void {
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -76,7 +76,7 @@
   private idleLimit = defaultIdleLimitMs
   private readonly client: undici.Client
 
-  private constructor (private readonly socket: TargetSocket, targetAddress: string) {
+  private constructor (private readonly socket: TargetSocket, targetAddress: string, private readonly onResponse: () => void) {
     let isSocketTaken = false
     this.client = new undici.Client(`http://${targetAddress}`, {
       pipelining: 1,
@@ -97,8 +97,11 @@
     })
   }
 
-  /** Connects; rejects when the target does not accept in time. */
-  static open (targetAddress: string, { timeoutMs = defaultConnectTimeoutMs, sourceHost }: ConnectOptions = {}): Promise<TargetConnection> {
+  /**
+   * Connects; rejects when the target does not accept in time.
+   * @param onResponse called when a response begins.
+   */
+  static open (targetAddress: string, { timeoutMs = defaultConnectTimeoutMs, sourceHost }: ConnectOptions, onResponse: () => void): Promise<TargetConnection> {
     const { host, port } = address.parseAddress(targetAddress)
     return new Promise((resolve, reject) => {
       const socket = new TargetSocket().setNoDelay(true).connect({ host, port, ...(sourceHost === undefined ? {} : { localAddress: sourceHost }) })
@@ -109,7 +112,7 @@
       })
       socket.once('connect', () => {
         clearTimeout(timer)
-        resolve(new TargetConnection(socket, targetAddress))
+        resolve(new TargetConnection(socket, targetAddress, onResponse))
       })
     })
   }
@@ -156,6 +159,10 @@
     this.socket.resetProgress()
     this.client.dispatch(options, {
       ...handler,
+      onResponseStart: (controller, status, headers, statusMessage) => {
+        this.onResponse()
+        handler.onResponseStart?.(controller, status, headers, statusMessage)
+      },
       onResponseData: (controller, chunk) => {
         this.socket.resetProgress()
         handler.onResponseData?.(controller, chunk)
--- a/packages/entry/src/node/targetConnections.ts
+++ b/packages/entry/src/node/targetConnections.ts
@@ -17,6 +17,7 @@
   private readonly pools = new Map<string, TargetPool>()
   private readonly timer = setInterval(() => this.sweep(), sweepIntervalMs)
   private openCount = 0
+  private newestResponseAt = -Infinity
 
   constructor (private readonly options: targetConnection.ConnectOptions = {}) {}
 
@@ -33,6 +34,11 @@
     return this.openCount
   }
 
+  /** When the newest response of any target began, on the process's monotonic clock. */
+  get lastResponseAt (): number {
+    return this.newestResponseAt
+  }
+
   /** Takes an idle connection out of the pool, if there is one. A non-idempotent request avoids those that were idle for long. */
   takeIdle (address: string, isNonIdempotent: boolean): targetConnection.TargetConnection | undefined {
     const pool = this.pools.get(address)
@@ -51,7 +57,7 @@
   }
 
   async open (address: string): Promise<targetConnection.TargetConnection> {
-    const connection = await targetConnection.TargetConnection.open(address, this.options)
+    const connection = await targetConnection.TargetConnection.open(address, this.options, () => { this.newestResponseAt = performance.now() })
     this.openCount++
     return connection
   }
--- a/packages/entry/src/test/forwarding.test.ts
+++ b/packages/entry/src/test/forwarding.test.ts
@@ -302,6 +302,27 @@
   t.ok(res.ms < entries.deadlineMs / 2, `${res.ms} ms`)
 })
 
+tap.t.test('without a budget for repeats, a request moves to a peer only if nothing has arrived from any target since it was sent', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using peer = await entries.TestEntry.start('peer', [endpoint])
+  for (const [status, respondsMeanwhile] of [[200, false], [504, true]] as const) {
+    await using target = await entries.startEndpoint('e-target', (req, res) => {
+      if (req.url === '/silent') return
+      res.writeHead(200, entries.stamp(req)).end()
+    })
+    await using sender = await entries.TestEntry.start('sender', [target], { retryRatio: 0 })
+    sender.peers = [peer.asPeer]
+    t.match(await entries.send(sender.callersAddress), { status: 200 })
+    const pending = new Promise<number | undefined>((resolve) => {
+      entries.startRequest(sender.callersAddress, 'GET', '/silent').on('response', (res) => resolve(res.resume().statusCode)).end()
+    })
+    t.ok(await entries.waitUntil(() => target.requests.length === 2, eventTimeoutMs))
+    if (respondsMeanwhile) t.match(await entries.send(sender.callersAddress, 'POST'), { status: 200 })
+    sender.reachability.set(true)
+    t.equal(await pending, status)
+  }
+})
+
 tap.t.test('a request that moves to a peer keeps its limit of attempts', async (t) => {
   const fail: http.RequestListener = (req, res) => { res.writeHead(500, entries.stamp(req)).end() }
   const failing = await Promise.all(['e-1', 'e-2', 'e-3', 'e-4'].map(async (id) => await entries.startEndpoint(id, fail)))
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -54,6 +54,7 @@
   readonly configVersion?: number
   readonly maxConcurrent?: number
   readonly token?: string
+  readonly retryRatio?: number
 }
 
 /** An entry instance with the lanes `read` (idempotent, GET) and `pay` (POST) of one service. */
@@ -109,7 +110,7 @@
 
   private async listen (): Promise<void> {
     const { maxConcurrent = 100, configVersion = 1, token: ownToken = token } = this.options
-    const document = createDocument()
+    const document = createDocument(this.options.retryRatio)
     const identity = { cluster, token: ownToken, sourceHost: host }
     const configs: configFollower.IConfigSource = { current: { version: configVersion, document }, onChanged: () => lifecycle.toDisposable(() => {}) }
     const deps = this.createDeps(configs, identity)
@@ -176,8 +177,8 @@
   }
 }
 
-function createDocument (): configDocument.ConfigDocument {
-  const lane = { service: 'diary', deadlineMs, maxWaitMs: deadlineMs, maxAttempts, budgets: { hedgeRatio: 0 }, progressTimeoutMs: 60_000, maxBodyBytes: 1e9 }
+function createDocument (retryRatio = 0.05): configDocument.ConfigDocument {
+  const lane = { service: 'diary', deadlineMs, maxWaitMs: deadlineMs, maxAttempts, budgets: { hedgeRatio: 0, retryRatio }, progressTimeoutMs: 60_000, maxBodyBytes: 1e9 }
   const check = configDocument.checkDocument({
     lanes: {
       read: { ...lane, match: { methods: ['GET'], pathPrefix: '/' }, idempotent: true },
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -85,6 +85,7 @@
   private cancelSlotRequest = (): void => {}
   private cancelSelection = (): void => {}
   private attempts = 0
+  private firstStartedAt = Infinity
   /** Number of attempts that certainly did not reach a target. */
   private unsentAttempts = 0
   /** True while an attempt is delayed, waits for a slot or waits for load probes. */
@@ -119,7 +120,7 @@
 
   /** What the call has done so far, for a decision to run it elsewhere. */
   get progress (): callProgress.CallProgress {
-    return callProgress.computeProgress(this.mayHaveRun, this.attempts - this.unsentAttempts, this.runningAttempts)
+    return callProgress.computeProgress(this.mayHaveRun, this.attempts - this.unsentAttempts, this.firstStartedAt, this.runningAttempts)
   }
 
   private get suspectStatus (): suspectTable.SuspectStatus {
@@ -193,6 +194,7 @@
     this.deps.dispatcher.recordSend(placement)
     const attempt: callProgress.RunningAttempt = { placement, startedAt: this.deps.clock.now(), handle: undefined, cancelTimeout: () => {} }
     this.runningAttempts.add(attempt)
+    this.firstStartedAt = Math.min(this.firstStartedAt, attempt.startedAt)
     attempt.handle = this.deps.transport.start(endpoint, {
       onHead: (head) => this.onHead(attempt, head),
       onFailure: (failure) => this.onAttemptFailed(attempt, failure),
--- a/packages/routing/src/common/callProgress.ts
+++ b/packages/routing/src/common/callProgress.ts
@@ -16,6 +16,8 @@
   readonly mayHaveRun: boolean
   /** Number of attempts that may have reached an endpoint. */
   readonly sentAttempts: number
+  /** Time on the clock at which the first attempt was started; infinite without one. */
+  readonly firstStartedAt: number
 }
 
 /**
@@ -23,8 +25,8 @@
  * @param hasUncertainEnd true if an attempt that has ended may have run.
  * @param attempts started attempts without those that certainly did not reach an endpoint.
  */
-export function computeProgress (hasUncertainEnd: boolean, attempts: number, running: Iterable<RunningAttempt>): CallProgress {
+export function computeProgress (hasUncertainEnd: boolean, attempts: number, firstStartedAt: number, running: Iterable<RunningAttempt>): CallProgress {
   const handles = [...running].map(({ handle }) => handle)
   const unwritten = handles.filter((handle) => handle?.written === false).length
-  return { mayHaveRun: hasUncertainEnd || handles.length > unwritten, sentAttempts: attempts - unwritten }
+  return { mayHaveRun: hasUncertainEnd || handles.length > unwritten, sentAttempts: attempts - unwritten, firstStartedAt }
 }
