--- a/packages/testbed/src/test/cutOffEntry.test.ts
+++ b/packages/testbed/src/test/cutOffEntry.test.ts
@@ -21,7 +21,7 @@
 const cutKinds: readonly deployedFleet.CutKind[] = ['silent', 'reset', 'refuse']
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-cut-off-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 249, 3, entryCount, { hasTargetSource: true })
+const fleet = new deployedFleet.DeployedFleet(folder, 244, 3, entryCount, { hasTargetSource: true })
 const bornAt = 1_778_202_084_000
 const services = ['diary', 'diary', 'diary', 'till', 'till', 'till']
 const endpoints = services.map((service, i) => new deployedFleet.StandInEndpoint(`i-${i + 1}`, fleet.endpointIp(i + 1), service, bornAt))
