A declined upload is read for a moment, so that the sender sees the response

A peer that declined a request with a large body closed the connection with its response. The peer discards the body for up to half a second instead; a peer without the token is still cut at once.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -255,7 +255,8 @@
     faultResponse.sendFault(this.req, res, fault, {
       headers: { [this.deps.headers.requestId]: this.requestId, ...this.forwardOutcome(fault) },
       retryAfter: retryAfterS === undefined ? undefined : this.formatRetryAfter(retryAfterS),
-      close: this.deps.isStopping()
+      close: this.deps.isStopping(),
+      drainsBody: this.origin.forwarded !== undefined
     })
   }
 
--- a/packages/entry/src/node/faultResponse.ts
+++ b/packages/entry/src/node/faultResponse.ts
@@ -4,6 +4,8 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as headerRules from '../common/headerRules.js'
 
+const lingerMs = 500
+
 /** Parts of the response that the fault does not determine. */
 export interface FaultResponseOptions {
   /** Headers besides those of every such response. */
@@ -12,9 +14,14 @@
   readonly retryAfter: string | undefined
   /** Asks the client to close the connection. */
   readonly close: boolean
+  /**
+   * Reads and discards the rest of the body for a moment instead of closing the connection with the response: a client that is still
+   * writing may notice the close before it reads the response.
+   */
+  readonly drainsBody: boolean
 }
 
-/** Sends the response; the connection of a request that was not read completely is closed after it. */
+/** Sends the response. The connection of a request that was not read completely is closed after it, unless its body is drained. */
 export function sendFault (req: http.IncomingMessage, res: http.ServerResponse, fault: errors.Fault, options: FaultResponseOptions): void {
   const body = JSON.stringify(errors.bodyOf(fault))
   res.setHeader('Content-Type', 'application/json')
@@ -22,11 +29,20 @@
   res.setHeader(headerRules.outcomeHeader, fault.kind)
   for (const [name, value] of Object.entries(options.headers)) res.setHeader(name, value)
   if (options.retryAfter !== undefined) res.setHeader('Retry-After', options.retryAfter)
+  const isDraining = !req.complete && options.drainsBody
   // The unread rest of the body would be parsed as the next request.
-  if (!req.complete || options.close) res.setHeader('Connection', 'close')
+  if (!isDraining && (!req.complete || options.close)) res.setHeader('Connection', 'close')
   res.writeHead(errors.statusOf(fault))
   res.end(req.method === 'HEAD' ? undefined : body)
-  if (!req.complete) closeAfterResponse(req.socket)
+  if (isDraining) drainBody(req)
+  else if (!req.complete) closeAfterResponse(req.socket)
+}
+
+function drainBody (req: http.IncomingMessage): void {
+  const { socket } = req
+  const timer = setTimeout(() => socket.destroy(), lingerMs).unref()
+  req.once('end', () => clearTimeout(timer))
+  req.resume()
 }
 
 /**
@@ -34,7 +50,6 @@
  * read the response.
  */
 function closeAfterResponse (socket: net.Socket): void {
-  const lingerMs = 500
   socket.resume()
   setTimeout(() => socket.destroy(), lingerMs).unref()
 }
--- a/packages/entry/src/node/forwardListener.ts
+++ b/packages/entry/src/node/forwardListener.ts
@@ -14,6 +14,7 @@
 /** The header limit of callers, and room for the headers that the peer adds. */
 const limits = { maxHeaderBytes: 36_864, headersTimeoutMs: 10_000, keepAliveTimeoutMs: 5000 }
 const declinedRetryAfterS = 1
+const notRunKind = 'not-run' satisfies errors.ErrorKind
 const receivedMetric = 'rosemaryrack_forwards_received_total'
 
 /** Options of the listener. */
@@ -113,7 +114,8 @@
     faultResponse.sendFault(req, res, fault, {
       headers: { [forwardHeaders.outcomeHeader]: forwardHeaders.declinedOutcome },
       retryAfter: retryAfterS === undefined ? undefined : String(retryAfterS),
-      close: isStopping()
+      close: isStopping(),
+      drainsBody: fault.kind === notRunKind
     })
     await ended.promise
   }
@@ -127,5 +129,5 @@
 const malformed: Decline = { reason: 'malformed', fault: { kind: 'bad-request', message: 'the headers of a forwarded request are incomplete' } }
 
 function createDecline (reason: string, message: string): Decline {
-  return { reason, fault: { kind: 'not-run', message, retryAfterS: declinedRetryAfterS } }
+  return { reason, fault: { kind: notRunKind, message, retryAfterS: declinedRetryAfterS } }
 }
