--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -113,6 +113,11 @@
     this.server.closeAllConnections()
   }
 
+  /** Sets how many requests a connection carries; the last response has `Connection: close`. */
+  limitRequestsPerConnection (count: number): void {
+    this.server.maxRequestsPerSocket = count
+  }
+
   /** Cuts a host off from this endpoint. */
   cut (host: string, kind: CutKind): void {
     this.cuts.set(host, kind)
--- a/packages/testbed/src/test/cutOffEntry.test.ts
+++ b/packages/testbed/src/test/cutOffEntry.test.ts
@@ -13,6 +13,7 @@
 const cutEntry = 1
 const workMs = 20
 const callsPerSecond = 60
+const requestsPerConnection = 10
 /** Time from the beginning of the cut from which its callers must be served. */
 const contactMs = 3000
 const cutMs = 8000
@@ -21,7 +22,7 @@
 const cutKinds: readonly deployedFleet.CutKind[] = ['silent', 'reset', 'refuse']
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-cut-off-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 244, 3, entryCount, { hasTargetSource: true })
+const fleet = new deployedFleet.DeployedFleet(folder, 236, 3, entryCount, { hasTargetSource: true })
 const bornAt = 1_778_202_084_000
 const services = ['diary', 'diary', 'diary', 'till', 'till', 'till']
 const endpoints = services.map((service, i) => new deployedFleet.StandInEndpoint(`i-${i + 1}`, fleet.endpointIp(i + 1), service, bornAt))
@@ -71,7 +72,10 @@
 }
 
 tap.t.before(async () => {
-  for (const endpoint of endpoints) endpoint.workMs = workMs
+  for (const endpoint of endpoints) {
+    endpoint.workMs = workMs
+    endpoint.limitRequestsPerConnection(requestsPerConnection)
+  }
   await Promise.all(endpoints.map(async (endpoint) => await endpoint.listen()))
   fleet.startAll()
   const config = deployedFleet.createConfig(1, [deployedFleet.createRoute('read', '/read/', 'diary'), deployedFleet.createRoute('pay', '/pay/', 'till', 'unsafe')])
