--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -9,6 +9,7 @@
 /** Names of instances and failure domains are given by the deployment, so they may contain more characters than `name`. */
 const identifier = zod.string().regex(names.identifierPattern, names.identifierRule)
 const hostPort = zod.string().refine(address.isAddress, 'an IP address and port, such as "127.0.0.1:7000"')
+const host = zod.string().refine((text) => address.isAddress(`${text}:0`), 'an IP address, such as "127.0.0.1"')
 const token = zod.string().min(minTokenLength)
 
 const headerName = zod.string().regex(/^[a-z0-9-]{1,64}$/, 'a header name in lower case')
@@ -75,10 +76,16 @@
   }).optional(),
   entry: zod.strictObject({
     callers: zod.strictObject({ listen: hostPort }),
+    /** Takes requests that peers forward because they cannot reach targets. */
+    forwarding: zod.strictObject({
+      listen: hostPort,
+      /** Forwarded requests that run at a time; further ones are declined. */
+      maxConcurrent: zod.number().int().min(1).max(100_000).default(128)
+    }).optional(),
+    /** Source address of the connections to targets, on instances with several addresses. */
+    targetSourceHost: host.optional(),
     /** Where targets announce themselves to this process. */
     announcements: zod.strictObject({ listen: hostPort, token }).optional(),
-    /** Where other entry instances forward requests to this one while they are partitioned from the targets. */
-    forwarding: zod.strictObject({ listen: hostPort }).optional(),
     /** Control replicas, from at least two failure domains if the cluster has as many. */
     control: zod.array(zod.strictObject({ address: hostPort, failureDomain: identifier })).default([]),
     /** Alternative to `control` and `peers`: control replicas that relay announcements (hubs) are discovered through these. */
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -22,9 +22,12 @@
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as callerListener from './callerListener.js'
+import type * as callerTask from './callerTask.js'
 import * as entryRoutes from './entryRoutes.js'
+import * as forwardListener from './forwardListener.js'
 import * as idempotencyClaims from './idempotencyClaims.js'
 import * as laneRegistry from './laneRegistry.js'
+import * as peerForwarder from './peerForwarder.js'
 import * as permitClient from './permitClient.js'
 import * as readiness from './readiness.js'
 import * as startup from './startup.js'
@@ -43,7 +46,7 @@
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
   private readonly suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
   private readonly contacts = this.disposables.add(new targetContacts.TargetContacts(this.clock))
-  private readonly connections = this.disposables.add(new targetConnections.TargetConnections(this.contacts))
+  private readonly connections: targetConnections.TargetConnections
   private readonly reachability: targetReachability.TargetReachability
   private readonly crashDetector: crashDetection.CrashDetector
   private readonly notices: endpointNotices.EndpointNotices
@@ -54,6 +57,9 @@
   private readonly mesh: peerMesh.PeerMesh
   private readonly lanes: laneRegistry.LaneRegistry
   private readonly callers: callerListener.CallerListener
+  private readonly forwarder: peerForwarder.PeerForwarder
+  /** Undefined where this instance takes no requests from peers. */
+  private readonly forwards: forwardListener.ForwardListener | undefined
   private readonly startup: startup.Startup
   private readonly invalidLimits = new Map<string, string>()
   private isStopping = false
@@ -64,6 +70,7 @@
     private readonly decisions: decisionLog.IDecisionLog,
     private readonly metrics: metrics.Metrics
   ) {
+    this.connections = this.disposables.add(new targetConnections.TargetConnections(this.contacts, { sourceHost: entry.targetSourceHost }))
     const identity = innerListener.createLinkIdentity(cfg.cluster, cfg.inner)
     const seeds = rotateRandomly(settings.seedInnerAddresses(cfg, entry.seeds))
     const { members, configs } = this.createFleetTables(cfg, identity, seeds)
@@ -100,7 +107,20 @@
       reachability: this.reachability,
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
-    this.callers = this.createCallerListener()
+    this.forwarder = this.disposables.add(new peerForwarder.PeerForwarder({
+      instance: cfg.instance,
+      failureDomain: cfg.failureDomain,
+      identity,
+      peers: this.forwardingPeers,
+      configVersion: this.configVersion,
+      decisions,
+      metrics,
+      clock: this.clock,
+      random
+    }))
+    const callerDeps = this.createCallerDeps()
+    this.callers = new callerListener.CallerListener(entry.graceS, configs, callerDeps)
+    this.forwards = entry.forwarding === undefined ? undefined : this.createForwardListener(entry.forwarding, identity, callerDeps)
     this.publishForwarding()
     this.disposables.add(this.reachability.onChanged(() => this.publishForwarding()))
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
@@ -120,6 +140,7 @@
     this.configs.start()
     this.mesh.start()
     if (this.entry.announcements !== undefined) await this.listenForTargets(this.entry.announcements)
+    if (this.entry.forwarding !== undefined) await this.forwards?.listen(this.entry.forwarding.listen)
     await this.callers.listen(this.entry.callers.listen)
     this.addGauges()
   }
@@ -149,9 +170,9 @@
     const startedAt = performance.now()
     this.isStopping = true
     this.publishForwarding()
-    this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's load balancer, then for ${this.callers.inFlightCount} requests in flight` })
+    this.decisions.record({ event: 'stop', why: `waiting ${this.entry.drainNoticeMs} ms for the platform's load balancer, then for ${this.inFlightCount} requests in flight` })
     await async.sleep(this.entry.drainNoticeMs)
-    await this.callers.stop(startedAt)
+    await Promise.all([this.callers.stop(startedAt), this.forwards?.stop(startedAt)])
   }
 
   dispose (): void {
@@ -178,8 +199,21 @@
     this.mesh.publishForwarding({ forwardAddress, cutOff: this.reachability.isCutOff })
   }
 
-  private createCallerListener (): callerListener.CallerListener {
-    return new callerListener.CallerListener(this.entry.graceS, this.configs, {
+  private readonly configVersion = (): number => this.configs.current.version
+
+  /** Number of requests of callers and peers whose response is not complete. */
+  private get inFlightCount (): number {
+    return this.callers.inFlightCount + (this.forwards?.inFlightCount ?? 0)
+  }
+
+  private createForwardListener ({ maxConcurrent }: NonNullable<settings.EntrySettings['forwarding']>, identity: innerListener.LinkIdentity, deps: callerTask.CallerDeps): forwardListener.ForwardListener {
+    return new forwardListener.ForwardListener({ graceS: this.entry.graceS, maxConcurrent, identity, configVersion: this.configVersion }, deps)
+  }
+
+  private createCallerDeps (): callerTask.CallerDeps {
+    return {
+      reachability: this.reachability,
+      forwarder: this.forwarder,
       lanes: this.lanes,
       connections: this.connections,
       notices: this.notices,
@@ -197,7 +231,7 @@
       probing: this.entry.probing,
       startup: this.startup,
       isStopping: () => this.isStopping
-    })
+    }
   }
 
   private noteLeaving ({ endpoint, incarnation }: endpointTable.Endpoint): void {
@@ -242,7 +276,8 @@
     this.metrics.registerGauge('rosemaryrack_entries_live', {}, () => this.members.liveEntryCount)
     this.metrics.registerGauge('rosemaryrack_cut_off', {}, () => this.reachability.isCutOff ? 1 : 0)
     this.metrics.registerGauge('rosemaryrack_target_connections', {}, () => this.connections.count)
-    this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.callers.inFlightCount)
+    this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.inFlightCount)
+    this.metrics.registerGauge('rosemaryrack_forwarded_in_flight', {}, () => this.forwards?.inFlightCount ?? 0)
     this.metrics.registerGauge('rosemaryrack_suspects', {}, () => this.suspects.size)
   }
 }
--- /dev/null
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -0,0 +1,142 @@
+/** HTTP server that completes all responses before it stops. */
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as address from '@rosemaryrack/base/common/address.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as callerConnections from './callerConnections.js'
+import * as responseAbort from './responseAbort.js'
+
+const noRequestTimeout = 0
+/** Precision of the limit on the time of headers. */
+const connectionsCheckingIntervalMs = 1000
+const idlePollMs = 50
+const msPerSecond = 1000
+/**
+ * Share of the grace period in which open connections still accept requests. The rest, more than half, is left for
+ * completing these requests.
+ */
+const acceptShareOfGrace = 0.45
+/**
+ * Share of the grace period after which requests without a response get a final one. The rest is left for sending the responses before the
+ * process is killed.
+ */
+const finalResponseShareOfGrace = 0.9
+
+/** Limits on connections, in bytes and milliseconds. */
+export interface ServerLimits {
+  readonly maxHeaderBytes: number
+  readonly headersTimeoutMs: number
+  readonly keepAliveTimeoutMs: number
+}
+
+/** A request that is being served. */
+export interface IRequestTask {
+  /** Resolves when the response has ended; rejects when an internal error left it open. */
+  run(): Promise<void>
+  /** Logs that the response is not complete and what it waits for. */
+  recordIncomplete(): void
+  /** Ends a request whose response has not begun with a final fault. */
+  endWithoutResponse(): void
+}
+
+/** Serves requests until it is stopped. */
+export class GracefulServer {
+  private readonly server: http.Server
+  private readonly connections: callerConnections.CallerConnections
+  private readonly tasks = new Set<IRequestTask>()
+  private inFlight = 0
+
+  /**
+   * @param graceS seconds from the start of the shutdown until the process is killed.
+   * @param serve resolves when the response has ended; rejects when an internal error left it open.
+   */
+  constructor (limits: ServerLimits, private readonly graceS: number, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>) {
+    this.server = http.createServer({
+      maxHeaderSize: limits.maxHeaderBytes,
+      headersTimeout: limits.headersTimeoutMs,
+      requestTimeout: noRequestTimeout,
+      connectionsCheckingInterval: connectionsCheckingIntervalMs,
+      keepAliveTimeout: limits.keepAliveTimeoutMs,
+      noDelay: true
+    }, (req, res) => { this.handleRequest(req, res) })
+    this.connections = new callerConnections.CallerConnections(this.server)
+    this.server.on('clientError', httpListener.respondToClientError)
+  }
+
+  /** Changes the timeouts, for later requests. */
+  setTimeouts ({ headersTimeoutMs, keepAliveTimeoutMs }: Pick<ServerLimits, 'headersTimeoutMs' | 'keepAliveTimeoutMs'>): void {
+    this.server.headersTimeout = headersTimeoutMs
+    this.server.keepAliveTimeout = keepAliveTimeoutMs
+  }
+
+  /** Starts to listen; rejects when the address cannot be bound. */
+  async listen (hostPort: string): Promise<void> {
+    const { host, port } = address.parseAddress(hostPort)
+    await httpListener.listen(this.server, host, port)
+  }
+
+  /** Number of requests whose response is not complete. */
+  get inFlightCount (): number {
+    return this.inFlight
+  }
+
+  /**
+   * Accepts no new connections and resolves when all responses are complete.
+   * Idle connections stay open for the keep-alive timeout, since a request may be on its way on one of them. They are closed
+   * early enough to complete such a request before the process is killed. Requests that have no response by then get a fault, since their
+   * callers could not tell whether a killed process had run them.
+   * @param stoppingSince when the shutdown began, on the process's monotonic clock.
+   */
+  async stop (stoppingSince: number): Promise<void> {
+    // A process that was busy or paused accepts and reads what has arrived meanwhile before it closes anything.
+    await async.nextTurn()
+    net.Server.prototype.close.call(this.server)
+    await async.nextTurn()
+    const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
+    while (performance.now() < idleCloseAt && (this.inFlight > 0 || this.connections.size > 0)) await async.sleep(idlePollMs)
+    const cancelFinalResponses = this.scheduleFinalResponses(stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace)
+    this.connections.closeIdle()
+    await async.nextTurn()
+    while (this.inFlight > 0) {
+      this.connections.closeIdle()
+      await async.sleep(idlePollMs)
+    }
+    cancelFinalResponses()
+    this.server.closeAllConnections()
+  }
+
+  /** Schedules a final response for each request that has none shortly before the process is killed. */
+  private scheduleFinalResponses (at: number): () => void {
+    const timer = setTimeout(() => {
+      for (const task of this.tasks) {
+        task.recordIncomplete()
+        task.endWithoutResponse()
+      }
+    }, at - performance.now())
+    return () => clearTimeout(timer)
+  }
+
+  /** Runs a task and ends it with a final fault if it has no response when the shutdown ends. */
+  async run (task: IRequestTask): Promise<void> {
+    this.tasks.add(task)
+    try {
+      await task.run()
+    } finally {
+      this.tasks.delete(task)
+    }
+  }
+
+  private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    this.inFlight++
+    try {
+      await this.serve(req, res)
+    } catch (err) {
+      this.decisions.record({ event: 'internal-error', why: err instanceof Error ? err.stack ?? err.message : String(err) })
+      responseAbort.abortResponse(res)
+    } finally {
+      this.inFlight--
+    }
+  }
+}
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -122,12 +122,16 @@
     return state.split.next(lane.split)
   }
 
-  /** Counts a caller's request for a service and returns the budgets for its health checks, retries and hedges. */
-  countRequestAndGetBudgets (state: LaneState, service: string): budget.LaneBudgets {
+  /** Counts a caller's request for a service, which adds to the budgets for retries and hedges. */
+  countRequest (state: LaneState, service: string): void {
     state.retries.deposit()
     state.hedges.deposit()
+    this.repeatBudgetOf(service)?.recordCall()
+  }
+
+  /** Returns the budgets for the health checks, retries and hedges of requests for a service. */
+  budgetsOf (state: LaneState, service: string): budget.LaneBudgets {
     const shared = this.repeatBudgetOf(service)
-    shared?.recordCall()
     return { healthChecks: state.healthChecks, retries: shared ?? state.retries, hedges: shared?.limitToShare(hedgeShareOfRepeats) ?? state.hedges }
   }
 
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -3,7 +3,8 @@
 import * as undici from 'undici'
 import * as address from '@rosemaryrack/base/common/address.js'
 
-const connectTimeoutMs = 1000
+/** Default of `ConnectOptions.timeoutMs`. */
+const defaultConnectTimeoutMs = 1000
 /** Idle time after which a connection is not reused, in milliseconds; for targets that send no `Keep-Alive` timeout. */
 export const defaultIdleLimitMs = 4000
 /** Share of a target's `Keep-Alive` timeout in which a connection is reused: a request must arrive before the timeout ends. */
@@ -61,6 +62,21 @@
   }
 }
 
+/** How connections are opened. */
+export interface ConnectOptions {
+  readonly timeoutMs?: number
+  /** Source address; undefined lets the system choose. */
+  readonly sourceHost?: string | undefined
+}
+
+/** Receives the events of a connection. */
+export interface ConnectionEvents {
+  /** The connection failed in the network, in use or idle; not called when either side closes it. */
+  onLost(connection: TargetConnection): void
+  /** A response has begun. */
+  onResponse(): void
+}
+
 /** An open connection and its undici client. */
 export class TargetConnection {
   readonly openedAt = performance.now()
@@ -68,9 +84,10 @@
   private idleLimit = defaultIdleLimitMs
   private responseCount = 0
   private readonly client: undici.Client
+  private readonly onResponse: () => void
 
-  /** @param onLost called when the connection fails in the network, in use or idle; not when either side closes it. */
-  private constructor (private readonly socket: TargetSocket, targetAddress: string, onLost: (connection: TargetConnection) => void) {
+  private constructor (private readonly socket: TargetSocket, targetAddress: string, { onLost, onResponse }: ConnectionEvents) {
+    this.onResponse = onResponse
     let isSocketTaken = false
     socket.on('error', (err) => { if (isNetworkError(err)) onLost(this) })
     this.client = new undici.Client(`http://${targetAddress}`, {
@@ -93,18 +110,18 @@
   }
 
   /** Connects; rejects when the target does not accept in time. */
-  static open (targetAddress: string, onLost: (connection: TargetConnection) => void): Promise<TargetConnection> {
+  static open (targetAddress: string, { timeoutMs = defaultConnectTimeoutMs, sourceHost }: ConnectOptions, events: ConnectionEvents): Promise<TargetConnection> {
     const { host, port } = address.parseAddress(targetAddress)
     return new Promise((resolve, reject) => {
-      const socket = new TargetSocket().setNoDelay(true).connect({ host, port })
-      const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)), connectTimeoutMs)
+      const socket = new TargetSocket().setNoDelay(true).connect({ host, port, ...(sourceHost === undefined ? {} : { localAddress: sourceHost }) })
+      const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)), timeoutMs)
       socket.once('error', (err) => {
         clearTimeout(timer)
         reject(err)
       })
       socket.once('connect', () => {
         clearTimeout(timer)
-        resolve(new TargetConnection(socket, targetAddress, onLost))
+        resolve(new TargetConnection(socket, targetAddress, events))
       })
     })
   }
@@ -160,6 +177,10 @@
     this.socket.resetProgress()
     this.client.dispatch(options, {
       ...handler,
+      onResponseStart: (controller, status, headers, statusMessage) => {
+        this.onResponse()
+        handler.onResponseStart?.(controller, status, headers, statusMessage)
+      },
       onResponseData: (controller, chunk) => {
         this.socket.resetProgress()
         handler.onResponseData?.(controller, chunk)
--- a/packages/entry/src/node/targetConnections.ts
+++ b/packages/entry/src/node/targetConnections.ts
@@ -18,9 +18,13 @@
   private readonly pools = new Map<string, TargetPool>()
   private readonly timer = setInterval(() => this.sweep(), sweepIntervalMs)
   private openCount = 0
+  private newestResponseAt = -Infinity
 
   /** @param contacts receives the outcomes of contacts with targets. */
-  constructor (private readonly contacts: targetContacts.ITargetContacts = new targetContacts.NullTargetContacts()) {}
+  constructor (
+    private readonly contacts: targetContacts.ITargetContacts = new targetContacts.NullTargetContacts(),
+    private readonly options: targetConnection.ConnectOptions = {}
+  ) {}
 
   dispose (): void {
     clearInterval(this.timer)
@@ -35,6 +39,11 @@
     return this.openCount
   }
 
+  /** When the newest response of any target began, on the process's monotonic clock. */
+  get lastResponseAt (): number {
+    return this.newestResponseAt
+  }
+
   /** Takes an idle connection out of the pool, if there is one. A non-idempotent request avoids those that were idle for long. */
   takeIdle (address: string, isNonIdempotent: boolean): targetConnection.TargetConnection | undefined {
     const pool = this.pools.get(address)
@@ -56,7 +65,10 @@
     const startedAt = performance.now()
     const endWatch = this.contacts.watch({ address, isNewConnection: true })
     try {
-      const connection = await targetConnection.TargetConnection.open(address, (lost) => this.recordNoResponse(address, lost, performance.now()))
+      const connection = await targetConnection.TargetConnection.open(address, this.options, {
+        onLost: (lost) => this.recordNoResponse(address, lost, performance.now()),
+        onResponse: () => { this.newestResponseAt = performance.now() }
+      })
       this.openCount++
       return connection
     } catch (err) {
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -26,6 +26,7 @@
 const pollMs = 2
 const waitTimeoutMs = 10_000
 const leaseMs = 600_000
+const reachable = { isCutOff: false, onChanged: new event.Emitter<boolean>().event }
 
 /** A configuration that the test replaces. */
 class FakeConfig implements configFollower.IConfigSource {
@@ -125,7 +126,7 @@
       isConnected: () => true,
       notices,
       permitSource: { request: () => {} },
-      reachability: { isCutOff: false, onChanged: new event.Emitter<boolean>().event },
+      reachability: reachable,
       startingUntil: 0
     }, systemClock))
     this.listener = new callerListener.CallerListener(options.graceS ?? 1, this.config, {
@@ -145,7 +146,9 @@
       fractionalRetryAfter: true,
       probing: undefined,
       startup: new startup.Startup({ confirmedAgeMs: 0, waitForConfirmation: async () => true }, systemClock),
-      isStopping: () => this.isStopping
+      isStopping: () => this.isStopping,
+      reachability: reachable,
+      forwarder: { start: () => { throw new Error('there are no peers') } }
     })
   }
 
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -3,6 +3,7 @@
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as callFault from './callFault.js'
+import * as callProgress from './callProgress.js'
 import type * as callSpec from './callSpec.js'
 import * as lateCalls from './lateCalls.js'
 import * as loadProbing from './loadProbing.js'
@@ -32,6 +33,7 @@
   private cancelSlotRequest = (): void => {}
   private cancelSelection = (): void => {}
   private attempts = 0
+  private firstStartedAt = Infinity
   /** Number of attempts that certainly did not reach a target. */
   private unsentAttempts = 0
   /** True while an attempt is delayed, waits for a slot or waits for load probes. */
@@ -58,10 +60,15 @@
   }
 
   /** Cancels all attempts without reporting an outcome. */
-  cancel (): void {
+  cancel (why = 'the caller disconnected'): void {
     if (this.isSettled) return
     this.settle()
-    this.record({ event: 'cancel', why: 'the caller disconnected' })
+    this.record({ event: 'cancel', why })
+  }
+
+  /** What the call has done so far, for a decision to run it elsewhere. */
+  get progress (): callProgress.CallProgress {
+    return callProgress.computeProgress(this.mayHaveRun, this.attempts - this.unsentAttempts, this.firstStartedAt, this.runningAttempts)
   }
 
   /** True while a request that was sent waits for its response. */
@@ -143,7 +150,9 @@
     this.triedEndpoints.add(endpoint.endpoint)
     this.deps.dispatcher.recordSend(placement)
     const attempt: runningAttempt.RunningAttempt = { placement, startedAt: this.deps.clock.now(), handle: undefined, cancelTimeout: () => {} }
+    this.firstStartedAt = Math.min(this.firstStartedAt, attempt.startedAt)
     this.runningAttempts.add(attempt)
+    this.firstStartedAt = Math.min(this.firstStartedAt, attempt.startedAt)
     attempt.handle = this.deps.transport.start(endpoint, {
       onHead: (head) => this.onHead(attempt, head),
       onFailure: (failure) => this.onAttemptFailed(attempt, failure),
