Configuration feed: a stream that opens causes no updates on all other streams

What callers saw: after a restart of all machines the control replicas had work that grew with the square of the number of entries, at the time at which they elect a leader and the configuration is read back.

Cause: each new stream starts a round of confirmation, and the end of each round woke every open stream, which sent an update though neither the version nor the confirmation had changed. While there is no leader, each round fails at once, so that this repeated ten times a second besides. Each applied log entry did the same.

Why it works: a stream sends an update when it has news, else at the first end of a round half a second after its last update, and after a second at the latest. An entry leaves a replica without a quorum at most half a second later than with updates at the end of each round.

--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -11,6 +11,8 @@
  * elected. After a restart, the first confirmation takes a few of these intervals.
  */
 const unconfirmedIntervalMs = 100
+/** Shortest time between two updates on a stream if neither the version nor the confirmation has changed. */
+const minUpdateIntervalMs = 500
 
 /** Streams each new version, and every second whether a quorum has confirmed the newest one. */
 export class ConfigFeed implements lifecycle.IDisposable {
@@ -69,21 +71,35 @@
       await this.confirmSince(startedAt)
       while (!signal.aborted) {
         const { version } = this.replica.state.config
-        yield this.createUpdate(version > sentVersion, startedAt)
+        const confirmed = this.isConfirmedSince(startedAt)
+        yield this.createUpdate(version > sentVersion, confirmed)
         sentVersion = Math.max(sentVersion, version)
-        await this.changed.wait(confirmIntervalMs)
+        await this.waitForNextUpdate(() => this.replica.state.config.version > sentVersion || this.isConfirmedSince(startedAt) !== confirmed)
       }
     } finally {
       this.openStreamCount--
     }
   }
 
-  /** Creates an update. A confirmation older than the stream isn't reported, since it may not cover writes accepted before the stream opened. */
-  private createUpdate (withConfig: boolean, streamStartedAt: number): inner.FollowRes {
-    const res = protobuf.create(inner.FollowResSchema, {
-      confirmedVersion: this.confirmedVersion,
-      confirmed: this.confirmed && this.confirmedAt >= streamStartedAt
-    })
+  /**
+   * Waits for news, or for the end of a round after the shortest interval. Each new stream starts a round, which must not cause an
+   * update on all others.
+   */
+  private async waitForNextUpdate (hasNews: () => boolean): Promise<void> {
+    const sentAt = performance.now()
+    while (!hasNews() && performance.now() - sentAt < minUpdateIntervalMs) {
+      await this.changed.wait(sentAt + confirmIntervalMs - performance.now())
+      if (this.disposed) return
+    }
+  }
+
+  /** A confirmation older than a stream isn't reported on it, since it may not cover writes accepted before the stream opened. */
+  private isConfirmedSince (streamStartedAt: number): boolean {
+    return this.confirmed && this.confirmedAt >= streamStartedAt
+  }
+
+  private createUpdate (withConfig: boolean, confirmed: boolean): inner.FollowRes {
+    const res = protobuf.create(inner.FollowResSchema, { confirmedVersion: this.confirmedVersion, confirmed })
     if (withConfig) res.config = createConfigVersion(this.replica)
     return res
   }
--- a/packages/control/src/test/configFeed.test.ts
+++ b/packages/control/src/test/configFeed.test.ts
@@ -59,3 +59,36 @@
   stop.abort()
   fixture.feed.dispose()
 })
+
+const openingStreamCount = 40
+/** Updates on a stream in the time that the test takes: the first one, and one when a quorum confirms or no longer does. */
+const maxUpdatesPerStream = 2
+
+/** Opens streams one after another; returns the number of updates on all of them. */
+async function countUpdates (fixture: FeedFixture, endRead: (read: async.Deferred<number>) => void): Promise<number> {
+  const stop = new AbortController()
+  let updateCount = 0
+  const receive = async (): Promise<void> => {
+    const stream = fixture.follow(stop)
+    while ((await stream.next()).done !== true) updateCount++
+  }
+  for (let i = 0; i < openingStreamCount; i++) {
+    receive()
+    await async.nextTurn()
+    fixture.reads.forEach(endRead)
+    await async.nextTurn()
+  }
+  stop.abort()
+  fixture.feed.dispose()
+  return updateCount
+}
+
+tap.t.test('streams that open while no quorum confirms do not cause updates on each other', async (t) => {
+  const updateCount = await countUpdates(new FeedFixture(), (read) => read.reject(new Error('no quorum')))
+  t.ok(updateCount <= openingStreamCount * maxUpdatesPerStream, `${updateCount} updates on ${openingStreamCount} streams`)
+})
+
+tap.t.test('streams that open while a quorum confirms do not cause updates on each other', async (t) => {
+  const updateCount = await countUpdates(new FeedFixture(), (read) => read.resolve(1))
+  t.ok(updateCount <= openingStreamCount * maxUpdatesPerStream, `${updateCount} updates on ${openingStreamCount} streams`)
+})
