Daemon: a SIGHUP during the start is applied after it

What callers saw: nothing on their connections at best, a missing instance else: a SIGHUP that arrived while a process started ended it. Cause: the handler was registered after the listeners and roles had started; until then the default action of the signal applied. A signal in the first moments of the process, before its modules are loaded, still ends it. Why it works: the signal is held from before the settings are read, and applied once the roles run.

--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -10,6 +10,7 @@
 import * as decisionRing from '@rosemaryrack/telemetry/node/decisionRing.js'
 import * as logOutput from '@rosemaryrack/telemetry/node/logOutput.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import type * as heldSignal from './heldSignal.js'
 
 const notReadyStatus = 503
 const processGauges = ['rss', 'heapUsed'] as const
@@ -23,8 +24,9 @@
 /**
  * Starts the roles and listeners that the settings configure; resolves once they run.
  * @param reload reads the settings again; throws `invalid-settings`.
+ * @param reloadSignal requests a reload, which takes place once the roles run.
  */
-export async function run (cfg: settings.Settings, reload: () => settings.Settings): Promise<void> {
+export async function run (cfg: settings.Settings, reload: () => settings.Settings, reloadSignal: heldSignal.HeldSignal): Promise<void> {
   const disposables = new lifecycle.DisposableStore()
   disposables.add(new logOutput.LogOutput())
   const logger = logOutput.createLogger('rosemaryrack', cfg.instance)
@@ -51,7 +53,7 @@
   }))
   await startAll(cfg, roles, operatorListener, innerServer)
   logger.info({ inner: cfg.inner.listen, operator: cfg.operator.listen }, 'started')
-  reloadOnSignal(logger, roles, reload)
+  reloadOnSignal(reloadSignal, logger, roles, reload)
   stopOnSignal(async () => {
     logger.info('stopping')
     await roles.entry?.stop()
@@ -138,9 +140,9 @@
   return { status: ready ? 200 : notReadyStatus, body: { ready, control, entry } }
 }
 
-/** Applies reloadable settings on SIGHUP; invalid settings change nothing. */
-function reloadOnSignal (logger: logOutput.Logger, roles: Roles, reload: () => settings.Settings): void {
-  process.on('SIGHUP', () => {
+/** Applies reloadable settings on the signal; invalid settings change nothing. */
+function reloadOnSignal (signal: heldSignal.HeldSignal, logger: logOutput.Logger, roles: Roles, reload: () => settings.Settings): void {
+  signal.handle(() => {
     try {
       const cfg = reload()
       roles.control?.reload(cfg)
--- a/packages/rosemaryrack/src/node/main.ts
+++ b/packages/rosemaryrack/src/node/main.ts
@@ -3,6 +3,7 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
 import * as settingsFile from '@rosemaryrack/config/node/settingsFile.js'
+import * as heldSignal from './heldSignal.js'
 
 const version = '0.1.0'
 const exitCodesHelp = `
@@ -29,10 +30,12 @@
 
 async function start (file: unknown): Promise<void> {
   if (typeof file !== 'string') throw new errors.RackError({ kind: 'bad-request', message: 'the option --settings FILE is required' })
+  // Before anything that takes time: the default action of this signal ends the process.
+  const reloadSignal = new heldSignal.HeldSignal('SIGHUP')
   const load = (): settings.Settings => settingsFile.loadSettings(file)
   const cfg = load()
   // The logging library reads this variable only once, at its import.
   process.env['ROARR_LOG'] = 'true'
   const daemon = await import('./daemon.js')
-  await daemon.run(cfg, load)
+  await daemon.run(cfg, load, reloadSignal)
 }
