--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -41,8 +41,8 @@
     this.current = { version: 1, document: toDocument(lanes) }
   }
 
-  replaceLanes (lanes: object): void {
-    this.current = { version: this.current.version + 1, document: toDocument(lanes) }
+  replaceLanes (lanes: object, callerLimits: object = {}): void {
+    this.current = { version: this.current.version + 1, document: toDocument(lanes, callerLimits) }
     this.emitter.fire(this.current)
   }
 
@@ -61,8 +61,8 @@
   }
 }
 
-function toDocument (lanes: object): configDocument.ConfigDocument {
-  const check = configDocument.checkDocument({ lanes })
+function toDocument (lanes: object, callerLimits: object = {}): configDocument.ConfigDocument {
+  const check = configDocument.checkDocument({ lanes, callerLimits })
   if (!check.ok) throw new Error(check.problems.join('; '))
   return check.document
 }
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -7,6 +7,7 @@
 const settleMs = 100
 const graceS = 1
 const msPerSecond = 1000
+const lateHeadersMs = 3000
 const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
 const endpointHead = 'HTTP/1.1 200 OK\r\nX-Id: 7\r\n'
 
@@ -111,6 +112,14 @@
   t.notSame(caller.statuses, ['500'])
 })
 
+tap.t.test('a request with late headers is answered soon after the limit of the configuration', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  fixture.config.replaceLanes({}, { headerTimeoutMs: 100 })
+  const caller = fixture.send('GET /flags HTTP/1.1\r\nHost:')
+  await callerFixture.waitUntil(() => caller.statuses.length > 0, lateHeadersMs)
+  t.same(caller.statuses, ['408'])
+})
+
 const claimedRequest = 'POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n'
 
 tap.t.test('a request whose lane is removed while its key is claimed is run', async (t) => {
