--- a/packages/entry/src/test/movedRequests.test.ts
+++ b/packages/entry/src/test/movedRequests.test.ts
@@ -89,3 +89,26 @@
   t.match(await running, { status: 504 })
   t.equal(full.requests.length, 1)
 })
+
+tap.t.test('a download that breaks off when its instance is cut off goes on through a peer', async (t) => {
+  const content = 'x'.repeat(1000) + 'y'.repeat(1000)
+  const headers = (req: http.IncomingMessage): http.OutgoingHttpHeaders => ({ ...entries.stamp(req), etag: '"1"', 'accept-ranges': 'bytes' })
+  const open: http.IncomingMessage[] = []
+  await using broken = await entries.startEndpoint('e-broken', (req, res) => {
+    open.push(req)
+    res.writeHead(200, { ...headers(req), 'content-length': content.length }).write(content.slice(0, 1000))
+  })
+  await using endpoint = await entries.startEndpoint('e-1', (req, res) => {
+    res.writeHead(206, { ...headers(req), 'content-length': 1000, 'content-range': 'bytes 1000-1999/2000' }).end(content.slice(1000))
+  })
+  await using peer = await entries.TestEntry.start('peer', [endpoint])
+  await using sender = await entries.TestEntry.start('sender', [broken])
+  sender.peers = [peer.asPeer]
+  const pending = entries.send(sender.callersAddress)
+  t.ok(await entries.waitUntil(() => open.length === 1, eventTimeoutMs))
+  await timers.setTimeout(settleMs)
+  sender.reachability.set(true)
+  open[0]!.socket.destroy()
+  t.match(await pending, { status: 200, body: content, isComplete: true })
+  t.match(endpoint.requests.map(({ headers: { range } }) => range), ['bytes=1000-'])
+})
