Dispatcher: a queued call is placed once when a placement before it frees another slot

What callers would have seen: a non-idempotent request sent to two endpoints. Cause: the queue is served from a copy. A retry that is placed now ends the attempt that it replaces, whose slot serves the queue again from within; a call behind it was placed there, and once more by the outer loop when several slots had become free at once. Evidence: dispatcher.test, new case, failed before (placed at d-1 and d-3), passes now. Why it works: the queue is visited in order without the calls that have been removed meanwhile, in both loops that visit it.

--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -196,7 +196,7 @@
 
   /** Assigns free slots to queued calls in their order, and rejects those that can no longer meet their deadline. */
   private serveQueue (): void {
-    for (const waiter of this.queue.snapshot()) {
+    for (const waiter of this.queue.waiting()) {
       const now = this.clock.now()
       if (now + waiter.request.typicalMs > waiter.deadlineAt) {
         this.withdraw(waiter)
@@ -389,7 +389,7 @@
     const now = this.clock.now()
     const limited = this.findLimitedEndpoints(now)
     let position = 0
-    for (const waiter of this.queue.snapshot()) {
+    for (const waiter of this.queue.waiting()) {
       const fault = this.limits.findFault(waiter.request, position, limited, now, waiter.queuedAt)
       if (fault === undefined) {
         position++
--- a/packages/routing/src/common/waitingQueue.ts
+++ b/packages/routing/src/common/waitingQueue.ts
@@ -36,6 +36,13 @@
     return [...this.items]
   }
 
+  /** Yields the items in order, without those that are removed meanwhile. */
+  * waiting (): Generator<T> {
+    for (const item of this.snapshot()) {
+      if (this.items.includes(item)) yield item
+    }
+  }
+
   /** Returns the number of items that would be served before a call. */
   position (item: QueuedCall): number {
     let low = 0
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -35,11 +35,16 @@
   /** Returns the placement of a call; undefined if the call is queued or rejected. */
   place (priority: configDocument.LanePriority): slotAssignment.Placement | undefined {
     let placement: slotAssignment.Placement | undefined
+    this.acquire(priority, (assigned) => { placement = assigned })
+    return placement
+  }
+
+  /** Requests a slot; calls `onPlaced` at once or later. */
+  acquire (priority: configDocument.LanePriority, onPlaced: (placement: slotAssignment.Placement) => void): void {
     const lane = createLane(priority)
     this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, remoteFactor: 1, isSuspect: false, excludedEndpoints: new Set() }, (outcome) => {
-      if (outcome.placed) placement = outcome.placement
+      if (outcome.placed) onPlaced(outcome.placement)
     })
-    return placement
   }
 
   /** Starts and ends a call, so that the dispatcher knows all endpoints. */
@@ -162,3 +167,14 @@
     t.ok(calls > later.length / 20, `${id}: ${calls} of ${later.length}`)
   }
 })
+
+tap.t.test('a queued call is placed once when the call before it releases another slot while it is placed', async (t) => {
+  const service = new TestService(['d-1', 'd-2'])
+  const [first, second] = [service.place('urgent')!, service.place('urgent')!]
+  const placedAt: string[] = []
+  service.acquire('urgent', () => first.release())
+  service.acquire('urgent', ({ endpoint }) => { placedAt.push(endpoint.endpoint) })
+  service.announce('d-3')
+  second.release()
+  t.equal(placedAt.length, 1, placedAt.join(' '))
+})
