Retries: an error response is dropped only when the attempt in its place starts

Cause: the response was dropped for a retry that still had to get its slot, its permit or its probes. Why it works: the slot, with the permit where one is needed, is taken before the response is dropped, and the retry starts at once without probes. Where the endpoints of a hedge are being probed, the best so far is taken. A retry that only waits for a slot no longer replaces a response.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -30,7 +30,7 @@
   private cancelDeadline = (): void => {}
   private cancelHedge = (): void => {}
   private cancelSlotRequest = (): void => {}
-  private cancelSelection = (): void => {}
+  private selection: loadProbing.EndpointSelection | undefined
   private attempts = 0
   /** Number of attempts that certainly did not reach a target. */
   private unsentAttempts = 0
@@ -113,14 +113,14 @@
     // A probe is a request too, which would use up another permit.
     if (probing === undefined || placement.isPermitted) return this.startAttempt(event, placement)
     this.isChoosingEndpoint = true
-    const selection = new loadProbing.EndpointSelection(probing.deps, this.timeLimits, (choice) => {
+    this.selection = new loadProbing.EndpointSelection(probing.deps, this.timeLimits, (choice) => {
       this.isChoosingEndpoint = false
+      this.selection = undefined
       if (choice.kind === 'no-free-slot') this.handleNoFreeSlot(event)
       else if (choice.kind === 'placed') this.startAttempt(event, { ...choice.placement, why: `${placement.why}; ${choice.why}` })
       else this.endWithFault(callFault.overloadedFault(choice))
     })
-    this.cancelSelection = () => selection.cancel()
-    selection.start(placement, this.slotRequest, probing.options)
+    this.selection.start(placement, this.slotRequest, probing.options)
   }
 
   /**
@@ -197,9 +197,7 @@
     } else if (this.tryReplaceResponse(head)) {
       attempt.handle?.cancel()
       attempt.placement.release()
-      this.hasDiscardedResponse = true
       this.record({ event: 'discard', choice: attempt.placement.endpoint.endpoint, why: `status ${head.status}` })
-      if (!this.hasOtherAttempt) this.requestSlot('retry')
     } else {
       this.deliverResponse(attempt, head)
     }
@@ -228,13 +226,29 @@
     if (this.deps.suspects.size > 0) this.deps.suspects.reportSuccess(this.spec.identity.fingerprint)
   }
 
-  /**
-   * Returns whether an error response is discarded in favour of another attempt, which an endpoint must be able to take now; takes a retry from the budget unless another
-   * attempt is in flight or about to start.
-   */
+  /** Returns whether an error response is discarded, because another attempt is in flight or a retry starts instead. */
   private tryReplaceResponse (head: transport.ResponseHead): boolean {
     if (!this.spec.lane.idempotent || !retryableStatuses.includes(head.status)) return false
-    return this.hasOtherAttempt || (this.deps.dispatcher.canPlaceNow(this.slotRequest) && this.takeRetry())
+    if (this.runningAttempts.size === 0 && !this.tryStartRetry(`status ${head.status}`)) return false
+    this.hasDiscardedResponse = true
+    return true
+  }
+
+  /** Starts an attempt whose endpoint is being probed, or a retry if an endpoint has a slot for it now and the budget allows it. */
+  private tryStartRetry (why: string): boolean {
+    if (this.selection !== undefined) {
+      this.selection.chooseNow(why)
+      return true
+    }
+    if (this.isChoosingEndpoint || !this.canRetry) return false
+    const placement = this.deps.dispatcher.acquireNow(this.slotRequest)
+    if (placement === undefined) return false
+    if (this.takeRetry()) {
+      this.startAttempt('retry', placement)
+      return true
+    }
+    placement.release()
+    return false
   }
 
   private deliverResponse (attempt: runningAttempt.RunningAttempt, head: transport.ResponseHead): void {
@@ -324,10 +338,14 @@
     return this.runningAttempts.size > 0 || this.isChoosingEndpoint
   }
 
+  private get canRetry (): boolean {
+    if (!this.canRunAgain || !this.spec.replayable()) return false
+    return this.uncertainAttempts === 0 || (!this.isSuspect && this.spec.lane.idempotent)
+  }
+
   /** Takes a retry from the budget, or returns false if none is allowed. */
   private takeRetry (): boolean {
-    if (!this.canRunAgain || !this.spec.replayable()) return false
-    if (this.uncertainAttempts > 0 && (this.isSuspect || !this.spec.lane.idempotent)) return false
+    if (!this.canRetry) return false
     if (!this.hasReservedRetry) return this.deps.budgets.retries.take()
     this.hasReservedRetry = false
     return true
@@ -383,7 +401,7 @@
     this.cancelDeadline()
     this.cancelHedge()
     this.cancelSlotRequest()
-    this.cancelSelection()
+    this.selection?.cancel()
     for (const attempt of this.runningAttempts) {
       attempt.cancelTimeout()
       attempt.handle?.cancel()
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -103,7 +103,7 @@
   /** Assigns a slot now or later, or rejects the call; returns a function that cancels the request. */
   acquire (request: slotAssignment.SlotRequest, done: (outcome: slotAssignment.SlotOutcome) => void): () => void {
     const now = this.clock.now()
-    const placement = this.queue.position(request) === 0 ? this.tryPlace(request, now, now) : undefined
+    const placement = this.acquireNow(request)
     if (placement !== undefined) {
       done({ placed: true, placement })
       return () => {}
@@ -138,10 +138,10 @@
     return placements
   }
 
-  /** Returns false if no endpoint has a slot for the call now, or each that is left has a limit and none of them takes the call in time. */
-  canPlaceNow (request: slotAssignment.SlotRequest): boolean {
+  /** Assigns a slot if one is free and no other call waits before this one. */
+  acquireNow (request: slotAssignment.SlotRequest): slotAssignment.Placement | undefined {
     const now = this.clock.now()
-    return this.queue.position(request) === 0 && this.findCandidates(this.findAvailable(now).available, request, now).length > 0 && this.limits.findFault(request, this.queue.position(request), this.findLimitedEndpoints(now), now) === undefined
+    return this.queue.position(request) === 0 ? this.tryPlace(request, now, now) : undefined
   }
 
   /** Counts a request that is sent now; one with a permit is counted already. */
--- a/packages/routing/src/common/loadProbing.ts
+++ b/packages/routing/src/common/loadProbing.ts
@@ -163,9 +163,8 @@
       this.done({ kind: 'no-free-slot' })
       return
     }
-    const best = this.probed.reduce((least, each) => weightedCost(each) < weightedCost(least) ? each : least)
-    const costs = this.probed.map(({ placement, cost, isPending }) => `${placement.endpoint.endpoint}:${isPending ? '?' : cost.toFixed(2)}`).join(' ')
-    const why = `probed ${costs}, ${reason}`
+    const { best } = this
+    const why = this.describe(reason)
     const expectedLatencyMs = best.cost * this.timeLimits.idleEndpointLatencyMs
     // One more call in the queues would be late and delay others. An endpoint that is slow without a queue may recover.
     const isOverloaded = this.probed.every(({ hasQueue }) => hasQueue) && expectedLatencyMs > this.timeLimits.usefulTimeLeftMs
@@ -173,6 +172,24 @@
     this.done(isOverloaded ? { kind: 'overloaded', expectedLatencyMs, why } : { kind: 'placed', placement: best.placement, why })
   }
 
+  /** Ends the selection with the best endpoint so far, however busy it is. */
+  chooseNow (reason: string): void {
+    if (this.isSettled) return
+    const { best } = this
+    const why = this.describe(reason)
+    this.settle(best)
+    this.done({ kind: 'placed', placement: best.placement, why })
+  }
+
+  private get best (): ProbedEndpoint {
+    return this.probed.reduce((least, each) => weightedCost(each) < weightedCost(least) ? each : least)
+  }
+
+  private describe (reason: string): string {
+    const costs = this.probed.map(({ placement, cost, isPending }) => `${placement.endpoint.endpoint}:${isPending ? '?' : cost.toFixed(2)}`).join(' ')
+    return `probed ${costs}, ${reason}`
+  }
+
   private settle (kept: ProbedEndpoint | undefined): void {
     this.isSettled = true
     this.cancelTimeout()
--- a/packages/routing/src/test/retryWithoutSlot.test.ts
+++ b/packages/routing/src/test/retryWithoutSlot.test.ts
@@ -96,6 +96,15 @@
   })
 }
 
+tap.t.test('an error response of a slow attempt reaches the caller while its retry waits for a slot', async (t) => {
+  const harness = new CallHarness(['d-1', 'd-2'])
+  harness.takeFreeSlots()
+  harness.clock.advance(attemptTimeoutMs + 1)
+  harness.attempts[0]!.onHead({ status: 500, notRun: false })
+  harness.clock.advance(deadlineMs)
+  t.same(harness.outcomes, ['500'])
+})
+
 tap.t.test('a slow attempt is given up for a retry once another endpoint can take it', async (t) => {
   const harness = new CallHarness(['d-1', 'd-2'])
   harness.clock.advance(attemptTimeoutMs + 1)
