Retries: an attempt that timed out while a hedge was being placed gets its retry

What callers saw: no second attempt until the deadline when the attempt timed out while the endpoint of a hedge was being chosen and that hedge did not start. Cause: the timeout was dropped if an endpoint was being chosen at that moment. Why it works: the timeout is checked again shortly after. An attempt that timed out before anything was written counts as not sent, so that such a call can still end as not run.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -19,6 +19,8 @@
 const maxUncertainAttempts = 2
 /** Share of the time left until the deadline after which an attempt without a response is given up for a retry. */
 const attemptTimeoutShare = 0.5
+/** Interval at which an attempt that has timed out checks whether a choice of an endpoint has ended, in milliseconds. */
+const choiceRecheckMs = 20
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 const minServerErrorStatus = 500
 
@@ -163,8 +165,11 @@
 
   /** Requests a slot for a retry. The attempt goes on until the retry starts, since its target may be at work and no slot may become free. */
   private onAttemptTimeout (attempt: runningAttempt.RunningAttempt, timeoutMs: number): void {
-    // While a hedge is in flight or being placed, or when no retry is left, no other attempt can follow.
-    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1 || this.isChoosingEndpoint || !this.takeRetry()) return
+    // While a hedge is in flight or when no retry is left, no other attempt can follow.
+    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1) return
+    // A hedge whose endpoint is being chosen may not start.
+    if (this.isChoosingEndpoint) attempt.cancelTimeout = this.deps.clock.after(choiceRecheckMs, () => this.onAttemptTimeout(attempt, timeoutMs))
+    if (this.isChoosingEndpoint || !this.takeRetry()) return
     this.hasReservedRetry = true
     this.timedOutAttempt = attempt
     this.record({ event: 'timeout', choice: attempt.placement.endpoint.endpoint, why: `no response within ${Math.round(timeoutMs)} ms; a retry replaces the attempt once it can start` })
@@ -175,11 +180,13 @@
   private abandonTimedOutAttempt (): void {
     const attempt = this.timedOutAttempt
     if (attempt === undefined || !this.runningAttempts.has(attempt)) return
+    const written = attempt.handle?.written !== false
     attempt.handle?.abandon()
     this.removeAttempt(attempt)
-    this.recordFailure(attempt, 'silent')
+    this.recordFailure(attempt, written ? 'silent' : 'not-written')
     attempt.placement.release()
-    this.uncertainAttempts++
+    if (written) this.uncertainAttempts++
+    else this.unsentAttempts++
   }
 
   // ---- Responses ----
--- a/packages/routing/src/test/callAttempts.test.ts
+++ b/packages/routing/src/test/callAttempts.test.ts
@@ -21,8 +21,12 @@
 const hedgeAfterMs = 10
 const maxAttempts = 2
 const slots = 4
-const lane = fixtures.createLane({ deadlineMs: 1000, maxAttempts, hedgeAfterMs })
+const defaultLane = fixtures.createLane({ deadlineMs: 1000, maxAttempts, hedgeAfterMs })
+/** The hedge is placed while the attempt times out, at half of the deadline. */
+const lateHedgeLane = fixtures.createLane({ deadlineMs: 1000, maxAttempts, hedgeAfterMs: 490 })
+const attemptTimeoutMs = 500
 const unlimitedBudget = { take: () => true }
+const overloadedOutcome: loadProbing.ProbeOutcome = { kind: 'report', report: { running: slots, waiting: 400, slots, slowdown: 1 } }
 const idleOutcome: loadProbing.ProbeOutcome = { kind: 'report', report: { running: 0, waiting: 0, slots, slowdown: 1 } }
 
 /** Runs one call; the test completes its probes and attempts. */
@@ -32,7 +36,7 @@
   readonly outcomes: string[] = []
   private probes: Array<(outcome: loadProbing.ProbeOutcome) => void> = []
 
-  constructor () {
+  constructor (lane = defaultLane) {
     const endpoints = ['d-1', 'd-2', 'd-3', 'd-4', 'd-5'].map((id) => fixtures.createEndpoint(id, slots, 0))
     const source = { onChanged: new event.Emitter<endpointTable.Endpoint>().event, routable: () => endpoints }
     const suspects = new suspectTable.SuspectTable(this.clock)
@@ -68,8 +72,8 @@
     }).start()
   }
 
-  completeProbes (): void {
-    for (const done of this.probes.splice(0)) done(idleOutcome)
+  completeProbes (outcome: loadProbing.ProbeOutcome = idleOutcome): void {
+    for (const done of this.probes.splice(0)) done(outcome)
   }
 }
 
@@ -93,3 +97,15 @@
   harness.attempts[1]!.onHead({ status: 503, notRun: true })
   t.same(harness.outcomes, ['unknown'])
 })
+
+tap.t.test('a timed-out attempt gets a retry after the hedge that was being placed at that moment does not start', async (t) => {
+  const harness = new CallHarness(lateHedgeLane)
+  harness.completeProbes()
+  harness.clock.advance(attemptTimeoutMs + 1)
+  harness.completeProbes(overloadedOutcome)
+  harness.completeProbes(overloadedOutcome)
+  t.equal(harness.attempts.length, 1, 'the hedge does not start')
+  harness.clock.advance(attemptTimeoutMs / 10)
+  harness.completeProbes()
+  t.equal(harness.attempts.length, maxAttempts)
+})
