--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -15,6 +15,8 @@
 const maxPeers = 3
 /** Number of peers that may start to run the request and refuse it then, or lose it. */
 const maxRuns = 2
+/** From this number of attempts on, one is kept for another peer: how many a peer that is lost has used is not known. */
+const minAttemptsToReserve = 3
 /** Share of the time left until the deadline after which a silent peer is given up for another one. */
 const silenceShare = 0.5
 const avoidAfterDeclineMs = 250
@@ -118,12 +120,15 @@
   /** Peers that may have run the request without a response. */
   private uncertainRuns = 0
   private refusedRuns = 0
-  private attemptsLeft: number | undefined
+  /** Endpoints that may still run the request. */
+  private attemptsLeft: number
+  /** Those of them that the current peer may use. */
+  private peerAttempts = 0
   private retryAfterS = defaultRetryAfterS
   private isSettled = false
 
   constructor (private readonly spec: PeerCallSpec, private readonly deps: PeerCallDeps, private readonly listener: IPeerCallListener) {
-    if (spec.mayHaveRun) this.reduceAttempts(spec.sentAttempts)
+    this.attemptsLeft = Math.max(1, spec.maxAttempts - (spec.mayHaveRun ? spec.sentAttempts : 0))
   }
 
   start (): void {
@@ -156,6 +161,7 @@
     const peer = this.triedPeers.size < maxPeers ? this.deps.peers.choose(this.triedPeers) : undefined
     if (peer === undefined) return this.fail(`${why}; no other peer can take the request`)
     this.triedPeers.add(peer.instance)
+    this.peerAttempts = this.attemptsLeft >= minAttemptsToReserve && this.spec.req.idempotent ? this.attemptsLeft - 1 : this.attemptsLeft
     this.record({ event: 'forward', choice: peer.instance, why })
     const { connections } = this.deps.peers
     const running: RunningForward = { peer, release: this.deps.peers.hold(peer), attempt: undefined }
@@ -171,7 +177,7 @@
 
   private buildReq (): httpAttempt.TargetReq {
     const { req, arrivedAt, isClaimed, count } = this.spec
-    const { attemptsLeft } = this
+    const attemptsLeft = this.peerAttempts < this.spec.maxAttempts ? this.peerAttempts : undefined
     const ageMs = this.deps.clock.now() - arrivedAt
     const headers = this.deps.peers.headersFor({ ageMs, attemptsLeft, isCounted: count.isCounted, isClaimed })
     const { requestId, deadline } = req.headerNames
@@ -258,17 +264,13 @@
 
   /** Returns whether the request may be sent again though a peer may have run it. */
   private takeRepeat (): boolean {
-    return this.uncertainRuns === 0 && this.refusedRuns + 1 < maxRuns && this.spec.isReplayable() && this.spec.retries.take()
+    return this.attemptsLeft > this.peerAttempts && this.uncertainRuns === 0 && this.refusedRuns + 1 < maxRuns && this.spec.isReplayable() && this.spec.retries.take()
   }
 
   private recordUncertainRun (): void {
     this.uncertainRuns++
     this.spec.count.markCounted()
-    this.reduceAttempts(1)
-  }
-
-  private reduceAttempts (used: number): void {
-    this.attemptsLeft = Math.max(1, (this.attemptsLeft ?? this.spec.maxAttempts) - used)
+    this.attemptsLeft -= this.peerAttempts
   }
 
   /** Reads and drops the body of a response, or closes the connection if the request is still being sent. */
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -114,7 +114,7 @@
 
   /** True while a request that was sent waits for its response. */
   get awaitsResponse (): boolean {
-    return this.forwarded?.awaitsResponse ?? this.direct?.awaitsResponse ?? false
+    return this.forwarded?.awaitsResponse ?? this.sentAttempts > 0
   }
 
   /** Number of attempts of this instance that may have reached an endpoint. */
--- a/packages/entry/src/test/forwarding.test.ts
+++ b/packages/entry/src/test/forwarding.test.ts
@@ -256,6 +256,16 @@
   t.ok(res.ms >= entries.deadlineMs / 2 - settleMs && res.ms < entries.deadlineMs, `${res.ms} ms`)
 })
 
+tap.t.test('a request with two attempts stays with a silent peer, which may have used both', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using silent = await startFakePeer(() => {})
+  await using second = await entries.TestEntry.start('second', [endpoint])
+  await using sender = await entries.TestEntry.start('sender', [], { isCutOff: true, maxAttempts: 2 })
+  sender.peers = [silent.asPeer('silent'), second.asPeer]
+  t.match(await entries.send(sender.callersAddress), { status: 504 })
+  t.equal(endpoint.requests.length, 0)
+})
+
 tap.t.test('a silent peer keeps a request that is not idempotent until the deadline', async (t) => {
   await using endpoint = await entries.startEndpoint('e-1')
   await using silent = await startFakePeer(() => {})
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -20,6 +20,8 @@
 const maxUncertainAttempts = 2
 /** Share of the time left until the deadline after which an attempt without a response is given up for a retry. */
 const attemptTimeoutShare = 0.5
+/** Interval at which an attempt that has timed out checks whether a choice of an endpoint has ended, in milliseconds. */
+const choiceRecheckMs = 20
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 const minServerErrorStatus = 500
 
@@ -31,7 +33,7 @@
   private cancelDeadline = (): void => {}
   private cancelHedge = (): void => {}
   private cancelSlotRequest = (): void => {}
-  private cancelSelection = (): void => {}
+  private selection: loadProbing.EndpointSelection | undefined
   private attempts = 0
   private firstStartedAt = Infinity
   /** Number of attempts that certainly did not reach a target. */
@@ -71,11 +73,6 @@
     return callProgress.computeProgress(this.mayHaveRun, this.attempts - this.unsentAttempts, this.firstStartedAt, this.runningAttempts)
   }
 
-  /** True while a request that was sent waits for its response. */
-  get awaitsResponse (): boolean {
-    return runningAttempt.isAnySent(this.runningAttempts)
-  }
-
   private get suspectStatus (): suspectTable.SuspectStatus {
     return quarantine.getSuspectStatus(this.deps.suspects, this.spec.identity)
   }
@@ -120,14 +117,14 @@
     // A probe is a request too, which would use up another permit.
     if (probing === undefined || placement.isPermitted) return this.startAttempt(event, placement)
     this.isChoosingEndpoint = true
-    const selection = new loadProbing.EndpointSelection(probing.deps, this.timeLimits, (choice) => {
+    this.selection = new loadProbing.EndpointSelection(probing.deps, this.timeLimits, (choice) => {
       this.isChoosingEndpoint = false
+      this.selection = undefined
       if (choice.kind === 'no-free-slot') this.handleNoFreeSlot(event)
       else if (choice.kind === 'placed') this.startAttempt(event, { ...choice.placement, why: `${placement.why}; ${choice.why}` })
       else this.endWithFault(callFault.overloadedFault(choice))
     })
-    this.cancelSelection = () => selection.cancel()
-    selection.start(placement, this.slotRequest, probing.options)
+    this.selection.start(placement, this.slotRequest, probing.options)
   }
 
   /**
@@ -172,8 +169,11 @@
 
   /** Requests a slot for a retry. The attempt goes on until the retry starts, since its target may be at work and no slot may become free. */
   private onAttemptTimeout (attempt: runningAttempt.RunningAttempt, timeoutMs: number): void {
-    // While a hedge is in flight or being placed, or when no retry is left, no other attempt can follow.
-    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1 || this.isChoosingEndpoint || !this.takeRetry()) return
+    // While a hedge is in flight or when no retry is left, no other attempt can follow.
+    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1) return
+    // A hedge whose endpoint is being chosen may not start.
+    if (this.isChoosingEndpoint) attempt.cancelTimeout = this.deps.clock.after(choiceRecheckMs, () => this.onAttemptTimeout(attempt, timeoutMs))
+    if (this.isChoosingEndpoint || !this.takeRetry()) return
     this.hasReservedRetry = true
     this.timedOutAttempt = attempt
     this.record({ event: 'timeout', choice: attempt.placement.endpoint.endpoint, why: `no response within ${Math.round(timeoutMs)} ms; a retry replaces the attempt once it can start` })
@@ -184,11 +184,13 @@
   private abandonTimedOutAttempt (): void {
     const attempt = this.timedOutAttempt
     if (attempt === undefined || !this.runningAttempts.has(attempt)) return
+    const written = attempt.handle?.written !== false
     attempt.handle?.abandon()
     this.removeAttempt(attempt)
-    this.recordFailure(attempt, 'silent')
+    this.recordFailure(attempt, written ? 'silent' : 'not-written')
     attempt.placement.release()
-    this.uncertainAttempts++
+    if (written) this.uncertainAttempts++
+    else this.unsentAttempts++
   }
 
   // ---- Responses ----
@@ -206,9 +208,7 @@
     } else if (this.tryReplaceResponse(head)) {
       attempt.handle?.cancel()
       attempt.placement.release()
-      this.hasDiscardedResponse = true
       this.record({ event: 'discard', choice: attempt.placement.endpoint.endpoint, why: `status ${head.status}` })
-      if (!this.hasOtherAttempt) this.requestSlot('retry')
     } else {
       this.deliverResponse(attempt, head)
     }
@@ -237,13 +237,29 @@
     if (this.deps.suspects.size > 0) this.deps.suspects.reportSuccess(this.spec.identity.fingerprint)
   }
 
-  /**
-   * Returns whether an error response is discarded in favour of another attempt, which an endpoint must be able to take now; takes a retry from the budget unless another
-   * attempt is in flight or about to start.
-   */
+  /** Returns whether an error response is discarded, because another attempt is in flight or a retry starts instead. */
   private tryReplaceResponse (head: transport.ResponseHead): boolean {
     if (!this.spec.lane.idempotent || !retryableStatuses.includes(head.status)) return false
-    return this.hasOtherAttempt || (this.deps.dispatcher.canPlaceNow(this.slotRequest) && this.takeRetry())
+    if (this.runningAttempts.size === 0 && !this.tryStartRetry(`status ${head.status}`)) return false
+    this.hasDiscardedResponse = true
+    return true
+  }
+
+  /** Starts an attempt whose endpoint is being probed, or a retry if an endpoint has a slot for it now and the budget allows it. */
+  private tryStartRetry (why: string): boolean {
+    if (this.selection !== undefined) {
+      this.selection.chooseNow(why)
+      return true
+    }
+    if (this.isChoosingEndpoint || !this.canRetry) return false
+    const placement = this.deps.dispatcher.acquireNow(this.slotRequest)
+    if (placement === undefined) return false
+    if (this.takeRetry()) {
+      this.startAttempt('retry', placement)
+      return true
+    }
+    placement.release()
+    return false
   }
 
   private deliverResponse (attempt: runningAttempt.RunningAttempt, head: transport.ResponseHead): void {
@@ -316,10 +332,7 @@
   /** Starts a retry if one is allowed, else ends the call with a fault; does nothing while another attempt may still get a response. */
   private retry (why: string): void {
     if (this.hasOtherAttempt) return
-    if (!this.takeRetry()) {
-      this.failUnlessOtherAttempt(why)
-      return
-    }
+    if (!this.takeRetry()) return this.failUnlessOtherAttempt(why)
     this.record({ event: 'failed', attempts: this.attempts, why })
     this.requestSlot('retry')
   }
@@ -333,10 +346,13 @@
     return this.runningAttempts.size > 0 || this.isChoosingEndpoint
   }
 
+  private get canRetry (): boolean {
+    return this.canRunAgain && this.spec.replayable() && (this.uncertainAttempts === 0 || (!this.isSuspect && this.spec.lane.idempotent))
+  }
+
   /** Takes a retry from the budget, or returns false if none is allowed. */
   private takeRetry (): boolean {
-    if (!this.canRunAgain || !this.spec.replayable()) return false
-    if (this.uncertainAttempts > 0 && (this.isSuspect || !this.spec.lane.idempotent)) return false
+    if (!this.canRetry) return false
     if (!this.hasReservedRetry) return this.deps.budgets.retries.take()
     this.hasReservedRetry = false
     return true
@@ -365,7 +381,7 @@
   /** Ends the call with a final fault, whatever its attempts do. */
   giveUp (why: string): void {
     if (this.isSettled) return
-    if (this.awaitsResponse) this.uncertainAttempts++
+    if (runningAttempt.isAnySent(this.runningAttempts)) this.uncertainAttempts++
     this.settleWithFault(this.finalFault(why, false))
   }
 
@@ -392,7 +408,7 @@
     this.cancelDeadline()
     this.cancelHedge()
     this.cancelSlotRequest()
-    this.cancelSelection()
+    this.selection?.cancel()
     for (const attempt of this.runningAttempts) {
       attempt.cancelTimeout()
       attempt.handle?.cancel()
