--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -192,7 +192,7 @@
 
   /** Closes everything at once; unlike `stop` it waits for no response. */
   async [Symbol.asyncDispose] (): Promise<void> {
-    const server = Reflect.get(this.listener, 'server') as http.Server
+    const server = Reflect.get(Reflect.get(this.listener, 'server') as object, 'server') as http.Server
     server.close()
     server.closeAllConnections()
     for (const { socket } of this.callers) socket.destroy()
