Callers: a connection is idle although bytes came that belong to no request

What callers saw: nothing; an instance kept connections that had been left for good, and in a shutdown it took requests on them that the grace period was too short for. Cause: since connections are closed by their own table, bytes beyond the last response kept a connection open without an end: the rest of a body that was discarded, an empty line, a request that Node.js answers itself with 417. Evidence: callerConnections.test, the case of the unknown expectation failed before; the cases of the empty line passed before as well as now. Why it works: at its idle timeout a connection without a pending response is closed unless bytes arrive in the poll before. In a shutdown a request whose headers stop arriving for 500 ms no longer keeps its connection.

--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -2,11 +2,17 @@
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 
+/** Time without further bytes after which a request whose headers are incomplete no longer keeps its connection open, in milliseconds. */
+const stalledRequestMs = 500
+
 interface ConnectionState {
   /** Responses whose last byte has not been passed to the kernel. */
   readonly pendingResponses: Set<http.ServerResponse>
-  /** Bytes received until the last response was complete; more than these belong to a request whose headers are incomplete. */
+  /** Bytes received until the last response was complete; more than these may belong to a request whose headers are incomplete. */
   processedBytes: number
+  /** Bytes received when the connection was last looked at, and the time on the process's monotonic clock since which there were no more. */
+  seenBytes: number
+  unchangedSince: number
 }
 
 /**
@@ -28,25 +34,23 @@
     return this.states.size
   }
 
-  /** Closes the connections without a pending response or a partly received request, each after reading what has arrived on it. */
+  /** Closes the connections without a pending response or a request that is arriving, each after reading what has arrived on it. */
   closeIdle (): void {
-    for (const socket of this.states.keys()) {
-      if (this.isIdle(socket)) this.closeAfterPoll(socket)
+    for (const [socket, state] of this.states) {
+      if (isIdle(socket, state)) this.closeAfterPoll(socket)
     }
   }
 
-  private isIdle (socket: net.Socket): boolean {
-    const state = this.states.get(socket)
-    return state === undefined || (state.pendingResponses.size === 0 && socket.bytesRead === state.processedBytes)
-  }
-
-  /** Closes a connection unless a request has arrived on it: the timers of a process that was busy or paused run before it reads. */
+  /** Closes a connection without a pending response unless bytes arrive on it: the timers of a process that was busy or paused run before it reads. */
   private closeAfterPoll (socket: net.Socket): void {
-    setImmediate(() => { if (this.isIdle(socket)) socket.destroy() })
+    const { bytesRead } = socket
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead && (this.states.get(socket)?.pendingResponses.size ?? 0) === 0) socket.destroy()
+    })
   }
 
   private add (socket: net.Socket): void {
-    const state = { pendingResponses: new Set<http.ServerResponse>(), processedBytes: 0 }
+    const state = { pendingResponses: new Set<http.ServerResponse>(), processedBytes: 0, seenBytes: 0, unchangedSince: performance.now() }
     this.states.set(socket, state)
     socket.once('close', () => {
       this.states.delete(socket)
@@ -66,6 +70,15 @@
   }
 }
 
+function isIdle ({ bytesRead }: net.Socket, state: ConnectionState): boolean {
+  const now = performance.now()
+  if (bytesRead !== state.seenBytes) {
+    state.seenBytes = bytesRead
+    state.unchangedSince = now
+  }
+  return state.pendingResponses.size === 0 && (bytesRead === state.processedBytes || now - state.unchangedSince >= stalledRequestMs)
+}
+
 /** Closes a response that is queued behind another one; Node.js closes only the first of a connection that ends. */
 function closeQueued (res: http.ServerResponse): void {
   if (res.socket !== null || res.writableFinished) return
--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -10,6 +10,10 @@
 const settleMs = 50
 const smallRequest = 'GET /10 HTTP/1.1\r\nHost: a\r\n\r\n'
 const partialRequest = 'GET /10 HTTP/1.1\r\nHo'
+const keepAliveTimeoutMs = 100
+/** Node.js adds a second to the timeout that it announces. */
+const idleCloseMs = keepAliveTimeoutMs + 1000
+const unknownExpectation = 'GET /10 HTTP/1.1\r\nHost: a\r\nExpect: other\r\n\r\n'
 
 interface Case {
   readonly name: string
@@ -54,3 +58,30 @@
     t.equal(connections.size, isIdle ? 0 : 1)
   })
 }
+
+for (const [name, sent, isClosed] of [
+  ['whose response was sent', smallRequest, true],
+  ['with an empty line after a request', `${smallRequest}\r\n`, true],
+  ['whose request had an unknown expectation', unknownExpectation, true],
+  ['whose response has not begun', 'GET /silent HTTP/1.1\r\nHost: a\r\n\r\n', false]
+] as const) {
+  tap.t.test(`a connection ${name} is ${isClosed ? 'closed' : 'kept'} at its idle timeout`, async (t) => {
+    const server = http.createServer({ keepAliveTimeout: keepAliveTimeoutMs }, (req, res) => {
+      if (req.url !== '/silent') res.end('done')
+    })
+    const connections = new callerConnections.CallerConnections(server)
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    const socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
+    t.teardown(() => {
+      socket.destroy()
+      server.close()
+      server.closeAllConnections()
+    })
+    socket.resume()
+    socket.write(sent)
+    await timers.setTimeout(settleMs)
+    t.equal(connections.size, 1)
+    await timers.setTimeout(idleCloseMs + 2 * settleMs)
+    t.equal(connections.size, isClosed ? 0 : 1)
+  })
+}
