Shutdown: final responses only after what targets have sent is read, and also for requests that came late

What callers saw: 502 at the end of the grace period of a busy instance although the response of the target had arrived in the process. Cause: the final responses were sent in the callback of one timer, which runs before the poll, and only once, so that a request that was read after it had no end of its own. Why it works: the event loop polls before requests are ended, and each later round of the shutdown ends those that came since.

--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -46,6 +46,8 @@
   private readonly server: http.Server
   private readonly connections: callerConnections.CallerConnections
   private readonly tasks = new Set<IRequestTask>()
+  /** Tasks that had no complete response shortly before the end of the grace period. */
+  private readonly endedTasks = new WeakSet<IRequestTask>()
   private inFlight = 0
 
   /**
@@ -96,26 +98,25 @@
     await async.nextTurn()
     const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
     while (performance.now() < idleCloseAt && (this.inFlight > 0 || this.connections.size > 0)) await async.sleep(idlePollMs)
-    const cancelFinalResponses = this.scheduleFinalResponses(stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace)
+    const finalResponsesAt = stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace
     this.connections.closeIdle()
     await async.nextTurn()
     while (this.inFlight > 0) {
+      if (performance.now() >= finalResponsesAt) await this.endUnanswered()
       this.connections.closeIdle()
       await async.sleep(idlePollMs)
     }
-    cancelFinalResponses()
     this.server.closeAllConnections()
   }
 
-  /** Schedules a final response for each request that has none shortly before the process is killed. */
-  private scheduleFinalResponses (at: number): () => void {
-    const timer = setTimeout(() => {
-      for (const task of this.tasks) {
-        task.recordIncomplete()
-        task.endWithoutResponse()
-      }
-    }, at - performance.now())
-    return () => clearTimeout(timer)
+  /** Ends the requests without a response with a final one, after reading the responses that have arrived. */
+  private async endUnanswered (): Promise<void> {
+    await async.nextTurn()
+    for (const task of [...this.tasks].filter((each) => !this.endedTasks.has(each))) {
+      this.endedTasks.add(task)
+      task.recordIncomplete()
+      task.endWithoutResponse()
+    }
   }
 
   /** Runs a task and ends it with a final fault if it has no response when the shutdown ends. */
