--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -94,6 +94,7 @@
   async stop (stoppingSince: number): Promise<void> {
     // A process that was busy or paused accepts and reads what has arrived meanwhile before it closes anything.
     await async.nextTurn()
+    // The method of http.Server would close idle connections too.
     net.Server.prototype.close.call(this.server)
     await async.nextTurn()
     const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -22,6 +22,28 @@
   readonly isIdle: boolean
 }
 
+interface Connected {
+  readonly connections: callerConnections.CallerConnections
+  readonly socket: net.Socket
+  readonly dispose: () => void
+}
+
+/** Connects to a server that responds with a body of the size in the path, or not at all to `/silent`. */
+async function connect (options: http.ServerOptions): Promise<Connected> {
+  const server = http.createServer(options, (req, res) => {
+    if (req.url !== '/silent') res.end(Buffer.alloc(Number(req.url!.slice(1))))
+  })
+  const connections = new callerConnections.CallerConnections(server)
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
+  const dispose = (): void => {
+    socket.destroy()
+    server.close()
+    server.closeAllConnections()
+  }
+  return { connections, socket, dispose }
+}
+
 const cases: readonly Case[] = [
   { name: 'without a request', sent: [], isIdle: true },
   { name: 'whose response was sent', sent: [smallRequest], isIdle: true },
@@ -36,17 +58,8 @@
 
 for (const { name, sent, isIdle } of cases) {
   tap.t.test(`a connection ${name} is ${isIdle ? 'closed' : 'kept'}`, async (t) => {
-    const server = http.createServer((req, res) => {
-      if (req.url !== '/silent') res.end(Buffer.alloc(Number(req.url!.slice(1))))
-    })
-    const connections = new callerConnections.CallerConnections(server)
-    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-    const socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
-    t.teardown(() => {
-      socket.destroy()
-      server.close()
-      server.closeAllConnections()
-    })
+    const { connections, socket, dispose } = await connect({})
+    t.teardown(dispose)
     socket.pause()
     for (const part of sent) {
       socket.write(part)
@@ -66,17 +79,8 @@
   ['whose response has not begun', 'GET /silent HTTP/1.1\r\nHost: a\r\n\r\n', false]
 ] as const) {
   tap.t.test(`a connection ${name} is ${isClosed ? 'closed' : 'kept'} at its idle timeout`, async (t) => {
-    const server = http.createServer({ keepAliveTimeout: keepAliveTimeoutMs }, (req, res) => {
-      if (req.url !== '/silent') res.end('done')
-    })
-    const connections = new callerConnections.CallerConnections(server)
-    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-    const socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
-    t.teardown(() => {
-      socket.destroy()
-      server.close()
-      server.closeAllConnections()
-    })
+    const { connections, socket, dispose } = await connect({ keepAliveTimeout: keepAliveTimeoutMs })
+    t.teardown(dispose)
     socket.resume()
     socket.write(sent)
     await timers.setTimeout(settleMs)
