Attempts: one that timed out gives its slot to other calls

Cause: a slow attempt kept its slot while its retry waited for another one, so that calls that were in time waited too. Why it works: the slot counts for calls that are in time, as when such an attempt was cancelled; the target is at work on one more call of this instance meanwhile.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -177,6 +177,8 @@
     this.hasReservedRetry = true
     this.timedOutAttempt = attempt
     this.record({ event: 'timeout', choice: attempt.placement.endpoint.endpoint, why: `no response within ${Math.round(timeoutMs)} ms; a retry replaces the attempt once it can start` })
+    // The slot is for calls that are in time; the target is at work on one more call meanwhile.
+    attempt.placement.release()
     this.requestSlot('retry')
   }
 
