Callers: a response without a length ends with the connection again, by a reset when it is known to be broken

Cause: a target's response without a length was sent in chunks, whose end states that the body is complete. A target that crashes closes its connection in the same way as one that has finished. Evidence: callerListener.test and forwarding.test, a case each, fail without this change (chunks) and pass with it. Why it works: the caller gets the target's own framing, also through a peer, which marks such a response for the instance that forwarded the request. The client of forwarding.test counts a reset as an incomplete response, since Node.js reports one without a length as complete.

--- a/packages/entry/src/common/forwardHeaders.ts
+++ b/packages/entry/src/common/forwardHeaders.ts
@@ -16,6 +16,8 @@
 const claimedHeader = `${prefix}claimed`
 /** Response header with an `Outcome`. */
 export const outcomeHeader = `${prefix}outcome`
+/** Response header of an endpoint's response without a length, which is sent in chunks between instances. */
+const unframedHeader = `${prefix}unframed`
 /** Response header with the number of attempts that may have reached an endpoint. */
 export const attemptsHeader = `${prefix}attempts`
 
@@ -65,6 +67,16 @@
   return { sender, configVersion, ageMs, attemptsLeft, isCounted: headers[countedHeader] === trueValue, isClaimed: headers[claimedHeader] === trueValue }
 }
 
+/** Returns the headers for the response of an endpoint, as a flat list of names and values. */
+export function formatAnswer (isFramed: boolean): readonly string[] {
+  return [outcomeHeader, answeredOutcome, ...(isFramed ? [] : [unframedHeader, trueValue])]
+}
+
+/** Returns whether a peer states that the response of the endpoint had no length. */
+export function isUnframed (headers: headerRules.MessageHeaders): boolean {
+  return headers[unframedHeader] === trueValue
+}
+
 /** Returns the number of attempts in the headers of a response. */
 export function parseAttempts (headers: headerRules.MessageHeaders): number {
   return parseCount(headers[attemptsHeader]) ?? 0
--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -99,3 +99,8 @@
   if (headers[names.targetStamp] === undefined) return `it has no header ${names.targetStamp}`
   return headers['content-encoding'] === undefined ? undefined : 'its body has an encoding that was not requested'
 }
+
+/** Returns whether the headers determine where the body ends. */
+export function isFramed (headers: MessageHeaders): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -259,7 +259,7 @@
   private sendResponse ({ lane, state }: laneRegistry.MatchedLane, body: callerBody.CallerBody, response: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): void {
     const { attempt, head, endpoint, source } = response
     if (endpoint !== undefined && lane.weights.reportedLoad > 0) this.recordReportedLoad(endpoint, head)
-    this.sendHead(head, body)
+    this.sendHead(response, body)
     this.countOutcome(response.outcome)
     const stream = new responseStream.ResponseStream(this.res, attempt, lane.progressTimeoutMs, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
       if (endpoint !== undefined) state.domainPreference.recordResponseSize(bytes)
@@ -298,16 +298,28 @@
     if (load !== undefined) this.deps.endpoints.updateLoad(endpoint.endpoint, load)
   }
 
-  private sendHead (head: httpAttempt.HttpHead, body: callerBody.CallerBody): void {
+  private sendHead ({ head, endpoint }: requestRun.RunResponse, body: callerBody.CallerBody): void {
     const { res } = this
     const { requestId } = this.deps.headers
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
     headers.push(requestId, this.requestId)
-    if (this.origin.forwarded !== undefined) headers.push(forwardHeaders.outcomeHeader, forwardHeaders.answeredOutcome)
-    if (this.deps.isStopping() || !body.hasShortRest) headers.push('Connection', 'close')
+    const isFramed = endpoint === undefined ? !forwardHeaders.isUnframed(head.headers) : headerRules.isFramed(head.headers)
+    const isForwarded = this.origin.forwarded !== undefined
+    if (isForwarded) headers.push(...forwardHeaders.formatAnswer(isFramed))
+    if (!isFramed && !isForwarded && this.canHaveBody(head.status)) {
+      // The end of the connection to the target marked the end of the body, which may be a break. Chunks would state that it is complete.
+      res.useChunkedEncodingByDefault = false
+      headers.push('Connection', 'close')
+    } else if (this.deps.isStopping() || !body.hasShortRest) {
+      headers.push('Connection', 'close')
+    }
     res.writeHead(head.status, headers)
   }
 
+  private canHaveBody (status: number): boolean {
+    return this.req.method !== 'HEAD' && status !== 204 && status !== 304
+  }
+
   private refuse (fault: errors.Fault): void {
     const { res } = this
     if (res.writableEnded) return
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -52,6 +52,14 @@
   })
 }
 
+tap.t.test('a response without a length is not passed on as one that is known to be complete', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.end(`${endpointHead}Connection: close\r\n\r\nhello`)).start()
+  const caller = fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => caller.hasEnded))
+  t.notMatch(caller.received, /transfer-encoding: chunked|content-length/i)
+  t.match(caller.received, /hello$/)
+})
+
 tap.t.test('a connection is usable or closed after a response that came before the end of the request body', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, answer).start()
   const firstPart = 'x'.repeat(100_000)
--- a/packages/entry/src/test/forwarding.test.ts
+++ b/packages/entry/src/test/forwarding.test.ts
@@ -156,6 +156,15 @@
   })
 }
 
+tap.t.test('a response without a length that comes through a peer is not passed on as one that is known to be complete', async (t) => {
+  await using pair = await startPair((req, res) => {
+    res.useChunkedEncodingByDefault = false
+    res.writeHead(200, { ...entries.stamp(req), connection: 'close' }).end('whole')
+  })
+  const { status, body, headers } = await entries.send(pair.sender.callersAddress)
+  t.same({ status, body, connection: headers.connection, length: headers['content-length'], encoding: headers['transfer-encoding'] }, { status: 200, body: 'whole', connection: 'close', length: undefined, encoding: undefined })
+})
+
 for (const method of ['GET', 'POST']) {
   tap.t.test(`${method}: a peer that declines is followed by the next one`, async (t) => {
     await using endpoint = await entries.startEndpoint('e-1')
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -264,17 +264,24 @@
 export function send (address: string, method = 'GET', headers: http.OutgoingHttpHeaders = {}, body?: string): Promise<CallerRes> {
   const startedAt = performance.now()
   return new Promise((resolve) => {
+    let isBroken = false
     const finish = (status: number, res?: http.IncomingMessage, chunks: readonly Buffer[] = []): void => {
-      resolve({ status, headers: res?.headers ?? {}, body: Buffer.concat(chunks).toString(), isComplete: res?.complete === true, ms: performance.now() - startedAt })
+      resolve({ status, headers: res?.headers ?? {}, body: Buffer.concat(chunks).toString(), isComplete: res?.complete === true && !isBroken, ms: performance.now() - startedAt })
     }
     const req = startRequest(address, method, '/x', { 'x-id': 'request-1', ...headers })
+    let hasResponse = false
     req.on('response', (res) => {
+      hasResponse = true
       const chunks: Buffer[] = []
       res.on('data', (chunk: Buffer) => chunks.push(chunk))
       res.on('error', () => {})
       res.on('close', () => finish(res.statusCode ?? 0, res, chunks))
     })
-    req.on('error', () => finish(0))
+    req.on('error', () => {
+      // For Node.js, a reset within a response without a length completes it, but it is an error of the request.
+      isBroken = true
+      if (!hasResponse) finish(0)
+    })
     req.end(body)
   })
 }
