--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -100,6 +100,8 @@
 /** A small deployment: control replicas and entry instances, numbered from 1. */
 export class Fleet {
   programs = new Map()
+  /** Settings that are added to those of each entry instance. */
+  entrySettings = () => ''
 
   constructor (controls, entries, record) {
     this.controls = controls
@@ -170,7 +172,7 @@
       return json === undefined ? String(fields[field]) : JSON.stringify(fields[field])
     })
     const file = path.join(this.folder, `${name}.toml`)
-    fs.writeFileSync(file, settings)
+    fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${this.entrySettings(fields.Ip)}`))
     const args = deployed.roles[role].run.split(' ').map((word) => word === settingsPath ? file : word)
     this.programs.set(name, new Program(name, args, path.join(this.folder, `${name}.log`), this.record))
   }
