--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -12,10 +12,11 @@
 /** Routes that `big_config` adds, twice; 0 with GROWTH=0, which shows that the group bears the lost disks otherwise. */
 const addedRoutes = process.env.GROWTH === '0' ? 0 : 421
 const growths = 2
-/** Doses of `config_storm`: a change each 0.33 s for 4 s, five times. */
-const storms = 5
-const stormMs = 4000
+/** Doses of `config_storm`: a change each 0.33 s for 4 s, six times. */
+const storms = 6
+const changesPerStorm = 12
 const gapMs = 330
+const pauseMs = 500
 /** `after_ack_wipe` is down for 3 s, the final fault for 1 s. */
 const firstDownMs = 3000
 const finalDownMs = 1000
@@ -83,13 +84,12 @@
     await change()
   }
   for (let storm = 0; storm < storms; storm++) {
-    const endAt = performance.now() + stormMs
-    while (performance.now() < endAt) {
+    for (let i = 0; i < changesPerStorm; i++) {
       const startedAt = performance.now()
       await change()
       await fleet.sleep(Math.max(0, startedAt + gapMs - performance.now()))
     }
-    await fleet.sleep(500)
+    await fleet.sleep(pauseMs)
   }
   if (cases.hasTrouble) {
     await loseDisks(deployment, [4], firstDownMs, record)
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -16,8 +16,10 @@
 const restartDelayMs = 200
 /** Bounds of the settings, those of the users' small sites. */
 export const bounds = { GraceS: 6, BudgetRatio: 0.2, BudgetExtra: 60, BudgetWindowS: 10, ProbesPerS: 60, DrainMs: 2000, ContactMs: 3000, AckMs: 4000, ConfigApplyMs: 2000 }
+/** Interval at which endpoints announce themselves. */
 export const heartbeatMs = 1500
 
+/** Resolves after a time. */
 export function sleep (ms) {
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
