Control replicas: log which replica lags, which messages fail, and the lack of a leader

Cause: the logs of a group that served nothing showed only leaders that came and went. A refused or late append, a replica that never catches up, and a lost election left no line.

ReplicationStatus keeps, on the leader, the progress of each other replica and the failed messages by kind and reason; LeaderWatch the time since a leader was known; CampaignLog the failed elections with the response of each voter. Each logs at a change only: control-lag, control-message, control-no-leader, control-campaign. The end of a change is judged by a check each second, so that alternating states can't fill the log.

The size of messages and the lag in bytes are not passed yet: the log doesn't count bytes.

Before, nothing recorded these failures.

--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -20,6 +20,7 @@
 /** Largest group found through seeds: seven replicas, plus two that replace unreachable ones not yet removed. */
 const maxDiscoveredReplicas = 9
 const voterCheckIntervalMs = 500
+const monitorIntervalMs = 1000
 
 /** A control replica within this process. */
 export class ControlRole implements lifecycle.IDisposable {
@@ -68,6 +69,7 @@
     const isGroupDiscovered = this.control.replicas.length === 0
     const joinTask = this.disposables.add(new joiner.Joiner(this.replica, this.groupAddresses, isGroupDiscovered))
     if (isGroupDiscovered) this.disposables.addInterval(() => { this.service.removeUnreachableVoter() }, voterCheckIntervalMs)
+    this.disposables.addInterval(() => { this.replica.checkMonitor() }, monitorIntervalMs)
     electionTask.run()
     joinTask.run()
     this.hub?.start()
--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -4,6 +4,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as quorum from '../common/quorum.js'
+import type * as campaignLog from './campaignLog.js'
 import type * as replica from './replica.js'
 
 /** Interval at which a leader checks its quorum, as a share of the election timeout. */
@@ -114,12 +115,16 @@
     const needed = quorum.majoritySize(membership) - 1
     if (needed <= 0) return true
     const outcome = new async.Deferred<boolean>()
+    const outcomes = new Map<string, campaignLog.VoteOutcome>()
     let granted = 0
     const requests = others.map(async (voter) => {
-      if (await this.requestVote(voter, term, preVote) && ++granted >= needed) outcome.resolve(true)
+      const isGranted = await this.requestVote(voter, term, preVote, (each) => { outcomes.set(voter.address, each) })
+      if (isGranted && ++granted >= needed) outcome.resolve(true)
     })
     Promise.all(requests).then(() => outcome.resolve(false), () => outcome.resolve(false))
-    return await outcome.promise
+    const won = await outcome.promise
+    if (!won && !this.stopped.signal.aborted) this.replica.monitor.campaigns.recordFailed({ term, preVote, needed, outcomes })
+    return won
   }
 
   private voteTimeoutMs (preVote: boolean): number {
@@ -127,7 +132,9 @@
     return preVote && !this.replica.hasSeenLeader ? baseMs * preVoteTimeoutShare : baseMs
   }
 
-  private async requestVote (voter: inner.Replica, term: number, preVote: boolean): Promise<boolean> {
+  private async requestVote (voter: inner.Replica, term: number, preVote: boolean, record: (outcome: campaignLog.VoteOutcome) => void): Promise<boolean> {
+    const what = preVote ? 'pre-vote' : 'vote'
+    const { replication } = this.replica.monitor
     const last = this.replica.log.last
     const req = protobuf.create(inner.VoteReqSchema, {
       term,
@@ -141,9 +148,13 @@
       const link = this.replica.links.linkTo(voter.address)
       const res = await link.call(async (client, options) => await client.vote(req, options), this.voteTimeoutMs(preVote))
       if (res.term > this.replica.term) this.replica.stepDown(res.term, `replica ${voter.id} is in term ${res.term}`)
+      replication.recordAcknowledged(voter.id, what)
+      record(res.granted ? 'granted' : 'refused')
       return res.granted
-    } catch {
+    } catch (err) {
       // An unreachable voter counts as a refusal.
+      if (!this.stopped.signal.aborted) replication.recordFailure(voter.id, what, err)
+      record('failed')
       return false
     }
   }
--- a/packages/control/src/node/leadership.ts
+++ b/packages/control/src/node/leadership.ts
@@ -11,6 +11,7 @@
 import * as appendChannel from './appendChannel.js'
 import type * as replicaLinks from './replicaLinks.js'
 import type * as replicaLog from './replicaLog.js'
+import type * as replicaMonitor from './replicaMonitor.js'
 
 const maxEntriesPerMessage = 200
 const maxEntriesPerBatch = 200
@@ -25,6 +26,7 @@
   readonly lock: async.Sequencer
   readonly links: replicaLinks.ReplicaLinks
   readonly decisions: decisionLog.IDecisionLog
+  readonly monitor: replicaMonitor.ReplicaMonitor
   readonly electionTimeoutMs: number
   readonly heartbeatMs: number
   readonly commitIndex: number
@@ -278,8 +280,9 @@
       try {
         sentCommitIndex = this.host.commitIndex
         nextIndex = await this.sendTo(peer, nextIndex, sentAt)
-      } catch {
+      } catch (err) {
         // The peer is unreachable or refuses: the same entries are sent again with the next heartbeat.
+        if (!this.disposed && !peer.stopped.signal.aborted) this.recordFailure(peer, nextIndex, err)
         await peer.wake.wait(this.host.heartbeatMs)
         continue
       }
@@ -304,6 +307,7 @@
       toReplicaId: peer.replica.id
     })
     const res = await peer.channel.append(req, this.host.electionTimeoutMs)
+    this.host.monitor.replication.recordAcknowledged(peer.replica.id, entries.length > 0 ? 'append' : 'heartbeat')
     if (!this.recordResponse(res.term, peer, sentAt)) return nextIndex
     if (!res.success) return Math.max(1, Math.min(prevIndex, Number(res.lastIndex) + 1))
     this.updateMatchIndex(peer, Number(res.lastIndex))
@@ -321,6 +325,7 @@
     })
     const link = this.host.links.linkTo(peer.replica.address)
     const res = await link.call(async (client, options) => await client.installSnapshot(req, options), snapshotTimeoutMs)
+    this.host.monitor.replication.recordAcknowledged(peer.replica.id, 'snapshot')
     const index = Number(snapshot.index)
     if (this.recordResponse(res.term, peer, sentAt)) this.updateMatchIndex(peer, index)
     return index + 1
@@ -330,7 +335,9 @@
   private recordResponse (term: number, peer: Peer, sentAt: number): boolean {
     if (this.disposed) return false
     if (term > this.term) {
-      this.host.stepDown(term, `replica ${peer.replica.id} is in term ${term}`)
+      const why = `replica ${peer.replica.id} is in term ${term}`
+      this.host.monitor.replication.recordFailureReason(peer.replica.id, 'append', { reason: 'higher-term', why })
+      this.host.stepDown(term, why)
       return false
     }
     peer.lastAckedSendAt = Math.max(peer.lastAckedSendAt, sentAt)
@@ -338,8 +345,21 @@
     return true
   }
 
+  private recordFailure (peer: Peer, nextIndex: number, err: unknown): void {
+    const { log, monitor } = this.host
+    const hasEntries = nextIndex <= log.last.index
+    const what = log.termAt(nextIndex - 1) === undefined ? 'snapshot' : hasEntries ? 'append' : 'heartbeat'
+    monitor.replication.recordFailure(peer.replica.id, what, err)
+    this.recordProgress(peer)
+  }
+
+  private recordProgress (peer: Peer): void {
+    this.host.monitor.replication.recordProgress(peer.replica.id, peer.matchIndex, this.host.log.last.index, 0)
+  }
+
   private updateMatchIndex (peer: Peer, index: number): void {
     peer.matchIndex = Math.max(peer.matchIndex, index)
+    this.recordProgress(peer)
     this.advanceCommit()
   }
 }
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -12,6 +12,7 @@
 import * as leadership from './leadership.js'
 import type * as replicaLinks from './replicaLinks.js'
 import * as replicaLog from './replicaLog.js'
+import * as replicaMonitor from './replicaMonitor.js'
 import type * as replicaStorage from './replicaStorage.js'
 
 /**
@@ -39,6 +40,7 @@
   readonly lock = new async.Sequencer()
   readonly log: replicaLog.ReplicaLog
   readonly state = new replicatedState.ReplicatedState()
+  readonly monitor: replicaMonitor.ReplicaMonitor
   private readonly appliedEmitter = new event.Emitter<number>()
   /** Fires the index of the newest applied entry. */
   readonly onApplied = this.appliedEmitter.event
@@ -61,6 +63,7 @@
     readonly decisions: decisionLog.IDecisionLog
   ) {
     this.log = new replicaLog.ReplicaLog(storage)
+    this.monitor = new replicaMonitor.ReplicaMonitor(decisions, options.electionTimeoutMs, () => this.log.membership.replicas)
     storage.onDiskFullChanged((isFull) => this.handleDiskFullChanged(isFull))
   }
 
@@ -159,6 +162,11 @@
     return this.log.membership.replicas.find((replica) => replica.id === this.currentLeaderId)
   }
 
+  /** Logs the changes of replication and leader that depend on time; call about once a second. */
+  checkMonitor (): void {
+    this.monitor.check(this.currentLeadership === undefined ? undefined : this.replicaId)
+  }
+
   dispose (): void {
     this.currentLeadership?.dispose()
     this.appliedEmitter.dispose()
@@ -249,6 +257,7 @@
       this.seenLeader = true
       this.currentLeadership = new leadership.Leadership(this, term)
       this.currentLeadership.start()
+      this.monitor.leader.recordLeader(this.replicaId)
       this.decisions.record({ event: 'control-leader', choice: this.replicaId, term, why: 'won the election' })
     })
   }
@@ -273,6 +282,7 @@
 
   /** Becomes follower of a leader; the id is empty when the leader isn't known. */
   private follow (leaderId: string): void {
+    if (this.currentLeadership !== undefined) this.monitor.endLeadership(this.replicaId)
     this.currentLeadership?.dispose()
     this.currentLeadership = undefined
     this.currentRole = 'follower'
@@ -316,6 +326,7 @@
     if (this.currentLeaderId !== leaderId || this.currentRole !== 'follower') this.follow(leaderId)
     this.seenLeader = true
     this.leaderContactAt = performance.now()
+    this.monitor.leader.recordLeader(leaderId)
   }
 
   /** Returns whether the log holds an entry. Entries below the snapshot are committed, so any leader has the same ones. */
--- a/packages/telemetry/src/common/decisionLog.ts
+++ b/packages/telemetry/src/common/decisionLog.ts
@@ -31,7 +31,7 @@
 
 /** Discards all decisions. */
 export class NullDecisionLog implements IDecisionLog {
-  record (): void {}
+  record (_decision: Decision): void {}
 
   recordWithoutLogging (): void {}
 
