Control replicas: metrics and status of replication, disk writes and refusals

Cause: /metrics of a control replica had the memory and processor time of its process only; which replica lags, how long its disk takes and how long there has been no leader could not be read anywhere.

The metrics page takes collectors, which compute their samples when the page is read, for series that come and go. GET /control has the lag of each member, the time without a leader, the longest write and the last failed message.

DiskTiming measures each write of the storage with its sync and logs disk-slow when one takes longer than an election timeout and once it is over.

--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -6,12 +6,16 @@
 import type * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as announcementHub from './announcementHub.js'
 import * as configFeed from './configFeed.js'
+import * as controlMetrics from './controlMetrics.js'
 import * as controlRoutes from './controlRoutes.js'
 import * as controlRpc from './controlRpc.js'
 import * as controlService from './controlService.js'
+import * as diskTiming from './diskTiming.js'
 import * as election from './election.js'
+import * as fileSystem from './fileSystem.js'
 import * as joiner from './joiner.js'
 import * as replica from './replica.js'
 import * as replicaLinks from './replicaLinks.js'
@@ -27,6 +31,7 @@
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly loaded = new async.Deferred<void>()
   private readonly replica: replica.Replica
+  private readonly disk: diskTiming.DiskTiming
   readonly service: controlService.ControlService
   /** Receives announcements, if targets announce themselves to control replicas. */
   readonly hub: announcementHub.AnnouncementHub | undefined
@@ -37,13 +42,17 @@
     private readonly cfg: settings.Settings,
     private readonly control: settings.ControlSettings,
     decisions: decisionLog.IDecisionLog,
+    processMetrics: metrics.Metrics,
     onDiskFailure: (err: Error) => void
   ) {
     const identity = innerListener.createLinkIdentity(cfg.cluster, cfg.inner)
     const links = this.disposables.add(new replicaLinks.ReplicaLinks(identity))
-    const storage = new replicaStorage.ReplicaStorage(control.dataFolder, cfg.cluster, onDiskFailure)
+    // A write that outlasts the election timeout delays votes and commits.
+    this.disk = new diskTiming.DiskTiming(decisions, control.electionTimeoutMs)
+    const storage = new replicaStorage.ReplicaStorage(control.dataFolder, cfg.cluster, onDiskFailure, fileSystem.machineFileSystem, this.disk)
     this.replica = this.disposables.add(new replica.Replica(this.replicaOptions(), storage, links, decisions))
     this.service = new controlService.ControlService(this.replica, this.serviceOptions(), decisions)
+    controlMetrics.registerControlMetrics(processMetrics, this.replica, storage, this.disk)
     this.feed = this.disposables.add(new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex()))
     if (control.announceEveryMs > 0) this.hub = this.disposables.add(new announcementHub.AnnouncementHub(this.hubOptions(), identity, this.service, this.feed, decisions))
   }
@@ -56,7 +65,7 @@
 
   /** Adds the operator routes. */
   addRoutes (routes: httpListener.IRoutes): void {
-    controlRoutes.addControlRoutes(routes, this.service)
+    controlRoutes.addControlRoutes(routes, this.service, this.disk)
   }
 
   /** Loads the data folder and starts the tasks; call once the inner address is bound. */
@@ -69,7 +78,7 @@
     const isGroupDiscovered = this.control.replicas.length === 0
     const joinTask = this.disposables.add(new joiner.Joiner(this.replica, this.groupAddresses, isGroupDiscovered))
     if (isGroupDiscovered) this.disposables.addInterval(() => { this.service.removeUnreachableVoter() }, voterCheckIntervalMs)
-    this.disposables.addInterval(() => { this.replica.checkMonitor() }, monitorIntervalMs)
+    this.disposables.addInterval(() => this.checkState(), monitorIntervalMs)
     electionTask.run()
     joinTask.run()
     this.hub?.start()
@@ -89,6 +98,12 @@
     this.disposables.dispose()
   }
 
+  /** Logs changes that depend on time. */
+  private checkState (): void {
+    this.replica.monitor.check()
+    this.disk.check()
+  }
+
   /** Inner addresses of the replicas in the settings, or of the seeds if the settings list no replicas. */
   private get groupAddresses (): readonly string[] {
     const { replicas, seeds } = this.control
--- a/packages/control/src/node/controlRoutes.ts
+++ b/packages/control/src/node/controlRoutes.ts
@@ -3,16 +3,18 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import type * as controlService from './controlService.js'
+import type * as diskTiming from './diskTiming.js'
+import type * as replica from './replica.js'
 
 const versionPattern = /^"?(\d{1,9})"?$/
 const patchIdPattern = /^[A-Za-z0-9._:-]{1,128}$/
 
 /** Adds the routes under /control and /config. */
-export function addControlRoutes (routes: httpListener.IRoutes, service: controlService.ControlService): void {
-  routes.route('GET', '/control', async () => ({ body: describeReplica(service) }))
+export function addControlRoutes (routes: httpListener.IRoutes, service: controlService.ControlService, disk: diskTiming.DiskTiming): void {
+  routes.route('GET', '/control', async () => ({ body: describeReplica(service, disk) }))
   routes.route('POST', '/control/found', async () => {
     await service.foundCluster()
-    return { status: 201, body: describeReplica(service) }
+    return { status: 201, body: describeReplica(service, disk) }
   })
   routes.route('DELETE', '/control/replicas/:id', async (req) => {
     await service.removeReplica(req.params['id'] ?? '')
@@ -40,13 +42,17 @@
   return new errors.RackError({ kind: 'bad-request', message })
 }
 
-function describeReplica (service: controlService.ControlService): object {
+function describeReplica (service: controlService.ControlService, disk: diskTiming.DiskTiming): object {
   const { replica } = service
+  const { monitor } = replica
   return {
     replica: replica.replicaId,
     role: replica.role,
     term: replica.term,
     leader: replica.leaderId,
+    knowsLeader: monitor.knowsLeader,
+    withoutLeaderMs: Math.round(monitor.withoutLeaderMs),
+    disk: { longestMs: Math.round(disk.longestMs()), inProgressMs: Math.round(disk.inProgressMs()) },
     founded: replica.founded,
     voter: replica.isVoter,
     commitIndex: replica.commitIndex,
@@ -55,6 +61,20 @@
     version: replica.state.config.version,
     claims: replica.state.claimCount,
     members: replica.log.membership.replicas.map(({ id, address, operatorAddress, failureDomain, voter }) =>
-      ({ id, address, operatorAddress, failureDomain, voter }))
+      ({ id, address, operatorAddress, failureDomain, voter, ...describeProgress(replica, id) }))
+  }
+}
+
+/** Describes how far a member has come, if this replica leads, and the last message to it that failed. */
+function describeProgress ({ monitor }: replica.Replica, id: string): object {
+  const progress = monitor.replication.progressOf(id)
+  const failure = monitor.replication.lastFailureOf(id)
+  return {
+    ...progress && {
+      lag: { entries: progress.lagEntries, bytes: progress.lagBytes, ms: Math.round(progress.lagMs) },
+      behind: progress.isBehind,
+      sinceResponseMs: Math.round(progress.sinceResponseMs)
+    },
+    ...failure && { lastFailure: { ...failure, ageMs: Math.round(failure.ageMs) } }
   }
 }
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -12,6 +12,7 @@
 import type * as replicaLinks from './replicaLinks.js'
 import * as quorum from '../common/quorum.js'
 import type * as replicatedState from '../common/replicatedState.js'
+import type * as refusalCounter from './refusalCounter.js'
 
 const forwardTimeoutMs = 6000
 const describeTimeoutMs = 1500
@@ -62,10 +63,15 @@
     private readonly decisions: decisionLog.IDecisionLog
   ) {}
 
+  private get refusals (): refusalCounter.RefusalCounter {
+    return this.replica.monitor.refusals
+  }
+
   /** Applies a patch; throws `version-conflict`, `invalid-config`, `no-quorum` or `unknown`. */
   async patch (req: PatchReq): Promise<number> {
     const ownLeadership = this.replica.leadership
-    const outcome = ownLeadership === undefined ? await this.forwardPatch(req) : await this.patchAsLeader(ownLeadership, req)
+    const outcome = await this.refusals.run('write', async () =>
+      ownLeadership === undefined ? await this.forwardPatch(req) : await this.patchAsLeader(ownLeadership, req))
     this.decisions.record({ event: 'config-patch', choice: outcome.kind, patchId: req.patchId, amends: req.amends, why: describeOutcome(outcome) })
     if (outcome.kind === 'accepted') return outcome.version
     throw new errors.RackError({
@@ -95,9 +101,9 @@
   async put (req: PutReq): Promise<number> {
     const value = protobuf.create(inner.PutConfigSchema, { version: req.version, documentJson: JSON.stringify(req.document), source: req.source })
     const ownLeadership = this.replica.leadership
-    const heldVersion = ownLeadership === undefined
+    const heldVersion = await this.refusals.run('write', async () => ownLeadership === undefined
       ? (await this.callLeader(async (client, options) => await client.put(value, options))).heldVersion
-      : await this.putAsLeader(ownLeadership, value)
+      : await this.putAsLeader(ownLeadership, value))
     this.decisions.record({ event: 'config-put', choice: String(heldVersion), version: req.version, why: heldVersion === req.version ? 'the document is now in force' : 'a higher version is already stored' })
     return heldVersion
   }
@@ -132,6 +138,7 @@
   private requireDiskLossTolerance (): void {
     const tolerated = quorum.toleratedDiskLosses(this.replica.log.membership)
     if (tolerated >= this.options.tolerateLostDisks) return
+    this.refusals.countIntolerant()
     throw new errors.RackError({ kind: 'no-quorum', message: `a write would survive the loss of ${tolerated} disks, but ${this.options.tolerateLostDisks} are required; nothing was written` })
   }
 
@@ -147,6 +154,10 @@
 
   /** Returns the index that must be applied before a linearizable read. */
   async confirmReadIndex (): Promise<number> {
+    return await this.refusals.run('confirmation', async () => await this.requestReadIndex())
+  }
+
+  private async requestReadIndex (): Promise<number> {
     const ownLeadership = this.replica.leadership
     if (ownLeadership !== undefined) return await ownLeadership.readIndex()
     try {
@@ -160,13 +171,13 @@
 
   /** Returns the configuration, confirmed by a quorum. */
   async readConfig (): Promise<ReadRes> {
-    await this.replica.waitUntilApplied(await this.confirmReadIndex())
+    await this.refusals.run('read', async () => await this.replica.waitUntilApplied(await this.confirmReadIndex()))
     return { ...this.replica.state.config, source: this.replica.state.configSource }
   }
 
   /** Returns the accepted patches, confirmed by a quorum. */
   async readHistory (): Promise<readonly replicatedState.PatchHistoryItem[]> {
-    await this.replica.waitUntilApplied(await this.confirmReadIndex())
+    await this.refusals.run('read', async () => await this.replica.waitUntilApplied(await this.confirmReadIndex()))
     return this.replica.state.history()
   }
 
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -63,7 +63,7 @@
     readonly decisions: decisionLog.IDecisionLog
   ) {
     this.log = new replicaLog.ReplicaLog(storage)
-    this.monitor = new replicaMonitor.ReplicaMonitor(decisions, options.electionTimeoutMs, () => this.log.membership.replicas)
+    this.monitor = new replicaMonitor.ReplicaMonitor(decisions, options.electionTimeoutMs, this)
     storage.onDiskFullChanged((isFull) => this.handleDiskFullChanged(isFull))
   }
 
@@ -162,11 +162,6 @@
     return this.log.membership.replicas.find((replica) => replica.id === this.currentLeaderId)
   }
 
-  /** Logs the changes of replication and leader that depend on time; call about once a second. */
-  checkMonitor (): void {
-    this.monitor.check(this.currentLeadership === undefined ? undefined : this.replicaId)
-  }
-
   dispose (): void {
     this.currentLeadership?.dispose()
     this.appliedEmitter.dispose()
@@ -282,7 +277,7 @@
 
   /** Becomes follower of a leader; the id is empty when the leader isn't known. */
   private follow (leaderId: string): void {
-    if (this.currentLeadership !== undefined) this.monitor.endLeadership(this.replicaId)
+    if (this.currentLeadership !== undefined) this.monitor.endLeadership()
     this.currentLeadership?.dispose()
     this.currentLeadership = undefined
     this.currentRole = 'follower'
--- a/packages/control/src/node/replicaStorage.ts
+++ b/packages/control/src/node/replicaStorage.ts
@@ -8,6 +8,7 @@
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as logEntry from '../common/logEntry.js'
+import type * as diskTiming from './diskTiming.js'
 import * as durableFile from './durableFile.js'
 import * as fileSystem from './fileSystem.js'
 import * as recordFile from './recordFile.js'
@@ -48,7 +49,8 @@
 /** Storage in a data folder. */
 export class ReplicaStorage implements IReplicaStorage {
   private logHandle: fileSystem.IFileHandle | undefined
-  private logBytes = 0
+  private currentLogBytes = 0
+  private currentSnapshotBytes = 0
   private diskFull = false
   private disposed = false
   private readonly diskFullEmitter = new event.Emitter<boolean>()
@@ -59,9 +61,20 @@
     private readonly folder: string,
     private readonly cluster: string,
     private readonly onFailure: (err: Error) => void,
-    private readonly fs = fileSystem.machineFileSystem
+    private readonly fs = fileSystem.machineFileSystem,
+    private readonly timing?: diskTiming.DiskTiming
   ) {}
 
+  /** Size of the log file. */
+  get logBytes (): number {
+    return this.currentLogBytes
+  }
+
+  /** Size of the snapshot file; 0 when there is none. */
+  get snapshotBytes (): number {
+    return this.currentSnapshotBytes
+  }
+
   get isDiskFull (): boolean {
     return this.diskFull
   }
@@ -74,27 +87,27 @@
     const entries = await this.loadLog(Number(snapshot?.index ?? 0n))
     await this.openLog()
     // Syncs entries that the previous process wrote but had not synced when it was killed.
-    await this.runWrite(async () => await this.logHandle!.datasync())
+    await this.runWrite('load', async () => await this.logHandle!.datasync())
     return { meta, snapshot, entries }
   }
 
   async saveMeta (meta: inner.ReplicaMeta): Promise<void> {
     const record = recordFile.frameRecord(protobuf.toBinary(inner.ReplicaMetaSchema, meta))
-    await this.runWrite(async () => await durableFile.replaceFile(this.filePath(metaFile), record, this.fs))
+    await this.runWrite('meta', async () => await durableFile.replaceFile(this.filePath(metaFile), record, this.fs))
   }
 
   async append (entries: readonly logEntry.LogEntry[]): Promise<void> {
     const record = recordFile.frameRecord(logEntry.encodeBatch(entries))
-    await this.runWrite(async () => {
+    await this.runWrite('append', async () => {
       await this.logHandle!.appendFile(record)
       await this.logHandle!.datasync()
-    }, async () => await this.logHandle!.truncate(this.logBytes))
-    this.logBytes += record.length
+    }, async () => await this.logHandle!.truncate(this.currentLogBytes))
+    this.currentLogBytes += record.length
   }
 
   async rewrite (entries: readonly logEntry.LogEntry[]): Promise<void> {
     const record = entries.length === 0 ? Buffer.alloc(0) : recordFile.frameRecord(logEntry.encodeBatch(entries))
-    await this.runWrite(async () => {
+    await this.runWrite('rewrite', async () => {
       await durableFile.replaceFile(this.filePath(logFile), record, this.fs)
       await this.openLog()
     })
@@ -102,7 +115,8 @@
 
   async saveSnapshot (snapshot: inner.Snapshot, entriesAfter: readonly logEntry.LogEntry[]): Promise<void> {
     const record = recordFile.frameRecord(protobuf.toBinary(inner.SnapshotSchema, snapshot))
-    await this.runWrite(async () => await durableFile.replaceFile(this.filePath(snapshotFile), record, this.fs))
+    await this.runWrite('snapshot', async () => await durableFile.replaceFile(this.filePath(snapshotFile), record, this.fs))
+    this.currentSnapshotBytes = record.length
     await this.rewrite(entriesAfter)
   }
 
@@ -142,6 +156,7 @@
   private async loadSnapshot (): Promise<inner.Snapshot | undefined> {
     const data = await durableFile.readIfExists(this.filePath(snapshotFile), this.fs)
     if (data === undefined) return undefined
+    this.currentSnapshotBytes = data.length
     return protobuf.fromBinary(inner.SnapshotSchema, this.readSingleRecord(snapshotFile, data))
   }
 
@@ -170,7 +185,7 @@
   }
 
   private async truncateLog (bytes: number): Promise<void> {
-    await this.runWrite(async () => {
+    await this.runWrite('load', async () => {
       const handle = await this.fs.open(this.filePath(logFile), 'r+')
       await handle.truncate(bytes)
       await handle.sync()
@@ -181,7 +196,7 @@
   private async openLog (): Promise<void> {
     await this.logHandle?.close()
     this.logHandle = await this.fs.open(this.filePath(logFile), 'a')
-    this.logBytes = (await this.logHandle.stat()).size
+    this.currentLogBytes = (await this.logHandle.stat()).size
     await durableFile.syncFolder(this.folder, this.fs)
   }
 
@@ -189,9 +204,9 @@
    * Runs a write and repeats it while the disk is full.
    * @param undo removes the partial data of a write that failed on a full disk; files that are replaced as a whole need none.
    */
-  private async runWrite (write: () => Promise<void>, undo: () => Promise<void> = async () => {}): Promise<void> {
+  private async runWrite (kind: diskTiming.WriteKind, write: () => Promise<void>, undo: () => Promise<void> = async () => {}): Promise<void> {
     try {
-      while (!await this.tryWrite(write)) {
+      while (!await this.tryWrite(kind, write)) {
         await async.sleep(diskFullRetryMs)
         // The process is stopping: the call must fail, since its data was not synced.
         if (this.disposed) throw new Error('the disk was still full when the process stopped')
@@ -204,9 +219,9 @@
   }
 
   /** Runs a write; returns false when the disk was full. */
-  private async tryWrite (write: () => Promise<void>): Promise<boolean> {
+  private async tryWrite (kind: diskTiming.WriteKind, write: () => Promise<void>): Promise<boolean> {
     try {
-      await write()
+      await (this.timing === undefined ? write() : this.timing.measure(kind, write))
     } catch (err) {
       if ((err as NodeJS.ErrnoException).code !== diskFullCode) throw err
       this.setDiskFull(true)
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -80,7 +80,7 @@
   let entry: entryRole.EntryRole | undefined
   if (cfg.control !== undefined) {
     const module = await import('@rosemaryrack/control/node/controlRole.js')
-    control = new module.ControlRole(cfg, cfg.control, decisions, onDiskFailure)
+    control = new module.ControlRole(cfg, cfg.control, decisions, processMetrics, onDiskFailure)
   }
   if (cfg.entry !== undefined) {
     const module = await import('@rosemaryrack/entry/node/entryRole.js')
--- a/packages/telemetry/src/node/metrics.ts
+++ b/packages/telemetry/src/node/metrics.ts
@@ -3,7 +3,15 @@
 
 const quantiles = [0.5, 0.9, 0.99, 0.999] as const
 
-type Labels = Readonly<Record<string, string>>
+/** Names and values that tell the series of a metric apart. */
+export type Labels = Readonly<Record<string, string>>
+
+/** The value of one series. */
+export interface Sample {
+  readonly name: string
+  readonly labels: Labels
+  readonly value: number
+}
 
 const msPerSecond = 1000
 
@@ -11,6 +19,7 @@
 export class Metrics {
   private readonly counters = new Map<string, number>()
   private readonly gauges = new Map<string, () => number>()
+  private readonly collectors: Array<() => readonly Sample[]> = []
   private readonly histograms = new Map<string, { readonly name: string, readonly labels: Labels, readonly histogram: latencyHistogram.ILatencyHistogram }>()
 
   /** @param createHistogram injected, so that a process that records no latencies does not load the histogram library. */
@@ -27,6 +36,11 @@
     this.gauges.set(name + formatLabels(labels), read)
   }
 
+  /** Registers a function that returns samples each time the metrics are formatted; for series that come and go. */
+  registerCollector (collect: () => readonly Sample[]): void {
+    this.collectors.push(collect)
+  }
+
   /** Records a latency in milliseconds. */
   recordLatency (name: string, labels: Labels, ms: number): void {
     const key = name + formatLabels(labels)
@@ -43,6 +57,7 @@
     const lines: string[] = []
     for (const [key, value] of this.counters) lines.push(`${key} ${value}`)
     for (const [key, read] of this.gauges) lines.push(`${key} ${read()}`)
+    for (const collect of this.collectors) lines.push(...collect().map(({ name, labels, value }) => `${name}${formatLabels(labels)} ${value}`))
     for (const { name, labels, histogram } of this.histograms.values()) {
       for (const quantile of quantiles) {
         const seconds = histogram.valueAtQuantile(quantile) / msPerSecond
