--- a/packages/control/src/test/simulatedGroup.ts
+++ b/packages/control/src/test/simulatedGroup.ts
@@ -19,6 +19,8 @@
 const minOneWayDelayMs = 0.3
 const maxOneWayDelayMs = 3
 const voterCheckIntervalMs = 500
+/** Limit of the inner listener. */
+const defaultMaxMessageBytes = 32 * 1024 * 1024
 
 /** Sizes and times of the simulated group. */
 export interface GroupOptions {
@@ -26,9 +28,20 @@
   readonly snapshotEvery: number
   /** Processor time of a message. */
   readonly messageMs: number
+  /** Largest message that a replica accepts, by default that of the inner listener. */
+  readonly maxMessageBytes?: number
+  /** Rate at which a connection carries messages, and a process handles them; unlimited by default. */
+  readonly bytesPerMs?: number
   readonly random: () => number
 }
 
+/** An election that a replica won. */
+export interface WonElection {
+  readonly address: string
+  readonly term: number
+  readonly at: number
+}
+
 /** One process of a replica, from its start to its end. */
 export class ControlProcess {
   private readonly ended = new AbortController()
@@ -44,7 +57,7 @@
   /** @param onFailure called when the process ends by itself. */
   constructor (private readonly group: SimulatedGroup, readonly machine: Machine, private readonly onFailure: (err: Error) => void) {
     this.whenEnded.promise.catch(() => {})
-    const decisions = new decisionLog.NullDecisionLog()
+    const decisions = group.decisionsOf(machine)
     const storage = new replicaStorage.ReplicaStorage(simulatedDisk.dataFolder, 'c', onFailure, machine.disk.openFor(this.ended.signal))
     const options = { address: machine.address, operatorAddress: '', failureDomain: 'a', electionTimeoutMs: 400, heartbeatMs: 100, snapshotEvery: group.options.snapshotEvery }
     this.replica = new replica.Replica(options, storage, group.linksOf(this), decisions)
@@ -141,6 +154,7 @@
   readonly machines: readonly Machine[]
   /** Errors with which processes ended by themselves. */
   readonly failures: Error[] = []
+  readonly wonElections: WonElection[] = []
 
   constructor (readonly options: GroupOptions) {
     this.machines = Array.from({ length: options.machineCount }, (_value, i) => new Machine(`10.0.0.${i + 1}:7200`, options.random))
@@ -197,17 +211,34 @@
     for (const machine of this.machines) this.kill(machine)
   }
 
-  /** Returns the links of one process to the others. */
+  /** Returns a decision log that records won elections. */
+  decisionsOf (machine: Machine): decisionLog.IDecisionLog {
+    const decisions = new decisionLog.NullDecisionLog()
+    decisions.record = ({ event, term }: decisionLog.Decision = { event: '', choice: '', why: '' }) => {
+      if (event === 'control-leader') this.wonElections.push({ address: machine.address, term: Number(term), at: performance.now() })
+    }
+    return decisions
+  }
+
+  /** Returns the links of one process to the others: one for each address and purpose. */
   linksOf (sender: ControlProcess): replicaLinks.ReplicaLinks {
-    return { linkTo: (address: string) => this.linkTo(sender, address) } as unknown as replicaLinks.ReplicaLinks
+    const links = new Map<string, replicaLinks.ReplicaLink>()
+    const linkTo = (address: string, purpose = ''): replicaLinks.ReplicaLink => {
+      const key = `${address} ${purpose}`
+      const link = links.get(key) ?? this.createLink(sender, address)
+      links.set(key, link)
+      return link
+    }
+    return { linkTo, dispose: () => {} } as unknown as replicaLinks.ReplicaLinks
   }
 
   /** Delivers a message to a machine and returns the response; an operator has no process. */
-  async deliver<T> (sender: ControlProcess | undefined, to: Machine, run: (process: ControlProcess) => Promise<T>): Promise<T> {
+  async deliver<T> (sender: ControlProcess | undefined, to: Machine, run: (process: ControlProcess) => Promise<T>, transfer: ITransfer = immediateTransfer): Promise<T> {
+    await transfer.send()
     await this.travel(sender, to)
     const receiver = to.process
     if (receiver === undefined) throw unreachable()
-    const response = await receiver.handle(this.options.messageMs, run)
+    const response = await receiver.handle(this.options.messageMs + transfer.handlingMs, run)
     await this.travel(receiver, sender?.machine)
     return response
   }
@@ -220,27 +251,101 @@
     if (from?.hasEnded === true) await new Promise(() => {})
   }
 
-  private linkTo (sender: ControlProcess, address: string): replicaLinks.ReplicaLink {
+  private createLink (sender: ControlProcess, address: string): replicaLinks.ReplicaLink {
+    const { maxMessageBytes = defaultMaxMessageBytes, bytesPerMs = Infinity } = this.options
     const to = this.machines.find((machine) => machine.address === address)!
-    const send = async <T>(run: (process: ControlProcess) => Promise<T>): Promise<T> => await this.deliver(sender, to, run)
+    const connection = new Connection(bytesPerMs)
+    const send = async <Req extends protobuf.Message, Res extends protobuf.Message>(schema: protobuf.DescMessage, req: Req, signal: AbortSignal | undefined, responseSchema: protobuf.DescMessage, run: (process: ControlProcess) => Promise<Res>): Promise<Res> => {
+      const bytes = protobuf.toBinary(schema, req).length
+      const receive = async (process: ControlProcess): Promise<Res> => {
+        if (bytes > maxMessageBytes) throw new errors.RackError({ kind: 'too-large', message: `the message has ${bytes} bytes, the limit is ${maxMessageBytes}` })
+        return await run(process)
+      }
+      const response = await this.deliver(sender, to, receive, connection.transfer(bytes, signal))
+      await connection.transfer(protobuf.toBinary(responseSchema, response).length, signal).send()
+      return response
+    }
     const client = {
-      vote: async (req: inner.VoteReq) => await send(async ({ replica }) => await replica.handleVote(req)),
-      append: (reqs: AsyncIterable<inner.AppendReq>) => respondToAppends(reqs, async (req) => await send(async ({ replica }) => await replica.handleAppend(req))),
-      installSnapshot: async (req: inner.InstallSnapshotReq) => await send(async ({ replica }) => await replica.handleInstallSnapshot(req)),
-      join: async (req: inner.JoinReq) => await send(async ({ service }) => service.join(req.replica!)),
-      put: async (req: inner.PutConfig) => await send(async ({ service, replica: { leadership } }) => {
+      vote: async (req: inner.VoteReq, { signal }: CallOptions = {}) => await send(inner.VoteReqSchema, req, signal, inner.VoteResSchema, async ({ replica }) => await replica.handleVote(req)),
+      append: (reqs: AsyncIterable<inner.AppendReq>, { signal }: CallOptions = {}) => respondToAppends(reqs, async (req) =>
+        await send(inner.AppendReqSchema, req, signal, inner.AppendResSchema, async ({ replica }) => await replica.handleAppend(req))),
+      installSnapshot: async (req: inner.InstallSnapshotReq, { signal }: CallOptions = {}) =>
+        await send(inner.InstallSnapshotReqSchema, req, signal, inner.InstallSnapshotResSchema, async ({ replica }) => await replica.handleInstallSnapshot(req)),
+      replicatePart: async (req: inner.ReplicationPart, { signal }: CallOptions = {}) =>
+        await send(inner.ReplicationPartSchema, req, signal, inner.ReplicationPartResSchema, async ({ replica }) => await handlePart(replica, req)),
+      join: async (req: inner.JoinReq, { signal }: CallOptions = {}) => await send(inner.JoinReqSchema, req, signal, inner.JoinResSchema, async ({ service }) => service.join(req.replica!)),
+      put: async (req: inner.PutConfig, { signal }: CallOptions = {}) => await send(inner.PutConfigSchema, req, signal, inner.PutResSchema, async ({ service, replica: { leadership } }) => {
         if (leadership === undefined) throw notLeader()
         return protobuf.create(inner.PutResSchema, { heldVersion: await service.putAsLeader(leadership, req) })
       }),
-      readIndex: async () => await send(async ({ replica: { leadership } }) => {
+      readIndex: async (_req: unknown, { signal }: CallOptions = {}) => await send(inner.ReadIndexReqSchema, protobuf.create(inner.ReadIndexReqSchema), signal, inner.ReadIndexResSchema, async ({ replica: { leadership } }) => {
         if (leadership === undefined) throw notLeader()
         return protobuf.create(inner.ReadIndexResSchema, { index: BigInt(await leadership.readIndex()) })
+      }),
+      readConfig: async (_req: unknown, { signal }: CallOptions = {}) => await send(inner.ReadConfigReqSchema, protobuf.create(inner.ReadConfigReqSchema), signal, inner.ReadConfigResSchema, async ({ service, replica: { leadership } }) => {
+        if (leadership === undefined) throw notLeader()
+        const { version, document, source } = await service.readConfig()
+        return protobuf.create(inner.ReadConfigResSchema, { version, documentJson: JSON.stringify(document), source })
       })
     } as unknown as replicaLinks.ReplicaClient
-    const call = async <T>(run: (each: replicaLinks.ReplicaClient, options: object) => Promise<T>, timeoutMs: number): Promise<T> =>
-      await async.withTimeout(run(client, {}), timeoutMs, unreachable)
-    return { address, client, call, reset: () => {} } as unknown as replicaLinks.ReplicaLink
+    const call = async <T>(run: (each: replicaLinks.ReplicaClient, options: object) => Promise<T>, timeoutMs: number): Promise<T> => {
+      const ended = new AbortController()
+      try {
+        return await async.withTimeout(run(client, { signal: ended.signal }), timeoutMs, unreachable)
+      } finally {
+        ended.abort()
+      }
+    }
+    return { address, client, call, reset: () => connection.reset() } as unknown as replicaLinks.ReplicaLink
+  }
+}
+
+interface CallOptions {
+  readonly signal?: AbortSignal
+}
+
+/** The way of one message over a connection. */
+interface ITransfer {
+  /** Processor time that its bytes take at the receiver. */
+  readonly handlingMs: number
+  /** Resolves once all its bytes are sent; throws if the connection or the call ends before. */
+  send(): Promise<void>
+}
+
+const immediateTransfer: ITransfer = { handlingMs: 0, send: async () => {} }
+
+/** A connection, which carries the bytes of one message after the other. */
+class Connection {
+  private freeAt = 0
+  private closed = new AbortController()
+
+  constructor (private readonly bytesPerMs: number) {}
+
+  transfer (bytes: number, signal: AbortSignal | undefined): ITransfer {
+    const durationMs = bytes / this.bytesPerMs
+    return { handlingMs: durationMs, send: async () => { if (durationMs > 0) await this.send(durationMs, signal) } }
+  }
+
+  /** Ends the messages that are being sent. */
+  reset (): void {
+    this.closed.abort()
+    this.closed = new AbortController()
+    this.freeAt = 0
   }
+
+  private async send (durationMs: number, signal: AbortSignal | undefined): Promise<void> {
+    const { closed } = this
+    this.freeAt = Math.max(performance.now(), this.freeAt) + durationMs
+    await async.sleep(this.freeAt - performance.now())
+    if (closed.signal.aborted || signal?.aborted === true) throw unreachable()
+  }
+}
+
+/** Handles a part of a message, if the replica supports that. */
+async function handlePart (receiver: replica.Replica, req: inner.ReplicationPart): Promise<inner.ReplicationPartRes> {
+  const { handlePart: handle } = receiver as { handlePart?: (part: inner.ReplicationPart) => Promise<inner.ReplicationPartRes> }
+  if (handle === undefined) throw new errors.RackError({ kind: 'unreachable', message: '[unimplemented] HTTP 404' })
+  return await handle.call(receiver, req)
 }
 
 async function * respondToAppends (reqs: AsyncIterable<inner.AppendReq>, send: (req: inner.AppendReq) => Promise<inner.AppendRes>): AsyncGenerator<inner.AppendRes> {
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -271,7 +271,12 @@
   }
 
   async putConfig (control: number, body: object): Promise<CallRes> {
-    return await sendRequest('POST', `http://${this.controlAddress(control)}/rosemaryrack/Config.Put`, { 'content-type': 'application/json' }, JSON.stringify(body))
+    return await this.putConfigText(control, JSON.stringify(body))
+  }
+
+  /** Sends a configuration as text, which reads return unchanged. */
+  async putConfigText (control: number, text: string): Promise<CallRes> {
+    return await sendRequest('POST', `http://${this.controlAddress(control)}/rosemaryrack/Config.Put`, { 'content-type': 'application/json' }, text)
   }
 
   async getConfig (control: number): Promise<CallRes> {
