Replication: a follower's disk no longer delays heartbeats

Cause: an append was a heartbeat too. A follower answered it under its lock and after its disk had synced, and the leader gave up after one election timeout, closed the connection and counted the replica as silent. Class: being alive was not told apart from having written.

Change: PeerReplication sends heartbeats on a connection of their own. A follower answers a message without entries from memory if its term is stored and the entry that the message refers to is durable; ReplicaLog knows up to where the log is synced. Entries may take as long as the disk takes. Safety does not depend on it: a heartbeat claims no entry that isn't synced, and is refused once a higher term is being stored.

--- a/packages/control/src/common/logEntry.ts
+++ b/packages/control/src/common/logEntry.ts
@@ -40,3 +40,23 @@
 export function decodeBatch (payload: Uint8Array): readonly LogEntry[] {
   return protobuf.fromBinary(inner.LogBatchSchema, payload).entries.map(decodeEntry)
 }
+
+/** Size of an entry without its texts, in bytes. */
+const entryOverheadBytes = 64
+
+/** Returns the approximate size of an entry in bytes: that of its texts, which make up nearly all of a large one. */
+export function sizeOf ({ command }: LogEntry): number {
+  switch (command.case) {
+    case 'put': return entryOverheadBytes + command.value.documentJson.length + command.value.source.length
+    case 'patch': return entryOverheadBytes + command.value.mergePatchJson.length
+    case 'claims':
+    case 'releases': return entryOverheadBytes + totalLength(command.value.keys) + totalLength(command.value.owners)
+    case 'membership': return entryOverheadBytes * (1 + command.value.replicas.length)
+    case 'departures': return entryOverheadBytes * (1 + command.value.announcements.length)
+    default: return entryOverheadBytes
+  }
+}
+
+function totalLength (texts: readonly string[]): number {
+  return texts.reduce((sum, { length }) => sum + length, 0)
+}
--- a/packages/control/src/node/leadership.ts
+++ b/packages/control/src/node/leadership.ts
@@ -1,4 +1,4 @@
-/** One term as leader: replication to the other replicas, commits, linearizable reads, membership changes. */
+/** One term as leader: proposals, commits, linearizable reads, membership changes. */
 import * as protobuf from '@bufbuild/protobuf'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
@@ -8,16 +8,15 @@
 import * as logEntry from '../common/logEntry.js'
 import * as quorum from '../common/quorum.js'
 import type * as replicatedState from '../common/replicatedState.js'
-import * as appendChannel from './appendChannel.js'
+import * as peerReplication from './peerReplication.js'
 import type * as replicaLinks from './replicaLinks.js'
 import type * as replicaLog from './replicaLog.js'
 import type * as replicaMonitor from './replicaMonitor.js'
+import type * as replicationStatus from './replicationStatus.js'
 
-const maxEntriesPerMessage = 200
 const maxEntriesPerBatch = 200
 const commitTimeoutMs = 5000
 const catchUpTimeoutMs = 120_000
-const snapshotTimeoutMs = 30_000
 
 /** The parts of the leading replica that its leadership uses. */
 export interface ILeaderHost {
@@ -36,18 +35,6 @@
   stepDown(term: number, why: string): void
 }
 
-/** Replication progress of one other replica. */
-interface Peer {
-  readonly replica: inner.Replica
-  /** Index of the last entry that the peer is known to hold durably. */
-  matchIndex: number
-  /** Send time of the newest message that the peer acknowledged. */
-  lastAckedSendAt: number
-  readonly channel: appendChannel.AppendChannel
-  readonly wake: async.Signal
-  readonly stopped: AbortController
-}
-
 /** A command that waits to be appended. */
 interface Proposal {
   readonly command: logEntry.Command
@@ -55,28 +42,57 @@
 }
 
 /** The work of the leader in one term, from construction until disposal. */
-export class Leadership implements lifecycle.IDisposable {
-  private readonly peers = new Map<string, Peer>()
+export class Leadership implements peerReplication.IReplicationHost, lifecycle.IDisposable {
+  private readonly peers = new Map<string, peerReplication.PeerReplication>()
   private readonly pendingByIndex = new Map<number, async.Deferred<replicatedState.ApplyResult>>()
   private readonly progressSignal = new async.Signal()
   private readonly membershipChanges = new async.Sequencer()
   private readonly admittingIds = new Set<string>()
   private queue: Proposal[] = []
   private isWriting = false
-  /** Index of the last entry that this replica has synced. */
-  private durableIndex: number
-  private readRequestedAt = 0
+  private newestReadAt = 0
   /** Index of the first entry of this term; 0 until it is written. */
   private firstIndexOfTerm = 0
   private disposed = false
   /** Time on the process's monotonic clock at which this replica became leader. */
   readonly startedAt = performance.now()
 
-  constructor (private readonly host: ILeaderHost, private readonly term: number) {
-    this.durableIndex = host.log.last.index
+  constructor (private readonly host: ILeaderHost, readonly term: number) {
     this.refreshPeers(this.startedAt)
   }
 
+  get replicaId (): string {
+    return this.host.replicaId
+  }
+
+  get log (): replicaLog.ReplicaLog {
+    return this.host.log
+  }
+
+  get links (): replicaLinks.ReplicaLinks {
+    return this.host.links
+  }
+
+  get commitIndex (): number {
+    return this.host.commitIndex
+  }
+
+  get electionTimeoutMs (): number {
+    return this.host.electionTimeoutMs
+  }
+
+  get heartbeatMs (): number {
+    return this.host.heartbeatMs
+  }
+
+  get status (): replicationStatus.ReplicationStatus {
+    return this.host.monitor.replication
+  }
+
+  get readRequestedAt (): number {
+    return this.newestReadAt
+  }
+
   /** Proposes an empty entry: entries of earlier terms are committed only together with an entry of this term. */
   start (): void {
     this.propose({ case: 'noop', value: true }).catch(() => {})
@@ -84,7 +100,7 @@
 
   dispose (): void {
     this.disposed = true
-    for (const peer of this.peers.values()) stopPeer(peer)
+    for (const peer of this.peers.values()) peer.dispose()
     const leadershipLost: errors.Fault = { kind: 'unknown', timedOut: false, message: 'leadership was lost before the outcome was known; resend with the same id' }
     for (const proposal of this.queue.splice(0)) proposal.outcome.reject(notLeaderError())
     for (const pending of this.pendingByIndex.values()) pending.reject(new errors.RackError(leadershipLost))
@@ -104,7 +120,7 @@
   /** Returns the index that must be applied before a linearizable read; throws `no-quorum`. */
   async readIndex (): Promise<number> {
     const requestedAt = performance.now()
-    this.readRequestedAt = requestedAt
+    this.newestReadAt = requestedAt
     const deadline = requestedAt + this.host.electionTimeoutMs
     this.wakePeers()
     while (!this.disposed && performance.now() < deadline) {
@@ -121,6 +137,14 @@
     return ackedAt >= time
   }
 
+  handleHigherTerm (term: number, replicaId: string): void {
+    if (!this.disposed) this.host.stepDown(term, `replica ${replicaId} is in term ${term}`)
+  }
+
+  handleProgress (): void {
+    this.advanceCommit()
+  }
+
   /** Resolves the proposal of an applied entry. */
   handleApplied (entry: logEntry.LogEntry, result: replicatedState.ApplyResult): void {
     this.pendingByIndex.get(entry.index)?.resolve(result)
@@ -224,8 +248,7 @@
     this.host.log.extend(entries)
     this.refreshPeers(performance.now())
     this.wakePeers()
-    await this.host.log.persist(entries)
-    this.durableIndex = start + entries.length - 1
+    await this.host.log.flush()
     this.advanceCommit()
   }
 
@@ -242,7 +265,7 @@
   }
 
   private matchIndex (replicaId: string): number {
-    return replicaId === this.host.replicaId ? this.durableIndex : this.peers.get(replicaId)?.matchIndex ?? 0
+    return replicaId === this.host.replicaId ? this.host.log.durableIndex : this.peers.get(replicaId)?.matchIndex ?? 0
   }
 
   private lastAckedSendAt (replicaId: string): number {
@@ -255,119 +278,20 @@
     const ids = new Set(members.map((replica) => replica.id))
     for (const [id, peer] of this.peers) {
       if (ids.has(id)) continue
-      stopPeer(peer)
+      peer.dispose()
       this.peers.delete(id)
     }
     for (const replica of members) {
       if (this.peers.has(replica.id)) continue
-      const channel = new appendChannel.AppendChannel(this.host.links.linkTo(replica.address))
-      const peer: Peer = { replica, channel, matchIndex: 0, lastAckedSendAt: now, wake: new async.Signal(), stopped: new AbortController() }
+      const peer = new peerReplication.PeerReplication(this, replica, now)
       this.peers.set(replica.id, peer)
-      this.replicateTo(peer)
+      peer.start()
     }
   }
 
   private wakePeers (): void {
-    for (const peer of this.peers.values()) peer.wake.notify()
+    for (const peer of this.peers.values()) peer.wake()
   }
-
-  /** Keeps one peer up to date: sends the entries it lacks, or a heartbeat when there are none. */
-  private async replicateTo (peer: Peer): Promise<void> {
-    let nextIndex = this.host.log.last.index + 1
-    let sentCommitIndex = -1
-    while (!this.disposed && !peer.stopped.signal.aborted) {
-      const sentAt = performance.now()
-      try {
-        sentCommitIndex = this.host.commitIndex
-        nextIndex = await this.sendTo(peer, nextIndex, sentAt)
-      } catch (err) {
-        // The peer is unreachable or refuses: the same entries are sent again with the next heartbeat.
-        if (!this.disposed && !peer.stopped.signal.aborted) this.recordFailure(peer, nextIndex, err)
-        await peer.wake.wait(this.host.heartbeatMs)
-        continue
-      }
-      const upToDate = nextIndex > this.host.log.last.index && sentCommitIndex === this.host.commitIndex
-      if (upToDate && sentAt >= this.readRequestedAt) await peer.wake.wait(this.host.heartbeatMs)
-    }
-  }
-
-  /** Sends one message; returns the index of the next entry to send. */
-  private async sendTo (peer: Peer, nextIndex: number, sentAt: number): Promise<number> {
-    const prevIndex = nextIndex - 1
-    const prevTerm = this.host.log.termAt(prevIndex)
-    if (prevTerm === undefined) return await this.sendSnapshot(peer, sentAt)
-    const entries = this.host.log.entriesFrom(nextIndex, maxEntriesPerMessage)
-    const req = protobuf.create(inner.AppendReqSchema, {
-      term: this.term,
-      leaderId: this.host.replicaId,
-      prevIndex: BigInt(prevIndex),
-      prevTerm,
-      commitIndex: BigInt(this.host.commitIndex),
-      entries: entries.map(logEntry.encodeEntry),
-      toReplicaId: peer.replica.id
-    })
-    const res = await peer.channel.append(req, this.host.electionTimeoutMs)
-    this.host.monitor.replication.recordAcknowledged(peer.replica.id, entries.length > 0 ? 'append' : 'heartbeat')
-    if (!this.recordResponse(res.term, peer, sentAt)) return nextIndex
-    if (!res.success) return Math.max(1, Math.min(prevIndex, Number(res.lastIndex) + 1))
-    this.updateMatchIndex(peer, Number(res.lastIndex))
-    return Number(res.lastIndex) + 1
-  }
-
-  private async sendSnapshot (peer: Peer, sentAt: number): Promise<number> {
-    const snapshot = this.host.log.snapshot
-    if (snapshot === undefined) return 1
-    const req = protobuf.create(inner.InstallSnapshotReqSchema, {
-      term: this.term,
-      leaderId: this.host.replicaId,
-      snapshot,
-      toReplicaId: peer.replica.id
-    })
-    const link = this.host.links.linkTo(peer.replica.address)
-    const res = await link.call(async (client, options) => await client.installSnapshot(req, options), snapshotTimeoutMs)
-    this.host.monitor.replication.recordAcknowledged(peer.replica.id, 'snapshot')
-    const index = Number(snapshot.index)
-    if (this.recordResponse(res.term, peer, sentAt)) this.updateMatchIndex(peer, index)
-    return index + 1
-  }
-
-  /** Records a response of a peer. Returns false if this leadership has ended, or ends now because the response has a newer term. */
-  private recordResponse (term: number, peer: Peer, sentAt: number): boolean {
-    if (this.disposed) return false
-    if (term > this.term) {
-      const why = `replica ${peer.replica.id} is in term ${term}`
-      this.host.monitor.replication.recordFailureReason(peer.replica.id, 'append', { reason: 'higher-term', why })
-      this.host.stepDown(term, why)
-      return false
-    }
-    peer.lastAckedSendAt = Math.max(peer.lastAckedSendAt, sentAt)
-    this.progressSignal.notify()
-    return true
-  }
-
-  private recordFailure (peer: Peer, nextIndex: number, err: unknown): void {
-    const { log, monitor } = this.host
-    const hasEntries = nextIndex <= log.last.index
-    const what = log.termAt(nextIndex - 1) === undefined ? 'snapshot' : hasEntries ? 'append' : 'heartbeat'
-    monitor.replication.recordFailure(peer.replica.id, what, err)
-    this.recordProgress(peer)
-  }
-
-  private recordProgress (peer: Peer): void {
-    this.host.monitor.replication.recordProgress(peer.replica.id, peer.matchIndex, this.host.log.last.index, 0)
-  }
-
-  private updateMatchIndex (peer: Peer, index: number): void {
-    peer.matchIndex = Math.max(peer.matchIndex, index)
-    this.recordProgress(peer)
-    this.advanceCommit()
-  }
-}
-
-function stopPeer (peer: Peer): void {
-  peer.stopped.abort()
-  peer.channel.dispose()
-  peer.wake.notify()
 }
 
 function notLeaderError (): errors.RackError {
--- /dev/null
+++ b/packages/control/src/node/peerReplication.ts
@@ -0,0 +1,218 @@
+/** Replication from the leader to one other replica: heartbeats, and the entries or the snapshot that it lacks. */
+import * as protobuf from '@bufbuild/protobuf'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as logEntry from '../common/logEntry.js'
+import * as appendChannel from './appendChannel.js'
+import type * as messageFailure from './messageFailure.js'
+import type * as replicaLinks from './replicaLinks.js'
+import type * as replicaLog from './replicaLog.js'
+import type * as replicationStatus from './replicationStatus.js'
+
+const maxEntriesPerMessage = 200
+/** Timeout of an append or a whole snapshot, whose response waits for the peer's disk. Heartbeats detect a dead connection earlier. */
+const writeTimeoutMs = 30_000
+const idleCheckMs = 1000
+
+/** The leadership that a replication belongs to. */
+export interface IReplicationHost {
+  readonly replicaId: string
+  readonly term: number
+  readonly log: replicaLog.ReplicaLog
+  readonly links: replicaLinks.ReplicaLinks
+  readonly status: replicationStatus.ReplicationStatus
+  readonly commitIndex: number
+  readonly electionTimeoutMs: number
+  readonly heartbeatMs: number
+  /** Time of the newest read that waits for heartbeats sent after it. */
+  readonly readRequestedAt: number
+  /** Handles a response with a higher term. */
+  handleHigherTerm(term: number, replicaId: string): void
+  /** Handles a response, or a higher `matchIndex`. */
+  handleProgress(): void
+}
+
+/** Keeps one replica up to date until disposed. */
+export class PeerReplication implements lifecycle.IDisposable {
+  private readonly stopped = new AbortController()
+  private readonly wakeHeartbeat = new async.Signal()
+  private readonly wakeEntries = new async.Signal()
+  private readonly link: replicaLinks.ReplicaLink
+  private readonly heartbeats: appendChannel.AppendChannel
+  private readonly appends: appendChannel.AppendChannel
+  private nextIndex: number
+  private durableIndex = 0
+  private hasMatched = false
+  private ackedSendAt: number
+  /** Send time of the message whose response is awaited; undefined while there is none. */
+  private pendingSince: number | undefined
+
+  constructor (private readonly host: IReplicationHost, readonly replica: inner.Replica, now: number) {
+    this.link = host.links.linkTo(replica.address)
+    this.heartbeats = new appendChannel.AppendChannel(host.links.linkTo(replica.address, 'heartbeats'))
+    this.appends = new appendChannel.AppendChannel(this.link)
+    this.nextIndex = host.log.last.index + 1
+    this.ackedSendAt = now
+  }
+
+  /** Index of the last entry that the replica is known to hold durably. */
+  get matchIndex (): number {
+    return this.durableIndex
+  }
+
+  /** Send time of the newest message that the replica acknowledged. */
+  get lastAckedSendAt (): number {
+    return this.ackedSendAt
+  }
+
+  /** Starts the tasks. */
+  start (): void {
+    this.keepAlive()
+    this.keepUpToDate()
+  }
+
+  /** Sends new entries, the commit index and a confirmation of reads without delay. */
+  wake (): void {
+    this.wakeHeartbeat.notify()
+    this.wakeEntries.notify()
+  }
+
+  dispose (): void {
+    this.stopped.abort()
+    this.heartbeats.dispose()
+    this.appends.dispose()
+    this.wake()
+  }
+
+  // ---- Heartbeats ----
+
+  /** Sends heartbeats, which also carry the commit index; on a connection of their own, so that they never wait behind entries. */
+  private async keepAlive (): Promise<void> {
+    let hasFailed = false
+    while (!this.stopped.signal.aborted) {
+      const sentAt = performance.now()
+      const { commitIndex } = this.host
+      try {
+        const res = await this.heartbeats.append(this.createHeartbeat(commitIndex), this.host.electionTimeoutMs)
+        this.handleResponse('heartbeat', res.term, sentAt)
+        if (hasFailed) this.resetIfStalled(sentAt)
+        hasFailed = false
+      } catch (err) {
+        this.recordFailure('heartbeat', err)
+        hasFailed = true
+        await this.wakeHeartbeat.wait(this.host.heartbeatMs)
+        continue
+      }
+      const isUpToDate = commitIndex === this.host.commitIndex && sentAt >= this.host.readRequestedAt
+      if (isUpToDate) await this.wakeHeartbeat.wait(this.host.heartbeatMs)
+    }
+  }
+
+  /** Creates a message without entries that refers to an entry which the replica holds durably. */
+  private createHeartbeat (commitIndex: number): inner.AppendReq {
+    const prevTerm = this.host.log.termAt(this.matchIndex)
+    const prevIndex = prevTerm === undefined ? 0 : this.matchIndex
+    return this.createAppend(prevIndex, prevTerm ?? 0, commitIndex, [])
+  }
+
+  /** Closes the connection for entries if its response is overdue although the replica responds again on a new connection. */
+  private resetIfStalled (now: number): void {
+    if (this.pendingSince !== undefined && now - this.pendingSince > this.host.electionTimeoutMs) this.link.reset()
+  }
+
+  // ---- Entries and snapshots ----
+
+  /** Sends what the replica lacks. */
+  private async keepUpToDate (): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      const prevTerm = this.host.log.termAt(this.nextIndex - 1)
+      const what = prevTerm === undefined ? 'snapshot' : 'append'
+      const sentAt = performance.now()
+      this.pendingSince = sentAt
+      try {
+        if (prevTerm === undefined) await this.sendSnapshot(sentAt)
+        else await this.sendEntries(prevTerm, sentAt)
+      } catch (err) {
+        this.recordFailure(what, err)
+        await this.wakeEntries.wait(this.host.heartbeatMs)
+      }
+      this.pendingSince = undefined
+      while (!this.stopped.signal.aborted && this.isUpToDate) await this.wakeEntries.wait(idleCheckMs)
+    }
+  }
+
+  private get isUpToDate (): boolean {
+    return this.hasMatched && this.nextIndex > this.host.log.last.index
+  }
+
+  private async sendEntries (prevTerm: number, sentAt: number): Promise<void> {
+    const prevIndex = this.nextIndex - 1
+    const entries = this.host.log.entriesFrom(this.nextIndex, maxEntriesPerMessage)
+    const res = await this.appends.append(this.createAppend(prevIndex, prevTerm, this.host.commitIndex, entries), writeTimeoutMs)
+    if (!this.handleResponse('append', res.term, sentAt)) return
+    if (res.success) this.setMatchIndex(Number(res.lastIndex))
+    else this.nextIndex = Math.max(1, Math.min(prevIndex, Number(res.lastIndex) + 1))
+  }
+
+  private async sendSnapshot (sentAt: number): Promise<void> {
+    const { snapshot } = this.host.log
+    if (snapshot === undefined) {
+      this.nextIndex = 1
+      return
+    }
+    const req = protobuf.create(inner.InstallSnapshotReqSchema, {
+      term: this.host.term,
+      leaderId: this.host.replicaId,
+      snapshot,
+      toReplicaId: this.replica.id
+    })
+    const res = await this.link.call(async (client, options) => await client.installSnapshot(req, options), writeTimeoutMs)
+    if (this.handleResponse('snapshot', res.term, sentAt)) this.setMatchIndex(Number(snapshot.index))
+  }
+
+  private createAppend (prevIndex: number, prevTerm: number, commitIndex: number, entries: readonly logEntry.LogEntry[]): inner.AppendReq {
+    return protobuf.create(inner.AppendReqSchema, {
+      term: this.host.term,
+      leaderId: this.host.replicaId,
+      prevIndex: BigInt(prevIndex),
+      prevTerm,
+      commitIndex: BigInt(commitIndex),
+      entries: entries.map(logEntry.encodeEntry),
+      toReplicaId: this.replica.id
+    })
+  }
+
+  /** Returns false if the leadership has ended, or ends now because the response has a newer term. */
+  private handleResponse (what: messageFailure.MessageKind, term: number, sentAt: number): boolean {
+    if (this.stopped.signal.aborted) return false
+    if (term > this.host.term) {
+      this.host.handleHigherTerm(term, this.replica.id)
+      return false
+    }
+    this.host.status.recordAcknowledged(this.replica.id, what)
+    this.recordProgress()
+    this.ackedSendAt = Math.max(this.ackedSendAt, sentAt)
+    this.host.handleProgress()
+    return true
+  }
+
+  private setMatchIndex (index: number): void {
+    this.hasMatched = true
+    this.nextIndex = index + 1
+    this.durableIndex = Math.max(this.durableIndex, index)
+    this.recordProgress()
+    this.host.handleProgress()
+  }
+
+  private recordFailure (what: messageFailure.MessageKind, err: unknown): void {
+    if (this.stopped.signal.aborted) return
+    this.host.status.recordFailure(this.replica.id, what, err)
+    this.recordProgress()
+  }
+
+  private recordProgress (): void {
+    const { log, status } = this.host
+    status.recordProgress(this.replica.id, this.matchIndex, log.last.index, log.bytesFrom(this.matchIndex + 1))
+  }
+}
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -54,6 +54,8 @@
   private voteReservedUntil = -Infinity
   private seenLeader = false
   private appliedIndex = 0
+  /** Term of the newest write of the metadata, finished or not. */
+  private writtenTerm = 0
   private isCompacting = false
 
   constructor (
@@ -289,12 +291,15 @@
   async handleAppend (req: inner.AppendReq): Promise<inner.AppendRes> {
     this.requireAddressee(req.toReplicaId)
     this.requireDiskSpace()
-    return await this.lock.run(async () => {
+    return this.tryHandleHeartbeat(req) ?? await this.lock.run(async () => {
       if (req.term < this.term) return this.createAppendRes(false, 0)
       await this.acknowledgeLeader(req.term, req.leaderId)
       const prevIndex = Number(req.prevIndex)
       if (!this.containsEntry(prevIndex, req.prevTerm)) return this.createAppendRes(false, Math.min(this.log.last.index, prevIndex - 1))
       await this.storeEntries(req.entries.map(logEntry.decodeEntry))
+      // Also waits for entries that this replica added as a former leader.
+      await this.log.flush()
+      await this.markFounded()
       const lastIndex = prevIndex + req.entries.length
       this.leaderContactAt = performance.now()
       this.commit(Math.min(Number(req.commitIndex), lastIndex))
@@ -302,6 +307,20 @@
     })
   }
 
+  /**
+   * Handles a message without entries if that needs neither the disk nor `lock`, so that a leader can tell a slow disk from a lost
+   * replica; otherwise returns undefined.
+   */
+  private tryHandleHeartbeat (req: inner.AppendReq): inner.AppendRes | undefined {
+    const isTermStored = req.term === this.term && this.writtenTerm <= this.term
+    if (req.entries.length > 0 || !isTermStored || this.currentLeadership !== undefined) return undefined
+    const prevIndex = Number(req.prevIndex)
+    if (prevIndex > this.log.durableIndex || !this.containsEntry(prevIndex, req.prevTerm)) return undefined
+    this.followLeader(req.leaderId)
+    this.commit(Math.min(Number(req.commitIndex), prevIndex))
+    return this.createAppendRes(true, prevIndex)
+  }
+
   async handleInstallSnapshot (req: inner.InstallSnapshotReq): Promise<inner.InstallSnapshotRes> {
     this.requireAddressee(req.toReplicaId)
     this.requireDiskSpace()
@@ -318,6 +337,10 @@
 
   private async acknowledgeLeader (term: number, leaderId: string): Promise<void> {
     if (term > this.term) await this.adoptTerm(term)
+    this.followLeader(leaderId)
+  }
+
+  private followLeader (leaderId: string): void {
     if (this.currentLeaderId !== leaderId || this.currentRole !== 'follower') this.follow(leaderId)
     this.seenLeader = true
     this.leaderContactAt = performance.now()
@@ -337,8 +360,6 @@
     const start = added[0]!.index
     if (start <= this.log.last.index) await this.log.truncateAfter(start - 1)
     this.log.extend(added)
-    await this.log.persist(added)
-    await this.markFounded()
   }
 
   /** Replaces log and state by a snapshot, unless its entries are already applied. */
@@ -426,6 +447,7 @@
 
   private async saveMeta (change: Partial<Pick<inner.ReplicaMeta, 'term' | 'votedFor' | 'founded'>>): Promise<void> {
     const next = protobuf.create(inner.ReplicaMetaSchema, { ...this.meta, ...change })
+    this.writtenTerm = next.term
     await this.storage.saveMeta(next)
     this.meta = next
   }
--- a/packages/control/src/node/replicaLinks.ts
+++ b/packages/control/src/node/replicaLinks.ts
@@ -1,4 +1,4 @@
-/** Client connections to the other control replicas, one per address. */
+/** Client connections to the other control replicas, one per address and purpose. */
 import type * as connect from '@connectrpc/connect'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
@@ -10,6 +10,9 @@
 /** Connection to another replica. */
 export type ReplicaLink = peerLink.PeerLink<typeof inner.ControlReplica>
 
+/** What a connection is used for; heartbeats have one of their own, so that they don't wait behind large messages. */
+export type LinkPurpose = 'calls' | 'heartbeats'
+
 /** Creates each link on first use. */
 export class ReplicaLinks implements lifecycle.IDisposable {
   private readonly links = new Map<string, ReplicaLink>()
@@ -17,11 +20,12 @@
   constructor (private readonly identity: innerListener.LinkIdentity) {}
 
   /** Returns the link to an address. */
-  linkTo (address: string): ReplicaLink {
-    let link = this.links.get(address)
+  linkTo (address: string, purpose: LinkPurpose = 'calls'): ReplicaLink {
+    const key = `${purpose} ${address}`
+    let link = this.links.get(key)
     if (link === undefined) {
       link = new peerLink.PeerLink(inner.ControlReplica, address, this.identity)
-      this.links.set(address, link)
+      this.links.set(key, link)
     }
     return link
   }
--- a/packages/control/src/node/replicaLog.ts
+++ b/packages/control/src/node/replicaLog.ts
@@ -1,7 +1,8 @@
 /** The replicated log of one replica: entries after the snapshot, in memory and on disk. */
 import * as protobuf from '@bufbuild/protobuf'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
-import type * as logEntry from '../common/logEntry.js'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as logEntry from '../common/logEntry.js'
 import type * as replicaStorage from './replicaStorage.js'
 
 const emptyMembership: inner.Membership = protobuf.create(inner.MembershipSchema)
@@ -12,9 +13,16 @@
   readonly term: number
 }
 
-/** The log in memory, backed by storage. Callers must not make changes concurrently; reads also return entries that are not durable yet. */
+/**
+ * The log in memory, backed by storage; reads also return entries that are not durable yet. Callers must wait for a truncation or a
+ * new snapshot before the next change, but not for a flush.
+ */
 export class ReplicaLog {
   private entries: logEntry.LogEntry[] = []
+  /** Entries that no write to the storage has taken yet. */
+  private unwritten: logEntry.LogEntry[] = []
+  private readonly writes = new async.Sequencer()
+  private syncedIndex = 0
   private baseSnapshot: inner.Snapshot | undefined
   private currentMembership: inner.Membership = emptyMembership
   private currentMembershipIndex = 0
@@ -25,6 +33,7 @@
   load (stored: replicaStorage.StoredReplica): void {
     this.baseSnapshot = stored.snapshot
     this.entries = [...stored.entries]
+    this.syncedIndex = this.last.index
     this.refreshMembership()
   }
 
@@ -41,6 +50,11 @@
     return this.entries.at(-1) ?? { index: this.snapshotIndex, term: this.baseSnapshot?.term ?? 0 }
   }
 
+  /** Index of the last entry that is synced to disk, with all entries before it. */
+  get durableIndex (): number {
+    return this.syncedIndex
+  }
+
   /** The newest membership in the log, committed or not. */
   get membership (): inner.Membership {
     return this.currentMembership
@@ -69,27 +83,42 @@
     return this.entries.slice(start, start + maxCount)
   }
 
+  /** Returns the approximate size of the entries from an index on, in bytes. */
+  bytesFrom (index: number): number {
+    const start = Math.max(0, index - this.snapshotIndex - 1)
+    return this.entries.slice(start).reduce((bytes, entry) => bytes + logEntry.sizeOf(entry), 0)
+  }
+
   /** Returns the membership as of an index that the log holds. */
   membershipAt (index: number): inner.Membership {
     return this.findMembership(index).membership
   }
 
-  /** Appends entries in memory; they are durable once `persist` has resolved. */
+  /** Appends entries in memory; they are durable once a later `flush` has resolved. */
   extend (entries: readonly logEntry.LogEntry[]): void {
     this.entries.push(...entries)
+    this.unwritten.push(...entries)
     if (entries.some((entry) => entry.command.case === 'membership')) this.refreshMembership()
   }
 
-  /** Writes entries to the storage. */
-  async persist (entries: readonly logEntry.LogEntry[]): Promise<void> {
-    await this.storage.append(entries)
+  /** Resolves once all entries are durable. Entries that are added while a write is in progress share the next one. */
+  async flush (): Promise<void> {
+    await this.writes.run(async () => {
+      const batch = this.unwritten.splice(0)
+      const last = batch.at(-1)
+      if (last === undefined) return
+      await this.storage.append(batch)
+      this.markSynced(last)
+    })
   }
 
   /** Removes all entries after an index. */
   async truncateAfter (index: number): Promise<void> {
     this.entries = this.entries.slice(0, index - this.snapshotIndex)
+    this.unwritten = this.unwritten.filter((entry) => entry.index <= index)
+    this.syncedIndex = Math.min(this.syncedIndex, index)
     this.refreshMembership()
-    await this.storage.rewrite(this.entries)
+    await this.rewrite(async (entries) => await this.storage.rewrite(entries))
   }
 
   /** Replaces the snapshot that precedes the log, and keeps the entries after it if the log holds the snapshot's last entry. */
@@ -97,10 +126,27 @@
     const index = Number(snapshot.index)
     const hasSnapshotEntry = this.termAt(index) === snapshot.term
     const entriesAfter = hasSnapshotEntry ? this.entries.slice(index - this.snapshotIndex) : []
+    if (!hasSnapshotEntry) this.syncedIndex = 0
     this.baseSnapshot = snapshot
     this.entries = entriesAfter
     this.refreshMembership()
-    await this.storage.saveSnapshot(snapshot, entriesAfter)
+    await this.rewrite(async (entries) => await this.storage.saveSnapshot(snapshot, entries))
+  }
+
+  /** Runs a write that replaces the stored log by all current entries. */
+  private async rewrite (write: (entries: readonly logEntry.LogEntry[]) => Promise<void>): Promise<void> {
+    await this.writes.run(async () => {
+      this.unwritten = []
+      const entries = [...this.entries]
+      const { last } = this
+      await write(entries)
+      this.markSynced(last)
+    })
+  }
+
+  /** Records that the log is durable up to an entry, unless that entry was removed while it was being written. */
+  private markSynced ({ index, term }: LogPosition): void {
+    if (this.termAt(index) === term || index <= this.snapshotIndex) this.syncedIndex = Math.max(this.syncedIndex, index)
   }
 
   private findMembership (index: number): { readonly membership: inner.Membership, readonly index: number } {
