Replication: no message grows with the number or the size of the changes

What callers saw: a replica that missed some dozens of changes of a grown configuration (70 of 137 KB) never caught up.

The log was compacted by entries, never by bytes. Class: unbounded messages, and a retry that makes no progress.

Change: batches of entries are limited to 1 MiB. The log is also compacted from 8 MiB of applied entries on, or from the size of the configuration. A replica of an earlier version doesn't know the call and gets the whole message.

--- a/packages/base/src/common/errors.ts
+++ b/packages/base/src/common/errors.ts
@@ -30,6 +30,8 @@
   | { readonly kind: 'corrupt-record', readonly message: string }
   | { readonly kind: 'disk-failure', readonly message: string }
   | { readonly kind: 'unreachable', readonly message: string }
+  /** The peer is of an earlier version, which doesn't know the call. */
+  | { readonly kind: 'unsupported', readonly message: string }
   | { readonly kind: 'internal', readonly message: string }
 
 /** Kind of a fault, which determines its HTTP status and exit code. */
@@ -64,6 +66,7 @@
   'corrupt-record': { status: 500, exitCode: 9 },
   'disk-failure': { status: 500, exitCode: 9 },
   unreachable: { status: 503, exitCode: 6 },
+  unsupported: { status: 501, exitCode: 2 },
   internal: { status: 500, exitCode: 1 }
 }
 
--- a/packages/control/src/node/controlRpc.ts
+++ b/packages/control/src/node/controlRpc.ts
@@ -30,6 +30,10 @@
       await loaded
       return await replica.handleInstallSnapshot(req)
     },
+    async replicatePart (req) {
+      await loaded
+      return await replica.handlePart(req)
+    },
     async join (req) {
       await loaded
       if (req.replica === undefined) throw new errors.RackError({ kind: 'bad-request', message: 'the join request has no replica' })
--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -6,11 +6,14 @@
 import * as logEntry from '../common/logEntry.js'
 import * as appendChannel from './appendChannel.js'
 import type * as messageFailure from './messageFailure.js'
+import * as partSender from './partSender.js'
 import type * as replicaLinks from './replicaLinks.js'
 import type * as replicaLog from './replicaLog.js'
 import type * as replicationStatus from './replicationStatus.js'
 
 const maxEntriesPerMessage = 200
+/** Size from which a message is sent in parts, and to which batches of entries are limited. */
+const maxMessageBytes = 1_048_576
 /** Timeout of an append or a whole snapshot, whose response waits for the peer's disk. Heartbeats detect a dead connection earlier. */
 const writeTimeoutMs = 30_000
 const idleCheckMs = 1000
@@ -41,17 +44,21 @@
   private readonly link: replicaLinks.ReplicaLink
   private readonly heartbeats: appendChannel.AppendChannel
   private readonly appends: appendChannel.AppendChannel
+  private readonly parts: partSender.PartSender
   private nextIndex: number
   private durableIndex = 0
   private hasMatched = false
   private ackedSendAt: number
   /** Send time of the message whose response is awaited; undefined while there is none. */
   private pendingSince: number | undefined
+  /** Snapshot that is being sent; a newer one doesn't replace it before the replica has it. */
+  private snapshotInTransfer: inner.Snapshot | undefined
 
   constructor (private readonly host: IReplicationHost, readonly replica: inner.Replica, now: number) {
     this.link = host.links.linkTo(replica.address)
     this.heartbeats = new appendChannel.AppendChannel(host.links.linkTo(replica.address, 'heartbeats'))
     this.appends = new appendChannel.AppendChannel(this.link)
+    this.parts = new partSender.PartSender(this.link, { term: host.term, leaderId: host.replicaId, toReplicaId: replica.id })
     this.nextIndex = host.log.last.index + 1
     this.ackedSendAt = now
   }
@@ -148,15 +155,23 @@
 
   private async sendEntries (prevTerm: number, sentAt: number): Promise<void> {
     const prevIndex = this.nextIndex - 1
-    const entries = this.host.log.entriesFrom(this.nextIndex, maxEntriesPerMessage)
-    const res = await this.appends.append(this.createAppend(prevIndex, prevTerm, this.host.commitIndex, entries), writeTimeoutMs)
+    const entries = this.host.log.entriesFrom(this.nextIndex, maxEntriesPerMessage, maxMessageBytes)
+    const res = await this.sendAppend(this.createAppend(prevIndex, prevTerm, this.host.commitIndex, entries))
     if (!this.handleResponse('append', res.term, sentAt)) return
     if (res.success) this.setMatchIndex(Number(res.lastIndex))
     else this.nextIndex = Math.max(1, Math.min(prevIndex, Number(res.lastIndex) + 1))
   }
 
+  private async sendAppend (req: inner.AppendReq): Promise<inner.AppendRes> {
+    const [first] = req.entries
+    const sendWhole = async (): Promise<inner.AppendRes> => await this.appends.append(req, writeTimeoutMs)
+    const isLarge = first !== undefined && logEntry.sizeOf(logEntry.decodeEntry(first)) > maxMessageBytes
+    return isLarge ? await this.parts.sendAppend(`entry ${first.index}`, req, sendWhole) : await sendWhole()
+  }
+
   private async sendSnapshot (sentAt: number): Promise<void> {
-    const { snapshot } = this.host.log
+    const snapshot = this.snapshotInTransfer ?? this.host.log.snapshot
+    this.snapshotInTransfer = snapshot
     if (snapshot === undefined) {
       this.nextIndex = 1
       return
@@ -167,7 +182,10 @@
       snapshot,
       toReplicaId: this.replica.id
     })
-    const res = await this.link.call(async (client, options) => await client.installSnapshot(req, options), writeTimeoutMs)
+    const sendWhole = async (): Promise<inner.InstallSnapshotRes> =>
+      await this.link.call(async (client, options) => await client.installSnapshot(req, options), writeTimeoutMs)
+    const res = await this.parts.sendSnapshot(`snapshot ${snapshot.index}`, req, sendWhole)
+    this.snapshotInTransfer = undefined
     if (this.handleResponse('snapshot', res.term, sentAt)) this.setMatchIndex(Number(snapshot.index))
   }
 
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -10,6 +10,7 @@
 import * as quorum from '../common/quorum.js'
 import * as replicatedState from '../common/replicatedState.js'
 import * as leadership from './leadership.js'
+import * as partReceiver from './partReceiver.js'
 import type * as replicaLinks from './replicaLinks.js'
 import * as replicaLog from './replicaLog.js'
 import * as replicaMonitor from './replicaMonitor.js'
@@ -22,6 +23,9 @@
  */
 const voteReservationShare = 0.2
 
+/** Size of the applied entries, or that of the configuration if it is larger, from which they are replaced by a snapshot. */
+const maxUncompactedBytes = 8_388_608
+
 /** Addresses and timing of a replica. */
 export interface ReplicaOptions {
   readonly address: string
@@ -54,8 +58,10 @@
   private voteReservedUntil = -Infinity
   private seenLeader = false
   private appliedIndex = 0
+  private readonly parts = new partReceiver.PartReceiver()
   /** Term of the newest write of the metadata, finished or not. */
   private writtenTerm = 0
+  private uncompactedBytes = 0
   private isCompacting = false
 
   constructor (
@@ -321,6 +327,26 @@
     return this.createAppendRes(true, prevIndex)
   }
 
+  /** Handles a part of a message; the response to the last part contains that to the message. */
+  async handlePart (part: inner.ReplicationPart): Promise<inner.ReplicationPartRes> {
+    this.requireAddressee(part.toReplicaId)
+    this.requireDiskSpace()
+    if (part.term < this.term) return protobuf.create(inner.ReplicationPartResSchema, { term: this.term })
+    const message = this.parts.add(part)
+    const res = message === undefined ? {} : await this.handleMessage(part.content, message)
+    const receivedBytes = BigInt(this.parts.receivedBytes)
+    if (message !== undefined) this.parts.discard(part)
+    return protobuf.create(inner.ReplicationPartResSchema, { term: this.term, receivedBytes, ...res })
+  }
+
+  private async handleMessage (content: inner.ReplicationPart_Content, message: Uint8Array): Promise<Pick<protobuf.MessageInitShape<typeof inner.ReplicationPartResSchema>, 'append' | 'snapshot'>> {
+    switch (content) {
+      case inner.ReplicationPart_Content.APPEND: return { append: await this.handleAppend(protobuf.fromBinary(inner.AppendReqSchema, message)) }
+      case inner.ReplicationPart_Content.SNAPSHOT: return { snapshot: await this.handleInstallSnapshot(protobuf.fromBinary(inner.InstallSnapshotReqSchema, message)) }
+      default: throw new errors.RackError({ kind: 'bad-request', message: `unknown content of a message in parts: ${content}` })
+    }
+  }
+
   async handleInstallSnapshot (req: inner.InstallSnapshotReq): Promise<inner.InstallSnapshotRes> {
     this.requireAddressee(req.toReplicaId)
     this.requireDiskSpace()
@@ -378,6 +404,7 @@
   private restore (snapshot: inner.Snapshot): void {
     this.state.restore(snapshot)
     this.appliedIndex = Number(snapshot.index)
+    this.uncompactedBytes = 0
     this.notifyApplied()
   }
 
@@ -411,10 +438,17 @@
       if (entry === undefined) break
       this.appliedIndex++
       const result = this.state.apply(entry)
+      this.uncompactedBytes += logEntry.sizeOf(entry)
       this.currentLeadership?.handleApplied(entry, result)
     }
     this.notifyApplied()
-    if (this.appliedIndex - this.log.snapshotIndex >= this.options.snapshotEvery) this.compact()
+    if (this.isCompactionDue) this.compact()
+  }
+
+  private get isCompactionDue (): boolean {
+    const configBytes = this.state.configJson.length + this.state.configSource.length
+    return this.appliedIndex - this.log.snapshotIndex >= this.options.snapshotEvery ||
+      this.uncompactedBytes >= Math.max(maxUncompactedBytes, configBytes)
   }
 
   private notifyApplied (): void {
@@ -428,6 +462,7 @@
     this.isCompacting = true
     this.lock.run(async () => {
       const index = this.appliedIndex
+      this.uncompactedBytes = 0
       const snapshot = this.state.toSnapshot(index, this.log.termAt(index)!, this.log.membershipAt(index))
       await this.log.replaceSnapshot(snapshot)
     }).finally(() => {
--- a/packages/control/src/node/replicaLog.ts
+++ b/packages/control/src/node/replicaLog.ts
@@ -77,10 +77,17 @@
     return this.entries[index - this.snapshotIndex - 1]
   }
 
-  /** Returns the entries from an index on, at most `maxCount` of them. */
-  entriesFrom (index: number, maxCount: number): readonly logEntry.LogEntry[] {
+  /** Returns the entries from an index on: at most `maxCount`, and no more than `maxBytes` unless the first one alone is larger. */
+  entriesFrom (index: number, maxCount: number, maxBytes: number): readonly logEntry.LogEntry[] {
     const start = index - this.snapshotIndex - 1
-    return this.entries.slice(start, start + maxCount)
+    const selected: logEntry.LogEntry[] = []
+    let bytes = 0
+    for (const entry of this.entries.slice(start, start + maxCount)) {
+      bytes += logEntry.sizeOf(entry)
+      if (selected.length > 0 && bytes > maxBytes) break
+      selected.push(entry)
+    }
+    return selected
   }
 
   /** Returns the approximate size of the entries from an index on, in bytes. */
--- a/packages/protocol/src/common/rpcErrors.ts
+++ b/packages/protocol/src/common/rpcErrors.ts
@@ -22,11 +22,11 @@
   return code === connect.Code.Internal ? { kind: 'bad-request', message } : undefined
 }
 
-/** Returns the fault of a failed call: the one the peer reported, or `unreachable` if the transport failed. */
+/** Returns the fault of a failed call: the one the peer reported, `unsupported` if the peer doesn't know the call, or `unreachable` if the transport failed. */
 export function fromConnectError (err: unknown): errors.Fault {
   if (!(err instanceof connect.ConnectError)) return errors.faultOf(err)
   const encoded = err.metadata.get(faultHeader)
-  if (encoded === null) return { kind: 'unreachable', message: err.message }
+  if (encoded === null) return { kind: err.code === connect.Code.Unimplemented ? 'unsupported' : 'unreachable', message: err.message }
   return decodeFault(encoded) ?? { kind: 'unreachable', message: err.message }
 }
 
