Votes of a replica in a module of their own

Change: voting.ts holds term and vote, their storage and the reservation of a vote. No change of behaviour.

--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -1,4 +1,4 @@
-/** One control replica: its role in the election, its votes, and the log entries it receives from the leader. */
+/** One control replica: its role in the election, and the log entries it receives from the leader. */
 import * as protobuf from '@bufbuild/protobuf'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
@@ -15,13 +15,7 @@
 import * as replicaLog from './replicaLog.js'
 import * as replicaMonitor from './replicaMonitor.js'
 import type * as replicaStorage from './replicaStorage.js'
-
-/**
- * Share of the election timeout for which a granted vote or pre-vote stays reserved for its candidate, and for which the replica
- * that granted it starts no election of its own: long enough for the candidate to finish its election, which takes two disk
- * writes, one after the other.
- */
-const voteReservationShare = 0.2
+import * as voting from './voting.js'
 
 /** Size of the applied entries, or that of the configuration if it is larger, from which they are replaced by a snapshot. */
 const maxUncompactedBytes = 8_388_608
@@ -40,7 +34,7 @@
 export type Role = 'follower' | 'candidate' | 'leader'
 
 /** Follows, votes and leads as in Raft. All changes of term, vote and log run one after the other under `lock`. */
-export class Replica implements leadership.ILeaderHost, lifecycle.IDisposable {
+export class Replica implements leadership.ILeaderHost, voting.IVotingHost, lifecycle.IDisposable {
   readonly lock = new async.Sequencer()
   readonly log: replicaLog.ReplicaLog
   readonly state = new replicatedState.ReplicatedState()
@@ -49,18 +43,14 @@
   /** Fires the index of the newest applied entry. */
   readonly onApplied = this.appliedEmitter.event
   private readonly appliedSignal = new async.Signal()
-  private meta!: inner.ReplicaMeta
+  private readonly voting: voting.Voting
   private currentRole: Role = 'follower'
   private currentLeadership: leadership.Leadership | undefined
   private currentLeaderId = ''
   private leaderContactAt = -Infinity
-  private voteReservedFor = ''
-  private voteReservedUntil = -Infinity
   private seenLeader = false
   private appliedIndex = 0
   private readonly parts = new partReceiver.PartReceiver()
-  /** Term of the newest write of the metadata, finished or not. */
-  private writtenTerm = 0
   private uncompactedBytes = 0
   private isCompacting = false
 
@@ -72,29 +62,30 @@
   ) {
     this.log = new replicaLog.ReplicaLog(storage)
     this.monitor = new replicaMonitor.ReplicaMonitor(decisions, options.electionTimeoutMs, this)
+    this.voting = new voting.Voting(this, storage)
     storage.onDiskFullChanged((isFull) => this.handleDiskFullChanged(isFull))
   }
 
   /** Loads the stored state from the data folder. */
   async load (): Promise<void> {
     const stored = await this.storage.load()
-    this.meta = stored.meta
+    this.voting.load(stored.meta)
     this.log.load(stored)
     if (stored.snapshot !== undefined) this.restore(stored.snapshot)
     this.leaderContactAt = performance.now()
   }
 
   get replicaId (): string {
-    return this.meta.replicaId
+    return this.voting.replicaId
   }
 
   get term (): number {
-    return this.meta.term
+    return this.voting.term
   }
 
   /** True once this replica belongs to a cluster. */
   get founded (): boolean {
-    return this.meta.founded
+    return this.voting.founded
   }
 
   get role (): Role {
@@ -147,12 +138,12 @@
 
   /** Milliseconds since the reservation of a vote for another candidate ended; negative while it lasts. */
   get sinceVoteReservationMs (): number {
-    return this.voteReservedFor === this.replicaId ? Infinity : performance.now() - this.voteReservedUntil
+    return this.voting.sinceReservationMs
   }
 
   /** Id of the replica that this one last voted for, most likely the last leader; empty when there is none. */
   get lastVotedFor (): string {
-    return this.meta.votedFor
+    return this.voting.votedFor
   }
 
   /** This replica's entry for the membership, with `voter` unset. */
@@ -182,7 +173,7 @@
       if (this.founded) throw new errors.RackError({ kind: 'already-founded', message: 'this replica already belongs to a cluster' })
       const membership = protobuf.create(inner.MembershipSchema, { replicas: [{ ...this.self, voter: true }] })
       await this.log.replaceSnapshot(this.state.toSnapshot(0, 0, membership))
-      await this.saveMeta({ founded: true })
+      await this.voting.markFounded()
       this.decisions.record({ event: 'control-found', choice: this.replicaId, why: 'this replica founded the cluster' })
     })
   }
@@ -192,59 +183,30 @@
   async handleVote (req: inner.VoteReq): Promise<inner.VoteRes> {
     this.requireAddressee(req.toReplicaId)
     this.requireDiskSpace()
-    return await this.lock.run(async () => await this.decideVote(req))
-  }
-
-  /** Decides on a vote or pre-vote as Raft requires, and saves a granted vote before responding. */
-  private async decideVote (req: inner.VoteReq): Promise<inner.VoteRes> {
-    if (this.hasActiveLeader() || req.term < this.term) return this.createVoteRes(false)
-    const isLogUpToDate = isUpToDate(req, this.log.last)
-    if (req.preVote) return this.createVoteRes(isLogUpToDate && req.term > this.term && this.tryReserveVote(req.candidateId))
-    const isNewTerm = req.term > this.term
-    const canVote = isNewTerm || this.meta.votedFor === '' || this.meta.votedFor === req.candidateId
-    if (!isLogUpToDate || !canVote) {
-      if (isNewTerm) await this.adoptTerm(req.term)
-      return this.createVoteRes(false)
-    }
-    // Term and vote are saved in one write, since the candidate waits for a majority of these writes.
-    await this.adoptTerm(req.term, req.candidateId)
-    this.leaderContactAt = performance.now()
-    this.reserveVote(req.candidateId)
-    return this.createVoteRes(true)
-  }
-
-  /** Reserves this replica's vote for one candidate at a time, so that simultaneous candidates don't split the votes. */
-  private tryReserveVote (candidateId: string): boolean {
-    if (performance.now() < this.voteReservedUntil && this.voteReservedFor !== candidateId) return false
-    this.reserveVote(candidateId)
-    return true
-  }
-
-  private reserveVote (candidateId: string): void {
-    this.voteReservedFor = candidateId
-    this.voteReservedUntil = performance.now() + this.options.electionTimeoutMs * voteReservationShare
+    return await this.voting.handleVote(req)
   }
 
   /** Returns whether a leader is active; votes are refused then, so that a rejoining replica can't depose a working leader. */
-  private hasActiveLeader (): boolean {
+  hasActiveLeader (): boolean {
     if (this.currentLeadership !== undefined) {
       return this.currentLeadership.hasQuorumAckedSince(performance.now() - this.options.electionTimeoutMs)
     }
     return this.currentLeaderId !== '' && this.sinceLeaderContactMs < this.options.electionTimeoutMs
   }
 
-  private createVoteRes (granted: boolean): inner.VoteRes {
-    return protobuf.create(inner.VoteResSchema, { term: this.term, granted })
+  handleNewTerm (): void {
+    this.follow('')
+  }
+
+  handleVoteGranted (): void {
+    this.leaderContactAt = performance.now()
   }
 
   /** Becomes candidate in a term for which a majority granted pre-votes; returns false when a leader or another candidate came first. */
   async becomeCandidate (term: number): Promise<boolean> {
     return await this.lock.run(async () => {
       if (this.hasActiveLeader() || !this.isVoter || this.currentLeadership !== undefined || this.term + 1 !== term) return false
-      this.reserveVote(this.replicaId)
-      await this.saveMeta({ term, votedFor: this.replicaId })
-      // Reserved again, since the write may outlast the first reservation.
-      this.reserveVote(this.replicaId)
+      await this.voting.voteForSelf(term)
       this.currentRole = 'candidate'
       this.currentLeaderId = ''
       return true
@@ -273,16 +235,10 @@
     this.follow('')
     // Not awaited: the leadership ends now, and the term is saved once earlier changes under `lock` are done.
     this.lock.run(async () => {
-      if (term > this.term) await this.adoptTerm(term)
+      if (term > this.term) await this.voting.adoptTerm(term)
     })
   }
 
-  /** Becomes follower in a higher term, and saves it with the vote given in it, if any. */
-  private async adoptTerm (term: number, votedFor = ''): Promise<void> {
-    this.follow('')
-    await this.saveMeta({ term, votedFor })
-  }
-
   /** Becomes follower of a leader; the id is empty when the leader isn't known. */
   private follow (leaderId: string): void {
     if (this.currentLeadership !== undefined) this.monitor.endLeadership()
@@ -318,8 +274,8 @@
    * replica; otherwise returns undefined.
    */
   private tryHandleHeartbeat (req: inner.AppendReq): inner.AppendRes | undefined {
-    const isTermStored = req.term === this.term && this.writtenTerm <= this.term
-    if (req.entries.length > 0 || !isTermStored || this.currentLeadership !== undefined) return undefined
+    const isCurrentTerm = req.term === this.term && !this.voting.isChangingTerm
+    if (req.entries.length > 0 || !isCurrentTerm || this.currentLeadership !== undefined) return undefined
     const prevIndex = Number(req.prevIndex)
     if (prevIndex > this.log.durableIndex || !this.containsEntry(prevIndex, req.prevTerm)) return undefined
     this.followLeader(req.leaderId)
@@ -362,7 +318,7 @@
   }
 
   private async acknowledgeLeader (term: number, leaderId: string): Promise<void> {
-    if (term > this.term) await this.adoptTerm(term)
+    if (term > this.term) await this.voting.adoptTerm(term)
     this.followLeader(leaderId)
   }
 
@@ -398,7 +354,7 @@
 
   /** Records that this replica belongs to the cluster, permanently, once a membership lists it. */
   private async markFounded (): Promise<void> {
-    if (!this.founded && this.isMember) await this.saveMeta({ founded: true })
+    if (!this.founded && this.isMember) await this.voting.markFounded()
   }
 
   private restore (snapshot: inner.Snapshot): void {
@@ -479,17 +435,4 @@
       await this.appliedSignal.wait(remainingMs)
     }
   }
-
-  private async saveMeta (change: Partial<Pick<inner.ReplicaMeta, 'term' | 'votedFor' | 'founded'>>): Promise<void> {
-    const next = protobuf.create(inner.ReplicaMetaSchema, { ...this.meta, ...change })
-    this.writtenTerm = next.term
-    await this.storage.saveMeta(next)
-    this.meta = next
-  }
-}
-
-/** Returns whether a candidate's log is at least as up to date as a log that ends at `last`. */
-function isUpToDate (req: inner.VoteReq, last: replicaLog.LogPosition): boolean {
-  if (req.lastTerm !== last.term) return req.lastTerm > last.term
-  return Number(req.lastIndex) >= last.index
 }
