Control replicas: tests of the new log lines and metrics in a simulated group

The simulated processes keep their decisions, measure their disks, and check them each second as the control role does.

--- a/packages/control/src/test/recordedDecisions.ts
+++ b/packages/control/src/test/recordedDecisions.ts
@@ -5,8 +5,14 @@
 export class RecordedDecisions extends decisionLog.NullDecisionLog {
   readonly decisions: decisionLog.Decision[] = []
 
+  /** @param onRecord called with each decision. */
+  constructor (private readonly onRecord: (decision: decisionLog.Decision) => void = () => {}) {
+    super()
+  }
+
   override record (decision: decisionLog.Decision): void {
     this.decisions.push(decision)
+    this.onRecord(decision)
   }
 
   /** Returns the choices of all decisions on an event, oldest first. */
--- a/packages/control/src/test/simulatedGroup.ts
+++ b/packages/control/src/test/simulatedGroup.ts
@@ -3,14 +3,15 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
-import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as configFeed from '../node/configFeed.js'
 import * as controlService from '../node/controlService.js'
+import * as diskTiming from '../node/diskTiming.js'
 import * as election from '../node/election.js'
 import * as joiner from '../node/joiner.js'
 import * as replica from '../node/replica.js'
 import type * as replicaLinks from '../node/replicaLinks.js'
 import * as replicaStorage from '../node/replicaStorage.js'
+import * as recordedDecisions from './recordedDecisions.js'
 import * as simulatedDisk from './simulatedDisk.js'
 
 const tolerateLostDisks = 2
@@ -19,6 +20,8 @@
 const minOneWayDelayMs = 0.3
 const maxOneWayDelayMs = 3
 const voterCheckIntervalMs = 500
+const monitorIntervalMs = 1000
+const electionTimeoutMs = 400
 /** Limit of the inner listener. */
 const defaultMaxMessageBytes = 32 * 1024 * 1024
 
@@ -53,14 +56,19 @@
   readonly replica: replica.Replica
   readonly service: controlService.ControlService
   readonly feed: configFeed.ConfigFeed
+  readonly storage: replicaStorage.ReplicaStorage
+  readonly disk: diskTiming.DiskTiming
+  readonly decisions: recordedDecisions.RecordedDecisions
 
   /** @param onFailure called when the process ends by itself. */
   constructor (private readonly group: SimulatedGroup, readonly machine: Machine, private readonly onFailure: (err: Error) => void) {
     this.whenEnded.promise.catch(() => {})
-    const decisions = group.decisionsOf(machine)
-    const storage = new replicaStorage.ReplicaStorage(simulatedDisk.dataFolder, 'c', onFailure, machine.disk.openFor(this.ended.signal))
-    const options = { address: machine.address, operatorAddress: '', failureDomain: 'a', electionTimeoutMs: 400, heartbeatMs: 100, snapshotEvery: group.options.snapshotEvery }
-    this.replica = new replica.Replica(options, storage, group.linksOf(this), decisions)
+    const decisions = group.createDecisions(machine)
+    this.decisions = decisions
+    this.disk = new diskTiming.DiskTiming(decisions, electionTimeoutMs)
+    this.storage = new replicaStorage.ReplicaStorage(simulatedDisk.dataFolder, 'c', onFailure, machine.disk.openFor(this.ended.signal), this.disk)
+    const options = { address: machine.address, operatorAddress: '', failureDomain: 'a', electionTimeoutMs, heartbeatMs: 100, snapshotEvery: group.options.snapshotEvery }
+    this.replica = new replica.Replica(options, this.storage, group.linksOf(this), decisions)
     this.service = new controlService.ControlService(this.replica, { groupAddresses: [], maxReplicas, tolerateLostDisks }, decisions)
     this.feed = new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex())
   }
@@ -87,6 +95,7 @@
     electionTask.run()
     joinTask.run()
     this.keepRemovingUnreachableVoters()
+    this.keepMonitoring()
   }
 
   /** Ends the process at once, as SIGKILL does. */
@@ -121,6 +130,15 @@
       if (!this.hasEnded) this.service.removeUnreachableVoter()
     }
   }
+
+  private async keepMonitoring (): Promise<void> {
+    while (!this.hasEnded) {
+      await async.sleep(monitorIntervalMs)
+      if (this.hasEnded) return
+      this.replica.monitor.check()
+      this.disk.check()
+    }
+  }
 }
 
 /** A machine with its disk and, while it runs, its process. */
@@ -212,12 +230,10 @@
   }
 
   /** Returns a decision log that records won elections. */
-  decisionsOf (machine: Machine): decisionLog.IDecisionLog {
-    const decisions = new decisionLog.NullDecisionLog()
-    decisions.record = ({ event, term }: decisionLog.Decision = { event: '', choice: '', why: '' }) => {
+  createDecisions (machine: Machine): recordedDecisions.RecordedDecisions {
+    return new recordedDecisions.RecordedDecisions(({ event, term }) => {
       if (event === 'control-leader') this.wonElections.push({ address: machine.address, term: Number(term), at: performance.now() })
-    }
-    return decisions
+    })
   }
 
   /** Returns the links of one process to the others: one for each address and purpose. */
