Control replicas: leaders that come and go count as one time without a leader

Cause: in a trial with real processes (five replicas, 842 routes, one of them missed 70 changes) the replica that lagged heard of the leader every few seconds and logged a pair of control-no-leader lines each time: 8 in 20 s.

The lack of a leader now counts as ended once a leader has been known for three seconds; one that begins and ends between two checks is logged too.

--- a/packages/control/src/node/leaderWatch.ts
+++ b/packages/control/src/node/leaderWatch.ts
@@ -3,21 +3,30 @@
 
 /** Time without a leader that is logged, in election timeouts: a timeout of up to two, and the election itself. */
 const noLeaderFactor = 3
+/** Time for which a leader must be known before the lack of one counts as ended, so that leaders that come and go fill no log. */
+const stableMs = 3000
+
+/** A time without a leader that was logged. */
+interface Outage {
+  readonly since: number
+  /** Time from which on a leader has been known without interruption. */
+  endedAt: number
+}
 
 /** Measures the time without a known leader. */
 export class LeaderWatch {
   private lastKnownAt = performance.now()
-  private isLogged = false
+  private lastLeaderId = ''
+  private outage: Outage | undefined
 
   constructor (private readonly decisions: decisionLog.IDecisionLog, private readonly electionTimeoutMs: number) {}
 
   /** Records a message of the leader, or that this replica leads. */
   recordLeader (leaderId: string, now = performance.now()): void {
-    const ms = Math.round(now - this.lastKnownAt)
+    // Also logs an outage that began and ended between two checks.
+    if (this.isLeaderless(now)) this.startOutage(now).endedAt = now
     this.lastKnownAt = now
-    if (!this.isLogged) return
-    this.isLogged = false
-    this.decisions.record({ event: 'control-no-leader', choice: 'ended', leader: leaderId, ms, why: 'a leader is known again' })
+    this.lastLeaderId = leaderId
   }
 
   /** Milliseconds since a leader was last known. */
@@ -30,10 +39,21 @@
     return this.sinceLeaderMs(now) > noLeaderFactor * this.electionTimeoutMs
   }
 
-  /** Logs the lack of a leader, once each time; call about once a second. */
+  /** Logs the lack of a leader and its end, once each; call about once a second. */
   check (now = performance.now()): void {
-    if (this.isLogged || !this.isLeaderless(now)) return
-    this.isLogged = true
+    if (this.isLeaderless(now)) this.startOutage(now)
+    else if (this.outage !== undefined && now - this.outage.endedAt >= stableMs) this.endOutage(this.outage)
+  }
+
+  private startOutage (now: number): Outage {
+    if (this.outage !== undefined) return this.outage
+    this.outage = { since: this.lastKnownAt, endedAt: now }
     this.decisions.record({ event: 'control-no-leader', choice: 'none', ms: Math.round(this.sinceLeaderMs(now)), why: 'no message of a leader arrived and no election succeeded' })
+    return this.outage
+  }
+
+  private endOutage ({ since, endedAt }: Outage): void {
+    this.outage = undefined
+    this.decisions.record({ event: 'control-no-leader', choice: 'ended', leader: this.lastLeaderId, ms: Math.round(endedAt - since), why: 'a leader is known again' })
   }
 }
