Control replicas: the last failed elections of a series are logged too

Cause: failed elections within ten seconds of a line were counted for the next line only, which never came if no election failed afterwards.

The check each second logs the newest one once the interval is over, with the number of failed elections since the last line.

--- a/packages/control/src/node/campaignLog.ts
+++ b/packages/control/src/node/campaignLog.ts
@@ -20,6 +20,7 @@
 /** Counts failed elections. */
 export class CampaignLog {
   private loggedAt = -Infinity
+  private unlogged: CampaignRound | undefined
   private unloggedCount = 0
   private failures = 0
 
@@ -33,10 +34,15 @@
   /** Records a round that collected too few votes. */
   recordFailed (round: CampaignRound, now = performance.now()): void {
     this.failures++
-    if (now - this.loggedAt < logIntervalMs) {
-      this.unloggedCount++
-      return
-    }
+    this.unlogged = round
+    this.unloggedCount++
+    this.check(now)
+  }
+
+  /** Logs the newest failed round unless a line was logged shortly before; call about once a second. */
+  check (now = performance.now()): void {
+    const round = this.unlogged
+    if (round === undefined || now - this.loggedAt < logIntervalMs) return
     this.decisions.record({
       event: 'control-campaign',
       choice: 'failed',
@@ -47,10 +53,11 @@
       refused: addressesWith(round, 'refused'),
       pending: addressesWith(round, 'pending'),
       failed: addressesWith(round, 'failed'),
-      unlogged: this.unloggedCount,
+      rounds: this.unloggedCount,
       why: 'too few votes'
     })
     this.loggedAt = now
+    this.unlogged = undefined
     this.unloggedCount = 0
   }
 }
--- a/packages/control/src/node/replicaMonitor.ts
+++ b/packages/control/src/node/replicaMonitor.ts
@@ -49,5 +49,6 @@
     if (this.replica.leadership !== undefined) this.leader.recordLeader(this.replica.replicaId)
     this.replication.check()
     this.leader.check()
+    this.campaigns.check()
   }
 }
