--- a/packages/control/src/test/controlMetrics.test.ts
+++ b/packages/control/src/test/controlMetrics.test.ts
@@ -4,7 +4,9 @@
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import type * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as controlMetrics from '../node/controlMetrics.js'
+import * as controlRoutes from '../node/controlRoutes.js'
 import * as seededRandom from './seededRandom.js'
 import * as simulatedGroup from './simulatedGroup.js'
 import * as virtualTime from './virtualTime.js'
@@ -80,6 +82,26 @@
   }))
 }
 
+type RouteHandler = (req: httpListener.RouteReq) => Promise<httpListener.RouteRes>
+
+/** State of a replica as `GET /control` returns it. */
+interface ControlState {
+  readonly knowsLeader: boolean
+  readonly withoutLeaderMs: number
+  readonly disk: { readonly longestMs: number, readonly inProgressMs: number }
+  readonly members: ReadonlyArray<{ readonly address: string, readonly lag?: object, readonly behind?: boolean, readonly lastFailure?: object }>
+}
+
+async function readState ({ service, disk }: simulatedGroup.ControlProcess): Promise<ControlState> {
+  let read: RouteHandler | undefined
+  const route = (method: string, path: string, handler: RouteHandler): void => {
+    if (method === 'GET' && path === '/control') read = handler
+  }
+  controlRoutes.addControlRoutes({ route, openRoute: route } as unknown as httpListener.IRoutes, service, disk)
+  const { body } = await read!({} as unknown as httpListener.RouteReq)
+  return JSON.parse(JSON.stringify(body)) as ControlState
+}
+
 function seriesOf (name: string, { replicaId }: { readonly replicaId: string }, { address }: simulatedGroup.Machine): string {
   return `rosemaryrack_control_${name}{replica="${replicaId}",address="${address}"}`
 }
@@ -120,6 +142,9 @@
     const ofFollower = readMetrics(follower.process!)
     t.equal(ofFollower.get('rosemaryrack_control_leads'), 0)
     t.equal(ofFollower.get('rosemaryrack_control_knows_leader'), 1)
+    const state = await readState(leader)
+    t.match(state, { knowsLeader: true, withoutLeaderMs: 0, disk: { inProgressMs: 0 } })
+    t.match(state.members.find(({ address }) => address === follower.address), { lag: { entries: 0, ms: 0 }, behind: false })
     t.equal([...ofFollower.keys()].some((key) => key.includes('lag')), false, 'only the leader knows the lag')
   })
 })
@@ -140,6 +165,8 @@
     t.equal(values.get(seriesOf('replica_lag_entries', replica, follower)), 4)
     t.ok(values.get(seriesOf('replica_lag_seconds', replica, follower))! > 19)
     t.ok(values.get(seriesOf('replica_since_response_seconds', replica, follower))! > 19)
+    const lagging = (await readState(leader)).members.filter(({ behind }) => behind)
+    t.match(lagging, [{ address, lag: { entries: 4 }, lastFailure: { reason: 'unreachable' } }])
     const failures = [...values].filter(([key]) => key.startsWith('rosemaryrack_control_messages_failed_total'))
     t.ok(failures.length > 0 && failures.every(([key, count]) => key.includes(address) && key.includes('reason="unreachable"') && count > 0))
     fixture.group.start(follower)
@@ -161,6 +188,7 @@
     await fixture.run(20_000)
     t.strictSame(fixture.linesOf(process!).filter((line) => line.startsWith('disk-slow')), ['disk-slow in progress'])
     t.ok(readMetrics(process!).get('rosemaryrack_control_disk_write_in_progress_seconds{write="append"}')! > 19)
+    t.ok((await readState(process!)).disk.inProgressMs > 19_000)
     t.ok(fixture.linesOf(leader).includes(`control-lag behind ${follower.address}`))
     t.notOk(fixture.linesOf(leader).some((line) => line.startsWith('disk-slow')), 'the disk of the leader is not at fault')
     follower.disk.setStalled(false)
@@ -184,6 +212,8 @@
     const values = readMetrics(process!)
     t.equal(values.get('rosemaryrack_control_knows_leader'), 0)
     t.ok(values.get('rosemaryrack_control_seconds_without_leader')! > 25)
+    t.match(await readState(process!), { knowsLeader: false })
+    t.ok((await readState(process!)).withoutLeaderMs > 25_000)
     t.equal(values.get('rosemaryrack_control_refused_total{operation="read",kind="no-quorum"}'), 1)
     // Either of the two that are left may be the one that campaigns.
     const [campaigner] = [process!, leader].sort((a, b) => b.replica.monitor.campaigns.failedCount - a.replica.monitor.campaigns.failedCount)
