Control replicas: show the message whose response is awaited, with its size

Cause: appends may take as long as the replica's disk takes, so one that hangs is not a failure for a long time, and its size was in no line.

recordSent notes a message that is being sent; status and metrics show how long the oldest one has waited, and a failure takes over its size.

--- a/packages/control/src/node/controlMetrics.ts
+++ b/packages/control/src/node/controlMetrics.ts
@@ -68,8 +68,10 @@
     const progress = member.monitor.replication.progressOf(id)
     if (progress === undefined) return []
     const labels = { replica: id, address }
+    const pending = member.monitor.replication.pendingOf(id)
     return [
       sample('replica_behind', Number(progress.isBehind), labels),
+      sample('replica_message_pending_seconds', (pending?.ageMs ?? 0) / msPerSecond, labels),
       sample('replica_lag_entries', progress.lagEntries, labels),
       sample('replica_lag_bytes', progress.lagBytes, labels),
       sample('replica_lag_seconds', progress.lagMs / msPerSecond, labels),
--- a/packages/control/src/node/controlRoutes.ts
+++ b/packages/control/src/node/controlRoutes.ts
@@ -68,6 +68,7 @@
 /** Describes how far a member has come, if this replica leads, and the last message to it that failed. */
 function describeProgress ({ monitor }: replica.Replica, id: string): object {
   const progress = monitor.replication.progressOf(id)
+  const pending = monitor.replication.pendingOf(id)
   const failure = monitor.replication.lastFailureOf(id)
   return {
     ...progress && {
@@ -75,6 +76,7 @@
       behind: progress.isBehind,
       sinceResponseMs: Math.round(progress.sinceResponseMs)
     },
+    ...pending && { pending: { ...pending, ageMs: Math.round(pending.ageMs) } },
     ...failure && { lastFailure: { ...failure, ageMs: Math.round(failure.ageMs) } }
   }
 }
--- a/packages/control/src/node/replicationStatus.ts
+++ b/packages/control/src/node/replicationStatus.ts
@@ -29,6 +29,13 @@
   readonly ageMs: number
 }
 
+/** A message whose response is awaited. */
+export interface PendingMessage {
+  readonly what: messageFailure.MessageKind
+  readonly bytes: number
+  readonly ageMs: number
+}
+
 /** Number of failed messages of a kind to a replica for one reason. */
 export interface FailureCount {
   readonly replicaId: string
@@ -58,6 +65,9 @@
   last: messageFailure.MessageFailure | undefined
   lastFailedAt: number
   lastAcknowledgedAt: number
+  /** Time at which the message was sent whose response is awaited. */
+  pendingSince: number | undefined
+  pendingBytes: number
   failingSince: number | undefined
   failureCount: number
   readonly loggedReasons: Set<messageFailure.FailureReason>
@@ -74,15 +84,24 @@
   /** @param members returns the current membership; what is known of other replicas is dropped. */
   constructor (private readonly decisions: decisionLog.IDecisionLog, private readonly members: () => readonly inner.Replica[]) {}
 
+  /** Records that a message is being sent; its response or failure must be recorded too. */
+  recordSent (replicaId: string, what: messageFailure.MessageKind, bytes: number, now = performance.now()): void {
+    const state = this.messageState(replicaId, what)
+    state.pendingSince = now
+    state.pendingBytes = bytes
+  }
+
   /** Records a response to a message. */
   recordAcknowledged (replicaId: string, what: messageFailure.MessageKind, now = performance.now()): void {
     const peer = this.peers.get(replicaId)
     if (peer !== undefined) peer.respondedAt = now
     const state = this.messages.get(messageKey(replicaId, what))
-    if (state !== undefined) state.lastAcknowledgedAt = now
+    if (state === undefined) return
+    state.lastAcknowledgedAt = now
+    state.pendingSince = undefined
   }
 
-  /** Records a message that failed, with the thrown value and the size of the message if it is known. */
+  /** Records a message that failed, with the thrown value; its size is known if it was recorded as sent, or is given. */
   recordFailure (replicaId: string, what: messageFailure.MessageKind, err: unknown, bytes?: number, now = performance.now()): void {
     this.recordFailureReason(replicaId, what, messageFailure.classifyFailure(err), bytes, now)
   }
@@ -90,6 +109,8 @@
   /** Records a message that failed for a known reason, such as a response with a higher term. */
   recordFailureReason (replicaId: string, what: messageFailure.MessageKind, failure: messageFailure.MessageFailure, bytes?: number, now = performance.now()): void {
     const state = this.messageState(replicaId, what)
+    const sentBytes = state.pendingSince === undefined ? undefined : state.pendingBytes
+    state.pendingSince = undefined
     state.counts.set(failure.reason, (state.counts.get(failure.reason) ?? 0) + 1)
     state.failingSince ??= now
     state.last = failure
@@ -97,7 +118,7 @@
     state.failureCount++
     if (state.loggedReasons.has(failure.reason)) return
     state.loggedReasons.add(failure.reason)
-    this.decisions.record({ event: 'control-message', choice: 'failing', ...this.describe(replicaId), what, reason: failure.reason, bytes, why: failure.why })
+    this.decisions.record({ event: 'control-message', choice: 'failing', ...this.describe(replicaId), what, reason: failure.reason, bytes: bytes ?? sentBytes, why: failure.why })
   }
 
   /** Records how much of the log a replica holds; call after each response and each failure, so that the lag stays current. */
@@ -120,6 +141,7 @@
   endLeadership (): void {
     this.peers.clear()
     for (const state of this.messages.values()) {
+      state.pendingSince = undefined
       if (!isVote(state.what)) forgetFailing(state)
     }
   }
@@ -145,6 +167,13 @@
     }
   }
 
+  /** Returns the message to a replica whose response has been awaited longest; undefined when none is recorded. */
+  pendingOf (replicaId: string, now = performance.now()): PendingMessage | undefined {
+    const pending = [...this.messages.values()].flatMap(({ replicaId: id, what, pendingSince, pendingBytes }) =>
+      id === replicaId && pendingSince !== undefined ? [{ what, bytes: pendingBytes, ageMs: now - pendingSince }] : [])
+    return pending.sort((a, b) => b.ageMs - a.ageMs)[0]
+  }
+
   /** Returns the newest failure of any message to a replica. */
   lastFailureOf (replicaId: string, now = performance.now()): LastFailure | undefined {
     let newest: MessageState | undefined
@@ -199,7 +228,7 @@
     const key = messageKey(replicaId, what)
     let state = this.messages.get(key)
     if (state === undefined) {
-      state = { replicaId, what, counts: new Map(), last: undefined, lastFailedAt: -Infinity, lastAcknowledgedAt: -Infinity, failingSince: undefined, failureCount: 0, loggedReasons: new Set() }
+      state = { replicaId, what, counts: new Map(), last: undefined, lastFailedAt: -Infinity, lastAcknowledgedAt: -Infinity, pendingSince: undefined, pendingBytes: 0, failingSince: undefined, failureCount: 0, loggedReasons: new Set() }
       this.messages.set(key, state)
     }
     return state
--- a/packages/control/src/test/replicationStatus.test.ts
+++ b/packages/control/src/test/replicationStatus.test.ts
@@ -100,6 +100,22 @@
   t.strictSame(log.choicesOf('control-message'), ['failing'])
 })
 
+tap.t.test('a message that waits for its response is seen with its size and age', async (t) => {
+  const { log, status } = createStatus()
+  t.equal(status.pendingOf('b', 0), undefined)
+  status.recordSent('b', 'append', 700_000, 1000)
+  status.recordSent('b', 'heartbeat', 50, 9000)
+  t.strictSame(status.pendingOf('b', 10_000), { what: 'append', bytes: 700_000, ageMs: 9000 })
+  t.equal(status.pendingOf('c', 10_000), undefined)
+  status.recordAcknowledged('b', 'heartbeat', 10_100)
+  status.recordFailure('b', 'append', noResponse, undefined, 31_000)
+  t.match(log.lastOf('control-message'), { what: 'append', reason: 'timeout', bytes: 700_000 })
+  t.equal(status.pendingOf('b', 31_000), undefined)
+  status.recordSent('b', 'append', 1, 32_000)
+  status.endLeadership()
+  t.equal(status.pendingOf('b', 33_000), undefined, 'nor in a later term')
+})
+
 tap.t.test('nothing is kept of former members, nor of the progress in a former term', async (t) => {
   const ids = ['b', 'c']
   const { status } = createStatus(ids)
