Control: an entry that can't be applied no longer counts as applied

Cause: commit counted an entry before it was applied. If that threw, for example because the document has a field of a newer build, a follower went on without the entry, confirmed later indexes and served an older configuration as the newest. A leader ended with an unhandled rejection.

Change: LogApplier counts an entry once it is applied and never passes one over.

--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -3,13 +3,14 @@
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
-import * as event from '@rosemaryrack/base/common/event.js'
+import type * as event from '@rosemaryrack/base/common/event.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as logEntry from '../common/logEntry.js'
 import * as quorum from '../common/quorum.js'
-import * as replicatedState from '../common/replicatedState.js'
+import type * as replicatedState from '../common/replicatedState.js'
 import * as leadership from './leadership.js'
+import * as logApplier from './logApplier.js'
 import * as partReceiver from './partReceiver.js'
 import type * as replicaLinks from './replicaLinks.js'
 import * as replicaLog from './replicaLog.js'
@@ -37,20 +38,16 @@
 export class Replica implements leadership.ILeaderHost, voting.IVotingHost, lifecycle.IDisposable {
   readonly lock = new async.Sequencer()
   readonly log: replicaLog.ReplicaLog
-  readonly state = new replicatedState.ReplicatedState()
   readonly monitor: replicaMonitor.ReplicaMonitor
-  private readonly appliedEmitter = new event.Emitter<number>()
-  /** Fires the index of the newest applied entry. */
-  readonly onApplied = this.appliedEmitter.event
-  private readonly appliedSignal = new async.Signal()
   private readonly voting: voting.Voting
+  private readonly applier: logApplier.LogApplier
   private currentRole: Role = 'follower'
   private currentLeadership: leadership.Leadership | undefined
   private currentLeaderId = ''
   private leaderContactAt = -Infinity
   private seenLeader = false
-  private appliedIndex = 0
   private readonly parts = new partReceiver.PartReceiver()
+  /** Size of the entries that were applied after the snapshot. */
   private uncompactedBytes = 0
   private isCompacting = false
 
@@ -63,6 +60,7 @@
     this.log = new replicaLog.ReplicaLog(storage)
     this.monitor = new replicaMonitor.ReplicaMonitor(decisions, options.electionTimeoutMs, this)
     this.voting = new voting.Voting(this, storage)
+    this.applier = new logApplier.LogApplier(this.log, decisions)
     storage.onDiskFullChanged((isFull) => this.handleDiskFullChanged(isFull))
   }
 
@@ -71,10 +69,26 @@
     const stored = await this.storage.load()
     this.voting.load(stored.meta)
     this.log.load(stored)
-    if (stored.snapshot !== undefined) this.restore(stored.snapshot)
+    if (stored.snapshot !== undefined) {
+      this.applier.restore(stored.snapshot)
+      this.applier.notify()
+    }
     this.leaderContactAt = performance.now()
   }
 
+  get state (): replicatedState.ReplicatedState {
+    return this.applier.state
+  }
+
+  /** Fires the index of the newest applied entry. */
+  get onApplied (): event.Event<number> {
+    return this.applier.onApplied
+  }
+
+  private get appliedIndex (): number {
+    return this.applier.appliedIndex
+  }
+
   get replicaId (): string {
     return this.voting.replicaId
   }
@@ -100,7 +114,7 @@
     return this.currentLeaderId
   }
 
-  /** Index of the last committed entry; entries are applied as soon as they are known to be committed. */
+  /** Index of the last entry that is known to be committed and is applied. */
   get commitIndex (): number {
     return this.appliedIndex
   }
@@ -117,9 +131,12 @@
     return quorum.isVoter(this.log.membership, this.replicaId)
   }
 
-  /** True for a voter with room on its disk; with a full disk it could store neither its vote nor log entries. */
+  /**
+   * True for a voter with room on its disk that can apply its log: with a full disk it could store neither its vote nor log entries,
+   * and a leader commits only what it has applied.
+   */
   get canStartElection (): boolean {
-    return this.isVoter && !this.storage.isDiskFull
+    return this.isVoter && !this.storage.isDiskFull && this.applier.canApply
   }
 
   get isMember (): boolean {
@@ -163,7 +180,7 @@
 
   dispose (): void {
     this.currentLeadership?.dispose()
-    this.appliedEmitter.dispose()
+    this.applier.dispose()
     this.storage.dispose()
   }
 
@@ -347,8 +364,11 @@
   /** Replaces log and state by a snapshot, unless its entries are already applied. */
   private async installSnapshot (snapshot: inner.Snapshot): Promise<void> {
     if (Number(snapshot.index) <= this.appliedIndex && this.founded) return
+    // First, so that a snapshot that this build can't read leaves the log as it is.
+    this.applier.restore(snapshot)
+    this.uncompactedBytes = 0
     await this.log.replaceSnapshot(snapshot)
-    this.restore(snapshot)
+    this.applier.notify()
     await this.markFounded()
   }
 
@@ -357,13 +377,6 @@
     if (!this.founded && this.isMember) await this.voting.markFounded()
   }
 
-  private restore (snapshot: inner.Snapshot): void {
-    this.state.restore(snapshot)
-    this.appliedIndex = Number(snapshot.index)
-    this.uncompactedBytes = 0
-    this.notifyApplied()
-  }
-
   private createAppendRes (success: boolean, lastIndex: number): inner.AppendRes {
     return protobuf.create(inner.AppendResSchema, { term: this.term, success, lastIndex: BigInt(Math.max(0, lastIndex)) })
   }
@@ -386,18 +399,14 @@
 
   // ---- Applying ----
 
-  /** Applies all entries up to a committed index. */
+  /** Applies the entries up to a committed index, as far as this build can; a leader that can't steps down. */
   commit (index: number): void {
     if (index <= this.appliedIndex) return
-    while (this.appliedIndex < index) {
-      const entry = this.log.entryAt(this.appliedIndex + 1)
-      if (entry === undefined) break
-      this.appliedIndex++
-      const result = this.state.apply(entry)
+    this.applier.applyUpTo(index, (entry, result) => {
       this.uncompactedBytes += logEntry.sizeOf(entry)
       this.currentLeadership?.handleApplied(entry, result)
-    }
-    this.notifyApplied()
+    })
+    if (!this.applier.canApply && this.currentLeadership !== undefined) this.stepDown(this.term, 'this build can\'t apply a committed entry')
     if (this.isCompactionDue) this.compact()
   }
 
@@ -407,11 +416,6 @@
       this.uncompactedBytes >= Math.max(maxUncompactedBytes, configBytes)
   }
 
-  private notifyApplied (): void {
-    this.appliedSignal.notify()
-    this.appliedEmitter.fire(this.appliedIndex)
-  }
-
   /** Replaces the applied entries of the log by a snapshot. */
   private compact (): void {
     if (this.isCompacting) return
@@ -428,11 +432,12 @@
 
   /** Resolves once the entry at an index is applied; throws `no-quorum` after an election timeout. */
   async waitUntilApplied (index: number): Promise<void> {
-    const deadline = performance.now() + this.options.electionTimeoutMs
-    while (this.appliedIndex < index) {
-      const remainingMs = deadline - performance.now()
-      if (remainingMs <= 0) throw new errors.RackError({ kind: 'no-quorum', message: `log entry ${index} was not applied in time` })
-      await this.appliedSignal.wait(remainingMs)
-    }
+    if (await this.isAppliedWithin(index, this.options.electionTimeoutMs)) return
+    throw new errors.RackError({ kind: 'no-quorum', message: `log entry ${index} was not applied in time` })
+  }
+
+  /** Resolves to true once the entry at an index is applied, to false after `timeoutMs`. */
+  async isAppliedWithin (index: number, timeoutMs: number): Promise<boolean> {
+    return await this.applier.waitUntilApplied(index, timeoutMs)
   }
 }
