Control: a replica that lags answers reads with the leader's configuration

Cause: a replica confirmed the index of a read with the leader, then waited for its own log, and answered 503 as long as it lagged: after a restart, with a slow disk, or for good with a log that it can't catch up with. A new replica without a membership answered "no leader is known".

Change: if the index isn't applied within 100 ms, the replica asks the leader with ReadConfig, which the leader confirms with a quorum. Without the leader's address all known replicas are asked, of which only the leader answers. A leader of an earlier build doesn't know the call; the replica then waits for its own log as before. FailureLog logs the first failure in a row and the recovery (forwarded-read).

Evidence: laggingRead.test: with the former readConfig a replica with a stalled disk and a new replica returned no configuration within 300 ms (2 of 4 cases failed); now both return the newest one. The two other cases passed before and pass now: no configuration from an earlier build's leader, or while the leader reaches no quorum.

--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -123,7 +123,7 @@
     const { replicas, tolerateLostDisks } = this.control
     // A group that the settings do not list is discovered through seeds, as in `start`.
     const isFixedSize = replicas.length > 0
-    return { groupAddresses: isFixedSize ? replicas : [], maxReplicas: isFixedSize ? replicas.length : maxDiscoveredReplicas, tolerateLostDisks }
+    return { groupAddresses: isFixedSize ? replicas : [], seedAddresses: this.groupAddresses, maxReplicas: isFixedSize ? replicas.length : maxDiscoveredReplicas, tolerateLostDisks }
   }
 
   private hubOptions (): announcementHub.HubOptions {
--- a/packages/control/src/node/controlRpc.ts
+++ b/packages/control/src/node/controlRpc.ts
@@ -61,6 +61,10 @@
       await loaded
       return { index: BigInt(await requireLeadership(service).readIndex()) }
     },
+    async readConfig () {
+      await loaded
+      return await service.readConfigAsLeader(requireLeadership(service))
+    },
     async claim (req) {
       await loaded
       return { granted: await service.claim(req.key, req.owner) }
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -7,6 +7,7 @@
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
 import type * as leadership from './leadership.js'
 import type * as replica from './replica.js'
 import type * as replicaLinks from './replicaLinks.js'
@@ -16,6 +17,9 @@
 
 const forwardTimeoutMs = 6000
 const describeTimeoutMs = 1500
+/** Time for this replica to apply the index of a read; after that the leader is asked for the configuration. */
+const ownReadTimeoutMs = 100
+const leaderReadTimeoutMs = 2000
 /** Time without a response after which a voter is removed if another one can replace it. Longer than a process restart. */
 const unreachableAfterMs = 2000
 /** Timeout for the leader to confirm a read, in election timeouts: the leader itself waits for up to one. */
@@ -47,6 +51,8 @@
 export interface ServiceOptions {
   /** Inner addresses of the replicas that must not belong to a cluster yet when one is founded: all replicas of a group with a fixed size, else empty. */
   readonly groupAddresses: readonly string[]
+  /** Inner addresses at which the leader may be found while the membership isn't known. */
+  readonly seedAddresses: readonly string[]
   readonly maxReplicas: number
   /** Number of lost disks that an accepted write must survive. */
   readonly tolerateLostDisks: number
@@ -55,13 +61,16 @@
 /** Serves patches, reads and claims; a replica that isn't the leader forwards them to the leader. */
 export class ControlService {
   private readonly patchSequencer = new async.Sequencer()
+  private readonly forwardedReads: failureLog.FailureLog
   private isRemoving = false
 
   constructor (
     readonly replica: replica.Replica,
     private readonly options: ServiceOptions,
     private readonly decisions: decisionLog.IDecisionLog
-  ) {}
+  ) {
+    this.forwardedReads = new failureLog.FailureLog(decisions, 'forwarded-read')
+  }
 
   private get refusals (): refusalCounter.RefusalCounter {
     return this.replica.monitor.refusals
@@ -169,10 +178,53 @@
     }
   }
 
-  /** Returns the configuration, confirmed by a quorum. */
+  /** Returns the configuration, confirmed by a quorum: that of this replica, or that of the leader while this one lags. */
   async readConfig (): Promise<ReadRes> {
-    await this.refusals.run('read', async () => await this.replica.waitUntilApplied(await this.confirmReadIndex()))
-    return { ...this.replica.state.config, source: this.replica.state.configSource }
+    return await this.refusals.run('read', async () => {
+      const { replica } = this
+      if (replica.leadership === undefined && replica.leaderReplica === undefined) return await this.readAtLeader(this.otherAddresses)
+      const index = await this.confirmReadIndex()
+      if (!await replica.isAppliedWithin(index, ownReadTimeoutMs)) {
+        const leaderAddress = replica.leaderReplica?.address
+        try {
+          return await this.readAtLeader(leaderAddress === undefined ? this.otherAddresses : [leaderAddress])
+        } catch {
+          // Logged by `readAtLeader`; earlier builds don't serve such reads.
+          await replica.waitUntilApplied(index)
+        }
+      }
+      return { ...replica.state.config, source: replica.state.configSource }
+    })
+  }
+
+  /** Returns the configuration to a replica that lags. */
+  async readConfigAsLeader (ownLeadership: leadership.Leadership): Promise<inner.ReadConfigRes> {
+    await this.replica.waitUntilApplied(await ownLeadership.readIndex())
+    const { config, configJson, configSource } = this.replica.state
+    return protobuf.create(inner.ReadConfigResSchema, { version: config.version, documentJson: configJson, source: configSource })
+  }
+
+  /** Asks all given replicas, of which only the leader answers; throws `no-quorum` if none does. */
+  private async readAtLeader (addresses: readonly string[]): Promise<ReadRes> {
+    const subject = 'leader'
+    try {
+      const res = await Promise.any(addresses.map(async (address) =>
+        await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs)))
+      this.forwardedReads.noteSuccess(subject)
+      // The group has accepted the document, so it isn't checked again.
+      return { version: res.version, document: JSON.parse(res.documentJson) as configDocument.ConfigDocument, source: res.source }
+    } catch (err) {
+      const message = `no leader answered the read: ${describeFailures(err)}`
+      this.forwardedReads.noteFailure(subject, message)
+      throw new errors.RackError({ kind: 'no-quorum', message })
+    }
+  }
+
+  /** Inner addresses of the other replicas, as far as they are known. */
+  private get otherAddresses (): readonly string[] {
+    const addresses = new Set([...this.replica.log.membership.replicas.map(({ address }) => address), ...this.options.seedAddresses])
+    addresses.delete(this.replica.self.address)
+    return [...addresses]
   }
 
   /** Returns the accepted patches, confirmed by a quorum. */
@@ -276,6 +328,12 @@
   return new errors.RackError({ kind: 'unknown', timedOut: true, message: `the leader did not respond (${fault.message}); resend with the same id` })
 }
 
+/** Returns the messages of calls that all failed. */
+function describeFailures (err: unknown): string {
+  if (!(err instanceof AggregateError)) return errors.messageOf(err)
+  return err.errors.length === 0 ? 'no replica is known' : err.errors.map(errors.messageOf).join('; ')
+}
+
 function describeOutcome (outcome: replicatedState.PatchOutcome): string {
   return outcome.kind === 'accepted' ? `version ${outcome.version}` : `current version is ${outcome.currentVersion}`
 }
--- a/packages/control/src/test/simulatedGroup.ts
+++ b/packages/control/src/test/simulatedGroup.ts
@@ -69,7 +69,7 @@
     this.storage = new replicaStorage.ReplicaStorage(simulatedDisk.dataFolder, 'c', onFailure, machine.disk.openFor(this.ended.signal), this.disk)
     const options = { address: machine.address, operatorAddress: '', failureDomain: 'a', electionTimeoutMs, heartbeatMs: 100, snapshotEvery: group.options.snapshotEvery }
     this.replica = new replica.Replica(options, this.storage, group.linksOf(this), decisions)
-    this.service = new controlService.ControlService(this.replica, { groupAddresses: [], maxReplicas, tolerateLostDisks }, decisions)
+    this.service = new controlService.ControlService(this.replica, { groupAddresses: [], seedAddresses: group.seedAddresses, maxReplicas, tolerateLostDisks }, decisions)
     this.feed = new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex())
   }
 
@@ -170,6 +170,8 @@
 /** The machines, and the messages between their processes. */
 export class SimulatedGroup {
   readonly machines: readonly Machine[]
+  /** Whether replicas answer `ReadConfig`, which earlier builds don't know. */
+  forwardsReads = true
   /** Errors with which processes ended by themselves. */
   readonly failures: Error[] = []
   readonly wonElections: WonElection[] = []
@@ -299,9 +301,9 @@
         return protobuf.create(inner.ReadIndexResSchema, { index: BigInt(await leadership.readIndex()) })
       }),
       readConfig: async (_req: unknown, { signal }: CallOptions = {}) => await send(inner.ReadConfigReqSchema, protobuf.create(inner.ReadConfigReqSchema), signal, inner.ReadConfigResSchema, async ({ service, replica: { leadership } }) => {
+        if (!this.forwardsReads) throw unimplemented()
         if (leadership === undefined) throw notLeader()
-        const { version, document, source } = await service.readConfig()
-        return protobuf.create(inner.ReadConfigResSchema, { version, documentJson: JSON.stringify(document), source })
+        return await service.readConfigAsLeader(leadership)
       })
     } as unknown as replicaLinks.ReplicaClient
     const call = async <T>(run: (each: replicaLinks.ReplicaClient, options: object) => Promise<T>, timeoutMs: number): Promise<T> => {
@@ -360,7 +362,7 @@
 /** Handles a part of a message, if the replica supports that. */
 async function handlePart (receiver: replica.Replica, req: inner.ReplicationPart): Promise<inner.ReplicationPartRes> {
   const { handlePart: handle } = receiver as { handlePart?: (part: inner.ReplicationPart) => Promise<inner.ReplicationPartRes> }
-  if (handle === undefined) throw new errors.RackError({ kind: 'unreachable', message: '[unimplemented] HTTP 404' })
+  if (handle === undefined) throw unimplemented()
   return await handle.call(receiver, req)
 }
 
@@ -372,6 +374,11 @@
   return new errors.RackError({ kind: 'unreachable', message: 'no response' })
 }
 
+/** Fault with which a link reports a method that the receiver doesn't know. */
+function unimplemented (): errors.RackError {
+  return new errors.RackError({ kind: 'unsupported', message: '[unimplemented] HTTP 404' })
+}
+
 function notLeader (): errors.RackError {
   return new errors.RackError({ kind: 'not-leader', message: 'this replica is not the leader; nothing was written' })
 }
