Fleet: a peer that does not respond no longer delays a newer configuration

Cause: an instance fetched a newer version from one peer at a time. While that peer did not respond, for up to 3 s, the reports of all others were ignored, and after a failure nothing happened until the next report, up to 1 s later; a version must be in force within 2 s. The timeout also closed the connection, and with it the stream of updates. Failures weren't logged. A document that this build refuses was fetched, checked and logged again at each report of each peer.

A timeout of a fetch leaves the connection open; the watchdog of its stream closes it if it is silent. config-fetch is logged at the first failure of a peer and at the recovery. A refused version is not fetched again.

--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -9,6 +9,8 @@
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
+import * as peerConfigFetch from './peerConfigFetch.js'
 import * as streamWatchdog from './streamWatchdog.js'
 
 const minRetryMs = 50
@@ -47,7 +49,9 @@
   private confirmedAt = -Infinity
   private readonly firstConfirmation = new async.Deferred<void>()
   private readonly firstStreamReported = new async.Deferred<void>()
-  private isFetching = false
+  private readonly peerFetch: peerConfigFetch.PeerConfigFetch
+  /** The newest version with a document that this build refuses. */
+  private refusedVersion = 0
   private preferredIndex = 0
 
   constructor (
@@ -56,6 +60,10 @@
     identity: innerListener.LinkIdentity,
     private readonly decisions: decisionLog.IDecisionLog
   ) {
+    this.peerFetch = new peerConfigFetch.PeerConfigFetch({
+      needs: (version) => this.needs(version),
+      accept: (config, source) => this.applyConfig(config, source)
+    }, new failureLog.FailureLog(decisions, 'config-fetch'))
     this.links = replicas.map(({ address }) =>
       this.disposables.add(new peerLink.PeerLink(inner.ControlReplica, address, identity)))
   }
@@ -103,8 +111,8 @@
   }
 
   /** Handles the configuration version that a peer reports: fetches a newer one, or adopts the peer's confirmation of the current version. */
-  handlePeerVersion (version: number, confirmed: boolean, ageMs: number, fetch: () => Promise<inner.ConfigVersion>): void {
-    if (version > this.config.version) this.fetchFromPeer(fetch)
+  handlePeerVersion (version: number, confirmed: boolean, ageMs: number, fetch: peerConfigFetch.Fetch, source: string): void {
+    if (version > this.config.version) this.peerFetch.offer(version, source, fetch)
     else if (confirmed && version === this.config.version) this.confirm(performance.now() - ageMs)
   }
 
@@ -143,17 +151,6 @@
     throw new errors.RackError({ kind: 'no-quorum', message: `no control replica responded successfully: ${errors.messageOf(lastError)}` })
   }
 
-  private async fetchFromPeer (fetch: () => Promise<inner.ConfigVersion>): Promise<void> {
-    if (this.isFetching) return
-    this.isFetching = true
-    try {
-      this.applyConfig(await fetch(), 'peer')
-    } catch {
-      // The peer is unreachable; other peers and control replicas have the version too.
-    }
-    this.isFetching = false
-  }
-
   /** Keeps one stream open: follows the control replicas in turn, beginning with index `start`. */
   private async keepFollowing (start: number): Promise<void> {
     let retryMs = minRetryMs
@@ -198,10 +195,15 @@
     this.firstStreamReported.resolve()
   }
 
+  private needs (version: number): boolean {
+    return version > Math.max(this.config.version, this.refusedVersion)
+  }
+
   private applyConfig (config: inner.ConfigVersion, source: string): void {
-    if (config.version <= this.config.version) return
+    if (!this.needs(config.version)) return
     const check = configDocument.checkDocument(JSON.parse(config.documentJson))
     if (!check.ok) {
+      this.refusedVersion = config.version
       this.decisions.record({ event: 'config-refused', choice: String(config.version), why: check.problems.join('; ') })
       return
     }
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -39,8 +39,8 @@
   readonly onChanged: event.Event<unknown>
   /** Waits for a limited time until the first configuration stream reports or fails; returns whether the configuration is confirmed. */
   waitForFirstStream(): Promise<boolean>
-  /** Handles the configuration version that a peer reports; `fetch` requests the configuration from that peer. */
-  handlePeerVersion(version: number, confirmed: boolean, ageMs: number, fetch: () => Promise<inner.ConfigVersion>): void
+  /** Handles the configuration version that a peer reports; `fetch` requests the configuration from that peer, whose address is `source`. */
+  handlePeerVersion(version: number, confirmed: boolean, ageMs: number, fetch: () => Promise<inner.ConfigVersion>, source: string): void
 }
 
 /** Tables that the mesh replicates between all processes. */
@@ -365,7 +365,7 @@
     for (const wire of update.renewals) endpoints.renew(fleetCodec.decodeRenewal(wire), wire.ageMs)
     for (const wire of update.suspects) suspects.merge(decodeSuspect(wire))
     configs.handlePeerVersion(update.configVersion, update.confirmed, update.confirmedAgeMs, async () =>
-      await link.call(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs))
+      await link.callBesideStream(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs), link.address)
   }
 }
 
--- /dev/null
+++ b/packages/fleet/src/test/configDelivery.test.ts
@@ -0,0 +1,158 @@
+/** Tests that a configuration version that peers have reaches an instance although some of them don't respond. */
+import * as tap from 'tap'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as clock from '@rosemaryrack/base/common/clock.js'
+import * as event from '@rosemaryrack/base/common/event.js'
+import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as pauseDetector from '@rosemaryrack/base/common/pauseDetector.js'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as endpointTable from '../common/endpointTable.js'
+import * as memberTable from '../common/memberTable.js'
+import * as suspectTable from '../common/suspectTable.js'
+import * as configFollower from '../node/configFollower.js'
+import * as peerMesh from '../node/peerMesh.js'
+
+const identity = { cluster: 'c', token: 'token-of-this-test', sourceHost: '127.0.0.1' }
+/** Less than the timeout of a fetch, and less than the time in which a version must be in force. */
+const deliveryLimitMs = 1500
+const heartbeatMs = 100
+/** Longer than the timeout of a fetch. */
+const hangMs = 4000
+
+class RecordingLog {
+  readonly decisions: decisionLog.Decision[] = []
+
+  record (decision: decisionLog.Decision): void {
+    this.decisions.push(decision)
+  }
+
+  count (name: string): number {
+    return this.decisions.filter(({ event: each }) => each === name).length
+  }
+
+  get log (): decisionLog.IDecisionLog {
+    return this as unknown as decisionLog.IDecisionLog
+  }
+}
+
+function configVersion (version: number, documentJson = '{"lanes":{}}'): inner.ConfigVersion {
+  return { version, documentJson } as unknown as inner.ConfigVersion
+}
+
+async function neverResponds (): Promise<inner.ConfigVersion> {
+  return await new Promise(() => {})
+}
+
+/** Waits for a version to be in force. */
+async function waitForVersion (follower: configFollower.ConfigFollower, version: number): Promise<boolean> {
+  if (follower.current.version === version) return true
+  const changed = new async.Deferred<void>()
+  const subscription = follower.onChanged((config) => { if (config.version === version) changed.resolve() })
+  const isInForce = await async.settlesWithin(changed.promise, deliveryLimitMs)
+  subscription.dispose()
+  return isInForce
+}
+
+tap.t.test('a peer that does not respond does not delay a version that another peer has', async (t) => {
+  const follower = new configFollower.ConfigFollower('entry', [], identity, new RecordingLog().log)
+  follower.handlePeerVersion(2, false, 0, neverResponds, 'hub-a')
+  follower.handlePeerVersion(2, false, 0, async () => configVersion(2), 'hub-b')
+  t.equal(await waitForVersion(follower, 2), true)
+  follower.dispose()
+})
+
+tap.t.test('after a failed fetch, the version is fetched from the next peer at once', async (t) => {
+  const log = new RecordingLog()
+  const follower = new configFollower.ConfigFollower('entry', [], identity, log.log)
+  follower.handlePeerVersion(2, false, 0, async () => { throw new Error('unreachable') }, 'hub-a')
+  follower.handlePeerVersion(2, false, 0, async () => configVersion(2), 'hub-b')
+  t.equal(await waitForVersion(follower, 2), true)
+  t.match(log.decisions, [{ event: 'config-fetch', choice: 'failed', subject: 'hub-a', why: 'unreachable' }, { event: 'config-in-force', choice: '2' }])
+  follower.dispose()
+})
+
+tap.t.test('a document that this build refuses is fetched and logged once, and does not prevent a later version', async (t) => {
+  const log = new RecordingLog()
+  const follower = new configFollower.ConfigFollower('entry', [], identity, log.log)
+  let fetchCount = 0
+  for (let i = 0; i < 5; i++) {
+    follower.handlePeerVersion(2, false, 0, async () => {
+      fetchCount++
+      return configVersion(2, '{"lanes":{},"fieldOfNewerBuild":1}')
+    }, 'hub-a')
+    await async.nextTurn()
+  }
+  t.same([fetchCount, log.count('config-refused')], [1, 1])
+  follower.handlePeerVersion(3, false, 0, async () => configVersion(3), 'hub-a')
+  t.equal(await waitForVersion(follower, 3), true)
+  follower.dispose()
+})
+
+/** A hub that reports a version but does not respond to fetches. */
+class HangingHub implements lifecycle.IDisposable {
+  readonly address = '127.118.0.1:17451'
+  subscriptionCount = 0
+  private readonly listener: innerListener.InnerListener
+
+  constructor () {
+    this.listener = new innerListener.InnerListener({ cluster: identity.cluster, token: identity.token }, (router) => {
+      router.service(inner.EntryPeer, {
+        subscribe: (_req, context) => this.sendHeartbeats(context.signal),
+        fetchConfig: async (_req, context) => {
+          await async.sleep(hangMs, context.signal)
+          return {}
+        }
+      })
+    })
+  }
+
+  async listen (): Promise<void> {
+    await this.listener.listen(this.address)
+  }
+
+  private async * sendHeartbeats (signal: AbortSignal): AsyncGenerator<{ readonly configVersion: number }> {
+    this.subscriptionCount++
+    while (!signal.aborted) {
+      yield { configVersion: 2 }
+      await async.sleep(heartbeatMs, signal)
+    }
+  }
+
+  dispose (): void {
+    this.listener.dispose()
+  }
+}
+
+tap.t.test('a fetch that times out does not close the stream of updates', async (t) => {
+  const disposables = new lifecycle.DisposableStore()
+  const hub = disposables.add(new HangingHub())
+  await hub.listen()
+  const time = new clock.SystemClock()
+  const timedOut = new async.Deferred<void>()
+  const configs = {
+    current: { version: 1, document: { lanes: {} } },
+    currentJson: '{}',
+    confirmedAgeMs: Infinity,
+    onChanged: new event.Emitter<unknown>().event,
+    waitForFirstStream: async () => false,
+    handlePeerVersion: (_version: number, _confirmed: boolean, _ageMs: number, fetch: () => Promise<inner.ConfigVersion>) => {
+      if (isFirst) fetch().catch(() => timedOut.resolve())
+      isFirst = false
+    }
+  }
+  let isFirst = true
+  const tables = {
+    members: disposables.add(new memberTable.MemberTable(time, 'entry')),
+    endpoints: disposables.add(new endpointTable.EndpointTable(time)),
+    suspects: disposables.add(new suspectTable.SuspectTable(time)),
+    configs
+  }
+  const self = { instance: 'entry', address: '127.0.0.1:1', failureDomain: 'a', incarnation: 1, role: 'spoke' } as const
+  disposables.add(new peerMesh.PeerMesh(self, [hub.address], identity, tables, disposables.add(new pauseDetector.PauseDetector()), new RecordingLog().log)).start()
+  await timedOut.promise
+  await async.sleep(5 * heartbeatMs)
+  t.equal(hub.subscriptionCount, 1)
+  disposables.dispose()
+})
--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -19,7 +19,7 @@
 const pingTimeoutMs = 1500
 const idleConnectionTimeoutMs = 600_000
 
-/** Calls one service of a peer; a call that times out also closes the connection. */
+/** Calls one service of a peer. */
 export class PeerLink<S extends protobuf.DescService> implements lifecycle.IDisposable {
   readonly client: connect.Client<S>
   private readonly sessions: peerSessionManager.PeerSessionManager
@@ -39,12 +39,21 @@
     this.client = connect.createClient(service, transport)
   }
 
-  /** Runs a unary call; throws the peer's fault, or `unreachable`. */
+  /** Runs a unary call; throws the peer's fault, or `unreachable`. A timeout also closes the connection. */
   async call<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number): Promise<T> {
+    return await this.runCall(run, timeoutMs, () => this.reset())
+  }
+
+  /** Runs a unary call whose timeout leaves the connection open, for a connection with a stream that notices an unresponsive peer. */
+  async callBesideStream<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number): Promise<T> {
+    return await this.runCall(run, timeoutMs, () => {})
+  }
+
+  private async runCall<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number, onTimeout: () => void): Promise<T> {
     try {
       return await run(this.client, { timeoutMs })
     } catch (err) {
-      if (isTimeout(err)) this.reset()
+      if (isTimeout(err)) onTimeout()
       throw new errors.RackError(rpcErrors.fromConnectError(err))
     }
   }
