Entry: requests before the first configuration get 503, not 404

Cause: once a quorum had confirmed that there is no configuration yet, a request found no lane and was refused with 404, which tells its caller not to come back.

Change: until the first configuration the request is refused as not run, 503 with Retry-After. After it, 404 as before.

Evidence: callerListener.test: the new case got 404 before, 503 now; the other tests of packages/entry pass.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -105,6 +105,7 @@
   private async handle (): Promise<void> {
     await this.waitForConfig()
     if (this.isAnswered) return
+    if (!this.deps.lanes.hasConfig) throw noConfigError('there is no configuration yet')
     const requestTarget = this.req.url ?? ''
     // The peer has checked a forwarded request, before it added headers.
     if (this.origin.forwarded === undefined) requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
@@ -141,7 +142,7 @@
     if (deps.startup.isOver) return
     const { callerDeadlineAt } = this.origin
     if (await deps.startup.waitForConfig(callerDeadlineAt === undefined ? undefined : callerDeadlineAt - performance.now())) return
-    throw new errors.RackError({ kind: 'not-run', message: 'no configuration has been confirmed yet', retryAfterS: notReadyRetryAfterS })
+    throw noConfigError('no configuration has been confirmed yet')
   }
 
   private findLane (path: string): laneRegistry.MatchedLane {
@@ -366,3 +367,7 @@
     metrics.recordLatency('rosemaryrack_latency_seconds', { lane: this.laneName }, performance.now() - this.origin.arrivedAt)
   }
 }
+
+function noConfigError (message: string): errors.RackError {
+  return new errors.RackError({ kind: 'not-run', message, retryAfterS: notReadyRetryAfterS })
+}
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -97,6 +97,11 @@
     return this.configs.current.document.callerLimits?.maxHeaderBytes
   }
 
+  /** False until the first configuration has been received. */
+  get hasConfig (): boolean {
+    return this.configs.current.version > 0
+  }
+
   /** Names of the lanes of the current configuration. */
   get names (): readonly string[] {
     return Object.keys(this.lanes)
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -47,6 +47,12 @@
     this.emitter.fire(this.current)
   }
 
+  /** Returns to the state before the first configuration. */
+  removeAll (): void {
+    this.current = configDocument.emptyConfig
+    this.emitter.fire(this.current)
+  }
+
   async claim (_keyHash: string, owner: string): Promise<boolean> {
     this.claimOwners.push(owner)
     return await this.granted.promise
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -26,6 +26,18 @@
   t.same(waiting.statuses, ['503'])
 })
 
+tap.t.test('requests before the first configuration are refused as not run, and those without a lane after it as not found', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({ match: { pathPrefix: '/flags' } }, answer).start()
+  fixture.config.removeAll()
+  const early = fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => early.statuses.length > 0))
+  t.match(early.received, /^HTTP\/1\.1 503 [^]*\r\nRetry-After: /i)
+  fixture.config.replaceLanes({})
+  const late = fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => late.statuses.length > 0))
+  t.same([late.statuses, fixture.targetRequests], [['404'], 0])
+})
+
 tap.t.test('pipelined requests are no longer counted once their caller has left, so that a stop can end', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, () => {}).start()
   const caller = fixture.send(request + request)
