Fleet, control: log why the configuration does not reach an instance

Cause: ended streams, failed confirmations and refused join calls left no log line. Refused admissions and removals were logged at each repetition, up to three times a second. An update from a peer that could not be applied as a whole ended its stream without a line, and its configuration version was not looked at; the stream was opened again at once, with the same result. Flags of the endpoint store and of removals stayed set if something threw.

The configuration version of an update is handled whatever becomes of the rest. Flags are reset in finally.

For the flags no statement was found that throws today; they are not tested.

--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -3,6 +3,7 @@
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
 import type * as replica from './replica.js'
 
 const confirmIntervalMs = 1000
@@ -13,11 +14,13 @@
 const unconfirmedIntervalMs = 100
 /** Shortest time between two updates on a stream if neither the version nor the confirmation has changed. */
 const minUpdateIntervalMs = 500
+const roundSubject = 'quorum'
 
 /** Streams each new version, and every second whether a quorum has confirmed the newest one. */
 export class ConfigFeed implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly changed = new async.Signal()
+  private readonly rounds: failureLog.FailureLog
   private confirmedVersion = 0
   private confirmed = false
   private confirmedAt = -Infinity
@@ -32,6 +35,7 @@
 
   /** @param confirmReadIndex resolves with the index that must be applied before a linearizable read. */
   constructor (private readonly replica: replica.Replica, private readonly confirmReadIndex: () => Promise<number>) {
+    this.rounds = new failureLog.FailureLog(replica.decisions, 'config-confirmation')
     this.disposables.add(replica.onApplied(() => {
       this.changed.notify()
       this.confirmIfDue()
@@ -142,13 +146,16 @@
       this.confirmed = true
       this.confirmedAt = startedAt
       this.firstConfirmation.resolve()
-    } catch {
-      // Without a quorum the streams send `confirmed: false`, and their instances switch to other replicas.
+      this.rounds.noteSuccess(roundSubject)
+    } catch (err) {
+      // The streams send `confirmed: false`, and their instances switch to other replicas.
       this.confirmed = false
+      this.rounds.noteFailure(roundSubject, err)
+    } finally {
+      this.confirmationInProgress = undefined
+      this.scheduleConfirm()
+      this.changed.notify()
     }
-    this.confirmationInProgress = undefined
-    this.scheduleConfirm()
-    this.changed.notify()
   }
 }
 
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -62,6 +62,8 @@
 export class ControlService {
   private readonly patchSequencer = new async.Sequencer()
   private readonly forwardedReads: failureLog.FailureLog
+  private readonly admissions: failureLog.FailureLog
+  private readonly removals: failureLog.FailureLog
   private isRemoving = false
 
   constructor (
@@ -70,6 +72,8 @@
     private readonly decisions: decisionLog.IDecisionLog
   ) {
     this.forwardedReads = new failureLog.FailureLog(decisions, 'forwarded-read')
+    this.admissions = new failureLog.FailureLog(decisions, 'control-join')
+    this.removals = new failureLog.FailureLog(decisions, 'control-removal')
   }
 
   private get refusals (): refusalCounter.RefusalCounter {
@@ -276,10 +280,12 @@
     this.isRemoving = true
     try {
       await ownLeadership.remove(unreachable, 'unreachable, and a new voter replaces it')
+      this.removals.noteSuccess(unreachable)
     } catch (err) {
-      this.decisions.record({ event: 'control-membership', choice: 'not changed', replica: unreachable, why: errors.messageOf(err) })
+      this.removals.noteFailure(unreachable, err)
+    } finally {
+      this.isRemoving = false
     }
-    this.isRemoving = false
   }
 
   /** Starts the admission of a replica to the group if this one is the leader, else returns the leader's address. */
@@ -288,9 +294,10 @@
     if (ownLeadership === undefined) {
       return protobuf.create(inner.JoinResSchema, { accepted: false, leaderAddress: this.replica.leaderReplica?.address ?? '' })
     }
-    ownLeadership.admit(joining, this.options.maxReplicas).catch((err: unknown) => {
-      this.decisions.record({ event: 'control-join', choice: 'refused', replica: joining.id, why: errors.messageOf(err) })
-    })
+    ownLeadership.admit(joining, this.options.maxReplicas).then(() => {
+      // A call for a replica that is being admitted already has no effect.
+      if (quorum.isVoter(this.replica.log.membership, joining.id)) this.admissions.noteSuccess(joining.id)
+    }, (err: unknown) => this.admissions.noteFailure(joining.id, err))
     return protobuf.create(inner.JoinResSchema, { accepted: true, leaderAddress: joining.address })
   }
 
--- a/packages/control/src/node/endpointStore.ts
+++ b/packages/control/src/node/endpointStore.ts
@@ -78,8 +78,9 @@
     } catch (err) {
       // The next change writes all endpoints again.
       this.decisions.record({ event: 'endpoints-not-saved', choice: String(ready.length), why: errors.messageOf(err) })
+    } finally {
+      this.isWriting = false
     }
-    this.isWriting = false
     if (this.hasChangedSince(ready)) this.scheduleWrite()
   }
 
--- a/packages/control/src/node/joiner.ts
+++ b/packages/control/src/node/joiner.ts
@@ -3,6 +3,7 @@
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
 import type * as replica from './replica.js'
 
 const joinIntervalMs = 300
@@ -15,9 +16,12 @@
   private readonly stopped = new AbortController()
   /** Addresses of leaders that other replicas returned. */
   private readonly leaderAddresses = new Set<string>()
+  private readonly calls: failureLog.FailureLog
 
   /** @param rejoinsAfterRemoval whether a voter that was removed while it was down asks to be admitted again. */
-  constructor (private readonly replica: replica.Replica, private readonly groupAddresses: readonly string[], private readonly rejoinsAfterRemoval: boolean) {}
+  constructor (private readonly replica: replica.Replica, private readonly groupAddresses: readonly string[], private readonly rejoinsAfterRemoval: boolean) {
+    this.calls = new failureLog.FailureLog(replica.decisions, 'join-call')
+  }
 
   /** Runs until this replica needs no admission or, if it rejoins after a removal, until it is disposed. */
   async run (): Promise<void> {
@@ -58,8 +62,10 @@
     try {
       const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.join(req, options), joinTimeoutMs)
       if (!res.accepted && res.leaderAddress !== '') this.leaderAddresses.add(res.leaderAddress)
-    } catch {
-      // The call failed: it is repeated in the next round.
+      this.calls.noteSuccess(address)
+    } catch (err) {
+      // The next round repeats the call.
+      this.calls.noteFailure(address, err)
     }
   }
 }
--- a/packages/control/src/test/configFeed.test.ts
+++ b/packages/control/src/test/configFeed.test.ts
@@ -3,18 +3,21 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as configFeed from '../node/configFeed.js'
 import type * as replica from '../node/replica.js'
 
 /** A feed whose confirmation rounds end when the test resolves or rejects their reads. */
 class FeedFixture {
   readonly reads: Array<async.Deferred<number>> = []
+  readonly decisions: decisionLog.Decision[] = []
   readonly feed: configFeed.ConfigFeed
 
   constructor () {
     const source = {
       onApplied: new event.Emitter<number>().event,
       waitUntilApplied: async () => {},
+      decisions: { record: (decision: decisionLog.Decision) => this.decisions.push(decision) },
       state: { config: { version: 7 }, configJson: '{}' }
     }
     this.feed = new configFeed.ConfigFeed(source as unknown as replica.Replica, async () => {
@@ -60,6 +63,26 @@
   fixture.feed.dispose()
 })
 
+tap.t.test('the first round that no quorum confirms is logged with its reason, and the first confirmation after it', async (t) => {
+  const fixture = new FeedFixture()
+  const stop = new AbortController()
+  const stream = fixture.follow(stop)
+  stream.next()
+  for (let round = 0; round < 3; round++) {
+    while (fixture.reads.length === round) await async.sleep(2)
+    if (round < 2) fixture.reads[round]!.reject(new Error('no leader is known'))
+    else fixture.reads[round]!.resolve(1)
+  }
+  await async.sleep(2)
+  t.match(fixture.decisions, [
+    { event: 'config-confirmation', choice: 'failed', why: 'no leader is known' },
+    { event: 'config-confirmation', choice: 'recovered', failures: 2 }
+  ])
+  t.equal(fixture.decisions.length, 2)
+  stop.abort()
+  fixture.feed.dispose()
+})
+
 const openingStreamCount = 40
 /** Updates on a stream in the time that the test takes: the first one, and one when a quorum confirms or no longer does. */
 const maxUpdatesPerStream = 2
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -50,6 +50,7 @@
   private readonly firstConfirmation = new async.Deferred<void>()
   private readonly firstStreamReported = new async.Deferred<void>()
   private readonly peerFetch: peerConfigFetch.PeerConfigFetch
+  private readonly streams: failureLog.FailureLog
   /** The newest version with a document that this build refuses. */
   private refusedVersion = 0
   private preferredIndex = 0
@@ -60,6 +61,7 @@
     identity: innerListener.LinkIdentity,
     private readonly decisions: decisionLog.IDecisionLog
   ) {
+    this.streams = new failureLog.FailureLog(decisions, 'config-stream')
     this.peerFetch = new peerConfigFetch.PeerConfigFetch({
       needs: (version) => this.needs(version),
       accept: (config, source) => this.applyConfig(config, source)
@@ -157,18 +159,16 @@
     for (let linkIndex = start; !this.stopped.signal.aborted; linkIndex++) {
       const link = this.links[linkIndex % this.links.length]!
       const confirmedBefore = this.confirmedAt
-      try {
-        await this.followOnce(link)
-      } catch {
-        // Unreachable, timed out or without a quorum: tries the next replica.
-      }
+      const why = await this.followOnce(link)
+      if (!this.stopped.signal.aborted) this.streams.noteFailure(link.address, why)
       this.firstStreamReported.resolve()
       retryMs = this.confirmedAt > confirmedBefore ? minRetryMs : Math.min(maxRetryMs, retryMs * 2)
       await async.sleep(retryMs, this.stopped.signal)
     }
   }
 
-  private async followOnce (link: ControlLink): Promise<void> {
+  /** Follows one replica until the stream ends or a quorum doesn't confirm it for too long; returns the reason. */
+  private async followOnce (link: ControlLink): Promise<unknown> {
     const watchdog = new streamWatchdog.StreamWatchdog(this.stopped.signal, () => link.reset())
     // Until the first confirmation, the time is counted from the start of the stream.
     let lastConfirmedAt = performance.now()
@@ -179,11 +179,15 @@
         if (res.config !== undefined) this.applyConfig(res.config, link.address)
         if (res.confirmed) {
           lastConfirmedAt = performance.now()
+          this.streams.noteSuccess(link.address)
           if (this.config.version >= res.confirmedVersion) this.confirm(lastConfirmedAt)
         }
         this.firstStreamReported.resolve()
-        if (performance.now() - lastConfirmedAt > maxUnconfirmedMs) return
+        if (performance.now() - lastConfirmedAt > maxUnconfirmedMs) return `no confirmation by a quorum for ${maxUnconfirmedMs} ms`
       }
+      return 'the replica ended the stream'
+    } catch (err) {
+      return watchdog.timeoutMessage ?? err
     } finally {
       watchdog.dispose()
     }
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -10,6 +10,7 @@
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
 import type * as announcement from '../common/announcement.js'
 import type * as endpointLimit from '../common/endpointLimit.js'
 import * as endpointTable from '../common/endpointTable.js'
@@ -85,6 +86,8 @@
   private readonly outboxes = new Set<peerOutbox.PeerOutbox>()
   private readonly subscriptions = new Map<string, AbortController>()
   private readonly watchdogs = new Set<streamWatchdog.StreamWatchdog>()
+  private readonly streams: failureLog.FailureLog
+  private readonly updates: failureLog.FailureLog
   private hasStarted = false
   private forwarding: ForwardingState = { forwardAddress: undefined, cutOff: false }
 
@@ -97,6 +100,8 @@
     private readonly decisions: decisionLog.IDecisionLog
   ) {
     const { members, endpoints, suspects, configs } = tables
+    this.streams = new failureLog.FailureLog(decisions, 'peer-stream')
+    this.updates = new failureLog.FailureLog(decisions, 'peer-update')
     // A spoke receives its endpoints from the hubs, so it has no changes to send to them.
     if (self.role !== 'spoke') this.disposables.add(endpoints.onChanged((endpoint) => this.addToOutboxes(endpoint)))
     if (self.role === 'hub') this.disposables.add(configs.onChanged(() => this.forEachOutbox((outbox) => outbox.scheduleImmediately())))
@@ -326,11 +331,15 @@
           break
         }
         watchdog.noteActivity()
+        this.streams.noteSuccess(link.address)
         updateCount++
         this.applyUpdate(update, link)
       }
-    } catch {
-      // The stream was closed or timed out; `keepSubscribed` retries.
+      // An own end is no failure of the peer.
+      if (!watchdog.signal.aborted && !this.pauses.mayInputBeStale()) this.streams.noteFailure(link.address, 'the peer ended the stream')
+    } catch (err) {
+      const isOwnEnd = watchdog.signal.aborted && watchdog.timeoutMessage === undefined
+      if (!isOwnEnd) this.streams.noteFailure(link.address, watchdog.timeoutMessage ?? err)
     } finally {
       watchdog.dispose()
       this.watchdogs.delete(watchdog)
@@ -354,7 +363,19 @@
   }
 
   private applyUpdate (update: inner.PeerUpdate, link: MeshLink): void {
-    const { members, endpoints, suspects, configs } = this.tables
+    try {
+      this.applyTables(update)
+      this.updates.noteSuccess(link.address)
+    } catch (err) {
+      // The rest of the update is lost, but the stream and the configuration go on.
+      this.updates.noteFailure(link.address, err)
+    }
+    this.tables.configs.handlePeerVersion(update.configVersion, update.confirmed, update.confirmedAgeMs, async () =>
+      await link.callBesideStream(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs), link.address)
+  }
+
+  private applyTables (update: inner.PeerUpdate): void {
+    const { members, endpoints, suspects } = this.tables
     if (update.self !== undefined) members.apply(fleetCodec.decodeMember(update.self), 0)
     if (update.forwardingPeers !== undefined && update.self !== undefined) {
       this.tables.forwardingPeers?.applyList(update.self.instance, fleetCodec.decodeForwardingPeers(update.forwardingPeers))
@@ -364,8 +385,6 @@
     for (const wire of update.announcements) this.applyAnnouncement(wire)
     for (const wire of update.renewals) endpoints.renew(fleetCodec.decodeRenewal(wire), wire.ageMs)
     for (const wire of update.suspects) suspects.merge(decodeSuspect(wire))
-    configs.handlePeerVersion(update.configVersion, update.confirmed, update.confirmedAgeMs, async () =>
-      await link.callBesideStream(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs), link.address)
   }
 }
 
--- a/packages/fleet/src/node/streamWatchdog.ts
+++ b/packages/fleet/src/node/streamWatchdog.ts
@@ -10,6 +10,7 @@
   private cancelCheck: () => void
   private readonly onParentAbort = (): void => this.controller.abort()
   private lastActivityAt: number
+  private isSilent = false
 
   /** @param onTimeout called once when the stream times out. */
   constructor (private readonly parent: AbortSignal, private readonly onTimeout: () => void, private readonly time: clock.IClock = new clock.SystemClock()) {
@@ -22,6 +23,11 @@
     return this.controller.signal
   }
 
+  /** Message of the timeout; undefined while the stream has not timed out. */
+  get timeoutMessage (): string | undefined {
+    return this.isSilent ? `no message for ${silenceTimeoutMs} ms` : undefined
+  }
+
   noteActivity (): void {
     this.lastActivityAt = this.time.now()
   }
@@ -43,6 +49,7 @@
       this.cancelCheck = this.time.after(remainingMs, () => this.check())
       return
     }
+    this.isSilent = true
     this.controller.abort()
     this.onTimeout()
     this.dispose()
--- a/packages/fleet/src/test/configDelivery.test.ts
+++ b/packages/fleet/src/test/configDelivery.test.ts
@@ -18,6 +18,7 @@
 /** Less than the timeout of a fetch, and less than the time in which a version must be in force. */
 const deliveryLimitMs = 1500
 const heartbeatMs = 100
+const endedStreamCount = 3
 /** Longer than the timeout of a fetch. */
 const hangMs = 4000
 
@@ -90,6 +91,29 @@
   follower.dispose()
 })
 
+tap.t.test('a stream of the configuration that ends is logged once, and its recovery', async (t) => {
+  const address = '127.118.0.2:17452'
+  const log = new RecordingLog()
+  let streamCount = 0
+  const replica = new innerListener.InnerListener({ cluster: identity.cluster, token: identity.token }, (router) => {
+    router.service(inner.ControlReplica, {
+      follow: async function * () {
+        if (++streamCount > endedStreamCount) yield { confirmed: true }
+      }
+    })
+  })
+  await replica.listen(address)
+  const follower = new configFollower.ConfigFollower('entry', [{ address }], identity, log.log)
+  follower.start()
+  t.equal(await follower.waitForConfirmation(hangMs), true)
+  t.match(log.decisions, [
+    { event: 'config-stream', choice: 'failed', subject: address, why: 'the replica ended the stream' },
+    { event: 'config-stream', choice: 'recovered', failures: endedStreamCount }
+  ])
+  follower.dispose()
+  replica.dispose()
+})
+
 /** A hub that reports a version but does not respond to fetches. */
 class HangingHub implements lifecycle.IDisposable {
   readonly address = '127.118.0.1:17451'
@@ -112,10 +136,10 @@
     await this.listener.listen(this.address)
   }
 
-  private async * sendHeartbeats (signal: AbortSignal): AsyncGenerator<{ readonly configVersion: number }> {
+  private async * sendHeartbeats (signal: AbortSignal): AsyncGenerator<{ readonly configVersion: number, readonly self: { readonly instance: string, readonly address: string, readonly hub: boolean } }> {
     this.subscriptionCount++
     while (!signal.aborted) {
-      yield { configVersion: 2 }
+      yield { configVersion: 2, self: { instance: 'hub', address: this.address, hub: true } }
       await async.sleep(heartbeatMs, signal)
     }
   }
@@ -125,34 +149,69 @@
   }
 }
 
+/** A spoke of the hub, whose configuration versions the test receives. */
+class Spoke implements lifecycle.IDisposable {
+  private readonly disposables = new lifecycle.DisposableStore()
+  private readonly time = new clock.SystemClock()
+  readonly log = new RecordingLog()
+  readonly members = this.disposables.add(new memberTable.MemberTable(this.time, 'entry'))
+  private readonly mesh: peerMesh.PeerMesh
+
+  constructor (hub: HangingHub, handleVersion: (fetch: () => Promise<inner.ConfigVersion>) => void) {
+    const configs = {
+      current: { version: 1, document: { lanes: {} } },
+      currentJson: '{}',
+      confirmedAgeMs: Infinity,
+      onChanged: new event.Emitter<unknown>().event,
+      waitForFirstStream: async () => false,
+      handlePeerVersion: (_version: number, _confirmed: boolean, _ageMs: number, fetch: () => Promise<inner.ConfigVersion>) => handleVersion(fetch)
+    }
+    const tables = {
+      members: this.members,
+      endpoints: this.disposables.add(new endpointTable.EndpointTable(this.time)),
+      suspects: this.disposables.add(new suspectTable.SuspectTable(this.time)),
+      configs
+    }
+    const self = { instance: 'entry', address: '127.0.0.1:1', failureDomain: 'a', incarnation: 1, role: 'spoke' } as const
+    this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [hub.address], identity, tables, this.disposables.add(new pauseDetector.PauseDetector()), this.log.log))
+  }
+
+  start (): void {
+    this.mesh.start()
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+  }
+}
+
 tap.t.test('a fetch that times out does not close the stream of updates', async (t) => {
-  const disposables = new lifecycle.DisposableStore()
-  const hub = disposables.add(new HangingHub())
+  const hub = new HangingHub()
   await hub.listen()
-  const time = new clock.SystemClock()
   const timedOut = new async.Deferred<void>()
-  const configs = {
-    current: { version: 1, document: { lanes: {} } },
-    currentJson: '{}',
-    confirmedAgeMs: Infinity,
-    onChanged: new event.Emitter<unknown>().event,
-    waitForFirstStream: async () => false,
-    handlePeerVersion: (_version: number, _confirmed: boolean, _ageMs: number, fetch: () => Promise<inner.ConfigVersion>) => {
-      if (isFirst) fetch().catch(() => timedOut.resolve())
-      isFirst = false
-    }
-  }
   let isFirst = true
-  const tables = {
-    members: disposables.add(new memberTable.MemberTable(time, 'entry')),
-    endpoints: disposables.add(new endpointTable.EndpointTable(time)),
-    suspects: disposables.add(new suspectTable.SuspectTable(time)),
-    configs
-  }
-  const self = { instance: 'entry', address: '127.0.0.1:1', failureDomain: 'a', incarnation: 1, role: 'spoke' } as const
-  disposables.add(new peerMesh.PeerMesh(self, [hub.address], identity, tables, disposables.add(new pauseDetector.PauseDetector()), new RecordingLog().log)).start()
+  const spoke = new Spoke(hub, (fetch) => {
+    if (isFirst) fetch().catch(() => timedOut.resolve())
+    isFirst = false
+  })
+  spoke.start()
   await timedOut.promise
   await async.sleep(5 * heartbeatMs)
   t.equal(hub.subscriptionCount, 1)
-  disposables.dispose()
+  spoke.dispose()
+  hub.dispose()
+})
+
+tap.t.test('an update that can\'t be applied as a whole still reports the configuration version, and is logged once', async (t) => {
+  const hub = new HangingHub()
+  await hub.listen()
+  const reported = new async.Deferred<void>()
+  let reportCount = 0
+  const spoke = new Spoke(hub, () => { if (++reportCount === 3) reported.resolve() })
+  spoke.members.apply = () => { throw new Error('unknown kind of member') }
+  spoke.start()
+  t.equal(await async.settlesWithin(reported.promise, deliveryLimitMs), true)
+  t.same([hub.subscriptionCount, spoke.log.count('peer-update')], [1, 1])
+  spoke.dispose()
+  hub.dispose()
 })
