Control: many versions that are applied at once block the replica no longer

Cause: each put was parsed and checked against the schema when it was applied, all in one turn of the event loop.

Change: among the entries that are applied together, only the put that lasts is read: the one with the highest version before the first patch. If it can't be read, each put is applied as before.

--- a/packages/control/src/common/replicatedState.ts
+++ b/packages/control/src/common/replicatedState.ts
@@ -35,6 +35,10 @@
   private currentConfig: configDocument.VersionedConfig = configDocument.emptyConfig
   private documentJson = JSON.stringify(configDocument.emptyConfig.document)
   private sourceText = ''
+  /** The document of the last put that `canRead` has read. */
+  private lastRead: { readonly put: inner.PutConfig, readonly document: configDocument.ConfigDocument } | undefined
+  /** Highest version that was held until the put that is applied next replaced it. */
+  private skippedVersion = 0
   private readonly departures = new Map<string, inner.DepartureRecord>()
   private readonly departedEmitter = new event.Emitter<inner.Announcement>()
   /** Fires for each endpoint that drains or has left, also when a snapshot is restored. */
@@ -78,17 +82,31 @@
     }))
   }
 
-  /** Applies an entry and evicts old records. */
-  apply (entry: logEntry.LogEntry): ApplyResult {
-    const result = this.applyCommand(entry)
+  /**
+   * Applies an entry and evicts old records.
+   * @param isReplaced whether a put that is applied next, and that `canRead`, replaces the document; it is not read then.
+   */
+  apply (entry: logEntry.LogEntry, isReplaced = false): ApplyResult {
+    const result = this.applyCommand(entry, isReplaced)
     this.evictBefore(entry.index - this.retainedCount)
     return result
   }
 
-  private applyCommand (entry: logEntry.LogEntry): ApplyResult {
+  /** Returns whether this build can read the document of a put, and keeps the document for `apply`. */
+  canRead (put: inner.PutConfig): boolean {
+    try {
+      this.lastRead = { put, document: parseDocument(put.documentJson, `put of version ${put.version}`) }
+      return true
+    } catch {
+      // `apply` throws the same error when it comes to this put.
+      return false
+    }
+  }
+
+  private applyCommand (entry: logEntry.LogEntry, isReplaced: boolean): ApplyResult {
     switch (entry.command.case) {
       case 'patch': return { kind: 'patch', outcome: this.applyPatch(entry.command.value, entry.index) }
-      case 'put': return { kind: 'put', heldVersion: this.applyPut(entry.command.value) }
+      case 'put': return { kind: 'put', heldVersion: this.applyPut(entry.command.value, isReplaced) }
       case 'departures': return this.applyDepartures(entry.command.value, entry.index)
       case 'claims': return { kind: 'claims', granted: this.applyClaims(entry.command.value, entry.index) }
       case 'releases': return this.applyReleases(entry.command.value)
@@ -112,11 +130,21 @@
     return { kind: 'accepted', version: this.currentConfig.version }
   }
 
-  private applyPut (put: inner.PutConfig): number {
-    if (put.version > this.currentConfig.version) this.setConfig(put.version, parseDocument(put.documentJson, `put of version ${put.version}`), put.source)
+  private applyPut (put: inner.PutConfig, isReplaced: boolean): number {
+    if (isReplaced) return this.skipPut(put)
+    this.skippedVersion = 0
+    if (put.version <= this.currentConfig.version) return this.currentConfig.version
+    const document = this.lastRead?.put === put ? this.lastRead.document : parseDocument(put.documentJson, `put of version ${put.version}`)
+    this.lastRead = undefined
+    this.setConfig(put.version, document, put.source)
     return this.currentConfig.version
   }
 
+  private skipPut (put: inner.PutConfig): number {
+    this.skippedVersion = Math.max(this.skippedVersion, put.version, this.currentConfig.version)
+    return this.skippedVersion
+  }
+
   private applyDepartures (command: inner.Departures, index: number): ApplyResult {
     for (const announcement of command.announcements) {
       this.recordDeparture(protobuf.create(inner.DepartureRecordSchema, { announcement, logIndex: BigInt(index) }))
--- a/packages/control/src/node/logApplier.ts
+++ b/packages/control/src/node/logApplier.ts
@@ -6,6 +6,7 @@
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as logEntry from '../common/logEntry.js'
+import * as lastingPut from '../common/lastingPut.js'
 import * as replicatedState from '../common/replicatedState.js'
 import type * as replicaLog from './replicaLog.js'
 
@@ -39,10 +40,14 @@
     this.appliedEmitter.dispose()
   }
 
-  /** Applies the entries up to a committed index, as far as this build can. */
+  /**
+   * Applies the entries up to a committed index, as far as this build can. Of several documents only the one that lasts is read, so
+   * that a replica that applies many versions at once still responds in time.
+   */
   applyUpTo (index: number, onResult: ResultHandler): void {
+    const readFrom = this.firstIndexToRead(index)
     let hasApplied = true
-    while (hasApplied && this.index < index) hasApplied = this.applyNext(onResult)
+    while (hasApplied && this.index < index) hasApplied = this.applyNext(onResult, readFrom)
     this.notify()
   }
 
@@ -75,13 +80,28 @@
     return true
   }
 
+  /** Returns the index of the put that replaces all documents before it; 0 if there is none. */
+  private firstIndexToRead (index: number): number {
+    if (index <= this.index + 1 || !this.canApply) return 0
+    const lasting = lastingPut.findLastingPut(this.entriesUpTo(index), this.state.config.version)
+    return lasting !== undefined && this.state.canRead(lasting.put) ? lasting.index : 0
+  }
+
+  private * entriesUpTo (index: number): Generator<logEntry.LogEntry> {
+    for (let next = this.index + 1; next <= index; next++) {
+      const entry = this.log.entryAt(next)
+      if (entry === undefined) return
+      yield entry
+    }
+  }
+
   /** Applies the next entry; returns false if the log doesn't hold it or this build can't apply it. */
-  private applyNext (onResult: ResultHandler): boolean {
+  private applyNext (onResult: ResultHandler, readFrom: number): boolean {
     const entry = this.log.entryAt(this.index + 1)
     if (entry === undefined || entry.index === this.inapplicableIndex) return false
     let result: replicatedState.ApplyResult
     try {
-      result = this.state.apply(entry)
+      result = this.state.apply(entry, entry.index < readFrom)
     } catch (err) {
       this.recordFailure(entry.index, err)
       return false
