Configuration versions: 64 bits in the inner protocol

What operators saw: a valid change with a version beyond 32 bits (the time in milliseconds, for example) was never acknowledged, and ended each leader that it reached. Cause: the platform's codec takes any safe integer as a version, but the inner protocol had uint32 fields, so that encoding the log entry threw in a task that nobody awaits. Why it works: the fields are uint64, which reads what was stored as uint32. Versions are converted in configVersion.ts only; what a number cannot represent is refused with 400 or 422 before it reaches the log, also a patch of the highest version. The headers between instances and If-Match take versions of that length too. Builds beside each other: an earlier build keeps the lower 32 bits. A follower doesn't acknowledge a change whose version an earlier leader has cut. Versions within 32 bits have the same encoding in both builds.

--- a/packages/control/src/common/lastingPut.ts
+++ b/packages/control/src/common/lastingPut.ts
@@ -1,10 +1,12 @@
 /** Finds out which of several documents need not be read, because a later one replaces them. */
 import type * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import type * as logEntry from './logEntry.js'
 
 /** A put whose document replaces those of all puts before it. */
 export interface LastingPut {
   readonly index: number
+  readonly version: number
   readonly put: inner.PutConfig
 }
 
@@ -17,8 +19,10 @@
   let newerCount = 0
   for (const { index, command } of entries) {
     if (command.case === 'patch') break
-    if (command.case !== 'put' || command.value.version <= (lasting?.put.version ?? currentVersion)) continue
-    lasting = { index, put: command.value }
+    if (command.case !== 'put') continue
+    const version = configVersion.decode(command.value.version)
+    if (version <= (lasting?.version ?? currentVersion)) continue
+    lasting = { index, version, put: command.value }
     newerCount++
   }
   return newerCount > 1 ? lasting : undefined
--- a/packages/control/src/common/replicatedState.ts
+++ b/packages/control/src/common/replicatedState.ts
@@ -1,5 +1,6 @@
 /** The state machine of the replicated log: configuration, patch ids, claims of idempotency keys, departures of endpoints. */
 import * as protobuf from '@bufbuild/protobuf'
+import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
@@ -69,14 +70,14 @@
   /** Returns the outcome of a patch id that was already accepted; undefined when the id is unknown or evicted. */
   findPatchOutcome (patchId: string): PatchOutcome | undefined {
     const record = this.patches.get(patchId)
-    return record === undefined ? undefined : { kind: 'accepted', version: record.version }
+    return record === undefined ? undefined : { kind: 'accepted', version: configVersion.decode(record.version) }
   }
 
   /** Returns the accepted patches that are not evicted yet, oldest first. */
   history (): readonly PatchHistoryItem[] {
     return [...this.patches.values()].map((record) => ({
       patchId: record.patchId,
-      version: record.version,
+      version: configVersion.decode(record.version),
       operator: record.operator,
       mergePatch: JSON.parse(record.mergePatchJson) as unknown
     }))
@@ -117,12 +118,12 @@
   private applyPatch (patch: inner.PatchConfig, index: number): PatchOutcome {
     const earlierOutcome = this.findPatchOutcome(patch.patchId)
     if (earlierOutcome !== undefined) return earlierOutcome
-    if (patch.amends !== this.currentConfig.version) return { kind: 'conflict', currentVersion: this.currentConfig.version }
+    if (configVersion.decode(patch.amends) !== this.currentConfig.version) return { kind: 'conflict', currentVersion: this.currentConfig.version }
     const document = configPatch.applyPatch(this.currentConfig.document, patch.mergePatchJson)
     this.setConfig(this.currentConfig.version + 1, document, '')
     this.patches.set(patch.patchId, protobuf.create(inner.PatchRecordSchema, {
       patchId: patch.patchId,
-      version: this.currentConfig.version,
+      version: configVersion.encode(this.currentConfig.version),
       logIndex: BigInt(index),
       operator: patch.operator,
       mergePatchJson: patch.mergePatchJson
@@ -133,15 +134,16 @@
   private applyPut (put: inner.PutConfig, isReplaced: boolean): number {
     if (isReplaced) return this.skipPut(put)
     this.skippedVersion = 0
-    if (put.version <= this.currentConfig.version) return this.currentConfig.version
-    const document = this.lastRead?.put === put ? this.lastRead.document : parseDocument(put.documentJson, `put of version ${put.version}`)
+    const version = configVersion.decode(put.version)
+    if (version <= this.currentConfig.version) return this.currentConfig.version
+    const document = this.lastRead?.put === put ? this.lastRead.document : parseDocument(put.documentJson, `put of version ${version}`)
     this.lastRead = undefined
-    this.setConfig(put.version, document, put.source)
+    this.setConfig(version, document, put.source)
     return this.currentConfig.version
   }
 
   private skipPut (put: inner.PutConfig): number {
-    this.skippedVersion = Math.max(this.skippedVersion, put.version, this.currentConfig.version)
+    this.skippedVersion = Math.max(this.skippedVersion, configVersion.decode(put.version), this.currentConfig.version)
     return this.skippedVersion
   }
 
@@ -197,7 +199,7 @@
       index: BigInt(index),
       term,
       membership,
-      version: this.currentConfig.version,
+      version: configVersion.encode(this.currentConfig.version),
       documentJson: this.documentJson,
       patches: [...this.patches.values()],
       claims: [...this.claims.values()],
@@ -208,7 +210,7 @@
 
   /** Replaces the state by a snapshot; throws `corrupt-record` when its document violates the schema. */
   restore (snapshot: inner.Snapshot): void {
-    this.setConfig(snapshot.version, parseDocument(snapshot.documentJson, 'snapshot'), snapshot.source)
+    this.setConfig(configVersion.decode(snapshot.version), parseDocument(snapshot.documentJson, 'snapshot'), snapshot.source)
     this.patches.clear()
     this.claims.clear()
     for (const record of snapshot.patches) this.patches.set(record.patchId, record)
--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -1,5 +1,6 @@
 /** Streams of the configuration to entry instances. */
 import * as protobuf from '@bufbuild/protobuf'
+import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
@@ -69,7 +70,7 @@
   /** Streams the configuration to one entry instance until it disconnects. */
   async * follow (req: inner.FollowReq, signal: AbortSignal): AsyncGenerator<inner.FollowRes> {
     const startedAt = performance.now()
-    let sentVersion = req.knownVersion
+    let sentVersion = configVersion.decode(req.knownVersion)
     this.openStreamCount++
     try {
       await this.confirmSince(startedAt)
@@ -103,7 +104,7 @@
   }
 
   private createUpdate (withConfig: boolean, confirmed: boolean): inner.FollowRes {
-    const res = protobuf.create(inner.FollowResSchema, { confirmedVersion: this.confirmedVersion, confirmed })
+    const res = protobuf.create(inner.FollowResSchema, { confirmedVersion: configVersion.encode(this.confirmedVersion), confirmed })
     if (withConfig) res.config = createConfigVersion(this.replica)
     return res
   }
@@ -161,7 +162,7 @@
 
 function createConfigVersion (source: replica.Replica): inner.ConfigVersion {
   return protobuf.create(inner.ConfigVersionSchema, {
-    version: source.state.config.version,
+    version: configVersion.encode(source.state.config.version),
     documentJson: source.state.configJson
   })
 }
--- a/packages/control/src/node/controlRoutes.ts
+++ b/packages/control/src/node/controlRoutes.ts
@@ -6,7 +6,7 @@
 import type * as diskTiming from './diskTiming.js'
 import type * as replica from './replica.js'
 
-const versionPattern = /^"?(\d{1,9})"?$/
+const versionPattern = /^"?(\d{1,16})"?$/
 const patchIdPattern = /^[A-Za-z0-9._:-]{1,128}$/
 
 /** Adds the routes under /control and /config. */
@@ -30,7 +30,7 @@
 
 async function patchConfig (service: controlService.ControlService, req: httpListener.RouteReq): Promise<httpListener.RouteRes> {
   const amends = versionPattern.exec(req.headers.get('if-match') ?? '')?.[1]
-  if (amends === undefined) throw badRequest('If-Match must contain the version that the patch amends')
+  if (amends === undefined || !Number.isSafeInteger(Number(amends))) throw badRequest('If-Match must contain the version that the patch amends')
   const patchId = req.headers.get('idempotency-key') ?? crypto.randomUUID()
   if (!patchIdPattern.test(patchId)) throw badRequest('Idempotency-Key must be 1 to 128 letters, digits or . _ : -')
   const operator = (req.headers.get('rack-operator') ?? 'unnamed').slice(0, 64)
--- a/packages/control/src/node/controlRpc.ts
+++ b/packages/control/src/node/controlRpc.ts
@@ -1,6 +1,7 @@
 /** RPC handlers of the control replica service of the inner protocol. */
 import * as protobuf from '@bufbuild/protobuf'
 import type * as connect from '@connectrpc/connect'
+import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as configFeed from './configFeed.js'
@@ -41,16 +42,16 @@
     },
     async patch (req) {
       await loaded
-      const outcome = await service.patchAsLeader(requireLeadership(service), req)
+      const outcome = await service.patchAsLeader(requireLeadership(service), { ...req, amends: configVersion.decode(req.amends) })
       return protobuf.create(inner.PatchResSchema, {
         outcome: outcome.kind === 'accepted'
-          ? { case: 'acceptedVersion', value: outcome.version }
-          : { case: 'conflictCurrentVersion', value: outcome.currentVersion }
+          ? { case: 'acceptedVersion', value: configVersion.encode(outcome.version) }
+          : { case: 'conflictCurrentVersion', value: configVersion.encode(outcome.currentVersion) }
       })
     },
     async put (req) {
       await loaded
-      return { heldVersion: await service.putAsLeader(requireLeadership(service), req) }
+      return { heldVersion: configVersion.encode(await service.putAsLeader(requireLeadership(service), req)) }
     },
     async depart (req) {
       await loaded
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -1,6 +1,7 @@
 /** Operations of a control replica for operators and entry instances, run here or forwarded to the leader. */
 import * as protobuf from '@bufbuild/protobuf'
 import type * as connect from '@connectrpc/connect'
+import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
@@ -102,9 +103,10 @@
       if (earlierOutcome !== undefined) return earlierOutcome
       const { version, document } = this.replica.state.config
       if (version !== req.amends) return { kind: 'conflict', currentVersion: version }
+      if (version === configVersion.maxVersion) throw new errors.RackError({ kind: 'bad-request', message: `no version follows ${version}` })
       configPatch.applyPatch(document, req.mergePatchJson)
       this.requireDiskLossTolerance()
-      const result = await ownLeadership.propose({ case: 'patch', value: protobuf.create(inner.PatchConfigSchema, req) })
+      const result = await ownLeadership.propose({ case: 'patch', value: encodePatch(req) })
       if (result.kind === 'patch') return result.outcome
       throw new errors.RackError({ kind: 'internal', message: `applying a patch returned a result of kind ${result.kind}` })
     })
@@ -112,10 +114,10 @@
 
   /** Replaces the configuration document unless the same or a higher version is already stored; resolves with the version stored afterwards. */
   async put (req: PutReq): Promise<number> {
-    const value = protobuf.create(inner.PutConfigSchema, { version: req.version, documentJson: JSON.stringify(req.document), source: req.source })
+    const value = protobuf.create(inner.PutConfigSchema, { version: configVersion.encode(req.version), documentJson: JSON.stringify(req.document), source: req.source })
     const ownLeadership = this.replica.leadership
     const heldVersion = await this.refusals.run('write', async () => ownLeadership === undefined
-      ? (await this.callLeader(async (client, options) => await client.put(value, options))).heldVersion
+      ? await this.forwardPut(value)
       : await this.putAsLeader(ownLeadership, value))
     this.decisions.record({ event: 'config-put', choice: String(heldVersion), version: req.version, why: heldVersion === req.version ? 'the document is now in force' : 'a higher version is already stored' })
     return heldVersion
@@ -124,6 +126,8 @@
   /** Replaces the document on the leader. */
   async putAsLeader (ownLeadership: leadership.Leadership, put: inner.PutConfig): Promise<number> {
     this.requireDiskLossTolerance()
+    // Checked before the log has it, since applying it must not fail.
+    configVersion.decode(put.version)
     const check = configDocument.checkDocument(JSON.parse(put.documentJson))
     if (!check.ok) throw new errors.RackError({ kind: 'invalid-config', message: check.problems.join('; ') })
     const result = await ownLeadership.propose({ case: 'put', value: put })
@@ -155,12 +159,21 @@
     throw new errors.RackError({ kind: 'no-quorum', message: `a write would survive the loss of ${tolerated} disks, but ${this.options.tolerateLostDisks} are required; nothing was written` })
   }
 
+  private async forwardPut (put: inner.PutConfig): Promise<number> {
+    const res = await this.callLeader(async (client, options) => await client.put(put, options))
+    // A leader of a build with 32-bit versions stores only the lower bits of a higher one.
+    if (res.heldVersion < put.version) {
+      throw new errors.RackError({ kind: 'unknown', timedOut: false, message: `the leader stored version ${put.version} as ${res.heldVersion}: it does not know versions beyond 32 bits` })
+    }
+    return configVersion.decode(res.heldVersion)
+  }
+
   private async forwardPatch (req: PatchReq): Promise<replicatedState.PatchOutcome> {
     const res = await this.callLeader(async (client, options) =>
-      await client.patch(protobuf.create(inner.PatchConfigSchema, req), options))
+      await client.patch(encodePatch(req), options))
     switch (res.outcome.case) {
-      case 'acceptedVersion': return { kind: 'accepted', version: res.outcome.value }
-      case 'conflictCurrentVersion': return { kind: 'conflict', currentVersion: res.outcome.value }
+      case 'acceptedVersion': return { kind: 'accepted', version: configVersion.decode(res.outcome.value) }
+      case 'conflictCurrentVersion': return { kind: 'conflict', currentVersion: configVersion.decode(res.outcome.value) }
       default: throw new errors.RackError({ kind: 'invalid-config', message: res.outcome.value ?? 'no reason given' })
     }
   }
@@ -205,7 +218,7 @@
   async readConfigAsLeader (ownLeadership: leadership.Leadership): Promise<inner.ReadConfigRes> {
     await this.replica.waitUntilApplied(await ownLeadership.readIndex())
     const { config, configJson, configSource } = this.replica.state
-    return protobuf.create(inner.ReadConfigResSchema, { version: config.version, documentJson: configJson, source: configSource })
+    return protobuf.create(inner.ReadConfigResSchema, { version: configVersion.encode(config.version), documentJson: configJson, source: configSource })
   }
 
   /** Asks all given replicas, of which only the leader answers; throws `no-quorum` if none does. */
@@ -216,7 +229,7 @@
         await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs)))
       this.forwardedReads.noteSuccess(subject)
       // The group has accepted the document, so it isn't checked again.
-      return { version: res.version, document: JSON.parse(res.documentJson) as configDocument.ConfigDocument, source: res.source }
+      return { version: configVersion.decode(res.version), document: JSON.parse(res.documentJson) as configDocument.ConfigDocument, source: res.source }
     } catch (err) {
       const message = `no leader answered the read: ${describeFailures(err)}`
       this.forwardedReads.noteFailure(subject, message)
@@ -341,6 +354,10 @@
   return err.errors.length === 0 ? 'no replica is known' : err.errors.map(errors.messageOf).join('; ')
 }
 
+function encodePatch ({ patchId, amends, mergePatchJson, operator }: PatchReq): inner.PatchConfig {
+  return protobuf.create(inner.PatchConfigSchema, { patchId, amends: configVersion.encode(amends), mergePatchJson, operator })
+}
+
 function describeOutcome (outcome: replicatedState.PatchOutcome): string {
   return outcome.kind === 'accepted' ? `version ${outcome.version}` : `current version is ${outcome.currentVersion}`
 }
--- a/packages/control/src/test/applying.test.ts
+++ b/packages/control/src/test/applying.test.ts
@@ -56,14 +56,14 @@
 
   /** Appends a document and commits it. */
   async receive (index: number, documentJson: string): Promise<inner.AppendRes> {
-    const command = { case: 'put', value: protobuf.create(inner.PutConfigSchema, { version: index, documentJson }) } as const
+    const command = { case: 'put', value: protobuf.create(inner.PutConfigSchema, { version: BigInt(index), documentJson }) } as const
     return await this.replica.handleAppend(protobuf.create(inner.AppendReqSchema, {
       toReplicaId: 'r-1', term, leaderId, prevIndex: BigInt(index - 1), prevTerm: term, commitIndex: BigInt(index), entries: [logEntry.encodeEntry({ index, term, command })]
     }))
   }
 
   async install (index: number, documentJson: string): Promise<void> {
-    const snapshot = protobuf.create(inner.SnapshotSchema, { index: BigInt(index), term, membership, version: index, documentJson })
+    const snapshot = protobuf.create(inner.SnapshotSchema, { index: BigInt(index), term, membership, version: BigInt(index), documentJson })
     await this.replica.handleInstallSnapshot(protobuf.create(inner.InstallSnapshotReqSchema, { toReplicaId: 'r-1', term, leaderId, snapshot }))
   }
 }
@@ -127,7 +127,7 @@
   await member.becomeCandidate(term + 1)
   await member.becomeLeader(term + 1)
   t.equal(member.role, 'leader')
-  const put = protobuf.create(inner.PutConfigSchema, { version: 9, documentJson: unreadableJson })
+  const put = protobuf.create(inner.PutConfigSchema, { version: 9n, documentJson: unreadableJson })
   t.equal(await faultKind(member.leadership!.propose({ case: 'put', value: put })), 'unknown')
   t.same([member.role, member.canStartElection, member.state.config.version], ['follower', false, 2])
   member.dispose()
--- a/packages/control/src/test/configFeed.test.ts
+++ b/packages/control/src/test/configFeed.test.ts
@@ -28,7 +28,7 @@
   }
 
   follow (stop: AbortController): AsyncGenerator<inner.FollowRes> {
-    return this.feed.follow({ instance: 'entry', knownVersion: 0 } as inner.FollowReq, stop.signal)
+    return this.feed.follow({ instance: 'entry', knownVersion: 0n } as inner.FollowReq, stop.signal)
   }
 }
 
@@ -41,11 +41,11 @@
   await async.sleep(2)
   t.equal(fixture.reads.length, 1, 'one round at a time')
   fixture.reads[0]!.resolve(1)
-  t.match((await first).value, { confirmed: true, confirmedVersion: 7, config: { version: 7 } })
+  t.match((await first).value, { confirmed: true, confirmedVersion: 7n, config: { version: 7n } })
   await async.sleep(2)
   t.equal(fixture.reads.length, 2, 'the next round began at once')
   fixture.reads[1]!.resolve(1)
-  t.match((await second).value, { confirmed: true, confirmedVersion: 7, config: { version: 7 } })
+  t.match((await second).value, { confirmed: true, confirmedVersion: 7n, config: { version: 7n } })
   stop.abort()
   fixture.feed.dispose()
 })
--- a/packages/control/src/test/controlMetrics.test.ts
+++ b/packages/control/src/test/controlMetrics.test.ts
@@ -44,7 +44,7 @@
     for (let i = 0; i < count; i++) {
       const { leader } = this.group
       const version = ++this.version
-      const put = protobuf.create(inner.PutConfigSchema, { version, documentJson: '{"lanes":{}}', source: `version ${version}` })
+      const put = protobuf.create(inner.PutConfigSchema, { version: BigInt(version), documentJson: '{"lanes":{}}', source: `version ${version}` })
       leader?.service.putAsLeader(leader.replica.leadership!, put).catch(() => {})
       await this.run(20)
     }
--- a/packages/control/src/test/logApplier.test.ts
+++ b/packages/control/src/test/logApplier.test.ts
@@ -19,12 +19,12 @@
 }
 
 function put (version: number, json = documentJson(version)): logEntry.Command {
-  return { case: 'put', value: protobuf.create(inner.PutConfigSchema, { version, documentJson: json, source: `source of ${version}` }) }
+  return { case: 'put', value: protobuf.create(inner.PutConfigSchema, { version: BigInt(version), documentJson: json, source: `source of ${version}` }) }
 }
 
 function patch (patchId: string, amends: number): logEntry.Command {
   const mergePatchJson = JSON.stringify({ lanes: { lane: { maxWaitMs: 100 + amends } } })
-  return { case: 'patch', value: protobuf.create(inner.PatchConfigSchema, { patchId, amends, mergePatchJson, operator: 'op' }) }
+  return { case: 'patch', value: protobuf.create(inner.PatchConfigSchema, { patchId, amends: BigInt(amends), mergePatchJson, operator: 'op' }) }
 }
 
 function toEntries (commands: readonly logEntry.Command[]): readonly logEntry.LogEntry[] {
--- a/packages/control/src/test/replicatedState.test.ts
+++ b/packages/control/src/test/replicatedState.test.ts
@@ -7,7 +7,7 @@
 
 function patch (patchId: string, amends: number, deadlineMs: number): logEntry.Command {
   const lane = { service: 's', match: { methods: ['GET'], pathPrefix: '/' }, idempotent: true, deadlineMs, maxWaitMs: 1 }
-  return { case: 'patch', value: protobuf.create(inner.PatchConfigSchema, { patchId, amends, mergePatchJson: JSON.stringify({ lanes: { lane } }), operator: 'op' }) }
+  return { case: 'patch', value: protobuf.create(inner.PatchConfigSchema, { patchId, amends: BigInt(amends), mergePatchJson: JSON.stringify({ lanes: { lane } }), operator: 'op' }) }
 }
 
 function claim (key: string, owner: string): logEntry.Command {
--- a/packages/control/src/test/simulatedGroup.ts
+++ b/packages/control/src/test/simulatedGroup.ts
@@ -294,7 +294,7 @@
       join: async (req: inner.JoinReq, { signal }: CallOptions = {}) => await send(inner.JoinReqSchema, req, signal, inner.JoinResSchema, async ({ service }) => service.join(req.replica!)),
       put: async (req: inner.PutConfig, { signal }: CallOptions = {}) => await send(inner.PutConfigSchema, req, signal, inner.PutResSchema, async ({ service, replica: { leadership } }) => {
         if (leadership === undefined) throw notLeader()
-        return protobuf.create(inner.PutResSchema, { heldVersion: await service.putAsLeader(leadership, req) })
+        return protobuf.create(inner.PutResSchema, { heldVersion: BigInt(await service.putAsLeader(leadership, req)) })
       }),
       readIndex: async (_req: unknown, { signal }: CallOptions = {}) => await send(inner.ReadIndexReqSchema, protobuf.create(inner.ReadIndexReqSchema), signal, inner.ReadIndexResSchema, async ({ replica: { leadership } }) => {
         if (leadership === undefined) throw notLeader()
--- a/packages/entry/src/common/forwardHeaders.ts
+++ b/packages/entry/src/common/forwardHeaders.ts
@@ -83,5 +83,5 @@
 }
 
 function parseCount (text: string | string[] | undefined): number | undefined {
-  return typeof text === 'string' && /^\d{1,15}$/.test(text) ? Number(text) : undefined
+  return typeof text === 'string' && /^\d{1,16}$/.test(text) && Number.isSafeInteger(Number(text)) ? Number(text) : undefined
 }
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -1,5 +1,6 @@
 /** Keeps the newest configuration of the cluster, received from control replicas and peers. */
 import type * as connect from '@connectrpc/connect'
+import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
@@ -173,14 +174,14 @@
     // Until the first confirmation, the time is counted from the start of the stream.
     let lastConfirmedAt = performance.now()
     try {
-      const stream = link.client.follow({ instance: this.instance, knownVersion: this.config.version }, { signal: watchdog.signal })
+      const stream = link.client.follow({ instance: this.instance, knownVersion: configVersion.encode(this.config.version) }, { signal: watchdog.signal })
       for await (const res of stream) {
         watchdog.noteActivity()
         if (res.config !== undefined) this.applyConfig(res.config, link.address)
         if (res.confirmed) {
           lastConfirmedAt = performance.now()
           this.streams.noteSuccess(link.address)
-          if (this.config.version >= res.confirmedVersion) this.confirm(lastConfirmedAt)
+          if (this.config.version >= configVersion.decode(res.confirmedVersion)) this.confirm(lastConfirmedAt)
         }
         this.firstStreamReported.resolve()
         if (performance.now() - lastConfirmedAt > maxUnconfirmedMs) return `no confirmation by a quorum for ${maxUnconfirmedMs} ms`
@@ -204,16 +205,17 @@
   }
 
   private applyConfig (config: inner.ConfigVersion, source: string): void {
-    if (!this.needs(config.version)) return
+    const version = configVersion.decode(config.version)
+    if (!this.needs(version)) return
     const check = configDocument.checkDocument(JSON.parse(config.documentJson))
     if (!check.ok) {
-      this.refusedVersion = config.version
-      this.decisions.record({ event: 'config-refused', choice: String(config.version), why: check.problems.join('; ') })
+      this.refusedVersion = version
+      this.decisions.record({ event: 'config-refused', choice: String(version), why: check.problems.join('; ') })
       return
     }
-    this.config = { version: config.version, document: check.document }
+    this.config = { version, document: check.document }
     this.configJson = config.documentJson
-    this.decisions.record({ event: 'config-in-force', choice: String(config.version), why: `received from ${source}` })
+    this.decisions.record({ event: 'config-in-force', choice: String(version), why: `received from ${source}` })
     this.changedEmitter.fire(this.config)
   }
 }
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -1,6 +1,7 @@
 /** Update streams between the processes of a cluster: members, endpoints, suspects and configuration versions. */
 import * as protobuf from '@bufbuild/protobuf'
 import type * as connect from '@connectrpc/connect'
+import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
@@ -166,7 +167,7 @@
     const { configs } = this.tables
     router.service(inner.EntryPeer, {
       subscribe: (req, context) => this.serveSubscription(req, context.signal),
-      fetchConfig: () => ({ version: configs.current.version, documentJson: configs.currentJson })
+      fetchConfig: () => ({ version: configVersion.encode(configs.current.version), documentJson: configs.currentJson })
     })
   }
 
@@ -280,7 +281,7 @@
       self: this.encodeSelf(),
       members: includeMembers ? this.advertisedMembers().map((member) => fleetCodec.encodeMember(member, now)) : [],
       liveEntries: this.self.role === 'hub' ? members.liveEntryCount : 0,
-      configVersion: configs.current.version,
+      configVersion: configVersion.encode(configs.current.version),
       confirmed,
       confirmedAgeMs: confirmed ? Math.round(confirmedAgeMs) : 0
     })
@@ -370,7 +371,7 @@
       // The rest of the update is lost, but the stream and the configuration go on.
       this.updates.noteFailure(link.address, err)
     }
-    this.tables.configs.handlePeerVersion(update.configVersion, update.confirmed, update.confirmedAgeMs, async () =>
+    this.tables.configs.handlePeerVersion(configVersion.decode(update.configVersion), update.confirmed, update.confirmedAgeMs, async () =>
       await link.callBesideStream(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs), link.address)
   }
 
--- a/packages/fleet/src/test/configDelivery.test.ts
+++ b/packages/fleet/src/test/configDelivery.test.ts
@@ -39,7 +39,7 @@
 }
 
 function configVersion (version: number, documentJson = '{"lanes":{}}'): inner.ConfigVersion {
-  return { version, documentJson } as unknown as inner.ConfigVersion
+  return { version: BigInt(version), documentJson } as unknown as inner.ConfigVersion
 }
 
 async function neverResponds (): Promise<inner.ConfigVersion> {
@@ -136,10 +136,10 @@
     await this.listener.listen(this.address)
   }
 
-  private async * sendHeartbeats (signal: AbortSignal): AsyncGenerator<{ readonly configVersion: number, readonly self: { readonly instance: string, readonly address: string, readonly hub: boolean } }> {
+  private async * sendHeartbeats (signal: AbortSignal): AsyncGenerator<{ readonly configVersion: bigint, readonly self: { readonly instance: string, readonly address: string, readonly hub: boolean } }> {
     this.subscriptionCount++
     while (!signal.aborted) {
-      yield { configVersion: 2, self: { instance: 'hub', address: this.address, hub: true } }
+      yield { configVersion: 2n, self: { instance: 'hub', address: this.address, hub: true } }
       await async.sleep(heartbeatMs, signal)
     }
   }
--- a/packages/protocol/src/test/compression.test.ts
+++ b/packages/protocol/src/test/compression.test.ts
@@ -40,7 +40,7 @@
 
 tap.t.test('a configuration of hundreds of lanes is transferred in less than a fifth of its size', async (t) => {
   const listener = new innerListener.InnerListener(identity, (router) => {
-    router.service(inner.EntryPeer, { fetchConfig: () => ({ version: 7, documentJson: document }) })
+    router.service(inner.EntryPeer, { fetchConfig: () => ({ version: 7n, documentJson: document }) })
   })
   const port = await findFreePort()
   await listener.listen(`127.0.0.1:${port}`)
--- a/packages/rackctl/src/node/main.ts
+++ b/packages/rackctl/src/node/main.ts
@@ -72,7 +72,7 @@
   if (verb === 'history') return await commands.getHistory(client)
   if (verb !== 'patch' || file === undefined) throw usageError('usage: config get | history | patch --amends N FILE')
   const amends = Number(options.amends)
-  if (!Number.isInteger(amends) || amends < 0) throw usageError('--amends N is required, where N is the version that the patch amends')
+  if (!Number.isSafeInteger(amends) || amends < 0) throw usageError('--amends N is required, where N is the version that the patch amends')
   return await commands.patchConfig(client, file, amends, options.id === undefined ? undefined : String(options.id))
 }
 
--- a/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
@@ -175,6 +175,13 @@
 }
 `
 
+exports[`platform/dist/test/codecs.test.js > TAP > invalid configuration: a version above the highest safe integer > must match snapshot 1`] = `
+Object {
+  "kind": "invalid-config",
+  "message": "Version: Too big: expected int to be <=9007199254740991",
+}
+`
+
 exports[`platform/dist/test/codecs.test.js > TAP > invalid configuration: neither service nor split > must match snapshot 1`] = `
 Object {
   "kind": "invalid-config",
