Leadership: a proposal that fails neither ends the process nor stops all writing

What operators saw: a leader that ended on an unhandled rejection, with the cause of the commit before; a leader whose write failed would have written nothing more, and answered each change with 504. Cause: the task that writes the queued proposals is not awaited. An error in it was an unhandled rejection, left isWriting set, and had already taken the whole batch into the log in memory. Evidence: proposals.test (an announcement with a number out of range; a write that fails) failed before: an unhandled rejection in both cases, and no later proposal was written. Why it works: each command is encoded once before it is queued, and one that can't be is refused with bad-request, so that no batch fails for one of its commands. A write that fails ends the leadership with a logged reason.

--- a/packages/control/src/common/logEntry.ts
+++ b/packages/control/src/common/logEntry.ts
@@ -30,6 +30,15 @@
   return { index: Number(entry.index), term: entry.term, command: entry.command }
 }
 
+/** Throws `bad-request` for a command that has no protobuf encoding, such as one with a number out of the range of its field. */
+export function requireEncodable (command: Command): void {
+  try {
+    protobuf.toBinary(inner.LogEntrySchema, encodeEntry({ index: 0, term: 0, command }))
+  } catch (err) {
+    throw new errors.RackError({ kind: 'bad-request', message: errors.messageOf(err) })
+  }
+}
+
 /** Serializes entries that are written and synced together. */
 export function encodeBatch (entries: readonly LogEntry[]): Uint8Array {
   const batch = protobuf.create(inner.LogBatchSchema, { entries: entries.map(encodeEntry) })
--- a/packages/control/src/node/leadership.ts
+++ b/packages/control/src/node/leadership.ts
@@ -111,6 +111,7 @@
   /** Appends a command; resolves with its result once it is committed and applied. */
   async propose (command: logEntry.Command): Promise<replicatedState.ApplyResult> {
     if (this.disposed) throw notLeaderError()
+    logEntry.requireEncodable(command)
     const outcome = new async.Deferred<replicatedState.ApplyResult>()
     this.queue.push({ command, outcome })
     this.writeQueue()
@@ -232,10 +233,15 @@
   private async writeQueue (): Promise<void> {
     if (this.isWriting) return
     this.isWriting = true
-    while (this.queue.length > 0 && !this.disposed) {
-      await this.host.lock.run(async () => this.writeBatch())
+    try {
+      while (this.queue.length > 0 && !this.disposed) {
+        await this.host.lock.run(async () => this.writeBatch())
+      }
+    } catch (err) {
+      this.handleWriteFailure(err)
+    } finally {
+      this.isWriting = false
     }
-    this.isWriting = false
   }
 
   /** Adds a batch to the log. The other replicas receive it while this one writes it, and its disk may be slower than theirs. */
@@ -249,8 +255,11 @@
     this.host.log.extend(entries)
     this.refreshPeers(performance.now())
     this.wakePeers()
-    // A failed write ends the process.
-    this.host.log.flush().then(() => this.advanceCommit())
+    this.host.log.flush().then(() => this.advanceCommit(), (err: unknown) => this.handleWriteFailure(err))
+  }
+
+  private handleWriteFailure (err: unknown): void {
+    if (!this.disposed) this.host.stepDown(this.term, `the log could not be written: ${errors.messageOf(err)}`)
   }
 
   /** Commits the entries that a majority holds, if the last of them is of this term. */
--- a/packages/control/src/node/replicaLog.ts
+++ b/packages/control/src/node/replicaLog.ts
@@ -114,7 +114,13 @@
       const batch = this.unwritten.splice(0)
       const last = batch.at(-1)
       if (last === undefined) return
-      await this.storage.append(batch)
+      try {
+        await this.storage.append(batch)
+      } catch (err) {
+        // Kept, so that no later write leaves a gap.
+        this.unwritten.unshift(...batch)
+        throw err
+      }
       this.markSynced(last)
     })
   }
