--- a/packages/control/src/test/mixedBuilds.test.ts
+++ b/packages/control/src/test/mixedBuilds.test.ts
@@ -114,7 +114,7 @@
     const decisions = new decisionLog.NullDecisionLog()
     const links = { linkTo: (address: string) => this.linkTo(address) } as unknown as replicaLinks.ReplicaLinks
     this.member = new replica.Replica(options, this.storage, links, decisions)
-    this.service = new controlService.ControlService(this.member, { groupAddresses: [], maxReplicas: 9, tolerateLostDisks: 1 }, decisions)
+    this.service = new controlService.ControlService(this.member, { groupAddresses: [], seedAddresses: [], maxReplicas: 9, tolerateLostDisks: 1 }, decisions)
   }
 
   get now (): number {
