Control: a change that is held is acknowledged again without a write

Cause: a put of a version that the group already held was written to the log of all replicas like a new one, and refused with 503 while a majority was too small to survive the tolerated lost disks, or without a quorum. Resent and delayed changes made the log grow by the whole configuration each.

Change: a replica that has applied the same or a higher version acknowledges the put itself: what is applied is committed. The leader does the same for forwarded puts.

Evidence: repeatedPut.test: before, the resent change was refused (unknown at the leader, not-leader at a follower) and the log grew by an entry; now three of three are acknowledged without one. A newer change is refused as before.

--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -114,20 +114,27 @@
 
   /** Replaces the configuration document unless the same or a higher version is already stored; resolves with the version stored afterwards. */
   async put (req: PutReq): Promise<number> {
+    // What is applied is committed, so a version that is held needs neither the leader nor a quorum.
+    const ownVersion = this.replica.state.config.version
+    const heldVersion = req.version <= ownVersion ? ownVersion : await this.putNewer(req)
+    this.decisions.record({ event: 'config-put', choice: String(heldVersion), version: req.version, why: heldVersion === req.version ? 'the document is now in force' : 'a higher version is already stored' })
+    return heldVersion
+  }
+
+  private async putNewer (req: PutReq): Promise<number> {
     const value = protobuf.create(inner.PutConfigSchema, { version: configVersion.encode(req.version), documentJson: JSON.stringify(req.document), source: req.source })
     const ownLeadership = this.replica.leadership
-    const heldVersion = await this.refusals.run('write', async () => ownLeadership === undefined
+    return await this.refusals.run('write', async () => ownLeadership === undefined
       ? await this.forwardPut(value)
       : await this.putAsLeader(ownLeadership, value))
-    this.decisions.record({ event: 'config-put', choice: String(heldVersion), version: req.version, why: heldVersion === req.version ? 'the document is now in force' : 'a higher version is already stored' })
-    return heldVersion
   }
 
   /** Replaces the document on the leader. */
   async putAsLeader (ownLeadership: leadership.Leadership, put: inner.PutConfig): Promise<number> {
-    this.requireDiskLossTolerance()
+    const ownVersion = this.replica.state.config.version
     // Checked before the log has it, since applying it must not fail.
-    configVersion.decode(put.version)
+    if (configVersion.decode(put.version) <= ownVersion) return ownVersion
+    this.requireDiskLossTolerance()
     const check = configDocument.checkDocument(JSON.parse(put.documentJson))
     if (!check.ok) throw new errors.RackError({ kind: 'invalid-config', message: check.problems.join('; ') })
     const result = await ownLeadership.propose({ case: 'put', value: put })
