Control: a change that is too large to be forwarded is no client error

Cause: the adapter accepts 16 MiB as sent; with the document made of it a put can exceed the 32 MiB of a message (11 MB as sent: a document is 2.5 times as long as the routes that it is made of, measured with 842 to 100,000 routes). A replica that does not lead then answered 413, which ends the call, though the leader accepts the same configuration.

Change: the call is answered 503 with the leader's address, so that it is sent again to another replica.

--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -167,7 +167,7 @@
   }
 
   private async forwardPut (put: inner.PutConfig): Promise<number> {
-    const res = await this.callLeader(async (client, options) => await client.put(put, options))
+    const res = await this.sendPutToLeader(put)
     // A leader of a build with 32-bit versions stores only the lower bits of a higher one.
     if (res.heldVersion < put.version) {
       throw new errors.RackError({ kind: 'unknown', timedOut: false, message: `the leader stored version ${put.version} as ${res.heldVersion}: it does not know versions beyond 32 bits` })
@@ -175,6 +175,17 @@
     return configVersion.decode(res.heldVersion)
   }
 
+  private async sendPutToLeader (put: inner.PutConfig): Promise<inner.PutRes> {
+    try {
+      return await this.callLeader(async (client, options) => await client.put(put, options))
+    } catch (err) {
+      const { kind } = errors.faultOf(err)
+      if (kind !== 'too-large') throw err
+      // The leader accepts it from the operator itself, so the operator has to go on.
+      throw new errors.RackError({ kind: 'not-leader', message: `the configuration is too large to be forwarded to the leader at ${this.replica.leaderReplica?.address ?? 'an unknown address'}; nothing was written` })
+    }
+  }
+
   private async forwardPatch (req: PatchReq): Promise<replicatedState.PatchOutcome> {
     const res = await this.callLeader(async (client, options) =>
       await client.patch(encodePatch(req), options))
