A call may time out without closing the connection of a slow peer

Cause: a call that timed out closed the connection, and with it all other calls and streams to that replica. A vote waits for a disk, so its timeout says nothing about the connection. Change: such a call can ask for a ping instead; the connection is closed if the ping isn't answered within 500 ms. The calls so far close it as before. Evidence: three cases in peerLink.test: responsive and verified (kept), silent and verified (closed within 800 ms, before the link's own pings), reset.

--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -372,7 +372,7 @@
       this.updates.noteFailure(link.address, err)
     }
     this.tables.configs.handlePeerVersion(configVersion.decode(update.configVersion), update.confirmed, update.confirmedAgeMs, async () =>
-      await link.callBesideStream(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs), link.address)
+      await link.call(async (client, options) => await client.fetchConfig({}, options), fetchTimeoutMs, 'keep'), link.address)
   }
 
   private applyTables (update: inner.PeerUpdate): void {
--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -19,7 +19,13 @@
 const pingTimeoutMs = 1500
 const idleConnectionTimeoutMs = 600_000
 
-/** Calls one service of a peer. */
+/** Time for the response to a ping after a call has timed out. */
+const verifyTimeoutMs = 500
+
+/** What a call that timed out does to the connection: close it, close it only if it doesn't respond to a ping either, or leave it open for a stream that notices an unresponsive peer. */
+export type TimeoutAction = 'reset' | 'verify' | 'keep'
+
+/** Calls one service of a peer; a call that times out also closes the connection, unless it only verifies it. */
 export class PeerLink<S extends protobuf.DescService> implements lifecycle.IDisposable {
   readonly client: connect.Client<S>
   private readonly sessions: peerSessionManager.PeerSessionManager
@@ -39,25 +45,23 @@
     this.client = connect.createClient(service, transport)
   }
 
-  /** Runs a unary call; throws the peer's fault, or `unreachable`. A timeout also closes the connection. */
-  async call<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number): Promise<T> {
-    return await this.runCall(run, timeoutMs, () => this.reset())
-  }
-
-  /** Runs a unary call whose timeout leaves the connection open, for a connection with a stream that notices an unresponsive peer. */
-  async callBesideStream<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number): Promise<T> {
-    return await this.runCall(run, timeoutMs, () => {})
-  }
-
-  private async runCall<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number, onTimeout: () => void): Promise<T> {
+  /** Runs a unary call; throws the peer's fault, or `unreachable`, or `unknown` for a timeout after which the connection is verified. */
+  async call<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number, onTimeout: TimeoutAction = 'reset'): Promise<T> {
     try {
       return await run(this.client, { timeoutMs })
     } catch (err) {
-      if (isTimeout(err)) onTimeout()
+      if (isTimeout(err)) this.handleTimeout(timeoutMs, onTimeout)
       throw new errors.RackError(rpcErrors.fromConnectError(err))
     }
   }
 
+  private handleTimeout (timeoutMs: number, onTimeout: TimeoutAction): void {
+    if (onTimeout === 'keep') return
+    if (onTimeout === 'reset') return this.reset()
+    this.sessions.verifyConnection(verifyTimeoutMs)
+    throw new errors.RackError({ kind: 'unknown', timedOut: true, message: `no response from ${this.address} within ${timeoutMs} ms` })
+  }
+
   /** Closes the connection; the next call opens a new one. TCP may take minutes to detect an unresponsive peer. */
   reset (): void {
     this.sessions.abort()
--- a/packages/protocol/src/test/peerLink.test.ts
+++ b/packages/protocol/src/test/peerLink.test.ts
@@ -1,7 +1,8 @@
-/** Tests a link whose peer stops responding: pending calls fail, the next call reconnects, and the process does not crash. */
+/** Tests a link whose peer stops responding: pending calls fail, the next call reconnects, and the process does not crash. A slow peer keeps its connection. */
 import * as http2 from 'node:http2'
 import type * as net from 'node:net'
 import * as tap from 'tap'
+import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as inner from '../gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as peerLink from '../node/peerLink.js'
 
@@ -46,3 +47,27 @@
   link.dispose()
   peer.dispose()
 })
+
+for (const { onTimeout, isSilent, isKept } of [
+  { onTimeout: 'verify', isSilent: false, isKept: true },
+  { onTimeout: 'verify', isSilent: true, isKept: false },
+  { onTimeout: 'reset', isSilent: false, isKept: false }
+] as const) {
+  tap.t.test(`a call that times out with "${onTimeout}" ${isKept ? 'keeps' : 'closes'} the connection of a peer that ${isSilent ? 'no longer responds' : 'responds to pings'}`, async (t) => {
+    const peer = new SilentPeer()
+    const link = new peerLink.PeerLink(inner.EntryPeer, await peer.start(), { cluster: 'c', token: 'a-token-of-the-tests', sourceHost: '127.0.0.1' })
+    const updates = link.client.subscribe({})[Symbol.asyncIterator]()
+    let hasStreamEnded = false
+    const ended = updates.next().catch(() => { hasStreamEnded = true })
+    await new Promise((resolve) => setTimeout(resolve, 300))
+    if (isSilent) peer.silence()
+    const call = link.call(async (client, options) => await client.fetchConfig({}, options), 100, onTimeout)
+    t.match(await call.then(() => undefined, (err: unknown) => errors.faultOf(err)), onTimeout === 'verify' ? { kind: 'unknown', timedOut: true } : { kind: 'unreachable' })
+    // Longer than the verification, and shorter than the pings of the connection itself.
+    await new Promise((resolve) => setTimeout(resolve, 800))
+    t.equal(hasStreamEnded, !isKept)
+    link.dispose()
+    peer.dispose()
+    await ended
+  })
+}
