An election takes one disk write, however long the disk takes

Cause: a vote was answered only after two writes in a row, the candidate's and then the voters', within one election timeout; pre-votes waited for the lock, which a write may hold; a reserved vote was free again after 80 ms. With syncs of 700 ms candidates collided for good.

Change: - The candidate requests votes while it writes its own. Its own counts only once it is stored, since it becomes leader under the lock. So the voters' writes themselves show that an election runs, also when nothing is known yet of the duration of writes, and an election takes one write instead of two. - Pre-votes are decided from memory, without the lock. While a replica writes term or vote it grants none to others. - A voter that is still writing answers `pending` after half an election timeout, but only to candidates that state `write_ms`: earlier builds take it for a refusal. The same request joins the write; a stored vote is granted again without one; votes that waited are not written if a candidate of a higher term is waiting too. - The candidate asks in the same term while a majority can still be formed, and ends when a leader or a higher term appears. The request of another candidate with a higher term ends a candidacy before it is decided on, so that a slow candidate doesn't lead for a moment after its write. - A vote stays reserved for the candidate's `write_ms` in addition; a replica delays its own election by the time of its recent writes. - A vote that times out has its connection verified, not closed. - Failed writes of votes and terms, and failed or lost elections, are logged.

Pre-votes are not reserved for `write_ms`, since the request for the vote follows within a round trip.

Ruled out: a replica that reserves its own vote while it asks for pre-votes.

--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -2,10 +2,13 @@
 import * as protobuf from '@bufbuild/protobuf'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as quorum from '../common/quorum.js'
 import type * as campaignLog from './campaignLog.js'
 import type * as replica from './replica.js'
+import * as voteRound from './voteRound.js'
+import type * as voting from './voting.js'
 
 /** Interval at which a leader checks its quorum, as a share of the election timeout. */
 const leaderCheckShare = 0.25
@@ -31,6 +34,12 @@
  * replicas may still be starting.
  */
 const preVoteTimeoutShare = 0.25
+/** Shortest time between two requests for the same vote, as a share of the election timeout. */
+const askAgainShare = 0.25
+/** Timeout of a vote in election timeouts, long because voters of earlier builds respond only after their write. */
+const voteTimeoutFactor = 4
+/** How often that timeout is doubled at most, if requests to a voter time out one after the other. */
+const maxTimeoutDoublings = 3
 
 /** Detects the loss of the leader for one replica, and runs its elections. */
 export class Election implements lifecycle.IDisposable {
@@ -54,7 +63,7 @@
         continue
       }
       if (!this.replica.canStartElection || this.idleMs(lastAttemptAt) < timeoutMs) continue
-      await this.campaign()
+      await this.tryCampaign()
       lastAttemptAt = performance.now()
       timeoutMs = this.nextTimeoutMs()
     }
@@ -79,7 +88,12 @@
     return Math.max(baseMs * nonLeaderCheckShare, timeoutMs - this.idleMs(lastAttemptAt))
   }
 
+  /** Returns the time without a leader before the next election. It includes the own write, so that replicas with fast disks come first. */
   private nextTimeoutMs (): number {
+    return this.nextPatienceMs() + this.replica.expectedWriteMs
+  }
+
+  private nextPatienceMs (): number {
     const baseMs = this.replica.electionTimeoutMs
     if (this.replica.hasSeenLeader) return randomTimeoutMs(baseMs)
     if (this.campaignCount === 0) return baseMs * (firstTimeoutShare + rankDelayShare * this.rank)
@@ -98,18 +112,40 @@
     return quorum.votersOf(this.replica.log.membership).map(({ id }) => id)
   }
 
+  private async tryCampaign (): Promise<void> {
+    try {
+      await this.campaign()
+    } catch (err) {
+      // The next election may succeed; a failed disk ends the process by itself.
+      this.replica.decisions.record({ event: 'control-election-failed', choice: this.replica.replicaId, why: errors.messageOf(err) })
+    }
+  }
+
   /** Runs an election: collects pre-votes first, so that the term isn't raised without a chance to win. */
   private async campaign (): Promise<void> {
     this.campaignCount++
     const term = this.replica.term + 1
-    const wouldWin = await this.requestVotes(term, true)
-    if (!wouldWin || this.stopped.signal.aborted) return
-    if (!await this.replica.becomeCandidate(term)) return
-    if (await this.requestVotes(term, false)) await this.replica.becomeLeader(term)
+    const preVotesAskedAt = performance.now()
+    if (!await this.collectPreVotes(term) || this.stopped.signal.aborted) return
+    const candidacy = await this.replica.becomeCandidate(term, preVotesAskedAt)
+    if (candidacy === undefined) return
+    const round = new voteRound.VoteRound(this.replica.log.membership, this.replica.replicaId, candidacy.ended)
+    const minIntervalMs = this.replica.electionTimeoutMs * askAgainShare
+    const isWon = await round.run(async (voter, timeoutCount) => await this.requestVote(voter, term, timeoutCount), minIntervalMs)
+    if (isWon) await this.replica.becomeLeader(term)
+    else this.giveUp(term, candidacy, round)
+    // A new election could not be written to the disk before.
+    await candidacy.voteWritten
   }
 
-  /** Requests votes from all other voters in parallel; resolves with true as soon as a majority granted them. */
-  private async requestVotes (term: number, preVote: boolean): Promise<boolean> {
+  private giveUp (term: number, { ended }: voting.Candidacy, { needed, outcomes }: voteRound.VoteRound): void {
+    if (ended.aborted) return
+    this.replica.monitor.campaigns.recordFailed({ term, preVote: false, needed, outcomes })
+    this.replica.withdrawCandidacy()
+  }
+
+  /** Requests pre-votes from all other voters in parallel; resolves with true as soon as a majority granted them. */
+  private async collectPreVotes (term: number): Promise<boolean> {
     const membership = this.replica.log.membership
     const others = quorum.votersOf(membership).filter((voter) => voter.id !== this.replica.replicaId)
     const needed = quorum.majoritySize(membership) - 1
@@ -118,23 +154,42 @@
     const outcomes = new Map<string, campaignLog.VoteOutcome>()
     let granted = 0
     const requests = others.map(async (voter) => {
-      const isGranted = await this.requestVote(voter, term, preVote, (each) => { outcomes.set(voter.address, each) })
+      const isGranted = await this.requestPreVote(voter, term, outcomes)
       if (isGranted && ++granted >= needed) outcome.resolve(true)
     })
-    Promise.all(requests).then(() => outcome.resolve(false), () => outcome.resolve(false))
-    const won = await outcome.promise
-    if (!won && !this.stopped.signal.aborted) this.replica.monitor.campaigns.recordFailed({ term, preVote, needed, outcomes })
-    return won
+    Promise.all(requests).then(() => outcome.resolve(false), (err) => outcome.reject(err))
+    const isGranted = await outcome.promise
+    if (!isGranted && !this.stopped.signal.aborted) this.replica.monitor.campaigns.recordFailed({ term, preVote: true, needed, outcomes })
+    return isGranted
   }
 
-  private voteTimeoutMs (preVote: boolean): number {
+  private async requestPreVote (voter: inner.Replica, term: number, outcomes: Map<string, campaignLog.VoteOutcome>): Promise<boolean> {
     const baseMs = this.replica.electionTimeoutMs
-    return preVote && !this.replica.hasSeenLeader ? baseMs * preVoteTimeoutShare : baseMs
+    try {
+      const { granted } = await this.callVote(voter, term, true, this.replica.hasSeenLeader ? baseMs : baseMs * preVoteTimeoutShare)
+      outcomes.set(voter.address, granted ? 'granted' : 'refused')
+      return granted
+    } catch {
+      // An unreachable voter counts as a refusal; `callVote` records why.
+      outcomes.set(voter.address, 'failed')
+      return false
+    }
   }
 
-  private async requestVote (voter: inner.Replica, term: number, preVote: boolean, record: (outcome: campaignLog.VoteOutcome) => void): Promise<boolean> {
-    const what = preVote ? 'pre-vote' : 'vote'
-    const { replication } = this.replica.monitor
+  private async requestVote (voter: inner.Replica, term: number, timeoutCount: number): Promise<voteRound.VoteAnswer> {
+    const timeoutMs = this.replica.electionTimeoutMs * voteTimeoutFactor * 2 ** Math.min(timeoutCount, maxTimeoutDoublings)
+    try {
+      const { granted, pending } = await this.callVote(voter, term, false, timeoutMs)
+      if (granted) return 'granted'
+      return pending ? 'pending' : 'refused'
+    } catch (err) {
+      const fault = errors.faultOf(err)
+      return fault.kind === 'unknown' && fault.timedOut ? 'timed out' : 'unreachable'
+    }
+  }
+
+  /** Calls a voter. A timeout doesn't reset the connection as long as it responds, since other calls use it too. */
+  private async callVote (voter: inner.Replica, term: number, preVote: boolean, timeoutMs: number): Promise<inner.VoteRes> {
     const last = this.replica.log.last
     const req = protobuf.create(inner.VoteReqSchema, {
       term,
@@ -142,20 +197,21 @@
       lastIndex: BigInt(last.index),
       lastTerm: last.term,
       preVote,
-      toReplicaId: voter.id
+      toReplicaId: voter.id,
+      // 0 would say that this build doesn't know pending votes.
+      writeMs: Math.max(1, Math.round(this.replica.expectedWriteMs))
     })
+    const what = preVote ? 'pre-vote' : 'vote'
+    const { replication } = this.replica.monitor
     try {
       const link = this.replica.links.linkTo(voter.address)
-      const res = await link.call(async (client, options) => await client.vote(req, options), this.voteTimeoutMs(preVote))
-      if (res.term > this.replica.term) this.replica.stepDown(res.term, `replica ${voter.id} is in term ${res.term}`)
+      const res = await link.call(async (client, options) => await client.vote(req, options), timeoutMs, 'verify')
+      if (res.term > this.replica.latestTerm) this.replica.stepDown(res.term, `replica ${voter.id} is in term ${res.term}`)
       replication.recordAcknowledged(voter.id, what)
-      record(res.granted ? 'granted' : 'refused')
-      return res.granted
+      return res
     } catch (err) {
-      // An unreachable voter counts as a refusal.
       if (!this.stopped.signal.aborted) replication.recordFailure(voter.id, what, err)
-      record('failed')
-      return false
+      throw err
     }
   }
 }
--- a/packages/control/src/node/partReceiver.ts
+++ b/packages/control/src/node/partReceiver.ts
@@ -1,5 +1,6 @@
 /** Assembles messages that arrive in parts. */
-import type * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as protobuf from '@bufbuild/protobuf'
+import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 
 /** Largest message that is assembled in memory. */
@@ -12,17 +13,36 @@
   receivedBytes: number
 }
 
+/** Handles the messages that arrive in parts. */
+export interface IMessageHandler {
+  handleAppend(req: inner.AppendReq): Promise<inner.AppendRes>
+  handleInstallSnapshot(req: inner.InstallSnapshotReq): Promise<inner.InstallSnapshotRes>
+}
+
+/** What has been received, and the response to the message once it is complete. */
+export interface ReceivedPart {
+  readonly receivedBytes: bigint
+  readonly append?: inner.AppendRes
+  readonly snapshot?: inner.InstallSnapshotRes
+}
+
 /** Receives one message at a time; a part of another message discards the previous one. */
 export class PartReceiver {
-  private transfer: Transfer = { key: '', parts: [], receivedBytes: 0 }
+  private transfer: Transfer = emptyTransfer()
 
-  /** Number of bytes of the current message that have been received. */
-  get receivedBytes (): number {
-    return this.transfer.receivedBytes
+  /** Adds a part, and passes the message to the handler once it is complete. */
+  async receive (part: inner.ReplicationPart, handler: IMessageHandler): Promise<ReceivedPart> {
+    const message = this.add(part)
+    const receivedBytes = BigInt(this.transfer.receivedBytes)
+    if (message === undefined) return { receivedBytes }
+    const res = await handleMessage(part.content, message, handler)
+    // Kept until it has been handled: a sender that gets no response sends it again.
+    if (this.transfer.key === keyOf(part)) this.transfer = emptyTransfer()
+    return { receivedBytes, ...res }
   }
 
   /** Adds a part, unless it was received before; returns the message once it is complete. */
-  add (part: inner.ReplicationPart): Uint8Array | undefined {
+  private add (part: inner.ReplicationPart): Uint8Array | undefined {
     const totalBytes = Number(part.totalBytes)
     if (totalBytes > maxMessageBytes) throw new errors.RackError({ kind: 'too-large', message: `a message of ${totalBytes} bytes; at most ${maxMessageBytes} are accepted` })
     const key = keyOf(part)
@@ -33,10 +53,17 @@
     }
     return this.transfer.receivedBytes >= totalBytes ? Buffer.concat(this.transfer.parts) : undefined
   }
+}
+
+function emptyTransfer (): Transfer {
+  return { key: '', parts: [], receivedBytes: 0 }
+}
 
-  /** Discards the message that a part belongs to. */
-  discard (part: inner.ReplicationPart): void {
-    if (this.transfer.key === keyOf(part)) this.transfer = { key: '', parts: [], receivedBytes: 0 }
+async function handleMessage (content: inner.ReplicationPart_Content, message: Uint8Array, handler: IMessageHandler): Promise<Pick<ReceivedPart, 'append' | 'snapshot'>> {
+  switch (content) {
+    case inner.ReplicationPart_Content.APPEND: return { append: await handler.handleAppend(protobuf.fromBinary(inner.AppendReqSchema, message)) }
+    case inner.ReplicationPart_Content.SNAPSHOT: return { snapshot: await handler.handleInstallSnapshot(protobuf.fromBinary(inner.InstallSnapshotReqSchema, message)) }
+    default: throw new errors.RackError({ kind: 'bad-request', message: `unknown content of a message in parts: ${content}` })
   }
 }
 
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -11,6 +11,7 @@
 import type * as replicatedState from '../common/replicatedState.js'
 import * as leadership from './leadership.js'
 import * as logApplier from './logApplier.js'
+import * as logCompactor from './logCompactor.js'
 import * as partReceiver from './partReceiver.js'
 import type * as replicaLinks from './replicaLinks.js'
 import * as replicaLog from './replicaLog.js'
@@ -18,9 +19,6 @@
 import type * as replicaStorage from './replicaStorage.js'
 import * as voting from './voting.js'
 
-/** Size of the applied entries, or that of the configuration if it is larger, from which they are replaced by a snapshot. */
-const maxUncompactedBytes = 8_388_608
-
 /** Addresses and timing of a replica. */
 export interface ReplicaOptions {
   readonly address: string
@@ -41,15 +39,14 @@
   readonly monitor: replicaMonitor.ReplicaMonitor
   private readonly voting: voting.Voting
   private readonly applier: logApplier.LogApplier
+  private readonly compactor: logCompactor.LogCompactor
   private currentRole: Role = 'follower'
   private currentLeadership: leadership.Leadership | undefined
   private currentLeaderId = ''
+  private candidacyEnd = new AbortController()
   private leaderContactAt = -Infinity
   private seenLeader = false
   private readonly parts = new partReceiver.PartReceiver()
-  /** Size of the entries that were applied after the snapshot. */
-  private uncompactedBytes = 0
-  private isCompacting = false
 
   constructor (
     private readonly options: ReplicaOptions,
@@ -61,6 +58,7 @@
     this.monitor = new replicaMonitor.ReplicaMonitor(decisions, options.electionTimeoutMs, this)
     this.voting = new voting.Voting(this, storage)
     this.applier = new logApplier.LogApplier(this.log, decisions)
+    this.compactor = new logCompactor.LogCompactor(this.log, this.applier, this.lock, options.snapshotEvery)
     storage.onDiskFullChanged((isFull) => this.handleDiskFullChanged(isFull))
   }
 
@@ -97,6 +95,11 @@
     return this.voting.term
   }
 
+  /** The newest term that this replica has adopted, also if it is still being written. */
+  get latestTerm (): number {
+    return this.voting.latestTerm
+  }
+
   /** True once this replica belongs to a cluster. */
   get founded (): boolean {
     return this.voting.founded
@@ -153,7 +156,12 @@
     return performance.now() - this.leaderContactAt
   }
 
-  /** Milliseconds since the reservation of a vote for another candidate ended; negative while it lasts. */
+  /** Milliseconds that a write of this replica's vote is expected to take. */
+  get expectedWriteMs (): number {
+    return this.voting.expectedWriteMs
+  }
+
+  /** Milliseconds since the reservation of a vote for another candidate ended; not positive while it lasts. */
   get sinceVoteReservationMs (): number {
     return this.voting.sinceReservationMs
   }
@@ -219,15 +227,41 @@
     this.leaderContactAt = performance.now()
   }
 
-  /** Becomes candidate in a term for which a majority granted pre-votes; returns false when a leader or another candidate came first. */
-  async becomeCandidate (term: number): Promise<boolean> {
-    return await this.lock.run(async () => {
-      if (this.hasActiveLeader() || !this.isVoter || this.currentLeadership !== undefined || this.term + 1 !== term) return false
-      await this.voting.voteForSelf(term)
+  handleHigherTermRequested (): void {
+    this.withdrawCandidacy()
+  }
+
+  /**
+   * Becomes candidate in a term for which a majority granted pre-votes; returns undefined when a leader or another candidate came
+   * first. The own vote is written while the other votes are requested: it counts only once it is stored, since a candidate
+   * becomes leader under the lock.
+   * @param preVotesAskedAt since when a message of a leader, or a vote for another candidate, means that it came first.
+   */
+  async becomeCandidate (term: number, preVotesAskedAt = performance.now()): Promise<voting.Candidacy | undefined> {
+    const started = new async.Deferred<AbortSignal | undefined>()
+    const voteWritten = this.lock.run(async () => {
+      if (this.hasActiveLeader() || !this.isVoter || this.currentLeadership !== undefined || this.term + 1 !== term || this.leaderContactAt > preVotesAskedAt) {
+        return started.resolve(undefined)
+      }
+      this.follow('')
       this.currentRole = 'candidate'
-      this.currentLeaderId = ''
-      return true
+      this.candidacyEnd = new AbortController()
+      const write = this.voting.voteForSelf(term)
+      started.resolve(this.candidacyEnd.signal)
+      await write
+      if (this.currentRole !== 'candidate') this.voting.releaseOwnVote()
+    }).catch((err) => {
+      this.decisions.record({ event: 'control-vote-failed', choice: this.replicaId, term, why: errors.messageOf(err) })
+      this.withdrawCandidacy()
+      started.resolve(undefined)
     })
+    const ended = await started.promise
+    return ended === undefined ? undefined : { ended, voteWritten }
+  }
+
+  /** Ends a candidacy that can't be won any more. */
+  withdrawCandidacy (): void {
+    if (this.currentRole === 'candidate') this.follow('')
   }
 
   /** Becomes leader of the term in which it won the election, unless the term or the role has changed meanwhile. */
@@ -253,6 +287,8 @@
     // Not awaited: the leadership ends now, and the term is saved once earlier changes under `lock` are done.
     this.lock.run(async () => {
       if (term > this.term) await this.voting.adoptTerm(term)
+    }).catch((err) => {
+      this.decisions.record({ event: 'control-term-failed', choice: this.replicaId, term, why: errors.messageOf(err) })
     })
   }
 
@@ -263,6 +299,8 @@
     this.currentLeadership = undefined
     this.currentRole = 'follower'
     this.currentLeaderId = leaderId
+    this.candidacyEnd.abort()
+    this.voting.releaseOwnVote()
   }
 
   // ---- Replication ----
@@ -305,19 +343,8 @@
     this.requireAddressee(part.toReplicaId)
     this.requireDiskSpace()
     if (part.term < this.term) return protobuf.create(inner.ReplicationPartResSchema, { term: this.term })
-    const message = this.parts.add(part)
-    const res = message === undefined ? {} : await this.handleMessage(part.content, message)
-    const receivedBytes = BigInt(this.parts.receivedBytes)
-    if (message !== undefined) this.parts.discard(part)
-    return protobuf.create(inner.ReplicationPartResSchema, { term: this.term, receivedBytes, ...res })
-  }
-
-  private async handleMessage (content: inner.ReplicationPart_Content, message: Uint8Array): Promise<Pick<protobuf.MessageInitShape<typeof inner.ReplicationPartResSchema>, 'append' | 'snapshot'>> {
-    switch (content) {
-      case inner.ReplicationPart_Content.APPEND: return { append: await this.handleAppend(protobuf.fromBinary(inner.AppendReqSchema, message)) }
-      case inner.ReplicationPart_Content.SNAPSHOT: return { snapshot: await this.handleInstallSnapshot(protobuf.fromBinary(inner.InstallSnapshotReqSchema, message)) }
-      default: throw new errors.RackError({ kind: 'bad-request', message: `unknown content of a message in parts: ${content}` })
-    }
+    const res = await this.parts.receive(part, this)
+    return protobuf.create(inner.ReplicationPartResSchema, { ...res, term: this.term })
   }
 
   async handleInstallSnapshot (req: inner.InstallSnapshotReq): Promise<inner.InstallSnapshotRes> {
@@ -366,7 +393,7 @@
     if (Number(snapshot.index) <= this.appliedIndex && this.founded) return
     // First, so that a snapshot that this build can't read leaves the log as it is.
     this.applier.restore(snapshot)
-    this.uncompactedBytes = 0
+    this.compactor.reset()
     await this.log.replaceSnapshot(snapshot)
     this.applier.notify()
     await this.markFounded()
@@ -403,31 +430,11 @@
   commit (index: number): void {
     if (index <= this.appliedIndex) return
     this.applier.applyUpTo(index, (entry, result) => {
-      this.uncompactedBytes += logEntry.sizeOf(entry)
+      this.compactor.count(entry)
       this.currentLeadership?.handleApplied(entry, result)
     })
     if (!this.applier.canApply && this.currentLeadership !== undefined) this.stepDown(this.term, 'this build can\'t apply a committed entry')
-    if (this.isCompactionDue) this.compact()
-  }
-
-  private get isCompactionDue (): boolean {
-    const configBytes = this.state.configJson.length + this.state.configSource.length
-    return this.appliedIndex - this.log.snapshotIndex >= this.options.snapshotEvery ||
-      this.uncompactedBytes >= Math.max(maxUncompactedBytes, configBytes)
-  }
-
-  /** Replaces the applied entries of the log by a snapshot. */
-  private compact (): void {
-    if (this.isCompacting) return
-    this.isCompacting = true
-    this.lock.run(async () => {
-      const index = this.appliedIndex
-      this.uncompactedBytes = 0
-      const snapshot = this.state.toSnapshot(index, this.log.termAt(index)!, this.log.membershipAt(index))
-      await this.log.replaceSnapshot(snapshot)
-    }).finally(() => {
-      this.isCompacting = false
-    })
+    this.compactor.compactIfDue()
   }
 
   /** Resolves once the entry at an index is applied; throws `no-quorum` after an election timeout. */
--- a/packages/control/src/test/virtualGroup.ts
+++ b/packages/control/src/test/virtualGroup.ts
@@ -1,4 +1,4 @@
-/** A simulated group of control replicas in virtual time, with slow disks and different start times. */
+/** A simulated group of control replicas in virtual time, with slow disks, different start times, and processes that are killed. */
 import * as protobuf from '@bufbuild/protobuf'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
@@ -8,7 +8,7 @@
 import * as election from '../node/election.js'
 import * as replica from '../node/replica.js'
 import type * as replicaLinks from '../node/replicaLinks.js'
-import type * as replicaStorage from '../node/replicaStorage.js'
+import * as voterDisk from './voterDisk.js'
 
 const oneWayDelayMs = 1
 /** Longest time that a busy, newly started process takes to read a message. */
@@ -20,10 +20,23 @@
 export interface GroupOptions {
   /** Start time of each voter in milliseconds; undefined for a voter that doesn't start. */
   readonly startTimesMs: ReadonlyArray<number | undefined>
-  readonly syncMs: number
+  /** Time of a disk sync, of all voters or of each. */
+  readonly syncMs: number | readonly number[]
+  /** Time of a write of the log, if it isn't that of a sync: 0 where a leader's messages must not wait for the disk. */
+  readonly appendMs?: number
   /** Voter that led before the start, if the voters have stored their vote for it. */
   readonly formerLeader: number | undefined
   readonly random: () => number
+  /** Voters that don't know the fields `pending` and `write_ms`, like those of earlier builds. */
+  readonly earlierVoters?: readonly number[]
+}
+
+/** A running process of a voter. */
+interface Member {
+  readonly voter: number
+  readonly storage: voterDisk.VoterStorage
+  readonly replica: replica.Replica
+  readonly election: election.Election
 }
 
 /** An election that a voter won. */
@@ -33,54 +46,66 @@
   readonly wonAtMs: number
 }
 
-/** Storage whose writes take the time of a disk sync. */
-class SlowStorage implements replicaStorage.IReplicaStorage {
-  readonly isDiskFull = false
-
-  constructor (private readonly stored: replicaStorage.StoredReplica, private readonly syncMs: number) {}
-
-  onDiskFullChanged (): { dispose: () => void } {
-    return { dispose: () => {} }
-  }
-
-  async load (): Promise<replicaStorage.StoredReplica> {
-    return this.stored
-  }
+/** Starts the replicas at the given times and records which of them win elections. */
+export class VirtualGroup {
+  readonly wonElections: WonElection[] = []
+  /** Violations of what must hold whatever the timing. */
+  readonly problems: string[] = []
+  readonly disks: readonly voterDisk.VoterDisk[]
+  private readonly members = new Map<string, Member>()
+  /** Candidate for which each voter granted its vote, by voter and term. */
+  private readonly grantedVotes = new Map<string, string>()
 
-  async saveMeta (): Promise<void> {
-    await async.sleep(this.syncMs)
+  constructor (private readonly options: GroupOptions) {
+    const votedFor = options.formerLeader === undefined ? '' : idOf(options.formerLeader)
+    const snapshot = new replicatedState.ReplicatedState().toSnapshot(snapshotIndex, snapshotTerm, this.membership)
+    this.disks = options.startTimesMs.map((_at, voter) => {
+      const syncMs = typeof options.syncMs === 'number' ? options.syncMs : options.syncMs[voter]!
+      const meta = { replicaId: idOf(voter), term: snapshotTerm, votedFor }
+      return new voterDisk.VoterDisk({ meta, snapshot, syncMs, appendMs: options.appendMs ?? syncMs })
+    })
+    options.startTimesMs.forEach((at, voter) => {
+      if (at !== undefined) setTimeout(() => { this.start(voter) }, at)
+    })
   }
 
-  async append (): Promise<void> {
-    await async.sleep(this.syncMs)
+  /** Voter of the newest leader, if it still leads. */
+  get leader (): number | undefined {
+    const newest = this.wonElections.at(-1)
+    if (newest === undefined) return undefined
+    return this.members.get(addressOf(newest.voter))?.replica.leadership === undefined ? undefined : newest.voter
   }
 
-  async rewrite (): Promise<void> {
-    await async.sleep(this.syncMs)
+  /** Returns the voters whose processes are writing a vote. */
+  votersThatWrite (): readonly number[] {
+    return [...this.members.values()].filter(({ storage }) => storage.isWritingVote).map(({ voter }) => voter)
   }
 
-  async saveSnapshot (): Promise<void> {
-    await async.sleep(this.syncMs)
+  /** Starts a process of a voter. */
+  async start (voter: number): Promise<void> {
+    const storage = new voterDisk.VoterStorage(this.disks[voter]!)
+    const options = { address: addressOf(voter), operatorAddress: '', failureDomain: 'a', electionTimeoutMs: 400, heartbeatMs: 100, snapshotEvery: 1000 }
+    const started = new replica.Replica(options, storage, this.linksOf(voter, storage), this.decisions(voter, storage))
+    await started.load()
+    const member: Member = { voter, storage, replica: started, election: new election.Election(started) }
+    this.members.set(addressOf(voter), member)
+    member.election.run()
   }
 
-  dispose (): void {}
-}
-
-/** Starts the replicas at the given times and records which of them win elections. */
-export class VirtualGroup {
-  readonly wonElections: WonElection[] = []
-  private readonly members = new Map<string, replica.Replica>()
-  private readonly elections: election.Election[] = []
-
-  constructor (private readonly options: GroupOptions) {
-    options.startTimesMs.forEach((at, voter) => {
-      if (at !== undefined) setTimeout(() => { this.start(voter) }, at)
-    })
+  /** Kills the process of a voter; a vote that it is writing is stored or not. */
+  kill (voter: number): void {
+    const member = this.members.get(addressOf(voter))
+    this.members.delete(addressOf(voter))
+    member?.storage.kill(this.options.random() < 0.5)
+    member?.election.dispose()
+    member?.replica.dispose()
   }
 
   dispose (): void {
-    for (const each of this.elections) each.dispose()
-    for (const member of this.members.values()) member.dispose()
+    for (const { election, replica } of this.members.values()) {
+      election.dispose()
+      replica.dispose()
+    }
   }
 
   private get membership (): inner.Membership {
@@ -89,65 +114,80 @@
     })
   }
 
-  private async start (voter: number): Promise<void> {
-    const { formerLeader, syncMs } = this.options
-    const votedFor = formerLeader === undefined ? '' : idOf(formerLeader)
-    const storage = new SlowStorage({
-      meta: protobuf.create(inner.ReplicaMetaSchema, { replicaId: idOf(voter), cluster: 'c', founded: true, term: snapshotTerm, votedFor }),
-      snapshot: new replicatedState.ReplicatedState().toSnapshot(snapshotIndex, snapshotTerm, this.membership),
-      entries: []
-    }, syncMs)
-    const options = { address: addressOf(voter), operatorAddress: '', failureDomain: 'a', electionTimeoutMs: 400, heartbeatMs: 100, snapshotEvery: 1000 }
-    const member = new replica.Replica(options, storage, this.links(), this.decisions(voter))
-    await member.load()
-    this.members.set(addressOf(voter), member)
-    const electionTask = new election.Election(member)
-    this.elections.push(electionTask)
-    electionTask.run()
-  }
-
-  private decisions (voter: number): decisionLog.IDecisionLog {
+  private decisions (voter: number, storage: voterDisk.VoterStorage): decisionLog.IDecisionLog {
     return {
       record: ({ event, term }: { readonly event: string, readonly term?: unknown }) => {
-        if (event === 'control-leader') this.wonElections.push({ voter, term: Number(term), wonAtMs: performance.now() })
+        if (event === 'control-leader' && !storage.isKilled) this.handleWon({ voter, term: Number(term), wonAtMs: performance.now() })
       }
     } as unknown as decisionLog.IDecisionLog
   }
 
-  private links (): replicaLinks.ReplicaLinks {
-    return { linkTo: (address: string) => this.linkTo(address) } as unknown as replicaLinks.ReplicaLinks
+  private handleWon (won: WonElection): void {
+    const { voter, term } = won
+    if (this.wonElections.some((other) => other.term === term)) this.problems.push(`a second leader in term ${term}`)
+    this.recordVote(voter, term, idOf(voter))
+    this.wonElections.push(won)
+  }
+
+  /** Checks that a vote that counts is stored, and that it is the only one of the voter in its term. */
+  private recordVote (voter: number, term: number, candidateId: string): void {
+    const { meta } = this.disks[voter]!
+    const isStored = meta.term === term && meta.votedFor === candidateId
+    if (!isStored) this.problems.push(`voter ${voter}: a vote for ${candidateId} in term ${term} counts, stored is ${meta.votedFor} in term ${meta.term}`)
+    const key = `${voter} ${term}`
+    const earlier = this.grantedVotes.get(key) ?? candidateId
+    if (earlier !== candidateId) this.problems.push(`voter ${voter}: two votes in term ${term}`)
+    this.grantedVotes.set(key, candidateId)
+  }
+
+  private linksOf (sender: number, storage: voterDisk.VoterStorage): replicaLinks.ReplicaLinks {
+    return { linkTo: (address: string) => this.linkTo(sender, storage, address) } as unknown as replicaLinks.ReplicaLinks
   }
 
-  private linkTo (address: string): replicaLinks.ReplicaLink {
+  private linkTo (sender: number, storage: voterDisk.VoterStorage, address: string): replicaLinks.ReplicaLink {
+    const send = async <T>(handle: (member: Member) => Promise<T>): Promise<T> => await this.deliver(storage, address, handle)
     const client = {
-      vote: async (req: inner.VoteReq) => await this.deliver(address, async (member) => await member.handleVote(req)),
-      append: (requests: AsyncIterable<inner.AppendReq>) => this.respondToAppends(address, requests)
+      vote: async (req: inner.VoteReq) => await send(async (member) => await this.handleVote(sender, member, req)),
+      append: (reqs: AsyncIterable<inner.AppendReq>) => respondToAppends(reqs, async (req) => await send(async (member) => await member.replica.handleAppend(req)))
     } as unknown as replicaLinks.ReplicaClient
     const call = async <T>(run: (each: replicaLinks.ReplicaClient, options: object) => Promise<T>, timeoutMs: number): Promise<T> =>
-      await async.withTimeout(run(client, {}), timeoutMs, unreachable)
+      await async.withTimeout(run(client, {}), timeoutMs, timedOut)
     return { address, client, call, reset: () => {} } as unknown as replicaLinks.ReplicaLink
   }
 
-  private async * respondToAppends (address: string, requests: AsyncIterable<inner.AppendReq>): AsyncGenerator<inner.AppendRes> {
-    for await (const req of requests) yield await this.deliver(address, async (member) => await member.handleAppend(req))
+  private async handleVote (sender: number, { voter, replica: receiver }: Member, req: inner.VoteReq): Promise<inner.VoteRes> {
+    const isWithEarlier = this.options.earlierVoters?.some((earlier) => earlier === sender || earlier === voter) === true
+    const res = await receiver.handleVote(isWithEarlier ? { ...req, writeMs: 0 } : req)
+    if (res.pending && isWithEarlier) this.problems.push(`voter ${voter} answers with a field that the candidate doesn't know`)
+    if (res.granted && !req.preVote) this.recordVote(voter, req.term, req.candidateId)
+    return res
   }
 
-  /** Delivers a message and returns the response; throws when the process at the address hasn't started. */
-  private async deliver<T> (address: string, handle: (member: replica.Replica) => Promise<T>): Promise<T> {
+  /** Delivers a message and returns the response; throws when no process runs at the address, or when it is killed meanwhile. */
+  private async deliver<T> (sender: voterDisk.VoterStorage, address: string, handle: (member: Member) => Promise<T>): Promise<T> {
     await async.sleep(oneWayDelayMs)
     const member = this.members.get(address)
     if (member === undefined) throw unreachable()
     await async.sleep(this.options.random() * maxStartupDelayMs)
-    const response = await handle(member)
+    if (sender.isKilled) throw unreachable()
+    const response = await Promise.race([handle(member), member.storage.whenKilled.promise])
     await async.sleep(oneWayDelayMs)
     return response
   }
 }
 
+async function * respondToAppends (reqs: AsyncIterable<inner.AppendReq>, send: (req: inner.AppendReq) => Promise<inner.AppendRes>): AsyncGenerator<inner.AppendRes> {
+  for await (const req of reqs) yield await send(req)
+}
+
 function unreachable (): errors.RackError {
   return new errors.RackError({ kind: 'unreachable', message: 'nothing listens at this address' })
 }
 
+function timedOut (): errors.RackError {
+  return new errors.RackError({ kind: 'unknown', timedOut: true, message: 'no response in time' })
+}
+
 function idOf (voter: number): string {
   return `r-${voter}`
 }
