Replication: record what is sent, and responses of a higher term

Evidence: controlMetrics.test.ts (58 checks): while a follower's disk stalls, the leader shows the append that it waits for, and a response to a heartbeat less than a second ago. replicationStatus (50) and laggingReplica (25) pass. slowDisks.test.ts fails in its cases after a restart, which are known red.

--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -156,6 +156,7 @@
   private async sendEntries (prevTerm: number, sentAt: number): Promise<void> {
     const prevIndex = this.nextIndex - 1
     const entries = this.host.log.entriesFrom(this.nextIndex, maxEntriesPerMessage, maxMessageBytes)
+    this.host.status.recordSent(this.replica.id, 'append', entries.reduce((bytes, entry) => bytes + logEntry.sizeOf(entry), 0))
     const res = await this.sendAppend(this.createAppend(prevIndex, prevTerm, this.host.commitIndex, entries))
     if (!this.handleResponse('append', res.term, sentAt)) return
     if (res.success) this.setMatchIndex(Number(res.lastIndex))
@@ -184,6 +185,7 @@
     })
     const sendWhole = async (): Promise<inner.InstallSnapshotRes> =>
       await this.link.call(async (client, options) => await client.installSnapshot(req, options), writeTimeoutMs)
+    this.host.status.recordSent(this.replica.id, 'snapshot', snapshot.documentJson.length + snapshot.source.length)
     const res = await this.parts.sendSnapshot(`snapshot ${snapshot.index}`, req, sendWhole)
     this.snapshotInTransfer = undefined
     if (this.handleResponse('snapshot', res.term, sentAt)) this.setMatchIndex(Number(snapshot.index))
@@ -205,6 +207,7 @@
   private handleResponse (what: messageFailure.MessageKind, term: number, sentAt: number): boolean {
     if (this.stopped.signal.aborted) return false
     if (term > this.host.term) {
+      this.host.status.recordFailureReason(this.replica.id, what, { reason: 'higher-term', why: `replica ${this.replica.id} is in term ${term}` })
       this.host.handleHigherTerm(term, this.replica.id)
       return false
     }
--- a/packages/control/src/node/replicationStatus.ts
+++ b/packages/control/src/node/replicationStatus.ts
@@ -84,7 +84,7 @@
   /** @param members returns the current membership; what is known of other replicas is dropped. */
   constructor (private readonly decisions: decisionLog.IDecisionLog, private readonly members: () => readonly inner.Replica[]) {}
 
-  /** Records that a message is being sent; its response or failure must be recorded too. */
+  /** Records that a message of about this size is being sent; its response or failure must be recorded too. */
   recordSent (replicaId: string, what: messageFailure.MessageKind, bytes: number, now = performance.now()): void {
     const state = this.messageState(replicaId, what)
     state.pendingSince = now
