Control: a stream sends a newer version before the first confirmation

Cause: a new stream sent nothing until one or two confirmation rounds had ended, which take up to 1.2 s each while the leader does not respond. An instance that had lost its streams got a version that the replica held only then.

Change: to an instance that has a configuration a newer version is sent at once, unconfirmed. A new instance, which can't use it unconfirmed, gets both together as before.

Evidence: the new case of configFeed.test failed before (no update within 100 ms), passes now.

--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -73,7 +73,13 @@
     let sentVersion = configVersion.decode(req.knownVersion)
     this.openStreamCount++
     try {
-      await this.confirmSince(startedAt)
+      const confirmation = this.confirmSince(startedAt)
+      // A new instance uses no configuration before the first confirmation, so it gets both at once.
+      if (req.knownVersion > 0 && this.replica.state.config.version > sentVersion) {
+        sentVersion = this.replica.state.config.version
+        yield this.createUpdate(true, false)
+      }
+      await confirmation
       while (!signal.aborted) {
         const { version } = this.replica.state.config
         const confirmed = this.isConfirmedSince(startedAt)
--- a/packages/control/src/test/configFeed.test.ts
+++ b/packages/control/src/test/configFeed.test.ts
@@ -7,6 +7,8 @@
 import * as configFeed from '../node/configFeed.js'
 import type * as replica from '../node/replica.js'
 
+const earlyUpdateLimitMs = 100
+
 /** A feed whose confirmation rounds end when the test resolves or rejects their reads. */
 class FeedFixture {
   readonly reads: Array<async.Deferred<number>> = []
@@ -50,6 +52,21 @@
   fixture.feed.dispose()
 })
 
+tap.t.test('a version that is newer than that of a returning instance is sent before the round ends', async (t) => {
+  const fixture = new FeedFixture()
+  const stop = new AbortController()
+  const stream = fixture.feed.follow({ instance: 'entry', knownVersion: 6 } as inner.FollowReq, stop.signal)
+  const first = stream.next()
+  t.ok(await async.settlesWithin(first, earlyUpdateLimitMs))
+  t.equal(fixture.reads.length, 1)
+  const second = stream.next()
+  fixture.reads[0]!.resolve(1)
+  t.match((await first).value, { confirmed: false, config: { version: 7 } })
+  t.match((await second).value, { confirmed: true, confirmedVersion: 7, config: undefined })
+  stop.abort()
+  fixture.feed.dispose()
+})
+
 tap.t.test('a stream reports at once that no quorum confirms', async (t) => {
   const fixture = new FeedFixture()
   const stop = new AbortController()
