Fleet: a claim that times out no longer closes the stream of the configuration

Cause: claims of idempotency keys and requests for permits use the connections of the configuration streams, and a timeout closes the connection. A claim has to be committed, so slow disks or the lack of a leader ended the streams of every instance with such requests, again and again.

Change: on a connection with a stream the timeout only ends the call; the watchdog of the stream closes a silent connection.

Evidence: configDelivery.test: the new case saw a second stream before, one now; all tests of packages/fleet pass.

--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -45,6 +45,8 @@
   private readonly changedEmitter = this.disposables.add(new event.Emitter<configDocument.VersionedConfig>())
   readonly onChanged = this.changedEmitter.event
   private readonly links: readonly ControlLink[]
+  /** The links with a stream, whose watchdog notices a silent connection. */
+  private readonly followedLinks = new Set<ControlLink>()
   private config = configDocument.emptyConfig
   private configJson = JSON.stringify(configDocument.emptyConfig.document)
   private confirmedAt = -Infinity
@@ -144,7 +146,7 @@
     for (let attempt = 0; attempt < this.links.length; attempt++) {
       const link = this.links[(this.preferredIndex + attempt) % this.links.length]!
       try {
-        const res = await link.call(run, callTimeoutMs)
+        const res = await (this.followedLinks.has(link) ? link.callBesideStream(run, callTimeoutMs) : link.call(run, callTimeoutMs))
         this.preferredIndex = (this.preferredIndex + attempt) % this.links.length
         return res
       } catch (err) {
@@ -173,6 +175,7 @@
     const watchdog = new streamWatchdog.StreamWatchdog(this.stopped.signal, () => link.reset())
     // Until the first confirmation, the time is counted from the start of the stream.
     let lastConfirmedAt = performance.now()
+    this.followedLinks.add(link)
     try {
       const stream = link.client.follow({ instance: this.instance, knownVersion: configVersion.encode(this.config.version) }, { signal: watchdog.signal })
       for await (const res of stream) {
@@ -190,6 +193,7 @@
     } catch (err) {
       return watchdog.timeoutMessage ?? err
     } finally {
+      this.followedLinks.delete(link)
       watchdog.dispose()
     }
   }
--- a/packages/fleet/src/test/configDelivery.test.ts
+++ b/packages/fleet/src/test/configDelivery.test.ts
@@ -114,6 +114,35 @@
   replica.dispose()
 })
 
+tap.t.test('a claim that times out does not close the stream of the configuration', async (t) => {
+  const address = '127.118.0.3:17453'
+  let streamCount = 0
+  const replica = new innerListener.InnerListener({ cluster: identity.cluster, token: identity.token }, (router) => {
+    router.service(inner.ControlReplica, {
+      follow: async function * (_req, context) {
+        streamCount++
+        while (!context.signal.aborted) {
+          yield { confirmed: true }
+          await async.sleep(heartbeatMs, context.signal)
+        }
+      },
+      claim: async (_req, context) => {
+        await async.sleep(hangMs, context.signal)
+        return {}
+      }
+    })
+  })
+  await replica.listen(address)
+  const follower = new configFollower.ConfigFollower('entry', [{ address }], identity, new RecordingLog().log)
+  follower.start()
+  t.equal(await follower.waitForConfirmation(hangMs), true)
+  await t.rejects(follower.claim('key', 'owner'))
+  await async.sleep(5 * heartbeatMs)
+  t.equal(streamCount, 1)
+  follower.dispose()
+  replica.dispose()
+})
+
 /** A hub that reports a version but does not respond to fetches. */
 class HangingHub implements lifecycle.IDisposable {
   readonly address = '127.118.0.1:17451'
