--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -75,7 +75,7 @@
     try {
       const confirmation = this.confirmSince(startedAt)
       // A new instance uses no configuration before the first confirmation, so it gets both at once.
-      if (req.knownVersion > 0 && this.replica.state.config.version > sentVersion) {
+      if (sentVersion > 0 && this.replica.state.config.version > sentVersion) {
         sentVersion = this.replica.state.config.version
         yield this.createUpdate(true, false)
       }
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -146,7 +146,7 @@
     for (let attempt = 0; attempt < this.links.length; attempt++) {
       const link = this.links[(this.preferredIndex + attempt) % this.links.length]!
       try {
-        const res = await (this.followedLinks.has(link) ? link.callBesideStream(run, callTimeoutMs) : link.call(run, callTimeoutMs))
+        const res = await (this.followedLinks.has(link) ? link.call(run, callTimeoutMs, 'keep') : link.call(run, callTimeoutMs))
         this.preferredIndex = (this.preferredIndex + attempt) % this.links.length
         return res
       } catch (err) {
