Entry: an instance that lacks a version that others have is not ready

Cause: without a recent confirmation an instance stayed ready while most of its peers responded, since the control group had no quorum then and so could not have accepted a change. That doesn't hold if the instance refuses a version or can't fetch it: it went on as ready with the older one, and said "configuration unchanged".

Change: the follower keeps the newest version that it has been told of. An instance that lacks it is not ready once its own version has not been confirmed for confirmWithinMs.

--- a/packages/control/src/node/messageFailure.ts
+++ b/packages/control/src/node/messageFailure.ts
@@ -38,7 +38,7 @@
 /** Returns why a message failed. */
 export function classifyFailure (err: unknown): MessageFailure {
   const fault = rpcErrors.fromConnectError(err)
-  return { reason: codeReason(err) ?? prefixReason(fault) ?? reasonsByFault[fault.kind] ?? fault.kind, why: fault.message }
+  return { reason: codeReason(err) ?? prefixReason(fault) ?? timeoutReason(fault) ?? reasonsByFault[fault.kind] ?? fault.kind, why: fault.message }
 }
 
 function codeReason (err: unknown): FailureReason | undefined {
@@ -48,3 +48,7 @@
 function prefixReason ({ kind, message }: errors.Fault): FailureReason | undefined {
   return kind === 'unreachable' ? reasonsByPrefix.find(([prefix]) => message.startsWith(prefix))?.[1] : undefined
 }
+
+function timeoutReason (fault: errors.Fault): FailureReason | undefined {
+  return fault.kind === 'unknown' && fault.timedOut ? 'timeout' : undefined
+}
--- a/packages/control/src/test/repeatedPut.test.ts
+++ b/packages/control/src/test/repeatedPut.test.ts
@@ -4,6 +4,7 @@
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as controlService from '../node/controlService.js'
+import * as refusalCounter from '../node/refusalCounter.js'
 import type * as replica from '../node/replica.js'
 import * as configuredGroup from './configuredGroup.js'
 
@@ -30,6 +31,7 @@
     leaderReplica: { id: 'r-2', address: '10.0.0.2:7200' },
     replicaId: 'r-1',
     state: { config: configDocument.emptyConfig },
+    monitor: { refusals: new refusalCounter.RefusalCounter() },
     links: { linkTo: () => link }
   } as unknown as replica.Replica
   const service = new controlService.ControlService(follower, serviceOptions, new decisionLog.NullDecisionLog())
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -156,7 +156,8 @@
       confirmedAgeMs: this.configs.confirmedAgeMs,
       confirmWithinMs: this.entry.confirmWithinMs,
       members: this.members,
-      isStopping: this.isStopping
+      isStopping: this.isStopping,
+      missingVersion: this.configs.missingVersion
     })
   }
 
--- a/packages/entry/src/node/readiness.ts
+++ b/packages/entry/src/node/readiness.ts
@@ -7,6 +7,8 @@
   readonly confirmWithinMs: number
   readonly members: memberTable.MemberTable
   readonly isStopping: boolean
+  /** A newer version that others have and this instance doesn't; undefined if it knows of none. */
+  readonly missingVersion: number | undefined
 }
 
 /** Whether the instance is ready, with the reason. */
@@ -24,6 +26,7 @@
   if (input.isStopping) return { ready: false, why: 'stopping' }
   if (!Number.isFinite(input.confirmedAgeMs)) return { ready: false, why: 'no configuration has been confirmed yet' }
   if (input.confirmedAgeMs <= input.confirmWithinMs) return { ready: true, why: 'configuration confirmed' }
+  if (input.missingVersion !== undefined) return { ready: false, why: `version ${input.missingVersion} is not in force here` }
   const memberCount = 1 + input.members.all().length
   const reachesMajority = memberCount > 1 && input.members.liveMemberCount * 2 > memberCount
   if (reachesMajority) return { ready: true, why: 'no reachable instance has a control quorum; configuration unchanged' }
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -56,6 +56,8 @@
   private readonly streams: failureLog.FailureLog
   /** The newest version with a document that this build refuses. */
   private refusedVersion = 0
+  /** The newest version that a peer has or a quorum has confirmed. */
+  private reportedVersion = 0
   private preferredIndex = 0
 
   constructor (
@@ -86,6 +88,11 @@
     return performance.now() - this.confirmedAt
   }
 
+  /** The newest version that others have reported, if it is newer than the current one. */
+  get missingVersion (): number | undefined {
+    return this.reportedVersion > this.config.version ? this.reportedVersion : undefined
+  }
+
   /** Resolves to true once a quorum has confirmed a configuration for the first time, to false after `timeoutMs`. */
   async waitForConfirmation (timeoutMs: number): Promise<boolean> {
     return await async.settlesWithin(this.firstConfirmation.promise, timeoutMs)
@@ -117,6 +124,7 @@
 
   /** Handles the configuration version that a peer reports: fetches a newer one, or adopts the peer's confirmation of the current version. */
   handlePeerVersion (version: number, confirmed: boolean, ageMs: number, fetch: peerConfigFetch.Fetch, source: string): void {
+    this.reportedVersion = Math.max(this.reportedVersion, version)
     if (version > this.config.version) this.peerFetch.offer(version, source, fetch)
     else if (confirmed && version === this.config.version) this.confirm(performance.now() - ageMs)
   }
@@ -184,7 +192,9 @@
         if (res.confirmed) {
           lastConfirmedAt = performance.now()
           this.streams.noteSuccess(link.address)
-          if (this.config.version >= configVersion.decode(res.confirmedVersion)) this.confirm(lastConfirmedAt)
+          const confirmedVersion = configVersion.decode(res.confirmedVersion)
+          this.reportedVersion = Math.max(this.reportedVersion, confirmedVersion)
+          if (this.config.version >= confirmedVersion) this.confirm(lastConfirmedAt)
         }
         this.firstStreamReported.resolve()
         if (performance.now() - lastConfirmedAt > maxUnconfirmedMs) return `no confirmation by a quorum for ${maxUnconfirmedMs} ms`
--- a/packages/fleet/src/test/configDelivery.test.ts
+++ b/packages/fleet/src/test/configDelivery.test.ts
@@ -85,9 +85,10 @@
     }, 'hub-a')
     await async.nextTurn()
   }
-  t.same([fetchCount, log.count('config-refused')], [1, 1])
+  t.same([fetchCount, log.count('config-refused'), follower.missingVersion], [1, 1, 2])
   follower.handlePeerVersion(3, false, 0, async () => configVersion(3), 'hub-a')
   t.equal(await waitForVersion(follower, 3), true)
+  t.equal(follower.missingVersion, undefined)
   follower.dispose()
 })
 
