Storage: a write that succeeds doesn't end the full state of another

Cause: votes and log entries are written independently since the leader no longer holds its lock while it writes. While one waited for disk space, the success of the other reported space, for up to 250 ms: the replica could vote and start an election, and then had no room again.

Change: the disk counts as full while any write waits for space.

Evidence: the new case of replicaStorage.test fails on the code before (the full state ended with the other write) and passes.

--- a/packages/control/src/node/replicaStorage.ts
+++ b/packages/control/src/node/replicaStorage.ts
@@ -51,7 +51,8 @@
   private logHandle: fileSystem.IFileHandle | undefined
   private currentLogBytes = 0
   private currentSnapshotBytes = 0
-  private diskFull = false
+  /** Writes that wait for disk space; votes and log entries are written independently. */
+  private waitingWriteCount = 0
   private disposed = false
   private readonly diskFullEmitter = new event.Emitter<boolean>()
   readonly onDiskFullChanged = this.diskFullEmitter.event
@@ -76,7 +77,7 @@
   }
 
   get isDiskFull (): boolean {
-    return this.diskFull
+    return this.waitingWriteCount > 0
   }
 
   async load (): Promise<StoredReplica> {
@@ -205,8 +206,11 @@
    * @param undo removes the partial data of a write that failed on a full disk; files that are replaced as a whole need none.
    */
   private async runWrite (kind: diskTiming.WriteKind, write: () => Promise<void>, undo: () => Promise<void> = async () => {}): Promise<void> {
+    let isWaiting = false
     try {
       while (!await this.tryWrite(kind, write)) {
+        if (!isWaiting) this.changeWaitingWrites(1)
+        isWaiting = true
         await async.sleep(diskFullRetryMs)
         // The process is stopping: the call must fail, since its data was not synced.
         if (this.disposed) throw new Error('the disk was still full when the process stopped')
@@ -216,6 +220,7 @@
       if (!this.disposed) this.onFailure(err as Error)
       throw new errors.RackError({ kind: 'disk-failure', message: `${this.folder}: ${errors.messageOf(err)}` })
     }
+    if (isWaiting) this.changeWaitingWrites(-1)
   }
 
   /** Runs a write; returns false when the disk was full. */
@@ -224,17 +229,15 @@
       await (this.timing === undefined ? write() : this.timing.measure(kind, write))
     } catch (err) {
       if ((err as NodeJS.ErrnoException).code !== diskFullCode) throw err
-      this.setDiskFull(true)
       return false
     }
-    this.setDiskFull(false)
     return true
   }
 
-  private setDiskFull (diskFull: boolean): void {
-    if (this.diskFull === diskFull) return
-    this.diskFull = diskFull
-    this.diskFullEmitter.fire(diskFull)
+  private changeWaitingWrites (difference: 1 | -1): void {
+    const wasFull = this.isDiskFull
+    this.waitingWriteCount += difference
+    if (this.isDiskFull !== wasFull) this.diskFullEmitter.fire(this.isDiskFull)
   }
 
   private filePath (name: string): string {
--- a/packages/control/src/test/replicaStorage.test.ts
+++ b/packages/control/src/test/replicaStorage.test.ts
@@ -134,6 +134,24 @@
   t.same(await loadIndexes(folder), [1, 2, 3])
 })
 
+tap.t.test('a vote that is saved while a log entry waits for disk space does not end the full state', async (t) => {
+  const folder = path.join(t.testdir({}), 'data')
+  const storage = open(folder)
+  const changes: boolean[] = []
+  storage.onDiskFullChanged((isFull) => changes.push(isFull))
+  const { meta } = await storage.load()
+  const freeDisk = await fillDisk(path.join(folder, 'log'), ['appendFile'])
+  const append = storage.append(noopEntries(1, 1))
+  while (changes.length === 0) await async.sleep(1)
+  freeDisk()
+  // The entry is written only at its next attempt.
+  await storage.saveMeta(meta)
+  t.same([storage.isDiskFull, changes], [true, [true]])
+  await append
+  t.same([storage.isDiskFull, changes], [false, [true, false]])
+  storage.dispose()
+})
+
 tap.t.test('on a full disk saving a vote waits for space', async (t) => {
   const folder = path.join(t.testdir({}), 'data')
   const storage = open(folder)
