Elections: candidates that refuse each other don't wait for good

Cause: a round of votes went on while granted votes and those that might still come formed a majority. Two of three voters that were candidates in the same term, and had refused each other, both waited for the third for as long as its disk stalled; nobody started another election.

Change: a round in which a vote was refused ends after a random time that covers the own write and doubles with each candidacy that isn't won. Rounds without a refusal go on as before.

--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -41,10 +41,15 @@
 /** How often that timeout is doubled at most, if requests to a voter time out one after the other. */
 const maxTimeoutDoublings = 3
 
+/** How often the time of a round with a refused vote is doubled at most. */
+const maxLimitDoublings = 6
+
 /** Detects the loss of the leader for one replica, and runs its elections. */
 export class Election implements lifecycle.IDisposable {
   private readonly stopped = new AbortController()
   private campaignCount = 0
+  /** Number of candidacies in a row that were not won. */
+  private lostRoundCount = 0
 
   constructor (private readonly replica: replica.Replica) {}
 
@@ -131,13 +136,19 @@
     if (candidacy === undefined) return
     const round = new voteRound.VoteRound(this.replica.log.membership, this.replica.replicaId, candidacy.ended)
     const minIntervalMs = this.replica.electionTimeoutMs * askAgainShare
-    const isWon = await round.run(async (voter, timeoutCount) => await this.requestVote(voter, term, timeoutCount), minIntervalMs)
+    const isWon = await round.run(async (voter, timeoutCount) => await this.requestVote(voter, term, timeoutCount), minIntervalMs, this.contestedLimitMs)
+    this.lostRoundCount = isWon ? 0 : this.lostRoundCount + 1
     if (isWon) await this.replica.becomeLeader(term)
     else this.giveUp(term, candidacy, round)
     // A new election could not be written to the disk before.
     await candidacy.voteWritten
   }
 
+  /** Time for which a round with a refused vote goes on. It grows, so that it outlasts the writes of voters however slow they are. */
+  private get contestedLimitMs (): number {
+    return (randomTimeoutMs(this.replica.electionTimeoutMs) + this.replica.expectedWriteMs) * 2 ** Math.min(this.lostRoundCount, maxLimitDoublings)
+  }
+
   private giveUp (term: number, { ended }: voting.Candidacy, { needed, outcomes }: voteRound.VoteRound): void {
     if (ended.aborted) return
     this.replica.monitor.campaigns.recordFailed({ term, preVote: false, needed, outcomes })
--- a/packages/control/src/node/voteRound.ts
+++ b/packages/control/src/node/voteRound.ts
@@ -24,6 +24,7 @@
   private readonly answers = new Map<string, VoteAnswer>()
   private readonly outcome = new async.Deferred<boolean>()
   private readonly decided = new AbortController()
+  private readonly refused = new async.Deferred<void>()
 
   /** @param ended ends the round without success. */
   constructor (membership: inner.Membership, ownId: string, private readonly ended: AbortSignal) {
@@ -31,10 +32,15 @@
     this.needed = quorum.majoritySize(membership) - 1
   }
 
-  /** Resolves with true when a majority granted its votes, the candidate's own included. */
-  async run (request: VoteRequester, minIntervalMs: number): Promise<boolean> {
+  /**
+   * Resolves with true when a majority granted its votes, the candidate's own included.
+   * @param contestedLimitMs time from the first refusal to the end of the round: candidates that refuse each other their votes would
+   * otherwise wait for the same voter as long as it doesn't respond.
+   */
+  async run (request: VoteRequester, minIntervalMs: number, contestedLimitMs: number): Promise<boolean> {
     const end = (): void => this.decide(false)
     this.ended.addEventListener('abort', end)
+    this.endWhenContested(contestedLimitMs)
     try {
       if (this.ended.aborted) return false
       for (const voter of this.others) this.ask(voter, request, minIntervalMs).catch((err) => this.fail(err))
@@ -54,6 +60,12 @@
     }))
   }
 
+  private async endWhenContested (limitMs: number): Promise<void> {
+    await this.refused.promise
+    await async.sleep(limitMs, this.decided.signal)
+    this.decide(false)
+  }
+
   /** Asks one voter until it grants or refuses; one that can't be reached may start again meanwhile. */
   private async ask (voter: inner.Replica, request: VoteRequester, minIntervalMs: number): Promise<void> {
     let timeoutCount = 0
@@ -61,6 +73,7 @@
       const askedAt = performance.now()
       const answer = await request(voter, timeoutCount)
       this.answers.set(voter.id, answer)
+      if (answer === 'refused') this.refused.resolve()
       this.check()
       if (answer === 'granted' || answer === 'refused') return
       timeoutCount = answer === 'timed out' ? timeoutCount + 1 : 0
--- a/packages/control/src/test/voteRound.test.ts
+++ b/packages/control/src/test/voteRound.test.ts
@@ -7,12 +7,13 @@
 
 const minIntervalMs = 100
 const maxObservedMs = 10_000
+const contestedLimitMs = 1000
 const membership = protobuf.create(inner.MembershipSchema, {
   replicas: ['r-0', 'r-1', 'r-2', 'r-3', 'r-4'].map((id) => ({ id, address: id, operatorAddress: '', failureDomain: 'a', voter: true }))
 })
 
 /** Runs a round in which each voter answers in turn; the last answer is repeated. */
-async function runRound (answers: Readonly<Record<string, readonly voteRound.VoteAnswer[]>>, endAfterMs = Infinity): Promise<string> {
+async function runRound (answers: Readonly<Record<string, readonly voteRound.VoteAnswer[]>>, endAfterMs = Infinity, limitMs = 2 * maxObservedMs): Promise<string> {
   const time = new virtualTime.VirtualTime()
   const ended = new AbortController()
   const askCounts = new Map<string, number>()
@@ -24,7 +25,7 @@
   }
   try {
     const round = new voteRound.VoteRound(membership, 'r-0', ended.signal)
-    round.run(request, minIntervalMs).then((isWon) => { outcome = isWon ? 'won' : 'lost' }, () => { outcome = 'failed' })
+    round.run(request, minIntervalMs, limitMs).then((isWon) => { outcome = isWon ? 'won' : 'lost' }, () => { outcome = 'failed' })
     if (endAfterMs < maxObservedMs) setTimeout(() => ended.abort(), endAfterMs)
     await time.runUntil(maxObservedMs, () => outcome !== 'goes on')
     const result = outcome
@@ -52,3 +53,10 @@
 tap.t.test('a round of votes ends with the candidacy', async (t) => {
   t.equal(await runRound({ 'r-1': ['pending'], 'r-2': ['pending'], 'r-3': ['pending'], 'r-4': ['pending'] }, 500), 'lost')
 })
+
+tap.t.test('a round in which votes are refused ends at its limit, so that candidates do not wait for the same voter for good', async (t) => {
+  const answers = { 'r-1': ['granted'], 'r-2': ['refused'], 'r-3': ['pending'], 'r-4': ['pending'] } as const
+  t.equal(await runRound(answers, Infinity, contestedLimitMs), 'lost')
+  t.equal(await runRound({ ...answers, 'r-3': ['pending', 'pending', 'granted'] }, Infinity, contestedLimitMs), 'won')
+  t.equal(await runRound({ ...answers, 'r-2': ['pending'] }, Infinity, contestedLimitMs), 'goes on')
+})
