Replication: parts of different messages are never put together

Cause: transfers were numbered from 1 by each sender. A replica that was removed and admitted again by the same leader in the same term could hold the beginning of an earlier message of the same length and number, and went on with the parts of the new one.

Change: each transfer has a random id. A message that is complete is handled once, also when its last part is sent again meanwhile.

--- a/packages/control/src/node/partReceiver.ts
+++ b/packages/control/src/node/partReceiver.ts
@@ -11,6 +11,8 @@
   readonly key: string
   readonly parts: Uint8Array[]
   receivedBytes: number
+  /** Response to the complete message while it is being handled. */
+  handling?: Promise<Pick<ReceivedPart, 'append' | 'snapshot'>> | undefined
 }
 
 /** Handles the messages that arrive in parts. */
@@ -32,17 +34,19 @@
 
   /** Adds a part, and passes the message to the handler once it is complete. */
   async receive (part: inner.ReplicationPart, handler: IMessageHandler): Promise<ReceivedPart> {
-    const message = this.add(part)
-    const receivedBytes = BigInt(this.transfer.receivedBytes)
-    if (message === undefined) return { receivedBytes }
-    const res = await handleMessage(part.content, message, handler)
-    // Kept until it has been handled: a sender that gets no response sends it again.
-    if (this.transfer.key === keyOf(part)) this.transfer = emptyTransfer()
+    const isComplete = this.add(part)
+    const { transfer } = this
+    const receivedBytes = BigInt(transfer.receivedBytes)
+    if (!isComplete) return { receivedBytes }
+    // A sender that gets no response in time asks again: it joins what is in progress.
+    transfer.handling ??= handleMessage(part.content, Buffer.concat(transfer.parts), handler).finally(() => { transfer.handling = undefined })
+    const res = await transfer.handling
+    if (this.transfer === transfer) this.transfer = emptyTransfer()
     return { receivedBytes, ...res }
   }
 
-  /** Adds a part, unless it was received before; returns the message once it is complete. */
-  private add (part: inner.ReplicationPart): Uint8Array | undefined {
+  /** Adds a part, unless it was received before; returns whether the message is complete. */
+  private add (part: inner.ReplicationPart): boolean {
     const totalBytes = Number(part.totalBytes)
     if (totalBytes > maxMessageBytes) throw new errors.RackError({ kind: 'too-large', message: `a message of ${totalBytes} bytes; at most ${maxMessageBytes} are accepted` })
     const key = keyOf(part)
@@ -51,7 +55,7 @@
       this.transfer.parts.push(part.data)
       this.transfer.receivedBytes += part.data.length
     }
-    return this.transfer.receivedBytes >= totalBytes ? Buffer.concat(this.transfer.parts) : undefined
+    return this.transfer.receivedBytes >= totalBytes
   }
 }
 
--- a/packages/control/src/node/partSender.ts
+++ b/packages/control/src/node/partSender.ts
@@ -1,4 +1,5 @@
 /** Sends messages that are too large for a single call in parts. */
+import * as crypto from 'node:crypto'
 import * as protobuf from '@bufbuild/protobuf'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
@@ -28,9 +29,9 @@
 /** Sends one message at a time. When a message with the same name is sent again after a failure, it goes on after the parts that were received. */
 export class PartSender {
   private transfer: Transfer | undefined
-  private transferCount = 0
 
-  constructor (private readonly link: replicaLinks.ReplicaLink, private readonly addressing: Addressing) {}
+  /** @param onProgress called for each part that was received. */
+  constructor (private readonly link: replicaLinks.ReplicaLink, private readonly addressing: Addressing, private readonly onProgress: () => void = () => {}) {}
 
   /** Sends an append. @param sendWhole sends it in one message. */
   async sendAppend (name: string, req: inner.AppendReq, sendWhole: () => Promise<inner.AppendRes>): Promise<inner.AppendRes> {
@@ -50,7 +51,7 @@
 
   /** Resolves with the response to the last part; with undefined if the message is small or the receiver can't receive parts. */
   private async send (name: string, content: inner.ReplicationPart_Content, encode: () => Uint8Array): Promise<inner.ReplicationPartRes | undefined> {
-    if (this.transfer?.name !== name) this.transfer = { name, id: String(++this.transferCount), content, bytes: encode() }
+    if (this.transfer?.name !== name) this.transfer = { name, id: crypto.randomUUID(), content, bytes: encode() }
     if (this.transfer.bytes.length <= maxWholeBytes) return undefined
     const res = await this.sendParts(this.transfer)
     this.transfer = undefined
@@ -65,6 +66,7 @@
       const receivedBytes = Number(res.receivedBytes)
       if (receivedBytes <= offset) throw new errors.RackError({ kind: 'internal', message: `no progress of ${transfer.name} after ${offset} bytes` })
       offset = receivedBytes
+      this.onProgress()
     }
   }
 
