Replication: an append whose connection is lost doesn't wait for its timeout

Cause: after a failed heartbeat the connection for entries was checked once, at the first response of the replica.

Change: it is checked at each heartbeat until the message that was awaited when a heartbeat failed is answered or overdue; parts that are received count as progress. Closing the channel fails the response that is awaited.

--- a/packages/control/src/node/appendChannel.ts
+++ b/packages/control/src/node/appendChannel.ts
@@ -9,6 +9,8 @@
 interface OpenStream {
   readonly responses: AsyncIterator<inner.AppendRes>
   readonly abortController: AbortController
+  /** Rejected when this side closes the stream. */
+  readonly closed: async.Deferred<never>
   /** Resolved with the next request to send. */
   nextReq: async.Deferred<inner.AppendReq>
 }
@@ -24,7 +26,7 @@
     const stream = this.stream ?? this.open()
     try {
       stream.nextReq.resolve(req)
-      const response = await async.withTimeout(stream.responses.next(), timeoutMs, () => noResponseError(timeoutMs))
+      const response = await async.withTimeout(Promise.race([stream.responses.next(), stream.closed.promise]), timeoutMs, () => noResponseError(timeoutMs))
       if (response.done !== true) return response.value
       throw new errors.RackError({ kind: 'unreachable', message: `the stream to ${this.link.address} ended` })
     } catch (err) {
@@ -50,15 +52,20 @@
     }
     const stream: OpenStream = {
       abortController,
+      closed: new async.Deferred(),
       nextReq: new async.Deferred(),
       responses: this.link.client.append(requests(), { signal: abortController.signal })[Symbol.asyncIterator]()
     }
+    // A stream may be closed while no response is awaited.
+    stream.closed.promise.catch(() => {})
     this.stream = stream
     return stream
   }
 
-  private close (): void {
+  /** Closes the stream, so that the response that is awaited, if any, fails. */
+  close (): void {
     this.stream?.abortController.abort()
+    this.stream?.closed.reject(new errors.RackError({ kind: 'unreachable', message: `the stream to ${this.link.address} was closed` }))
     this.stream = undefined
   }
 }
--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -58,7 +58,7 @@
     this.link = host.links.linkTo(replica.address)
     this.heartbeats = new appendChannel.AppendChannel(host.links.linkTo(replica.address, 'heartbeats'))
     this.appends = new appendChannel.AppendChannel(this.link)
-    this.parts = new partSender.PartSender(this.link, { term: host.term, leaderId: host.replicaId, toReplicaId: replica.id })
+    this.parts = new partSender.PartSender(this.link, { term: host.term, leaderId: host.replicaId, toReplicaId: replica.id }, () => { this.pendingSince = performance.now() })
     this.nextIndex = host.log.last.index + 1
     this.ackedSendAt = now
   }
@@ -96,18 +96,17 @@
 
   /** Sends heartbeats, which also carry the commit index; on a connection of their own, so that they never wait behind entries. */
   private async keepAlive (): Promise<void> {
-    let hasFailed = false
+    let failedAt = -Infinity
     while (!this.stopped.signal.aborted) {
       const sentAt = performance.now()
       const { commitIndex } = this.host
       try {
         const res = await this.heartbeats.append(this.createHeartbeat(commitIndex), this.host.electionTimeoutMs)
         this.handleResponse('heartbeat', res.term, sentAt)
-        if (hasFailed) this.resetIfStalled(sentAt)
-        hasFailed = false
+        this.resetIfStalled(sentAt, failedAt)
       } catch (err) {
         this.recordFailure('heartbeat', err)
-        hasFailed = true
+        failedAt = performance.now()
         await this.wakeHeartbeat.wait(this.host.heartbeatMs)
         continue
       }
@@ -123,9 +122,15 @@
     return this.createAppend(prevIndex, prevTerm ?? 0, commitIndex, [])
   }
 
-  /** Closes the connection for entries if its response is overdue although the replica responds again on a new connection. */
-  private resetIfStalled (now: number): void {
-    if (this.pendingSince !== undefined && now - this.pendingSince > this.host.electionTimeoutMs) this.link.reset()
+  /**
+   * Closes the connection for entries if the response that was awaited when a heartbeat failed is overdue: the replica may have
+   * been started again, or the connection may be dead although a new one for heartbeats works.
+   */
+  private resetIfStalled (now: number, heartbeatFailedAt: number): void {
+    const { pendingSince } = this
+    if (pendingSince === undefined || pendingSince > heartbeatFailedAt || now - pendingSince <= this.host.electionTimeoutMs) return
+    this.appends.close()
+    this.link.reset()
   }
 
   // ---- Entries and snapshots ----
