Leadership: a stalled disk of the leader doesn't stop writes when the log is compacted

Cause: a compaction ran under the replica's lock, behind the write that hung, and new changes need the lock. Heartbeats went on, so the leader stayed, and every change ended with an unknown outcome until the disk was back.

--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -43,6 +43,8 @@
 
 /** How often the time of a round with a refused vote is doubled at most. */
 const maxLimitDoublings = 6
+/** Time that one write of a leader may take while the other replicas commit without it, in election timeouts. */
+const ownWriteTimeoutFactor = 25
 
 /** Detects the loss of the leader for one replica, and runs its elections. */
 export class Election implements lifecycle.IDisposable {
@@ -64,6 +66,8 @@
       if (ownLeadership !== undefined) {
         if (!ownLeadership.hasQuorumAckedSince(performance.now() - quorumTimeoutFactor * baseMs)) {
           this.replica.stepDown(this.replica.term, 'no quorum responded to the heartbeats')
+        } else if (ownLeadership.stalledWriteMs > ownWriteTimeoutFactor * baseMs) {
+          this.replica.stepDown(this.replica.term, 'the own disk has stalled while a majority writes')
         }
         continue
       }
--- a/packages/control/src/node/leadership.ts
+++ b/packages/control/src/node/leadership.ts
@@ -146,6 +146,12 @@
     this.advanceCommit()
   }
 
+  /** Milliseconds for which the write in progress of this replica has lasted, if the others have committed entries without it; else 0. */
+  get stalledWriteMs (): number {
+    const { log, commitIndex } = this.host
+    return commitIndex > log.durableIndex ? log.writeInProgressMs : 0
+  }
+
   /** Resolves the proposal of an applied entry. */
   handleApplied (entry: logEntry.LogEntry, result: replicatedState.ApplyResult): void {
     this.pendingByIndex.get(entry.index)?.resolve(result)
--- a/packages/control/src/node/logCompactor.ts
+++ b/packages/control/src/node/logCompactor.ts
@@ -1,5 +1,6 @@
 /** Replaces applied entries of the log by a snapshot. */
-import type * as async from '@rosemaryrack/base/common/async.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as logEntry from '../common/logEntry.js'
 import type * as logApplier from './logApplier.js'
 import type * as replicaLog from './replicaLog.js'
@@ -7,13 +8,21 @@
 /** Size of the applied entries, or that of the configuration if it is larger, from which the log is compacted. */
 const maxUncompactedBytes = 8_388_608
 
-/** Compacts the log by number and by size of the entries, so that neither a restart nor a lagging replica has to handle a large one. */
+/**
+ * Compacts the log by number and by size of the entries, so that neither a restart nor a lagging replica has to handle a large one.
+ * Runs beside other writes, since a disk may take any time.
+ */
 export class LogCompactor {
   private uncompactedBytes = 0
   private isRunning = false
 
   /** @param snapshotEvery number of entries between two snapshots. */
-  constructor (private readonly log: replicaLog.ReplicaLog, private readonly applier: logApplier.LogApplier, private readonly lock: async.Sequencer, private readonly snapshotEvery: number) {}
+  constructor (
+    private readonly log: replicaLog.ReplicaLog,
+    private readonly applier: logApplier.LogApplier,
+    private readonly snapshotEvery: number,
+    private readonly decisions: decisionLog.IDecisionLog
+  ) {}
 
   /** Counts an applied entry. */
   count (entry: logEntry.LogEntry): void {
@@ -26,18 +35,25 @@
   }
 
   /** Starts a compaction if one is due and none is in progress. */
-  compactIfDue (): void {
+  async compactIfDue (): Promise<void> {
     if (this.isRunning || !this.isDue) return
     this.isRunning = true
-    this.lock.run(async () => await this.compact()).finally(() => {
+    try {
+      await this.compact()
+    } catch (err) {
+      // A failed disk ends the process by itself.
+      this.decisions.record({ event: 'compaction-failed', choice: String(this.log.snapshotIndex), why: errors.messageOf(err) })
+    } finally {
       this.isRunning = false
-    })
+    }
   }
 
+  /** False while applied entries are not on this disk yet: a snapshot would only wait behind them. */
   private get isDue (): boolean {
     const { appliedIndex, state } = this.applier
     const configBytes = state.configJson.length + state.configSource.length
-    return appliedIndex - this.log.snapshotIndex >= this.snapshotEvery || this.uncompactedBytes >= Math.max(maxUncompactedBytes, configBytes)
+    const isLarge = appliedIndex - this.log.snapshotIndex >= this.snapshotEvery || this.uncompactedBytes >= Math.max(maxUncompactedBytes, configBytes)
+    return isLarge && this.log.durableIndex >= appliedIndex
   }
 
   private async compact (): Promise<void> {
--- a/packages/control/src/node/replica.ts
+++ b/packages/control/src/node/replica.ts
@@ -58,7 +58,7 @@
     this.monitor = new replicaMonitor.ReplicaMonitor(decisions, options.electionTimeoutMs, this)
     this.voting = new voting.Voting(this, storage)
     this.applier = new logApplier.LogApplier(this.log, decisions)
-    this.compactor = new logCompactor.LogCompactor(this.log, this.applier, this.lock, options.snapshotEvery)
+    this.compactor = new logCompactor.LogCompactor(this.log, this.applier, options.snapshotEvery, decisions)
     storage.onDiskFullChanged((isFull) => this.handleDiskFullChanged(isFull))
   }
 
@@ -390,7 +390,8 @@
 
   /** Replaces log and state by a snapshot, unless its entries are already applied. */
   private async installSnapshot (snapshot: inner.Snapshot): Promise<void> {
-    if (Number(snapshot.index) <= this.appliedIndex && this.founded) return
+    // As a former leader this replica may have applied entries that its own disk lacks.
+    if (Number(snapshot.index) <= this.appliedIndex && this.founded) return await this.log.flush()
     // First, so that a snapshot that this build can't read leaves the log as it is.
     this.applier.restore(snapshot)
     this.compactor.reset()
--- a/packages/control/src/node/replicaLog.ts
+++ b/packages/control/src/node/replicaLog.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * The log in memory, backed by storage; reads also return entries that are not durable yet. Callers must wait for a truncation or a
- * new snapshot before the next change, but not for a flush.
+ * The log in memory, backed by storage; reads also return entries that are not durable yet. Callers must wait for a truncation, or
+ * for a snapshot that is not one of the log's own entries, before the next change; not for a flush or a compaction.
  */
 export class ReplicaLog {
   private entries: logEntry.LogEntry[] = []
@@ -23,7 +23,9 @@
   private unwritten: logEntry.LogEntry[] = []
   private readonly writes = new async.Sequencer()
   private syncedIndex = 0
+  private writeStartedAt: number | undefined
   private baseSnapshot: inner.Snapshot | undefined
+  private storedSnapshot: inner.Snapshot | undefined
   private currentMembership: inner.Membership = emptyMembership
   private currentMembershipIndex = 0
 
@@ -32,6 +34,7 @@
   /** Initializes the log from the stored entries and snapshot. */
   load (stored: replicaStorage.StoredReplica): void {
     this.baseSnapshot = stored.snapshot
+    this.storedSnapshot = stored.snapshot
     this.entries = [...stored.entries]
     this.syncedIndex = this.last.index
     this.refreshMembership()
@@ -55,6 +58,11 @@
     return this.syncedIndex
   }
 
+  /** Milliseconds for which the write in progress has lasted; 0 if there is none. */
+  get writeInProgressMs (): number {
+    return this.writeStartedAt === undefined ? 0 : performance.now() - this.writeStartedAt
+  }
+
   /** The newest membership in the log, committed or not. */
   get membership (): inner.Membership {
     return this.currentMembership
@@ -115,7 +123,7 @@
       const last = batch.at(-1)
       if (last === undefined) return
       try {
-        await this.storage.append(batch)
+        await this.measure(async () => await this.storage.append(batch))
       } catch (err) {
         // Kept, so that no later write leaves a gap.
         this.unwritten.unshift(...batch)
@@ -131,7 +139,7 @@
     this.unwritten = this.unwritten.filter((entry) => entry.index <= index)
     this.syncedIndex = Math.min(this.syncedIndex, index)
     this.refreshMembership()
-    await this.rewrite(async (entries) => await this.storage.rewrite(entries))
+    await this.rewrite()
   }
 
   /** Replaces the snapshot that precedes the log, and keeps the entries after it if the log holds the snapshot's last entry. */
@@ -143,20 +151,32 @@
     this.baseSnapshot = snapshot
     this.entries = entriesAfter
     this.refreshMembership()
-    await this.rewrite(async (entries) => await this.storage.saveSnapshot(snapshot, entries))
+    await this.rewrite()
   }
 
-  /** Runs a write that replaces the stored log by all current entries. */
-  private async rewrite (write: (entries: readonly logEntry.LogEntry[]) => Promise<void>): Promise<void> {
+  /** Replaces the stored log and snapshot by the current ones, which always fit together, whatever has changed since the call. */
+  private async rewrite (): Promise<void> {
     await this.writes.run(async () => {
       this.unwritten = []
       const entries = [...this.entries]
-      const { last } = this
-      await write(entries)
+      const { last, snapshot } = this
+      await this.measure(async () => snapshot === undefined || snapshot === this.storedSnapshot
+        ? await this.storage.rewrite(entries)
+        : await this.storage.saveSnapshot(snapshot, entries))
+      this.storedSnapshot = snapshot
       this.markSynced(last)
     })
   }
 
+  private async measure (write: () => Promise<void>): Promise<void> {
+    this.writeStartedAt = performance.now()
+    try {
+      await write()
+    } finally {
+      this.writeStartedAt = undefined
+    }
+  }
+
   /** Records that the log is durable up to an entry, unless that entry was removed while it was being written. */
   private markSynced ({ index, term }: LogPosition): void {
     if (this.termAt(index) === term || index <= this.snapshotIndex) this.syncedIndex = Math.max(this.syncedIndex, index)
