--- a/packages/control/src/test/mixedBuilds.test.ts
+++ b/packages/control/src/test/mixedBuilds.test.ts
@@ -288,3 +288,22 @@
   t.equal(await group.run(group.service.put({ version: 7, document: configDocument.emptyConfig.document, source: '' })), 7)
   await group.dispose()
 })
+
+tap.t.test('a message without entries states no entry to a leader of an earlier build before the disk has it', async (t) => {
+  const group = new MixedGroup({ syncMs: slowSyncMs })
+  await group.load()
+  const sender = { term: snapshotTerm, leaderId: earlierIds[0]!, toReplicaId: ownId }
+  const entry = protobuf.create(inner.LogEntrySchema, { index: BigInt(snapshotIndex + 1), term: snapshotTerm, command: { case: 'noop', value: true } })
+  const stated: Array<readonly [bigint, number]> = []
+  const append = async (fields: protobuf.MessageInitShape<typeof inner.AppendReqSchema>): Promise<void> => {
+    const { lastIndex } = await group.member.handleAppend(protobuf.create(inner.AppendReqSchema, { ...sender, prevTerm: snapshotTerm, ...fields }))
+    stated.push([lastIndex, group.storage.durableIndex])
+  }
+  const withEntry = append({ prevIndex: BigInt(snapshotIndex), entries: [entry] })
+  await group.advance(() => false, slowSyncMs / 2)
+  const withoutEntries = append({ prevIndex: BigInt(snapshotIndex + 1) })
+  await group.run(Promise.all([withEntry, withoutEntries]))
+  t.same(stated.filter(([lastIndex, durableIndex]) => lastIndex > durableIndex), [])
+  t.equal(stated.length, 2)
+  await group.dispose()
+})
