--- a/packages/control/src/test/mixedBuilds.test.ts
+++ b/packages/control/src/test/mixedBuilds.test.ts
@@ -90,6 +90,7 @@
 interface FixtureOptions {
   readonly syncMs?: number
   readonly ownSnapshot?: inner.Snapshot
+  readonly earlierSyncMs?: number
   /** Snapshots of the earlier replicas. */
   readonly earlierSnapshots?: ReadonlyArray<inner.Snapshot | undefined>
 }
@@ -106,10 +107,10 @@
   /** Replaces calls to the earlier replicas. */
   calls: Partial<Record<string, (req: never) => Promise<unknown>>> = {}
 
-  constructor ({ syncMs = fastSyncMs, ownSnapshot = createSnapshot(), earlierSnapshots = [createSnapshot(), createSnapshot()] }: FixtureOptions = {}) {
+  constructor ({ syncMs = fastSyncMs, earlierSyncMs = fastSyncMs, ownSnapshot = createSnapshot(), earlierSnapshots = [createSnapshot(), createSnapshot()] }: FixtureOptions = {}) {
     Math.random = seededRandom.create(1)
     this.storage = new TrackedStorage(syncMs, ownSnapshot)
-    this.earlier = earlierIds.map((id, i) => new earlierReplica.EarlierReplica(id, fastSyncMs, earlierSnapshots[i]))
+    this.earlier = earlierIds.map((id, i) => new earlierReplica.EarlierReplica(id, earlierSyncMs, earlierSnapshots[i]))
     const options = { address: addressOf(ownId), operatorAddress: '', failureDomain: 'a', electionTimeoutMs: 400, heartbeatMs: 100, snapshotEvery: 1000 }
     const decisions = new decisionLog.NullDecisionLog()
     const links = { linkTo: (address: string) => this.linkTo(address) } as unknown as replicaLinks.ReplicaLinks
@@ -307,3 +308,11 @@
   t.equal(stated.length, 2)
   await group.dispose()
 })
+
+tap.t.test('a candidate is elected by voters of an earlier build whose disks take longer than an election timeout', async (t) => {
+  const group = new MixedGroup({ earlierSyncMs: slowSyncMs })
+  await group.load()
+  group.startElections()
+  t.ok(await group.advance(() => group.member.leadership !== undefined))
+  await group.dispose()
+})
