Entry: a failure without a request id is not accepted on a connection that carried a health check

Cause: of the responses without a request id, findMismatch refused only the successful ones. Load probes and checks share their connections with requests, and their responses have no id. So a late second copy of a failed one was taken for the response to the request that waited on the connection: a 503, "not run", for a payment that ran.

Change: a connection knows that a health check was sent on it. From then on each response to a request on it must have the request's id, if the settings name a stamp header, as those of targets that return the id do. Otherwise the attempt is lost and the connection is closed. Without such a header, and on connections without health checks, nothing changes. No connection is opened or closed beyond that.

Evidence: httpAttempt.test, "a late duplicate of the response to a load probe (a check) is not mistaken for the response to a request": before, both failed, the request got the 503 with its body; now it is lost. Tests of entry, routing and config pass.

Ruled out: connections for health checks only (one more for each target, and a request after a probe would open its own); closing the connection after a failed health check (under overload those are frequent, and with two copies in a row the failed one may not be seen as such); the status of the earlier health checks as a mark (the same).

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -28,7 +28,7 @@
   expectedEndpoint: headerName.optional(),
   /** Load in responses, as `running,waiting,slots`, optionally followed by the current duration of work in percent of the usual one. */
   slotLoad: headerName.optional(),
-  /** Present in responses that a target itself produced; a success without it is not accepted as one. */
+  /** Present in responses that a target itself produced; a success without it is not accepted as one. Such a target returns the request id in its responses. */
   targetStamp: headerName.optional(),
   /** Headers by any of which, with the value 1, a target announces in a response that it is leaving. */
   targetLeaving: zod.array(headerName).max(4).optional(),
--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -87,15 +87,16 @@
 }
 
 /**
- * Returns why a response is not the target's response to this request; undefined when it is. Only a successful response
- * must have the id of the request and the stamp of the target.
+ * Returns why a response is not the target's response to this request; undefined when it is. A successful response must have
+ * the id of the request and the stamp of the target; any other must have the id only if `mustHaveId` is set.
  */
-export function findMismatch (names: settings.HeaderNames, requestId: string, status: number, headers: MessageHeaders): string | undefined {
+export function findMismatch (names: settings.HeaderNames, requestId: string, status: number, headers: MessageHeaders, mustHaveId = false): string | undefined {
   if (names.targetStamp === undefined) return undefined
   const receivedId = headers[names.requestId]
   if (receivedId !== undefined && receivedId !== requestId) return `it has the id of request ${String(receivedId)}`
-  if (status >= firstRedirectStatus) return undefined
-  if (receivedId === undefined) return 'it has no request id'
+  const isSuccess = status < firstRedirectStatus
+  if (receivedId === undefined && (isSuccess || mustHaveId)) return 'it has no request id'
+  if (!isSuccess) return undefined
   if (headers[names.targetStamp] === undefined) return `it has no header ${names.targetStamp}`
   return headers['content-encoding'] === undefined ? undefined : 'its body has an encoding that was not requested'
 }
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -223,7 +223,9 @@
       onResponseStart: (controller, status, headers) => {
         if (this.connection !== undefined) this.connections.recordResponse(this.address, this.connection)
         if (status < firstFinalStatus || this.hasEnded) return
-        const mismatch = headerRules.findMismatch(this.req.headerNames, this.req.requestId, status, headers)
+        // Without an id, it can be a late duplicate of the response to a health check.
+        const mustHaveId = this.connection?.hasHealthCheck === true
+        const mismatch = headerRules.findMismatch(this.req.headerNames, this.req.requestId, status, headers, mustHaveId)
         if (mismatch !== undefined) {
           this.handleError(new Error(`not the target's response to this request: ${mismatch}`))
           return
--- a/packages/entry/src/node/httpProber.ts
+++ b/packages/entry/src/node/httpProber.ts
@@ -77,7 +77,7 @@
     const sentAt = performance.now()
     const { address } = this.endpoint
     const endWatch = connections.watchResponse(address, connection)
-    connection.dispatch({ path: healthPath, method: 'GET' }, {
+    connection.dispatchHealthCheck(healthPath, {
       onRequestStart: () => {},
       onResponseStart: (_controller, status, headers) => {
         endWatch()
--- a/packages/entry/src/node/targetChecker.ts
+++ b/packages/entry/src/node/targetChecker.ts
@@ -87,7 +87,7 @@
     const { address } = this.endpoint
     const sentAt = performance.now()
     let isKeptAlive = true
-    connection.dispatch({ path: healthPath, method: 'GET' }, {
+    connection.dispatchHealthCheck(healthPath, {
       onRequestStart: () => {},
       onResponseStart: (_controller, status, headers) => {
         isKeptAlive = headers['connection'] !== 'close'
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -83,6 +83,7 @@
   private idleSince = performance.now()
   private idleLimit = defaultIdleLimitMs
   private responseCount = 0
+  private wasHealthChecked = false
   private readonly client: undici.Client
   private readonly onResponse: () => void
 
@@ -135,6 +136,11 @@
     return this.responseCount > 0
   }
 
+  /** True once a health check was sent. */
+  get hasHealthCheck (): boolean {
+    return this.wasHealthChecked
+  }
+
   countResponse (): void {
     this.responseCount++
   }
@@ -188,6 +194,12 @@
     })
   }
 
+  /** Sends a health check, whose response has no request id. */
+  dispatchHealthCheck (path: string, handler: undici.Dispatcher.DispatchHandler): void {
+    this.wasHealthChecked = true
+    this.dispatch({ path, method: 'GET' }, handler)
+  }
+
   destroy (): void {
     const reason = new Error('connection discarded')
     this.client.destroy(reason).catch(() => {})
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -11,7 +11,8 @@
 /** Header names as a deployment may configure them. */
 export const defaultHeaderNames: settings.HeaderNames = { requestId: 'x-id', deadline: 'x-deadline', notRun: { name: 'x-not-run' }, targetLeaving: ['x-leaving'], targetAway: 'retry-after' }
 
-const ignoreNotices: endpointNotices.IEndpointNotices = { recordNotice: () => {}, canSend: () => true }
+/** Ignores notices; requests may always be sent. */
+export const ignoreNotices: endpointNotices.IEndpointNotices = { recordNotice: () => {}, canSend: () => true }
 
 /** Records the outcomes of contacts, for example `failed new` for a connection that could not be opened. */
 export class RecordedContacts implements targetContacts.ITargetContacts {
@@ -40,6 +41,8 @@
   readonly server = net.createServer((socket) => this.accept(socket))
   head: transport.ResponseHead | undefined
   bodyBytes = 0
+  /** Connections that the target has accepted. */
+  connectionCount = 0
   targetSocket: net.Socket | undefined
   private attempt: httpAttempt.HttpAttempt | undefined
 
@@ -49,12 +52,15 @@
    */
   constructor (private readonly respond: (socket: net.Socket) => void, private readonly isReading = true, private readonly notices = ignoreNotices) {}
 
+  /** Starts the target, so that it has an address before the first request. */
+  async listen (): Promise<void> {
+    this.server.listen(0, '127.0.0.1')
+    await new Promise((resolve) => this.server.once('listening', resolve))
+  }
+
   /** Sends the request; a second one goes over an idle connection where there is one. */
   async send (requestId = '7', headerNames = defaultHeaderNames): Promise<httpAttempt.HttpAttempt> {
-    if (!this.server.listening) {
-      this.server.listen(0, '127.0.0.1')
-      await new Promise((resolve) => this.server.once('listening', resolve))
-    }
+    if (!this.server.listening) await this.listen()
     const transport = new httpAttempt.HttpTransport({
       method: 'GET',
       requestTarget: '/',
@@ -119,6 +125,7 @@
 
   private accept (socket: net.Socket): void {
     this.targetSocket = socket
+    this.connectionCount++
     socket.on('error', () => {})
     socket.on('data', () => this.respond(socket))
   }
--- a/packages/entry/src/test/headerRules.test.ts
+++ b/packages/entry/src/test/headerRules.test.ts
@@ -29,9 +29,15 @@
   })
 }
 
+tap.t.test('a failure must have the request id where a health check shares the connection', async (t) => {
+  t.equal(headerRules.findMismatch(headerNames, '7', 503, {}, true), 'it has no request id')
+  t.equal(headerRules.findMismatch(headerNames, '7', 503, { 'x-id': '7' }, true), undefined, 'a failure needs no stamp')
+})
+
 tap.t.test('all responses are accepted if the settings name no stamp header', async (t) => {
   const { targetStamp, ...namesWithoutStamp } = headerNames
   t.equal(headerRules.findMismatch(namesWithoutStamp, '7', 200, {}), undefined)
+  t.equal(headerRules.findMismatch(namesWithoutStamp, '7', 503, {}, true), undefined)
 })
 
 tap.t.test('responses that state that the request was not run', async (t) => {
--- a/packages/entry/src/test/httpAttempt.test.ts
+++ b/packages/entry/src/test/httpAttempt.test.ts
@@ -5,12 +5,17 @@
 import type * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
+import type * as loadProbing from '@rosemaryrack/routing/common/loadProbing.js'
+import type * as targetCheck from '@rosemaryrack/routing/common/targetCheck.js'
 import type * as httpAttempt from '../node/httpAttempt.js'
+import * as httpProber from '../node/httpProber.js'
+import * as targetChecker from '../node/targetChecker.js'
 import * as exchange from './exchange.js'
 
 const bodyChunk = Buffer.alloc(8 * 1024)
 const settleMs = 50
 const eventTimeoutMs = 20_000
+const stampedNames = { ...exchange.defaultHeaderNames, targetStamp: 'x-stamp' }
 
 /** Starts an exchange whose response ends with the connection, and waits for its first data. */
 async function startExchange (isReading: boolean, endsImmediately = false): Promise<{ readonly exchange: exchange.Exchange, readonly attempt: httpAttempt.HttpAttempt }> {
@@ -64,7 +69,6 @@
 tap.t.test('a late duplicate response on a reused connection is not mistaken for the response to the next request', async (t) => {
   const response = 'HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello'
   await using current = new exchange.Exchange((socket) => socket.write(response))
-  const stampedNames = { ...exchange.defaultHeaderNames, targetStamp: 'x-stamp' }
   await current.send('7', stampedNames)
   await current.waitForEvent(['end'], eventTimeoutMs)
   await timers.setTimeout(settleMs)
@@ -73,6 +77,52 @@
   t.same([current.events, current.bodyBytes, current.connections.count], [['data', 'end', 'lost'], 5, 0])
 })
 
+const healthChecks: Readonly<Record<string, (current: exchange.Exchange) => Promise<unknown>>> = {
+  'load probe': ({ connections, endpoint }) => new Promise<loadProbing.ProbeOutcome>((resolve) => {
+    new httpProber.HttpProber({ healthPath: '/healthz', names: stampedNames, connections, notices: exchange.ignoreNotices }).probe(endpoint, resolve)
+  }),
+  check: ({ connections, endpoint }) => new Promise<void>((resolve) => {
+    const report = (progress: targetCheck.CheckProgress): void => { if (progress !== 'accepted') resolve() }
+    new targetChecker.TargetChecker({ connections, names: stampedNames, notices: exchange.ignoreNotices, healthPathOf: () => '/healthz' }).check(endpoint, report)
+  })
+}
+
+for (const [name, runHealthCheck] of Object.entries(healthChecks)) {
+  /** Sends a request over the connection of a health check; all responses are the same. */
+  const sendAfterHealthCheck = async (current: exchange.Exchange, names: typeof exchange.defaultHeaderNames): Promise<void> => {
+    await current.listen()
+    await runHealthCheck(current)
+    await timers.setTimeout(settleMs)
+    await current.send('7', names)
+    await current.waitForEvent(['end', 'lost'], eventTimeoutMs)
+    await timers.setTimeout(settleMs)
+  }
+
+  tap.t.test(`a late duplicate of the response to a ${name} is not mistaken for the response to a request`, async (t) => {
+    await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 503 Ill\r\nContent-Length: 3\r\n\r\nill'))
+    await sendAfterHealthCheck(current, stampedNames)
+    t.same([current.events, current.bodyBytes, current.connectionCount, current.connections.count], [['lost'], 0, 1, 0])
+  })
+
+  tap.t.test(`a failure with the id of the request is accepted on the connection of a ${name}, which remains open`, async (t) => {
+    await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 503 Full\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nfull'))
+    await sendAfterHealthCheck(current, stampedNames)
+    t.same([current.events, current.connectionCount, current.connections.count], [['data', 'end'], 1, 1])
+  })
+
+  tap.t.test(`a target that returns no ids shares the connection of a ${name} with requests`, async (t) => {
+    await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull'))
+    await sendAfterHealthCheck(current, exchange.defaultHeaderNames)
+    t.same([current.events, current.connectionCount, current.connections.count], [['data', 'end'], 1, 1])
+  })
+}
+
+tap.t.test('a failure without a request id is accepted on a connection without health checks', async (t) => {
+  await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 502 Bad Gateway\r\nContent-Length: 4\r\n\r\nnone'))
+  await current.send('7', stampedNames)
+  t.ok(await current.waitForEvent(['end'], eventTimeoutMs))
+})
+
 for (const [header, limitMs] of [
   ['timeout=10', 8000],
   ['max=5, timeout=2', 1600],
