Control: a replica that reads at the leader also passes changes on to it

Cause: a replica without a message of the leader since its start finds the leader for a read, and forgot it again.

Change: the address that answered the read is used for other calls until a message of a leader arrives or a call to it fails.

Evidence: the new case of laggingRead.test passes; before, the change was refused as above.

--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -66,6 +66,8 @@
   private readonly admissions: failureLog.FailureLog
   private readonly removals: failureLog.FailureLog
   private isRemoving = false
+  /** Address of the leader that answered the last forwarded read; used until a message of a leader arrives. */
+  private answeringLeaderAddress: string | undefined
 
   constructor (
     readonly replica: replica.Replica,
@@ -243,8 +245,11 @@
   private async readAtLeader (addresses: readonly string[]): Promise<ReadRes> {
     const subject = 'leader'
     try {
-      const res = await Promise.any(addresses.map(async (address) =>
-        await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs)))
+      const { res, address } = await Promise.any(addresses.map(async (address) => {
+        const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs)
+        return { res, address }
+      }))
+      this.answeringLeaderAddress = address
       this.forwardedReads.noteSuccess(subject)
       // The group has accepted the document, so it isn't checked again.
       return { version: configVersion.decode(res.version), document: JSON.parse(res.documentJson) as configDocument.ConfigDocument, source: res.source }
@@ -348,13 +353,15 @@
 
   /** Calls the leader; throws `no-quorum` if none is known. */
   async callLeader<T> (run: (client: replicaLinks.ReplicaClient, options: connect.CallOptions) => Promise<T>, timeoutMs = forwardTimeoutMs): Promise<T> {
-    const leader = this.replica.leaderReplica
-    if (leader === undefined || leader.id === this.replica.replicaId) {
+    const { leaderReplica, self } = this.replica
+    const address = leaderReplica?.address ?? this.answeringLeaderAddress
+    if (address === undefined || address === self.address) {
       throw new errors.RackError({ kind: 'no-quorum', message: 'no leader is known; nothing was written' })
     }
     try {
-      return await this.replica.links.linkTo(leader.address).call(run, timeoutMs)
+      return await this.replica.links.linkTo(address).call(run, timeoutMs)
     } catch (err) {
+      this.answeringLeaderAddress = undefined
       throw forwardingError(errors.faultOf(err))
     }
   }
--- a/packages/control/src/test/laggingRead.test.ts
+++ b/packages/control/src/test/laggingRead.test.ts
@@ -1,4 +1,6 @@
 /** Tests which configuration a replica returns to an operator while its own log lags behind. */
+import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as tap from 'tap'
 import * as configuredGroup from './configuredGroup.js'
 
@@ -30,6 +32,21 @@
   await fixture.dispose()
 })
 
+tap.t.test('a new replica that has answered a read with the configuration of the leader passes changes on to it', async (t) => {
+  const fixture = new configuredGroup.ConfiguredGroup(1)
+  await fixture.found()
+  const spare = fixture.group.machines.at(-1)!
+  fixture.group.start(spare)
+  await fixture.time.runUntil(fixture.time.now + loadLimitMs, () => spare.process!.isLoaded)
+  spare.disk.setStalled(true)
+  await fixture.read(spare.process!, answerLimitMs)
+  let outcome: number | string = 'none'
+  spare.process!.service.put({ version: 2, document: configDocument.emptyConfig.document, source: '{}' }).then((version) => { outcome = version }, (err) => { outcome = errors.messageOf(err) })
+  await fixture.time.runUntil(fixture.time.now + answerLimitMs, () => outcome !== 'none')
+  t.equal(outcome, 2)
+  await fixture.dispose()
+})
+
 tap.t.test('a lagging replica returns no configuration if the leader is of a build that does not forward reads', async (t) => {
   const fixture = new configuredGroup.ConfiguredGroup()
   await fixture.found()
