Entry: the claim of a request that was not sent is released when its caller leaves

A caller that left while its request waited for a slot, for load probes or for a connection ended the run without an outcome, and claims were only released with an outcome: the key was denied with 409 until the claim was evicted.

`RequestRun.cancel` now returns whether the run had no outcome yet and certainly no endpoint has run the request; the claim is released then. A request of which a byte may have been sent to an endpoint or a peer keeps its claim.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -53,6 +53,7 @@
   private readonly requestId: string
   private readonly done = new async.Deferred<void>()
   private activeRun: requestRun.RequestRun | undefined
+  private claim: idempotencyClaims.Claim | undefined
   private laneName = 'none'
 
   constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly deps: CallerDeps) {
@@ -65,7 +66,7 @@
   async run (): Promise<void> {
     this.res.on('close', () => {
       this.recordIncompleteClose()
-      this.activeRun?.cancel()
+      if (this.activeRun?.cancel() === true) this.claim?.release()
       this.done.resolve()
     })
     try {
@@ -116,17 +117,17 @@
     const body = await callerBody.CallerBody.open(this.req, { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs })
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.buffered)
     this.refuseQuarantined(identity)
-    const claim = await this.claimKey(namedLane)
-    if (this.isAnswered) claim?.release()
-    else this.startClaimedRun(namedLane, identity, body, claim)
+    this.claim = await this.claimKey(namedLane)
+    if (this.isAnswered) this.claim?.release()
+    else this.startClaimedRun(namedLane, identity, body)
   }
 
   /** Starts the run; releases the claim of its key when an exception prevents that. */
-  private startClaimedRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, claim: idempotencyClaims.Claim | undefined): void {
+  private startClaimedRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
     try {
-      this.startRun(namedLane, identity, body, claim)
+      this.startRun(namedLane, identity, body)
     } catch (err) {
-      if (this.activeRun === undefined) claim?.release()
+      if (this.activeRun === undefined) this.claim?.release()
       throw err
     }
   }
@@ -199,7 +200,7 @@
     }
   }
 
-  private startRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody, claim: idempotencyClaims.Claim | undefined): void {
+  private startRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
     const { lanes } = this.deps
     const service = lanes.chooseService(namedLane)
     const { state } = namedLane
@@ -213,7 +214,7 @@
       identity,
       body,
       canForward: forwarded === undefined,
-      isClaimed: claim !== undefined
+      isClaimed: this.claim !== undefined
     }
     const run = (target: Pick<requestRun.RunSpec, 'req' | 'arrivedAt' | 'excludedEndpoints'>, listener: requestRun.IRunListener): void => {
       this.activeRun = new requestRun.RequestRun({ ...spec, ...target }, this.deps, listener)
@@ -225,11 +226,11 @@
     }
     run({ req: this.buildTargetReq(namedLane, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
-        if (response.outcome === 'quarantined') claim?.release()
+        if (response.outcome === 'quarantined') this.claim?.release()
         this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest))
       },
       onFailed: (fault) => {
-        if (fault.kind === 'not-run' || fault.kind === 'quarantined') claim?.release()
+        if (fault.kind === 'not-run' || fault.kind === 'quarantined') this.claim?.release()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
       }
     })
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -156,6 +156,11 @@
     return this.running?.attempt?.written === true
   }
 
+  /** True if an endpoint of this instance or of a peer may have run the request. */
+  get mayHaveRun (): boolean {
+    return this.spec.mayHaveRun || this.uncertainRuns > 0 || this.awaitsResponse
+  }
+
   /** Sends the request to the next peer, or ends the call when there is none. */
   private forward (why: string): void {
     const peer = this.triedPeers.size < maxPeers ? this.deps.peers.choose(this.triedPeers) : undefined
@@ -298,10 +303,6 @@
     this.listener.onResponse({ attempt: attempt!, head, peer: peer.instance, outcome })
   }
 
-  private get mayHaveRun (): boolean {
-    return this.spec.mayHaveRun || this.uncertainRuns > 0
-  }
-
   private fail (why: string): void {
     if (this.mayHaveRun) this.end(this.finalFault(why, false))
     else this.end({ kind: notRunKind, message: why, retryAfterS: this.retryAfterS })
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -100,10 +100,13 @@
     else this.runDirectly()
   }
 
-  cancel (): void {
+  /** Cancels the run; returns true if it had no outcome yet and certainly no endpoint has run the request. */
+  cancel (): boolean {
+    const isUnrun = !this.hasEnded && !this.mayHaveRun
     this.end()
     this.direct?.cancel()
     this.forwarded?.cancel()
+    return isUnrun
   }
 
   /** Ends the run with a final fault. */
@@ -122,6 +125,10 @@
     return this.direct?.progress.sentAttempts ?? 0
   }
 
+  private get mayHaveRun (): boolean {
+    return this.forwarded?.mayHaveRun ?? this.direct?.progress.mayHaveRun ?? false
+  }
+
   private get shouldForward (): boolean {
     return this.spec.canForward && this.deps.reachability.isCutOff
   }
--- a/packages/entry/src/test/forwardListener.test.ts
+++ b/packages/entry/src/test/forwardListener.test.ts
@@ -54,7 +54,7 @@
   await using entry = await entries.TestEntry.start('entry', [endpoint])
   const headers = createHeaders({}, { ...info, isClaimed: true })
   t.match(await entries.send(entry.callersAddress, 'POST', { ...headers, 'idempotency-key': 'key' }), { status: 200 })
-  t.equal(entry.claimCount, 1)
+  t.equal(entry.claimOwners.length, 1)
 })
 
 tap.t.test('a forwarded request is answered with the header of a peer, and declined without time left', async (t) => {
--- a/packages/entry/src/test/forwarding.test.ts
+++ b/packages/entry/src/test/forwarding.test.ts
@@ -314,7 +314,7 @@
   for (const address of [entry.callersAddress, sender.callersAddress]) {
     t.match(await entries.send(address, 'POST', { ...forged, 'idempotency-key': address }), { status: 200 })
   }
-  t.same([entry.claimCount, sender.claimCount], [1, 1])
+  t.same([entry.claimOwners.length, sender.claimOwners.length], [1, 1])
   for (const { headers } of endpoint.requests) t.same(Object.keys(headers).filter((name) => name.startsWith('rack-forward-')), [])
 })
 
@@ -331,7 +331,7 @@
 tap.t.test('a key is claimed once, by the instance that forwards the request', async (t) => {
   await using pair = await startPair()
   t.match(await entries.send(pair.sender.callersAddress, 'POST', { 'idempotency-key': 'key' }), { status: 200 })
-  t.same([pair.sender.claimCount, pair.peer.claimCount], [1, 0])
+  t.same([pair.sender.claimOwners.length, pair.peer.claimOwners.length], [1, 0])
 })
 
 tap.t.test('an instance that stops completes forwarded requests and declines new ones', async (t) => {
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -67,7 +67,9 @@
   callersAddress = ''
   forwardAddress = ''
   isStopping = false
-  claimCount = 0
+  /** Owners of the keys that this instance has claimed and released. */
+  readonly claimOwners: string[] = []
+  readonly releasedOwners: string[] = []
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly clock = new clock.SystemClock()
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
@@ -132,7 +134,13 @@
     const suspects = disposables.add(new suspectTable.SuspectTable(clock))
     const notices = disposables.add(new endpointNotices.EndpointNotices({ onLeaving: () => {}, onLimit: () => {} }, endpoints, clock, decisions))
     const connections = disposables.add(new targetConnections.TargetConnections())
-    const claimSource = { claim: async () => { this.claimCount++; return true }, release: async () => {} }
+    const claimSource = {
+      claim: async (_keyHash: string, owner: string) => {
+        this.claimOwners.push(owner)
+        return true
+      },
+      release: async (_keyHash: string, owner: string) => { this.releasedOwners.push(owner) }
+    }
     return {
       lanes: disposables.add(new laneRegistry.LaneRegistry(configs, endpoints, {
         ownFailureDomain: 'a',
