Entry: releases of claims that fail are tried again

A release was sent once and its error was dropped, so that the key of a request that was not run stayed claimed after an election or a loss of the quorum. A claim that was made after the timeout of its request, or after its call had failed, came after the release and stayed too.

`ClaimReleases` keeps releases that fail, and those that are added meanwhile, and tries the oldest one again with growing delays, then the others one after the other once it succeeds; a group without a quorum gets one call at a time. A claim whose call timed out is released again when the call ends, and one whose call failed after the time that calls between replicas take. Failures are logged (`claim-release`).

Left out: releases that still wait when the process ends are lost.

--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -221,7 +221,7 @@
       endpoints: this.endpoints,
       suspects: this.suspects,
       crashDetector: this.crashDetector,
-      claims: new idempotencyClaims.IdempotencyClaims(this.configs),
+      claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.configs, this.clock, this.decisions)),
       waitForSuspectWrites: async () => await this.mesh.waitForWrites(),
       decisions: this.decisions,
       metrics: this.metrics,
--- a/packages/entry/src/node/idempotencyClaims.ts
+++ b/packages/entry/src/node/idempotencyClaims.ts
@@ -1,10 +1,15 @@
 /** Claims idempotency keys in the replicated log, so that a request resent through another instance is not run again. */
 import * as crypto from 'node:crypto'
 import * as async from '@rosemaryrack/base/common/async.js'
+import type * as clock from '@rosemaryrack/base/common/clock.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
-import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
+import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as claimReleases from './claimReleases.js'
 
 const claimRetryAfterS = 1
+/** Time after which a call that has failed no longer makes a claim: longer than the calls between the replicas take. */
+const lateClaimMs = 10_000
 const maxKeyLength = 256
 
 /** A claim held by this instance. */
@@ -14,27 +19,54 @@
 }
 
 /** Claims the keys of requests on non-idempotent lanes. */
-export class IdempotencyClaims {
-  /** @param configs also holds the connection to the control group, over which keys are claimed. */
-  constructor (private readonly configs: configFollower.ConfigFollower) {}
+export class IdempotencyClaims implements lifecycle.IDisposable {
+  private readonly releases: claimReleases.ClaimReleases
+  private readonly cancelLateReleases = new Set<() => void>()
+
+  /** @param source the connection to the control group. */
+  constructor (private readonly source: claimReleases.IClaimSource, private readonly clock: clock.IClock, decisions: decisionLog.IDecisionLog) {
+    this.releases = new claimReleases.ClaimReleases(source, clock, decisions)
+  }
+
+  dispose (): void {
+    for (const cancel of this.cancelLateReleases) cancel()
+    this.releases.dispose()
+  }
 
   /** Claims a key. Throws `duplicate` when it is taken, `not-run` when it cannot be claimed with certainty by the deadline. */
   async claim (lane: string, key: string, deadlineAt: number): Promise<Claim> {
     if (key.length > maxKeyLength) throw new errors.RackError({ kind: 'bad-request', message: `the idempotency key exceeds ${maxKeyLength} characters` })
-    const owner = crypto.randomUUID()
-    const keyHash = crypto.createHash('sha256').update(`${lane}\n${key}`).digest('base64url')
-    const claim = { release: () => { this.configs.release(keyHash, owner).catch(() => {}) } }
+    const id = { keyHash: crypto.createHash('sha256').update(`${lane}\n${key}`).digest('base64url'), owner: crypto.randomUUID() }
+    const call = this.source.claim(id.keyHash, id.owner)
     let granted: boolean
     try {
-      granted = await async.withTimeout(this.configs.claim(keyHash, owner), deadlineAt - performance.now(), newClaimTimeoutError)
+      granted = await async.withTimeout(call, deadlineAt - performance.now(), newClaimTimeoutError)
     } catch (err) {
-      // The claim may still be granted after the timeout.
-      claim.release()
+      this.releases.add(id)
+      this.releaseAfter(call, id)
       throw new errors.RackError({ kind: 'not-run', message: errors.messageOf(err), retryAfterS: claimRetryAfterS })
     }
-    if (granted) return claim
+    if (granted) return { release: () => this.releases.add(id) }
     throw new errors.RackError({ kind: 'duplicate', message: 'a request with this idempotency key was accepted before; it is not run again' })
   }
+
+  /** Releases a claim that may still be made after its request was refused. */
+  private async releaseAfter (call: Promise<boolean>, id: claimReleases.ClaimId): Promise<void> {
+    try {
+      if (await call) this.releases.add(id)
+    } catch {
+      // The error was reported with the refusal, or follows a timeout that was.
+      this.releaseLater(id)
+    }
+  }
+
+  private releaseLater (id: claimReleases.ClaimId): void {
+    const cancel = this.clock.after(lateClaimMs, () => {
+      this.cancelLateReleases.delete(cancel)
+      this.releases.add(id)
+    })
+    this.cancelLateReleases.add(cancel)
+  }
 }
 
 function newClaimTimeoutError (): Error {
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -142,7 +142,7 @@
       endpoints: this.endpoints,
       suspects,
       crashDetector: this.disposables.add(new crashDetection.CrashDetector(this.endpoints, suspects, systemClock)),
-      claims: new idempotencyClaims.IdempotencyClaims(this.config as unknown as configFollower.ConfigFollower),
+      claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.config, systemClock, decisions)),
       waitForSuspectWrites: async () => {},
       decisions,
       metrics: this.metrics,
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -160,7 +160,7 @@
       endpoints,
       suspects,
       crashDetector: disposables.add(new crashDetection.CrashDetector(endpoints, suspects, clock)),
-      claims: new idempotencyClaims.IdempotencyClaims(claimSource as unknown as configFollower.ConfigFollower),
+      claims: disposables.add(new idempotencyClaims.IdempotencyClaims(claimSource, clock, decisions)),
       waitForSuspectWrites: async () => {},
       decisions,
       metrics: processMetrics,
