Entry: a peer releases the claim of a forwarded request that it has not sent when the connection ends

The sender of a forwarded request can't tell whether the peer has sent it to an endpoint, so that it keeps the claim when its caller leaves.

The claim (hash of the key, and owner) travels in `rack-forward-claim`. The peer releases it when the connection ends before a response and no endpoint can have run the request. It doesn't release it after a response, since the sender may send the request to another peer then. An earlier build ignores the header, and its requests have none; `rack-forward-claimed` stays.

Left out: the claim stays when the connection ends while the peer declines the request, or when the deadlines of sender and peer end at the same time.

--- a/packages/entry/src/common/forwardHeaders.ts
+++ b/packages/entry/src/common/forwardHeaders.ts
@@ -2,6 +2,7 @@
  * Headers that an instance adds to a request that it forwards to a peer, and the peer to its response. Callers and targets cannot set
  * them: they are never passed on from one hop to the next.
  */
+import * as claimId from './claimId.js'
 import * as headerRules from './headerRules.js'
 
 const prefix = headerRules.forwardHeaderPrefix
@@ -14,6 +15,7 @@
 const attemptsLeftHeader = `${prefix}attempts-left`
 const countedHeader = `${prefix}counted`
 const claimedHeader = `${prefix}claimed`
+const claimHeader = `${prefix}claim`
 /** Response header with an `Outcome`. */
 export const outcomeHeader = `${prefix}outcome`
 /** Response header of an endpoint's response without a length, which is sent in chunks between instances. */
@@ -42,6 +44,8 @@
   readonly isCounted: boolean
   /** True if the sender has claimed the idempotency key. */
   readonly isClaimed: boolean
+  /** The claim; undefined also for a sender of an earlier build. */
+  readonly claim: claimId.ClaimId | undefined
 }
 
 /** Returns the headers for a request, as a flat list of names and values. */
@@ -52,7 +56,8 @@
     ageHeader, String(Math.max(0, Math.round(info.ageMs))),
     ...(info.attemptsLeft === undefined ? [] : [attemptsLeftHeader, String(info.attemptsLeft)]),
     ...(info.isCounted ? [countedHeader, trueValue] : []),
-    ...(info.isClaimed ? [claimedHeader, trueValue] : [])
+    ...(info.isClaimed ? [claimedHeader, trueValue] : []),
+    ...(info.claim === undefined ? [] : [claimHeader, claimId.formatClaimId(info.claim)])
   ]
 }
 
@@ -64,7 +69,15 @@
   const attemptsLeft = parseCount(headers[attemptsLeftHeader])
   const hasValidAttempts = headers[attemptsLeftHeader] === undefined || (attemptsLeft !== undefined && attemptsLeft > 0)
   if (typeof sender !== 'string' || configVersion === undefined || ageMs === undefined || !hasValidAttempts) return undefined
-  return { sender, configVersion, ageMs, attemptsLeft, isCounted: headers[countedHeader] === trueValue, isClaimed: headers[claimedHeader] === trueValue }
+  return {
+    sender,
+    configVersion,
+    ageMs,
+    attemptsLeft,
+    isCounted: headers[countedHeader] === trueValue,
+    isClaimed: headers[claimedHeader] === trueValue,
+    claim: claimId.parseClaimId(headers[claimHeader])
+  }
 }
 
 /** Returns the headers for the response of an endpoint, as a flat list of names and values. */
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -66,7 +66,7 @@
   async run (): Promise<void> {
     this.res.on('close', () => {
       this.recordIncompleteClose()
-      if (this.activeRun?.cancel() === true) this.claim?.release()
+      this.cancelRun()
       this.done.resolve()
     })
     try {
@@ -77,6 +77,18 @@
     await this.done.promise
   }
 
+  /**
+   * Cancels the run, and releases the claim of a request that has no response and was certainly not run. The claim of a peer is released
+   * only here: a peer that gets a response may send the request to another one.
+   */
+  private cancelRun (): void {
+    const isUnrun = this.activeRun?.cancel() ?? true
+    if (!isUnrun || this.res.headersSent) return
+    this.claim?.release()
+    const peerClaim = this.origin.forwarded?.claim
+    if (peerClaim !== undefined) this.deps.claims.adopt(peerClaim).release()
+  }
+
   /** Logs that the connection ended after the response had begun and before it was complete; a call logs the end before that. */
   private recordIncompleteClose (): void {
     const { res } = this
@@ -214,7 +226,7 @@
       identity,
       body,
       canForward: forwarded === undefined,
-      isClaimed: this.claim !== undefined
+      claim: this.claim?.id
     }
     const run = (target: Pick<requestRun.RunSpec, 'req' | 'arrivedAt' | 'excludedEndpoints'>, listener: requestRun.IRunListener): void => {
       this.activeRun = new requestRun.RequestRun({ ...spec, ...target }, this.deps, listener)
--- a/packages/entry/src/node/claimReleases.ts
+++ b/packages/entry/src/node/claimReleases.ts
@@ -3,6 +3,7 @@
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
+import type * as claimId from '../common/claimId.js'
 
 const minRetryMs = 250
 const maxRetryMs = 4000
@@ -10,12 +11,6 @@
 const maxWaiting = 20_000
 const subject = 'control group'
 
-/** A claim in the replicated log. */
-export interface ClaimId {
-  readonly keyHash: string
-  readonly owner: string
-}
-
 /** Source of claims: the control group. */
 export interface IClaimSource {
   /** Resolves with true for the first owner of the key. Throws when it is not known whether the key is claimed. */
@@ -27,7 +22,7 @@
 /** Releases claims until it is disposed. */
 export class ClaimReleases implements lifecycle.IDisposable {
   /** Releases that have failed, or were added after such ones, oldest first. */
-  private readonly waiting: ClaimId[] = []
+  private readonly waiting: claimId.ClaimId[] = []
   private readonly failures: failureLog.FailureLog
   private cancelRetry: (() => void) | undefined
   private retryMs = minRetryMs
@@ -44,25 +39,25 @@
   }
 
   /** Releases a claim now, or after the earlier ones while releases fail. */
-  add (id: ClaimId): void {
+  add (id: claimId.ClaimId): void {
     if (this.waiting.length === 0) this.releaseNow(id)
     else this.postpone(id)
   }
 
-  private async releaseNow (id: ClaimId): Promise<void> {
+  private async releaseNow (id: claimId.ClaimId): Promise<void> {
     if (await this.tryRelease(id)) return
     this.postpone(id)
     this.scheduleRetry()
   }
 
-  private postpone (id: ClaimId): void {
+  private postpone (id: claimId.ClaimId): void {
     this.waiting.push(id)
     if (this.waiting.length <= maxWaiting) return
     this.waiting.shift()
     this.decisions.record({ event: 'claim-release', choice: 'dropped', why: `more than ${maxWaiting} releases wait; the key of the oldest one stays claimed` })
   }
 
-  private async tryRelease ({ keyHash, owner }: ClaimId): Promise<boolean> {
+  private async tryRelease ({ keyHash, owner }: claimId.ClaimId): Promise<boolean> {
     try {
       await this.source.release(keyHash, owner)
       this.failures.noteSuccess(subject)
--- a/packages/entry/src/node/idempotencyClaims.ts
+++ b/packages/entry/src/node/idempotencyClaims.ts
@@ -5,6 +5,7 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as claimId from '../common/claimId.js'
 import * as claimReleases from './claimReleases.js'
 
 const claimRetryAfterS = 1
@@ -12,8 +13,9 @@
 const lateClaimMs = 10_000
 const maxKeyLength = 256
 
-/** A claim held by this instance. */
+/** A claim of a request that this instance runs. */
 export interface Claim {
+  readonly id: claimId.ClaimId
   /** Releases the claim; only for a request that was certainly not run. */
   release(): void
 }
@@ -46,12 +48,17 @@
       this.releaseAfter(call, id)
       throw new errors.RackError({ kind: 'not-run', message: errors.messageOf(err), retryAfterS: claimRetryAfterS })
     }
-    if (granted) return { release: () => this.releases.add(id) }
+    if (granted) return this.adopt(id)
     throw new errors.RackError({ kind: 'duplicate', message: 'a request with this idempotency key was accepted before; it is not run again' })
   }
 
+  /** Returns a claim that was made before, by this instance or by a peer. */
+  adopt (id: claimId.ClaimId): Claim {
+    return { id, release: () => this.releases.add(id) }
+  }
+
   /** Releases a claim that may still be made after its request was refused. */
-  private async releaseAfter (call: Promise<boolean>, id: claimReleases.ClaimId): Promise<void> {
+  private async releaseAfter (call: Promise<boolean>, id: claimId.ClaimId): Promise<void> {
     try {
       if (await call) this.releases.add(id)
     } catch {
@@ -60,7 +67,7 @@
     }
   }
 
-  private releaseLater (id: claimReleases.ClaimId): void {
+  private releaseLater (id: claimId.ClaimId): void {
     const cancel = this.clock.after(lateClaimMs, () => {
       this.cancelLateReleases.delete(cancel)
       this.releases.add(id)
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -7,6 +7,7 @@
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import type * as claimId from '../common/claimId.js'
 import * as forwardHeaders from '../common/forwardHeaders.js'
 import * as httpAttempt from './httpAttempt.js'
 import type * as requestCount from './requestCount.js'
@@ -41,7 +42,8 @@
   readonly sentAttempts: number
   /** True if one of these attempts may have run. */
   readonly mayHaveRun: boolean
-  readonly isClaimed: boolean
+  /** The claim of the idempotency key by this instance. */
+  readonly claim: claimId.ClaimId | undefined
   readonly count: requestCount.RequestCount
   readonly retries: budget.IBudget
   /** Typical time to the head of a response on the lane, in milliseconds. */
@@ -181,10 +183,10 @@
   }
 
   private buildReq (): httpAttempt.TargetReq {
-    const { req, arrivedAt, isClaimed, count } = this.spec
+    const { req, arrivedAt, claim, count } = this.spec
     const attemptsLeft = this.peerAttempts < this.spec.maxAttempts ? this.peerAttempts : undefined
     const ageMs = this.deps.clock.now() - arrivedAt
-    const headers = this.deps.peers.headersFor({ ageMs, attemptsLeft, isCounted: count.isCounted, isClaimed })
+    const headers = this.deps.peers.headersFor({ ageMs, attemptsLeft, isCounted: count.isCounted, isClaimed: claim !== undefined, claim })
     const { requestId, deadline } = req.headerNames
     return { ...req, headers: [...req.headers, ...headers], headerNames: { requestId, deadline, notRun: { name: forwardHeaders.outcomeHeader, value: notRunKind } } }
   }
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -19,6 +19,7 @@
 import type * as loadProbing from '@rosemaryrack/routing/common/loadProbing.js'
 import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as claimId from '../common/claimId.js'
 import * as forwardHeaders from '../common/forwardHeaders.js'
 import type * as callerBody from './callerBody.js'
 import * as httpAttempt from './httpAttempt.js'
@@ -64,8 +65,8 @@
   readonly excludedEndpoints: readonly string[]
   /** False for a request that a peer has forwarded, since a request is forwarded only once. */
   readonly canForward: boolean
-  /** True if this instance has claimed the idempotency key. */
-  readonly isClaimed: boolean
+  /** The claim of the idempotency key by this instance. */
+  readonly claim: claimId.ClaimId | undefined
 }
 
 /** A response to pass on to the caller. */
@@ -217,7 +218,7 @@
   }
 
   private forward ({ mayHaveRun, sentAttempts }: callProgress.CallProgress): void {
-    const { namedLane, service, laneState, budgets, body, req, arrivedAt, count, isClaimed } = this.spec
+    const { namedLane, service, laneState, budgets, body, req, arrivedAt, count, claim } = this.spec
     this.unsubscribe()
     this.forwarded = this.deps.forwarder.start({
       laneName: namedLane.name,
@@ -228,7 +229,7 @@
       maxAttempts: namedLane.lane.maxAttempts,
       sentAttempts,
       mayHaveRun,
-      isClaimed,
+      claim,
       count,
       retries: budgets.retries,
       typicalMs: laneState.latency.typicalMs(namedLane.lane, this.deps.lanes.dispatcherOf(service).typicalLatencyMs)
--- a/packages/entry/src/test/forwardListener.test.ts
+++ b/packages/entry/src/test/forwardListener.test.ts
@@ -6,7 +6,7 @@
 import * as entries from './forwardingEntry.js'
 
 const responseLimitMs = 300
-const info: forwardHeaders.ForwardInfo = { sender: 'sender', configVersion: 1, ageMs: 0, attemptsLeft: undefined, isCounted: false, isClaimed: false }
+const info: forwardHeaders.ForwardInfo = { sender: 'sender', configVersion: 1, ageMs: 0, attemptsLeft: undefined, isCounted: false, isClaimed: false, claim: undefined }
 
 /** Returns the headers of a peer's request, with the given ones in place of their namesakes. */
 function createHeaders (overrides: Readonly<Record<string, string | undefined>> = {}, forwardInfo = info): http.OutgoingHttpHeaders {
--- a/packages/entry/src/test/forwarding.test.ts
+++ b/packages/entry/src/test/forwarding.test.ts
@@ -334,6 +334,48 @@
   t.same([pair.sender.claimOwners.length, pair.peer.claimOwners.length], [1, 0])
 })
 
+tap.t.test('the claim of a request that a peer has not sent yet is released when the caller leaves', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1', () => {})
+  endpoint.slots = 1
+  await using peer = await entries.TestEntry.start('peer', [endpoint])
+  await using sender = await entries.TestEntry.start('sender', [], { isCutOff: true })
+  sender.peers = [peer.asPeer]
+  const running = entries.send(sender.callersAddress, 'POST')
+  t.ok(await entries.waitUntil(() => endpoint.requests.length === 1, eventTimeoutMs))
+  const waiting = entries.startRequest(sender.callersAddress, 'POST', '/x', { 'idempotency-key': 'key' }).on('error', () => {})
+  waiting.end()
+  t.ok(await entries.waitUntil(() => peer.eventsOf('forwarded').length === 2, eventTimeoutMs))
+  await timers.setTimeout(settleMs)
+  waiting.destroy()
+  await entries.waitUntil(() => peer.releasedOwners.length > 0, cancelLimitMs)
+  t.same([peer.releasedOwners, sender.releasedOwners, sender.claimOwners.length], [sender.claimOwners, [], 1])
+  t.match(await running, { status: 504 })
+  t.equal(endpoint.requests.length, 1)
+})
+
+tap.t.test('the claim of a request that a peer has sent to an endpoint is kept when the caller leaves', async (t) => {
+  await using pair = await startPair(() => {})
+  const req = entries.startRequest(pair.sender.callersAddress, 'POST', '/x', { 'idempotency-key': 'key' }).on('error', () => {})
+  req.end()
+  t.ok(await entries.waitUntil(() => pair.endpoint.requests.length === 1, eventTimeoutMs))
+  req.destroy()
+  t.ok(await entries.waitUntil(() => pair.peer.eventsOf('cancel').length === 1, eventTimeoutMs))
+  await timers.setTimeout(settleMs)
+  t.same([pair.sender.claimOwners.length, pair.sender.releasedOwners, pair.peer.releasedOwners], [1, [], []])
+})
+
+tap.t.test('the claim of a request that one peer refuses as not run and another peer runs is kept', async (t) => {
+  await using full = await entries.startEndpoint('e-full', (req, res) => { res.writeHead(503, { ...entries.stamp(req), 'x-not-run': '1' }).end() })
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using first = await entries.TestEntry.start('first', [full], { maxAttempts: 1 })
+  await using second = await entries.TestEntry.start('second', [endpoint])
+  await using sender = await entries.TestEntry.start('sender', [], { isCutOff: true })
+  sender.peers = [first.asPeer, second.asPeer]
+  t.match(await entries.send(sender.callersAddress, 'POST', { 'idempotency-key': 'key' }), { status: 200, body: 'from e-1' })
+  await timers.setTimeout(settleMs)
+  t.same([full.requests.length, sender.releasedOwners, first.releasedOwners, second.releasedOwners], [1, [], [], []])
+})
+
 tap.t.test('an instance that stops completes forwarded requests and declines new ones', async (t) => {
   const open: http.ServerResponse[] = []
   await using pair = await startPair((_req, res) => { open.push(res) })
