Replication: entries that a replica has lost are sent again without a change

Cause: heartbeats are separate messages now, and a response that states that the replica lacks the entry they refer to was ignored; the entries were sent again only with the next change.

Change: such a response lowers what the replica is known to hold, and the entries are sent again.

--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -102,7 +102,7 @@
       const { commitIndex } = this.host
       try {
         const res = await this.heartbeats.append(this.createHeartbeat(commitIndex), this.host.electionTimeoutMs)
-        this.handleResponse('heartbeat', res.term, sentAt)
+        if (this.handleResponse('heartbeat', res.term, sentAt) && !res.success) this.handleLostEntries(Number(res.lastIndex))
         this.resetIfStalled(sentAt, failedAt)
       } catch (err) {
         this.recordFailure('heartbeat', err)
@@ -115,6 +115,14 @@
     }
   }
 
+  /** Sends again what the replica held durably and lost, for example with a damaged record at the end of its log. */
+  private handleLostEntries (lastIndex: number): void {
+    this.durableIndex = Math.min(this.durableIndex, lastIndex)
+    this.nextIndex = Math.min(this.nextIndex, lastIndex + 1)
+    this.hasMatched = false
+    this.wakeEntries.notify()
+  }
+
   /** Creates a message without entries that refers to an entry which the replica holds durably. */
   private createHeartbeat (commitIndex: number): inner.AppendReq {
     const prevTerm = this.host.log.termAt(this.matchIndex)
