Test of a change that is too large: the follower has an address

A follower's own address is read since a replica passes changes on to the leader that answered its read; the stand-in had none, so that the test failed with a TypeError. What is checked is unchanged.

--- a/packages/control/src/test/repeatedPut.test.ts
+++ b/packages/control/src/test/repeatedPut.test.ts
@@ -30,6 +30,7 @@
     leadership: undefined,
     leaderReplica: { id: 'r-2', address: '10.0.0.2:7200' },
     replicaId: 'r-1',
+    self: { address: '10.0.0.1:7200' },
     state: { config: configDocument.emptyConfig },
     monitor: { refusals: new refusalCounter.RefusalCounter() },
     links: { linkTo: () => link }
