Testbed: fleets of different processes reserve their subnets

Cause: scenarios took the loopback subnet 10 + (process id + n) % 240, while six test files used fixed ones of the same range (231, 236 twice, 246, 248, 249), and two test files run at a time. A scenario on the subnet of a test that is running finds port 7200 in use, its control replicas exit, and the time-out hides why.

Evidence: the scenario ran on subnet 248 while stoppingEntry.test was running: the same message after 30.3 s, and in the logs of its three control replicas "operator.listen: cannot bind 127.248.1.1:7200: listen EADDRINUSE".

Change: a fleet reserves its subnet with a listener on the subnet's first address, which lasts as long as its process; a reserved one is passed over. A time-out names the processes that have exited, with their last line.

--- a/packages/testbed/src/node/localFleet.ts
+++ b/packages/testbed/src/node/localFleet.ts
@@ -165,7 +165,8 @@
       if (await condition()) return performance.now() - start
       await async.sleep(pollMs)
     }
-    throw new Error(`timed out after ${timeoutMs} ms waiting for ${what}`)
+    const exits = this.unexpectedExits.map((name) => `; ${name} exited: ${this.process(name).lastOutputLine}`)
+    throw new Error(`timed out after ${timeoutMs} ms waiting for ${what}${exits.join('')}`)
   }
 
   /** Fetches a route of a process's operator listener; returns undefined when there is no valid response. */
--- a/packages/testbed/src/node/managedProcess.ts
+++ b/packages/testbed/src/node/managedProcess.ts
@@ -77,6 +77,10 @@
     await this.exited
   }
 
+  get lastOutputLine (): string {
+    return this.readOutput().trimEnd().split('\n').at(-1)!
+  }
+
   /** Returns all output of the process so far. */
   readOutput (): string {
     return fs.readFileSync(this.logFile, 'utf8')
--- a/packages/testbed/src/node/world.ts
+++ b/packages/testbed/src/node/world.ts
@@ -9,14 +9,11 @@
 import * as caller from './caller.js'
 import * as journal from './journal.js'
 import * as localFleet from './localFleet.js'
+import * as loopbackSubnet from './loopbackSubnet.js'
 import * as patchClient from './patchClient.js'
 import * as versionWatch from './versionWatch.js'
 
 const examplesFolder = url.fileURLToPath(new URL('../../../../examples/', import.meta.url))
-const firstSubnet = 10
-const subnetCount = 240
-// Starts at the process id, so that concurrent processes use different subnets.
-let nextSubnet = process.pid
 
 /** Fields of an example lane that are used to create calls. */
 export interface LaneExample {
@@ -49,6 +46,7 @@
   private readonly marks = new Map<string, number>()
   private readonly bindings = new Map<string, string>()
   private readonly random: ReturnType<typeof mersenne.mersenne>
+  private subnet: loopbackSubnet.SubnetReservation | undefined
   private system: { readonly fleet: localFleet.LocalFleet, readonly patches: patchClient.PatchClient, readonly versions: versionWatch.VersionWatch } | undefined
 
   constructor (private readonly folder: string, readonly seed: number) {
@@ -80,9 +78,9 @@
 
   /** Starts the processes, applies the example lanes and waits for all targets to be ready. */
   async startFleet (plan: fleetPlan.FleetPlan, options: localFleet.FleetOptions): Promise<void> {
-    const subnet = firstSubnet + nextSubnet++ % subnetCount
+    this.subnet = await loopbackSubnet.reserve()
     // The first `true` gives each relay an address, which its process advertises; the second one creates the relays.
-    const fleet = new localFleet.LocalFleet(this.folder, plan, new fleetPlan.HostScheme(subnet, true), true, options)
+    const fleet = new localFleet.LocalFleet(this.folder, plan, new fleetPlan.HostScheme(this.subnet.subnet, true), true, options)
     const patches = new patchClient.PatchClient(fleet)
     this.system = { fleet, patches, versions: new versionWatch.VersionWatch(fleet, patches) }
     await fleet.startSystem()
@@ -183,6 +181,7 @@
     this.system?.versions.dispose()
     await this.system?.fleet.dispose()
     await this.caller.dispose()
+    this.subnet?.dispose()
   }
 
   private async findLeader (): Promise<string> {
--- a/packages/testbed/src/test/cutOffEntry.test.ts
+++ b/packages/testbed/src/test/cutOffEntry.test.ts
@@ -6,6 +6,7 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as deployedFleet from '../node/deployedFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 
 const settleTimeoutMs = 20_000
 const heartbeatIntervalMs = 500
@@ -22,7 +23,8 @@
 const cutKinds: readonly deployedFleet.CutKind[] = ['silent', 'reset', 'refuse']
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-cut-off-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 236, 3, entryCount, { hasTargetSource: true })
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 3, entryCount, { hasTargetSource: true })
 const bornAt = 1_778_202_084_000
 const services = ['diary', 'diary', 'diary', 'till', 'till', 'till']
 const endpoints = services.map((service, i) => new deployedFleet.StandInEndpoint(`i-${i + 1}`, fleet.endpointIp(i + 1), service, bornAt))
--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -6,6 +6,7 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as deployedFleet from '../node/deployedFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 
 const settleTimeoutMs = 20_000
 const firstServerErrorStatus = 500
@@ -15,7 +16,8 @@
 /** Time within which an acknowledged drain or configuration takes effect on every entry. */
 const propagationLimitMs = 2000
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-deployed-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 252, 5, 2)
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 5, 2)
 const bornAt = 1_778_202_084_000
 const diary = new deployedFleet.StandInEndpoint('i-diary', fleet.endpointIp(1), 'diary', bornAt)
 const drained = new deployedFleet.StandInEndpoint('i-drained', fleet.endpointIp(2), 'diary', bornAt)
--- a/packages/testbed/src/test/endpointLimit.test.ts
+++ b/packages/testbed/src/test/endpointLimit.test.ts
@@ -6,6 +6,7 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as deployedFleet from '../node/deployedFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 
 const settleTimeoutMs = 20_000
 const heartbeatIntervalMs = 500
@@ -23,7 +24,8 @@
 const msPerSecond = 1000
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-limit-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 250, 3, entryCount)
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 3, entryCount)
 const bornAt = 1_778_202_084_000
 const endpoints = [1, 2, 3].map((number) => new deployedFleet.StandInEndpoint(`i-${number}`, fleet.endpointIp(number), 'diary', bornAt))
 const [limited] = endpoints as [deployedFleet.StandInEndpoint, ...deployedFleet.StandInEndpoint[]]
--- a/packages/testbed/src/test/gracefulStop.test.ts
+++ b/packages/testbed/src/test/gracefulStop.test.ts
@@ -6,6 +6,7 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as deployedFleet from '../node/deployedFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 
 const settleTimeoutMs = 20_000
 const entry = 1
@@ -18,7 +19,8 @@
 const bodySizes = Array.from({ length: 48 }, (_value, i) => 2_000_000 + i * 60_000)
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-stop-'))
 const startedAt = 1_778_202_084_000
-const fleet = new deployedFleet.DeployedFleet(folder, 249, 1, 1)
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 1, 1)
 const endpoint = new deployedFleet.StandInEndpoint('i-files', fleet.endpointIp(1), 'vault', startedAt)
 const silent = new deployedFleet.StandInEndpoint('i-till', fleet.endpointIp(2), 'till', startedAt)
 const [host, port] = fleet.callersAddress(entry).split(':')
--- a/packages/testbed/src/test/laggingReplica.test.ts
+++ b/packages/testbed/src/test/laggingReplica.test.ts
@@ -5,6 +5,7 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as deployedFleet from '../node/deployedFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 
 const settleTimeoutMs = 20_000
 const heartbeatIntervalMs = 500
@@ -25,7 +26,8 @@
 const bornAt = 1_778_202_084_000
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-lagging-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 231, 5, 2)
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 5, 2)
 const former = new deployedFleet.StandInEndpoint('i-former', fleet.endpointIp(1), 'diary', bornAt)
 const current = new deployedFleet.StandInEndpoint('i-current', fleet.endpointIp(2), 'till', bornAt)
 const heartbeats = { stopped: false }
--- a/packages/testbed/src/test/plannedWork.test.ts
+++ b/packages/testbed/src/test/plannedWork.test.ts
@@ -3,12 +3,14 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as tap from 'tap'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 import * as plannedWork from '../node/plannedWork.js'
 
 const [firstSeed = 1, lastSeed = firstSeed] = (process.env['SOAK_SEEDS'] ?? '24').split('-').map(Number)
 const keptFolder = process.env['SOAK_FOLDER']
 const folder = fs.mkdtempSync(path.join(keptFolder ?? os.tmpdir(), 'rosemaryrack-soak-'))
-const soak = new plannedWork.PlannedWorkSoak({ folder, subnet: Number(process.env['SOAK_SUBNET'] ?? 246), entries: 5, connectionsPerEntry: 9, durationMs: 18_000 })
+const { subnet } = await loopbackSubnet.reserve()
+const soak = new plannedWork.PlannedWorkSoak({ folder, subnet, entries: 5, connectionsPerEntry: 9, durationMs: 18_000 })
 
 tap.t.before(async () => await soak.start())
 
--- a/packages/testbed/src/test/startSignals.test.ts
+++ b/packages/testbed/src/test/startSignals.test.ts
@@ -8,9 +8,9 @@
 import * as toml from 'smol-toml'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as fleetPlan from '../common/fleetPlan.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 import * as managedProcess from '../node/managedProcess.js'
 
-const subnet = 236
 const token = 'start-signals-token'
 const timeoutMs = 20_000
 const pollMs = 20
@@ -18,6 +18,7 @@
 
 tap.t.test('a SIGHUP during the start ends no process and is applied afterwards', async (t) => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-start-'))
+  const { subnet } = await loopbackSubnet.reserve()
   const { inner, operator, callers } = new fleetPlan.HostScheme(subnet, false).processAddresses(0)
   const text = toml.stringify({
     cluster: 'start',
--- a/packages/testbed/src/test/stoppingEntry.test.ts
+++ b/packages/testbed/src/test/stoppingEntry.test.ts
@@ -8,6 +8,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as deployedFleet from '../node/deployedFleet.js'
 import * as keptConnection from '../node/keptConnection.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 import * as programmableEndpoint from '../node/programmableEndpoint.js'
 
 const settleTimeoutMs = 20_000
@@ -28,7 +29,8 @@
 
 const entries = { late: 1, lateKept: 2, abandoned: 3, slotWait: 4, silent: 5, laterRequest: 6, pipelinedStop: 7, pipelined: 8, config: 9 } as const
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-stop-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 248, 3, Object.keys(entries).length)
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 3, Object.keys(entries).length)
 const single = new programmableEndpoint.ProgrammableEndpoint('i-single', fleet.endpointIp(1), 'vault', bornAt, idleTimeoutMs)
 const narrow = new programmableEndpoint.ProgrammableEndpoint('i-narrow', fleet.endpointIp(2), 'till', bornAt, idleTimeoutMs, 1)
 const plain = new programmableEndpoint.ProgrammableEndpoint('i-plain', fleet.endpointIp(3), 'diary', bornAt, idleTimeoutMs)
--- a/packages/testbed/src/test/wholePath.test.ts
+++ b/packages/testbed/src/test/wholePath.test.ts
@@ -9,6 +9,7 @@
 import * as fleetPlan from '../common/fleetPlan.js'
 import * as caller from '../node/caller.js'
 import * as localFleet from '../node/localFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 
 const megabyte = 1_048_576
 const lanesFile = new URL('../../../../examples/brandpost/lanes.json', import.meta.url).pathname
@@ -25,7 +26,8 @@
 }
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-test-'))
 // The first `false` makes each process advertise its own address instead of a relay's; the second one creates no relays.
-const fleet = new localFleet.LocalFleet(folder, plan, new fleetPlan.HostScheme(253, false), false)
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new localFleet.LocalFleet(folder, plan, new fleetPlan.HostScheme(subnet, false), false)
 const client = new caller.Caller()
 
 /** Sends raw bytes; resolves with the bytes received until the connection closes or is idle for two seconds, or a JSON body is complete. */
