deployedFleet.test waits for a replica that does not listen yet

A read of a replica that does not listen yet has no status (0 in this test), and the test read again only while the status was 503, so it parsed an empty body.

--- a/packages/testbed/src/test/deployedFleet.test.ts
+++ b/packages/testbed/src/test/deployedFleet.test.ts
@@ -11,6 +11,8 @@
 const settleTimeoutMs = 20_000
 const firstServerErrorStatus = 500
 const pauseMs = 200
+/** Statuses of a read at a replica that does not listen yet, or that is no member yet. */
+const pendingStatuses: ReadonlySet<number> = new Set([0, 503])
 /** Number of the first control replica that is never started. */
 const firstUnusedControl = 50
 /** Time within which an acknowledged drain or configuration takes effect on every entry. */
@@ -57,11 +59,11 @@
   t.equal(await fleet.isReady(1), false)
   await fleet.waitFor('the configuration to be accepted', settleTimeoutMs, async () => (await fleet.putConfig(4, firstConfig)).status === 200)
   for (let i = 1; i <= fleet.controls; i++) {
-    // Four voters are enough for a put; the fifth returns 503 until it has become a member.
+    // Four voters are enough for a put; the fifth may start later.
     let read = await fleet.getConfig(i)
     await fleet.waitFor(`replica ${i} to serve reads`, settleTimeoutMs, async () => {
-      if (read.status === 503) read = await fleet.getConfig(i)
-      return read.status !== 503
+      if (pendingStatuses.has(read.status)) read = await fleet.getConfig(i)
+      return !pendingStatuses.has(read.status)
     })
     t.same(JSON.parse(read.body), firstConfig, `read at replica ${i}`)
   }
