Traffic split: a change of the scale of all weights keeps the shares

Callers saw: after the weights of a split were given in another scale (90 and 10, then 0.9 and 0.1), up to 50 calls of each lane and entry instance in a row went to the wrong service: 80 of 300 calls in place of 30.

Cause: the credits of the round robin were kept in units of the weights, so those of an earlier, larger scale outweighed many calls.

Change: credits are kept in calls.

Test: 14 of its 30 cases failed before (0 to 100 of 100 calls for a share of 90), none after. Changes within one scale (90 and 10, then 50 and 50) were right before.

--- a/packages/routing/src/common/trafficSplit.ts
+++ b/packages/routing/src/common/trafficSplit.ts
@@ -12,6 +12,7 @@
  * so that many instances with few calls each do not all start with the service of the highest weight.
  */
 export class TrafficSplit {
+  /** In calls, so that they stay valid when all weights are given in another scale. */
   private readonly credit = new Map<string, number>()
 
   constructor (private readonly random: balancingPolicy.IRandom) {}
@@ -28,11 +29,11 @@
       if (!chooseable.some((part) => part.service === service)) this.credit.delete(service)
     }
     for (const part of chooseable) {
-      const credit = this.credit.get(part.service) ?? this.random.next() * total
-      this.credit.set(part.service, credit + part.weight)
+      const credit = this.credit.get(part.service) ?? this.random.next()
+      this.credit.set(part.service, credit + part.weight / total)
       if (this.credit.get(part.service)! > this.credit.get(chosen.service)!) chosen = part
     }
-    this.credit.set(chosen.service, this.credit.get(chosen.service)! - total)
+    this.credit.set(chosen.service, this.credit.get(chosen.service)! - 1)
     return chosen.service
   }
 }
--- a/packages/routing/src/test/limits.test.ts
+++ b/packages/routing/src/test/limits.test.ts
@@ -137,6 +137,19 @@
   }
 })
 
+tap.t.test('a split keeps its shares when its weights are given in another scale', async (t) => {
+  for (const { before, after } of [{ before: [90, 10], after: [0.9, 0.1] }, { before: [50, 50], after: [1, 1] }, { before: [1, 3], after: [1000, 3000] }]) {
+    const partsOf = ([a, b]: readonly number[]): readonly trafficSplit.SplitPart[] => [{ service: 'a', weight: a! }, { service: 'b', weight: b! }]
+    for (let earlierCalls = 1; earlierCalls <= 10; earlierCalls++) {
+      const split = new trafficSplit.TrafficSplit({ next: () => 0 })
+      for (let i = 0; i < earlierCalls; i++) split.next(partsOf(before))
+      const count = Array.from({ length: 100 }, () => split.next(partsOf(after))).filter((service) => service === 'a').length
+      const expected = 100 * before[0]! / (before[0]! + before[1]!)
+      t.ok(Math.abs(count - expected) <= 2, `${count} of 100 to a after ${earlierCalls} calls with ${before}, then ${after}`)
+    }
+  }
+})
+
 tap.t.test('a service whose weight becomes 0 gets no call, whatever the split was before', async (t) => {
   const services = ['a', 'b', 'c']
   const weights = fc.tuple(...services.map(() => fc.nat(100))).filter((each) => each.some((weight) => weight > 0))
