Control: a call to the leader that times out no longer ends the others

Callers saw: a change sent to a follower failed as "the leader did not respond ([canceled] connection aborted); resend with the same id" although the leader was writing it, because a confirmation of a read beside it had timed out. Uses of claims, departures and permits share that connection too.

Cause: the timeout of each call to the leader (800 ms for confirmations, which run once per second, 2 s for permits and reads) closed the connection.

Ruled out: a connection of their own for confirmations, since they are also what finds a silent connection for forwarded changes.

--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -246,7 +246,7 @@
     const subject = 'leader'
     try {
       const { res, address } = await Promise.any(addresses.map(async (address) => {
-        const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs)
+        const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs, 'verify')
         return { res, address }
       }))
       this.answeringLeaderAddress = address
@@ -351,7 +351,7 @@
     throw new errors.RackError({ kind: 'already-founded', message: `the replica at ${address} already belongs to a cluster` })
   }
 
-  /** Calls the leader; throws `no-quorum` if none is known. */
+  /** Calls the leader; throws `no-quorum` if none is known. A timeout doesn't end other calls as long as the leader responds to pings. */
   async callLeader<T> (run: (client: replicaLinks.ReplicaClient, options: connect.CallOptions) => Promise<T>, timeoutMs = forwardTimeoutMs): Promise<T> {
     const { leaderReplica, self } = this.replica
     const address = leaderReplica?.address ?? this.answeringLeaderAddress
@@ -359,7 +359,7 @@
       throw new errors.RackError({ kind: 'no-quorum', message: 'no leader is known; nothing was written' })
     }
     try {
-      return await this.replica.links.linkTo(address).call(run, timeoutMs)
+      return await this.replica.links.linkTo(address).call(run, timeoutMs, 'verify')
     } catch (err) {
       this.answeringLeaderAddress = undefined
       throw forwardingError(errors.faultOf(err))
--- a/packages/control/src/node/permitService.ts
+++ b/packages/control/src/node/permitService.ts
@@ -6,7 +6,7 @@
 import type * as controlService from './controlService.js'
 import type * as leadership from './leadership.js'
 
-/** Shorter than the timeout of the instances, but not short: a timeout closes the connection, which other calls share. */
+/** Shorter than the timeout of the instances. */
 const forwardTimeoutMs = 2000
 
 /** Keeps the ledger of the current leadership. */
