Tests of elections: appends take a sync too, and a stable leader has committed

What callers see: without it a leader that is replaced while its first entry is being written would pass slowElection.test.

Cause: the virtual group's appends took no time there, so no follower was busy with its disk after an election.

Change: every write of a virtual disk takes its sync time, as in ReplicaStorage. The option for another time of appends is gone, also from voteSafety.test (0 or up to 200 ms before) and splitVotes.test.

--- a/packages/control/src/test/splitVotes.test.ts
+++ b/packages/control/src/test/splitVotes.test.ts
@@ -16,7 +16,7 @@
   try {
     for (let i = 0; i < startCount; i++) {
       const time = new virtualTime.VirtualTime()
-      const group = new virtualGroup.VirtualGroup({ startTimesMs: Array.from({ length: voterCount }, () => random() * 300), syncMs: 5, appendMs: 0, formerLeader: undefined, random })
+      const group = new virtualGroup.VirtualGroup({ startTimesMs: Array.from({ length: voterCount }, () => random() * 300), syncMs: 5, formerLeader: undefined, random })
       for (let voter = 0; voter < stalledCount; voter++) group.disks[voter]!.setStalled(true)
       try {
         await time.runUntil(maxObservedMs, () => group.leader !== undefined)
--- a/packages/control/src/test/virtualGroup.ts
+++ b/packages/control/src/test/virtualGroup.ts
@@ -20,10 +20,8 @@
 export interface GroupOptions {
   /** Start time of each voter in milliseconds; undefined for a voter that doesn't start. */
   readonly startTimesMs: ReadonlyArray<number | undefined>
-  /** Time of a disk sync, of all voters or of each. */
+  /** Time of a write with its sync, of term and vote as of the log, of all voters or of each. */
   readonly syncMs: number | readonly number[]
-  /** Time of a write of the log, if it isn't that of a sync: 0 where a leader's messages must not wait for the disk. */
-  readonly appendMs?: number
   /** Voter that led before the start, if the voters have stored their vote for it. */
   readonly formerLeader: number | undefined
   readonly random: () => number
@@ -62,7 +60,7 @@
     this.disks = options.startTimesMs.map((_at, voter) => {
       const syncMs = typeof options.syncMs === 'number' ? options.syncMs : options.syncMs[voter]!
       const meta = { replicaId: idOf(voter), term: snapshotTerm, votedFor }
-      return new voterDisk.VoterDisk({ meta, snapshot, syncMs, appendMs: options.appendMs ?? syncMs })
+      return new voterDisk.VoterDisk({ meta, snapshot, syncMs })
     })
     options.startTimesMs.forEach((at, voter) => {
       if (at !== undefined) setTimeout(() => { this.start(voter) }, at)
@@ -76,6 +74,13 @@
     return this.members.get(addressOf(newest.voter))?.replica.leadership === undefined ? undefined : newest.voter
   }
 
+  /** Whether the newest leader has committed an entry of its term, so that it can confirm reads. */
+  get hasCommitted (): boolean {
+    const newest = this.wonElections.at(-1)
+    const replica = newest === undefined ? undefined : this.members.get(addressOf(newest.voter))?.replica
+    return replica?.leadership !== undefined && replica.log.termAt(replica.commitIndex) === newest!.term
+  }
+
   /** Returns the voters whose processes are writing a vote. */
   votersThatWrite (): readonly number[] {
     return [...this.members.values()].filter(({ storage }) => storage.isWritingVote).map(({ voter }) => voter)
--- a/packages/control/src/test/voteSafety.test.ts
+++ b/packages/control/src/test/voteSafety.test.ts
@@ -10,7 +10,6 @@
 const disruptionCount = 30
 const maxPauseMs = 800
 const maxSyncMs = 1500
-const maxAppendMs = 200
 /** Longest time to a leader once all voters run and no disk stalls. */
 const maxCalmMs = 15_000
 
@@ -24,7 +23,7 @@
   const earlierVoters = Array.from({ length: pick(3) }, () => pick(voterCount))
   const syncMs = Array.from({ length: voterCount }, () => random() ** 2 * maxSyncMs)
   const startTimesMs = Array.from({ length: voterCount }, () => random() * maxPauseMs)
-  const group = new virtualGroup.VirtualGroup({ startTimesMs, syncMs, appendMs: random() < 0.5 ? 0 : random() * maxAppendMs, formerLeader: undefined, random, earlierVoters })
+  const group = new virtualGroup.VirtualGroup({ startTimesMs, syncMs, formerLeader: undefined, random, earlierVoters })
   try {
     await time.runUntil(maxPauseMs)
     const down = new Set<number>()
--- a/packages/control/src/test/voterDisk.ts
+++ b/packages/control/src/test/voterDisk.ts
@@ -9,10 +9,8 @@
 export interface DiskOptions {
   readonly meta: Partial<Pick<inner.ReplicaMeta, 'replicaId' | 'term' | 'votedFor'>>
   readonly snapshot: inner.Snapshot
-  /** Time of a write of term and vote. */
+  /** Time of a write with its sync. */
   readonly syncMs: number
-  /** Time of a write of the log. */
-  readonly appendMs: number
 }
 
 /** Outlives the processes of its voter. */
@@ -30,8 +28,8 @@
     this.stall = isStalled ? new async.Deferred() : undefined
   }
 
-  async sync (ms: number): Promise<void> {
-    await async.sleep(ms)
+  async sync (): Promise<void> {
+    await async.sleep(this.options.syncMs)
     await this.stall?.promise
   }
 }
@@ -62,21 +60,22 @@
 
   async saveMeta (meta: inner.ReplicaMeta): Promise<void> {
     this.writing = meta
-    await this.wait(this.disk.options.syncMs)
+    await this.sync()
     this.writing = undefined
     this.disk.meta = meta
   }
 
   async append (): Promise<void> {
-    await this.wait(this.disk.options.appendMs)
+    await this.sync()
   }
 
   async rewrite (): Promise<void> {
-    await this.append()
+    await this.sync()
   }
 
   async saveSnapshot (): Promise<void> {
-    await this.append()
+    await this.sync()
+    await this.rewrite()
   }
 
   /** Ends the process: its calls stay pending. */
@@ -88,8 +87,8 @@
 
   dispose (): void {}
 
-  private async wait (ms: number): Promise<void> {
-    await this.disk.sync(ms)
+  private async sync (): Promise<void> {
+    await this.disk.sync()
     if (this.isKilled) await new Promise(() => {})
   }
 }
