Control: one constant for the size up to which messages are sent whole

What callers see: nothing; no change of behaviour.

Cause: the limit was written twice, as maxMessageBytes in peerReplication.ts and maxWholeBytes in partSender.ts, and the limit of partReceiver.ts, 256 MiB, had the name of the first.

Change: partSender.maxWholeMessageBytes for both uses; the receiver's limit is maxAssembledBytes.

--- a/packages/control/src/node/partReceiver.ts
+++ b/packages/control/src/node/partReceiver.ts
@@ -4,7 +4,7 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 
 /** Largest message that is assembled in memory. */
-const maxMessageBytes = 268_435_456
+const maxAssembledBytes = 268_435_456
 
 /** The parts of one message that have been received. */
 interface Transfer {
@@ -48,7 +48,7 @@
   /** Adds a part, unless it was received before; returns whether the message is complete. */
   private add (part: inner.ReplicationPart): boolean {
     const totalBytes = Number(part.totalBytes)
-    if (totalBytes > maxMessageBytes) throw new errors.RackError({ kind: 'too-large', message: `a message of ${totalBytes} bytes; at most ${maxMessageBytes} are accepted` })
+    if (totalBytes > maxAssembledBytes) throw new errors.RackError({ kind: 'too-large', message: `a message of ${totalBytes} bytes; at most ${maxAssembledBytes} are accepted` })
     const key = keyOf(part)
     if (this.transfer.key !== key) this.transfer = { key, parts: [], receivedBytes: 0 }
     if (Number(part.offset) === this.transfer.receivedBytes) {
--- a/packages/control/src/node/partSender.ts
+++ b/packages/control/src/node/partSender.ts
@@ -7,7 +7,7 @@
 
 const partBytes = 262_144
 /** Messages up to this size are sent whole. */
-const maxWholeBytes = 1_048_576
+export const maxWholeMessageBytes = 1_048_576
 /** Timeout of a part; the response to the last one waits for the receiver's disk. */
 const partTimeoutMs = 30_000
 
@@ -52,7 +52,7 @@
   /** Resolves with the response to the last part; with undefined if the message is small or the receiver can't receive parts. */
   private async send (name: string, content: inner.ReplicationPart_Content, encode: () => Uint8Array): Promise<inner.ReplicationPartRes | undefined> {
     if (this.transfer?.name !== name) this.transfer = { name, id: crypto.randomUUID(), content, bytes: encode() }
-    if (this.transfer.bytes.length <= maxWholeBytes) return undefined
+    if (this.transfer.bytes.length <= maxWholeMessageBytes) return undefined
     const res = await this.sendParts(this.transfer)
     this.transfer = undefined
     return res
--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -12,8 +12,6 @@
 import type * as replicationStatus from './replicationStatus.js'
 
 const maxEntriesPerMessage = 200
-/** Size from which a message is sent in parts, and to which batches of entries are limited. */
-const maxMessageBytes = 1_048_576
 /** Timeout of an append or a whole snapshot, whose response waits for the peer's disk. Heartbeats detect a dead connection earlier. */
 const writeTimeoutMs = 30_000
 const idleCheckMs = 1000
@@ -168,7 +166,7 @@
 
   private async sendEntries (prevTerm: number, sentAt: number): Promise<void> {
     const prevIndex = this.nextIndex - 1
-    const entries = this.host.log.entriesFrom(this.nextIndex, maxEntriesPerMessage, maxMessageBytes)
+    const entries = this.host.log.entriesFrom(this.nextIndex, maxEntriesPerMessage, partSender.maxWholeMessageBytes)
     this.host.status.recordSent(this.replica.id, 'append', entries.reduce((bytes, entry) => bytes + logEntry.sizeOf(entry), 0))
     const res = await this.sendAppend(this.createAppend(prevIndex, prevTerm, this.host.commitIndex, entries))
     if (!this.handleResponse('append', res.term, sentAt)) return
@@ -179,7 +177,7 @@
   private async sendAppend (req: inner.AppendReq): Promise<inner.AppendRes> {
     const [first] = req.entries
     const sendWhole = async (): Promise<inner.AppendRes> => await this.appends.append(req, writeTimeoutMs)
-    const isLarge = first !== undefined && logEntry.sizeOf(logEntry.decodeEntry(first)) > maxMessageBytes
+    const isLarge = first !== undefined && logEntry.sizeOf(logEntry.decodeEntry(first)) > partSender.maxWholeMessageBytes
     return isLarge ? await this.parts.sendAppend(`entry ${first.index}`, req, sendWhole) : await sendWhole()
   }
 
