--- a/packages/control/src/test/configuredGroup.ts
+++ b/packages/control/src/test/configuredGroup.ts
@@ -10,6 +10,7 @@
 /** Long enough for anything that the group does at the simulated delays. */
 export const limitMs = 20_000
 const settleMs = 100
+const loadLimitMs = 100
 const { document } = configDocument.emptyConfig
 
 /** Returns the text of a configuration. */
@@ -43,6 +44,15 @@
     return this.group.processes.find((process) => process !== this.leader)!
   }
 
+  /** Starts the process of a spare machine, whose disk stalls once it is loaded, so that it doesn't receive the log. */
+  async startStalledSpare (): Promise<simulatedGroup.ControlProcess> {
+    const spare = this.group.machines.at(-1)!
+    this.group.start(spare)
+    await this.time.runUntil(this.time.now + loadLimitMs, () => spare.process!.isLoaded)
+    spare.disk.setStalled(true)
+    return spare.process!
+  }
+
   /** Puts a version at a process; returns the version held afterwards, or the kind of the fault. */
   async put (version: number, process = this.leader): Promise<number | string | undefined> {
     return await this.settle(process.service.put({ version, document, source: sourceOf(version) }).catch((err: unknown) => errors.faultOf(err).kind))
--- a/packages/control/src/test/laggingRead.test.ts
+++ b/packages/control/src/test/laggingRead.test.ts
@@ -6,7 +6,6 @@
 
 /** Longest time for an answer at the simulated delays, without a disk of the replica that is asked. */
 const answerLimitMs = 300
-const loadLimitMs = 100
 
 tap.t.test('a replica whose disk stalls returns the newest configuration of the leader', async (t) => {
   const fixture = new configuredGroup.ConfiguredGroup()
@@ -23,25 +22,19 @@
 tap.t.test('a new replica that has not received the log yet returns the newest configuration of the leader', async (t) => {
   const fixture = new configuredGroup.ConfiguredGroup(1)
   await fixture.found()
-  const spare = fixture.group.machines.at(-1)!
-  fixture.group.start(spare)
-  await fixture.time.runUntil(fixture.time.now + loadLimitMs, () => spare.process!.isLoaded)
-  spare.disk.setStalled(true)
+  const spare = await fixture.startStalledSpare()
   await fixture.put(2)
-  t.match(await fixture.read(spare.process!, answerLimitMs), { version: 2, source: configuredGroup.sourceOf(2) })
+  t.match(await fixture.read(spare, answerLimitMs), { version: 2, source: configuredGroup.sourceOf(2) })
   await fixture.dispose()
 })
 
 tap.t.test('a new replica that has answered a read with the configuration of the leader passes changes on to it', async (t) => {
   const fixture = new configuredGroup.ConfiguredGroup(1)
   await fixture.found()
-  const spare = fixture.group.machines.at(-1)!
-  fixture.group.start(spare)
-  await fixture.time.runUntil(fixture.time.now + loadLimitMs, () => spare.process!.isLoaded)
-  spare.disk.setStalled(true)
-  await fixture.read(spare.process!, answerLimitMs)
+  const spare = await fixture.startStalledSpare()
+  await fixture.read(spare, answerLimitMs)
   let outcome: number | string = 'none'
-  spare.process!.service.put({ version: 2, document: configDocument.emptyConfig.document, source: '{}' }).then((version) => { outcome = version }, (err) => { outcome = errors.messageOf(err) })
+  spare.service.put({ version: 2, document: configDocument.emptyConfig.document, source: '{}' }).then((version) => { outcome = version }, (err) => { outcome = errors.messageOf(err) })
   await fixture.time.runUntil(fixture.time.now + answerLimitMs, () => outcome !== 'none')
   t.equal(outcome, 2)
   await fixture.dispose()
