Control: a replica that is still loading reports that it knows no leader

What callers saw: nothing; the log of a starting replica said "config-confirmation failed: Cannot read properties of undefined (reading 'replicaId')", which hides that it had only not loaded its log yet. Found in the logs of deployedFleet.test beside a load average of 26.

Cause: a call to the leader read the replica's own entry, which needs its stored id, before it looked whether a leader is known.

Change: the own address is compared only if a leader is known, which is never the case before the state is loaded.

forwardedCalls.test: before, the message above; now no-quorum, "no leader is known; nothing was written".

--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -353,9 +353,8 @@
 
   /** Calls the leader; throws `no-quorum` if none is known. A timeout doesn't end other calls as long as the leader responds to pings. */
   async callLeader<T> (run: (client: replicaLinks.ReplicaClient, options: connect.CallOptions) => Promise<T>, timeoutMs = forwardTimeoutMs): Promise<T> {
-    const { leaderReplica, self } = this.replica
-    const address = leaderReplica?.address ?? this.answeringLeaderAddress
-    if (address === undefined || address === self.address) {
+    const address = this.replica.leaderReplica?.address ?? this.answeringLeaderAddress
+    if (address === undefined || address === this.replica.self.address) {
       throw new errors.RackError({ kind: 'no-quorum', message: 'no leader is known; nothing was written' })
     }
     try {
--- a/packages/control/src/test/forwardedCalls.test.ts
+++ b/packages/control/src/test/forwardedCalls.test.ts
@@ -8,8 +8,9 @@
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as controlService from '../node/controlService.js'
 import * as refusalCounter from '../node/refusalCounter.js'
-import type * as replica from '../node/replica.js'
+import * as replica from '../node/replica.js'
 import * as replicaLinks from '../node/replicaLinks.js'
+import type * as replicaStorage from '../node/replicaStorage.js'
 
 const identity = { cluster: 'c', token: 'token-of-this-test', sourceHost: '127.0.0.1' }
 const leaderAddress = '127.118.0.4:17454'
@@ -17,6 +18,7 @@
 /** Longer than the timeouts of the other calls, and than the time in which a connection is verified. */
 const putMs = 1200
 const longMs = 10_000
+const serviceOptions = { groupAddresses: [], seedAddresses: [], maxReplicas: 9, tolerateLostDisks: 2 }
 
 /** Listens as a leader that writes slowly and confirms no read. */
 async function listenAsLeader (): Promise<innerListener.InnerListener> {
@@ -48,7 +50,7 @@
     monitor: { refusals: new refusalCounter.RefusalCounter() },
     links
   } as unknown as replica.Replica
-  return new controlService.ControlService(follower, { groupAddresses: [], seedAddresses: [], maxReplicas: 9, tolerateLostDisks: 2 }, new decisionLog.NullDecisionLog())
+  return new controlService.ControlService(follower, serviceOptions, new decisionLog.NullDecisionLog())
 }
 
 const calls: ReadonlyArray<{ readonly name: string, readonly run: (service: controlService.ControlService) => Promise<unknown> }> = [
@@ -68,3 +70,13 @@
     leader.dispose()
   })
 }
+
+tap.t.test('a replica that has not loaded its stored state reports that it knows no leader', async (t) => {
+  const storage = { onDiskFullChanged: () => ({ dispose: () => {} }) } as unknown as replicaStorage.IReplicaStorage
+  const options = { address: '127.118.0.4:17455', operatorAddress: '', failureDomain: 'a', electionTimeoutMs, heartbeatMs: 10, snapshotEvery: 1000 }
+  const links = new replicaLinks.ReplicaLinks(identity)
+  const service = new controlService.ControlService(new replica.Replica(options, storage, links, new decisionLog.NullDecisionLog()), serviceOptions, new decisionLog.NullDecisionLog())
+  const err: unknown = await service.confirmReadIndex().catch((reason: unknown) => reason)
+  t.match(errors.faultOf(err), { kind: 'no-quorum', message: /^no leader is known/ })
+  links.dispose()
+})
