Control: replication reads the replica itself, not through the leadership

What callers see: nothing; no change of behaviour.

Cause: Leadership passed seven properties of its host through to PeerReplication, so a reader had to follow each one over two interfaces.

Change: PeerReplication gets the host, whose interface ILeaderHost extends, and the leadership, of which it uses the term, the newest read and two handlers.

replicationStatus, proposals, stalledLeaderDisk, slowDisks, laggingRead, laggingReplica, fullDisk and controlMetrics pass.

--- a/packages/control/src/node/leadership.ts
+++ b/packages/control/src/node/leadership.ts
@@ -9,26 +9,15 @@
 import * as quorum from '../common/quorum.js'
 import type * as replicatedState from '../common/replicatedState.js'
 import * as peerReplication from './peerReplication.js'
-import type * as replicaLinks from './replicaLinks.js'
-import type * as replicaLog from './replicaLog.js'
-import type * as replicaMonitor from './replicaMonitor.js'
-import type * as replicationStatus from './replicationStatus.js'
 
 const maxEntriesPerBatch = 200
 const commitTimeoutMs = 5000
 const catchUpTimeoutMs = 120_000
 
 /** The parts of the leading replica that its leadership uses. */
-export interface ILeaderHost {
-  readonly replicaId: string
-  readonly log: replicaLog.ReplicaLog
+export interface ILeaderHost extends peerReplication.IReplicationHost {
   readonly lock: async.Sequencer
-  readonly links: replicaLinks.ReplicaLinks
   readonly decisions: decisionLog.IDecisionLog
-  readonly monitor: replicaMonitor.ReplicaMonitor
-  readonly electionTimeoutMs: number
-  readonly heartbeatMs: number
-  readonly commitIndex: number
   /** Marks all entries up to an index as committed and applies them. */
   commit(index: number): void
   /** Ends the leadership and adopts a higher term. */
@@ -42,7 +31,7 @@
 }
 
 /** The work of the leader in one term, from construction until disposal. */
-export class Leadership implements peerReplication.IReplicationHost, lifecycle.IDisposable {
+export class Leadership implements peerReplication.IReplicatingLeadership, lifecycle.IDisposable {
   private readonly peers = new Map<string, peerReplication.PeerReplication>()
   private readonly pendingByIndex = new Map<number, async.Deferred<replicatedState.ApplyResult>>()
   private readonly progressSignal = new async.Signal()
@@ -61,34 +50,6 @@
     this.refreshPeers(this.startedAt)
   }
 
-  get replicaId (): string {
-    return this.host.replicaId
-  }
-
-  get log (): replicaLog.ReplicaLog {
-    return this.host.log
-  }
-
-  get links (): replicaLinks.ReplicaLinks {
-    return this.host.links
-  }
-
-  get commitIndex (): number {
-    return this.host.commitIndex
-  }
-
-  get electionTimeoutMs (): number {
-    return this.host.electionTimeoutMs
-  }
-
-  get heartbeatMs (): number {
-    return this.host.heartbeatMs
-  }
-
-  get status (): replicationStatus.ReplicationStatus {
-    return this.host.monitor.replication
-  }
-
   get readRequestedAt (): number {
     return this.newestReadAt
   }
@@ -299,7 +260,7 @@
     }
     for (const replica of members) {
       if (this.peers.has(replica.id)) continue
-      const peer = new peerReplication.PeerReplication(this, replica, now)
+      const peer = new peerReplication.PeerReplication(this.host, this, replica, now)
       this.peers.set(replica.id, peer)
       peer.start()
     }
--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -9,6 +9,7 @@
 import * as partSender from './partSender.js'
 import type * as replicaLinks from './replicaLinks.js'
 import type * as replicaLog from './replicaLog.js'
+import type * as replicaMonitor from './replicaMonitor.js'
 import type * as replicationStatus from './replicationStatus.js'
 
 const maxEntriesPerMessage = 200
@@ -16,16 +17,20 @@
 const writeTimeoutMs = 30_000
 const idleCheckMs = 1000
 
-/** The leadership that a replication belongs to. */
+/** The parts of the leading replica that replication uses. */
 export interface IReplicationHost {
   readonly replicaId: string
-  readonly term: number
   readonly log: replicaLog.ReplicaLog
   readonly links: replicaLinks.ReplicaLinks
-  readonly status: replicationStatus.ReplicationStatus
+  readonly monitor: replicaMonitor.ReplicaMonitor
   readonly commitIndex: number
   readonly electionTimeoutMs: number
   readonly heartbeatMs: number
+}
+
+/** The leadership that a replication belongs to. */
+export interface IReplicatingLeadership {
+  readonly term: number
   /** Time of the newest read that waits for heartbeats sent after it. */
   readonly readRequestedAt: number
   /** Handles a response with a higher term. */
@@ -52,15 +57,19 @@
   /** Snapshot that is being sent; a newer one doesn't replace it before the replica has it. */
   private snapshotInTransfer: inner.Snapshot | undefined
 
-  constructor (private readonly host: IReplicationHost, readonly replica: inner.Replica, now: number) {
+  constructor (private readonly host: IReplicationHost, private readonly leadership: IReplicatingLeadership, readonly replica: inner.Replica, now: number) {
     this.link = host.links.linkTo(replica.address)
     this.heartbeats = new appendChannel.AppendChannel(host.links.linkTo(replica.address, 'heartbeats'))
     this.appends = new appendChannel.AppendChannel(this.link)
-    this.parts = new partSender.PartSender(this.link, { term: host.term, leaderId: host.replicaId, toReplicaId: replica.id }, () => { this.pendingSince = performance.now() })
+    this.parts = new partSender.PartSender(this.link, { term: leadership.term, leaderId: host.replicaId, toReplicaId: replica.id }, () => { this.pendingSince = performance.now() })
     this.nextIndex = host.log.last.index + 1
     this.ackedSendAt = now
   }
 
+  private get status (): replicationStatus.ReplicationStatus {
+    return this.host.monitor.replication
+  }
+
   /** Index of the last entry that the replica is known to hold durably. */
   get matchIndex (): number {
     return this.durableIndex
@@ -108,7 +117,7 @@
         await this.wakeHeartbeat.wait(this.host.heartbeatMs)
         continue
       }
-      const isUpToDate = commitIndex === this.host.commitIndex && sentAt >= this.host.readRequestedAt
+      const isUpToDate = commitIndex === this.host.commitIndex && sentAt >= this.leadership.readRequestedAt
       if (isUpToDate) await this.wakeHeartbeat.wait(this.host.heartbeatMs)
     }
   }
@@ -167,7 +176,7 @@
   private async sendEntries (prevTerm: number, sentAt: number): Promise<void> {
     const prevIndex = this.nextIndex - 1
     const entries = this.host.log.entriesFrom(this.nextIndex, maxEntriesPerMessage, partSender.maxWholeMessageBytes)
-    this.host.status.recordSent(this.replica.id, 'append', entries.reduce((bytes, entry) => bytes + logEntry.sizeOf(entry), 0))
+    this.status.recordSent(this.replica.id, 'append', entries.reduce((bytes, entry) => bytes + logEntry.sizeOf(entry), 0))
     const res = await this.sendAppend(this.createAppend(prevIndex, prevTerm, this.host.commitIndex, entries))
     if (!this.handleResponse('append', res.term, sentAt)) return
     if (res.success) this.setMatchIndex(Number(res.lastIndex))
@@ -189,14 +198,14 @@
       return
     }
     const req = protobuf.create(inner.InstallSnapshotReqSchema, {
-      term: this.host.term,
+      term: this.leadership.term,
       leaderId: this.host.replicaId,
       snapshot,
       toReplicaId: this.replica.id
     })
     const sendWhole = async (): Promise<inner.InstallSnapshotRes> =>
       await this.link.call(async (client, options) => await client.installSnapshot(req, options), writeTimeoutMs)
-    this.host.status.recordSent(this.replica.id, 'snapshot', snapshot.documentJson.length + snapshot.source.length)
+    this.status.recordSent(this.replica.id, 'snapshot', snapshot.documentJson.length + snapshot.source.length)
     const res = await this.parts.sendSnapshot(`snapshot ${snapshot.index}`, req, sendWhole)
     this.snapshotInTransfer = undefined
     if (this.handleResponse('snapshot', res.term, sentAt)) this.setMatchIndex(Number(snapshot.index))
@@ -204,7 +213,7 @@
 
   private createAppend (prevIndex: number, prevTerm: number, commitIndex: number, entries: readonly logEntry.LogEntry[]): inner.AppendReq {
     return protobuf.create(inner.AppendReqSchema, {
-      term: this.host.term,
+      term: this.leadership.term,
       leaderId: this.host.replicaId,
       prevIndex: BigInt(prevIndex),
       prevTerm,
@@ -217,15 +226,15 @@
   /** Returns false if the leadership has ended, or ends now because the response has a newer term. */
   private handleResponse (what: messageFailure.MessageKind, term: number, sentAt: number): boolean {
     if (this.stopped.signal.aborted) return false
-    if (term > this.host.term) {
-      this.host.status.recordFailureReason(this.replica.id, what, { reason: 'higher-term', why: `replica ${this.replica.id} is in term ${term}` })
-      this.host.handleHigherTerm(term, this.replica.id)
+    if (term > this.leadership.term) {
+      this.status.recordFailureReason(this.replica.id, what, { reason: 'higher-term', why: `replica ${this.replica.id} is in term ${term}` })
+      this.leadership.handleHigherTerm(term, this.replica.id)
       return false
     }
-    this.host.status.recordAcknowledged(this.replica.id, what)
+    this.status.recordAcknowledged(this.replica.id, what)
     this.recordProgress()
     this.ackedSendAt = Math.max(this.ackedSendAt, sentAt)
-    this.host.handleProgress()
+    this.leadership.handleProgress()
     return true
   }
 
@@ -234,17 +243,17 @@
     this.nextIndex = index + 1
     this.durableIndex = Math.max(this.durableIndex, index)
     this.recordProgress()
-    this.host.handleProgress()
+    this.leadership.handleProgress()
   }
 
   private recordFailure (what: messageFailure.MessageKind, err: unknown): void {
     if (this.stopped.signal.aborted) return
-    this.host.status.recordFailure(this.replica.id, what, err)
+    this.status.recordFailure(this.replica.id, what, err)
     this.recordProgress()
   }
 
   private recordProgress (): void {
-    const { log, status } = this.host
-    status.recordProgress(this.replica.id, this.matchIndex, log.last.index, log.bytesFrom(this.matchIndex + 1))
+    const { log } = this.host
+    this.status.recordProgress(this.replica.id, this.matchIndex, log.last.index, log.bytesFrom(this.matchIndex + 1))
   }
 }
