Control: a leader logs when its first entry is not committed

What operators see: a leader whose majority answers heartbeats but doesn't write the first entry of its term refused every read, and no line of its own said that this entry was missing: the failure was swallowed.

Looked at and left: the bare catches in readConfig and requestPreVote. Their comments say where the failure is reported: readAtLeader logs `forwarded-read`, callVote counts it and logs `control-message`. That in ReplicatedState.canRead keeps no error that apply doesn't throw again.

Evidence: the new case of proposals.test has no such line on the code before, neither after 5 s nor at the end of a leadership; it passes now, all four cases.

--- a/packages/control/src/node/leadership.ts
+++ b/packages/control/src/node/leadership.ts
@@ -56,7 +56,9 @@
 
   /** Proposes an empty entry: entries of earlier terms are committed only together with an entry of this term. */
   start (): void {
-    this.propose({ case: 'noop', value: true }).catch(() => {})
+    this.propose({ case: 'noop', value: true }).catch((err) => {
+      this.host.decisions.record({ event: 'control-first-entry', choice: 'failed', term: this.term, why: errors.messageOf(err) })
+    })
   }
 
   dispose (): void {
--- a/packages/control/src/test/proposals.test.ts
+++ b/packages/control/src/test/proposals.test.ts
@@ -3,16 +3,21 @@
 import * as tap from 'tap'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
-import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as logEntry from '../common/logEntry.js'
 import * as replica from '../node/replica.js'
 import type * as replicaLinks from '../node/replicaLinks.js'
 import type * as replicaStorage from '../node/replicaStorage.js'
+import * as recordedDecisions from './recordedDecisions.js'
+import * as virtualTime from './virtualTime.js'
 
-/** Storage in memory that encodes entries like the storage on disk, and fails when the test says so. */
+/** Time within which a proposal must be committed. */
+const commitTimeoutMs = 5000
+
+/** Storage in memory that encodes entries like the storage on disk, and fails or stalls when the test says so. */
 class FailingStorage implements replicaStorage.IReplicaStorage {
   readonly isDiskFull = false
   isFailing = false
+  isStalled = false
   readonly records: Uint8Array[] = []
 
   onDiskFullChanged (): { dispose: () => void } {
@@ -25,6 +30,7 @@
 
   async append (entries: readonly logEntry.LogEntry[]): Promise<void> {
     if (this.isFailing) throw new errors.RackError({ kind: 'disk-failure', message: 'no write' })
+    if (this.isStalled) await new Promise(() => {})
     this.records.push(logEntry.encodeBatch(entries))
   }
 
@@ -37,13 +43,16 @@
 /** A replica that is the only one of its cluster, and leads it. */
 class LeaderFixture {
   readonly storage = new FailingStorage()
-  readonly reasons: string[] = []
+  readonly decisions = new recordedDecisions.RecordedDecisions()
   readonly member: replica.Replica
 
   constructor () {
     const options = { address: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', failureDomain: 'a', electionTimeoutMs: 400, heartbeatMs: 100, snapshotEvery: 1000 }
-    const decisions = { record: ({ event, why }: { readonly event: string, readonly why?: unknown }) => { if (event === 'control-step-down') this.reasons.push(String(why)) } }
-    this.member = new replica.Replica(options, this.storage, {} as unknown as replicaLinks.ReplicaLinks, decisions as unknown as decisionLog.IDecisionLog)
+    this.member = new replica.Replica(options, this.storage, {} as unknown as replicaLinks.ReplicaLinks, this.decisions)
+  }
+
+  reasonsOf (event: string): readonly unknown[] {
+    return this.decisions.decisions.filter((each) => each.event === event).map(({ why }) => why)
   }
 
   async start (): Promise<void> {
@@ -86,6 +95,32 @@
   fixture.storage.isFailing = true
   t.not(await faultKind(fixture.claim('lost')), 'none')
   t.equal(fixture.member.role, 'follower')
-  t.match(fixture.reasons, [/no write/])
+  t.match(fixture.reasonsOf('control-step-down'), [/no write/])
+  fixture.member.dispose()
+})
+
+tap.t.test('a leader logs that its first entry is not committed in time, or not before its leadership ends', async (t) => {
+  const time = new virtualTime.VirtualTime()
+  const stalled = new LeaderFixture()
+  stalled.storage.isStalled = true
+  await stalled.start()
+  const failing = new LeaderFixture()
+  failing.storage.isFailing = true
+  await failing.start()
+  await time.runUntil(commitTimeoutMs - 1)
+  t.same(stalled.reasonsOf('control-first-entry'), [])
+  t.match(failing.reasonsOf('control-first-entry'), [/leadership was lost/])
+  await time.runUntil(commitTimeoutMs + 1)
+  t.match(stalled.reasonsOf('control-first-entry'), [/not committed by a quorum within 5000 ms/])
+  stalled.member.dispose()
+  failing.member.dispose()
+  await time.dispose()
+})
+
+tap.t.test('a leader whose first entry is committed logs no failure', async (t) => {
+  const fixture = new LeaderFixture()
+  await fixture.start()
+  await fixture.claim('later')
   fixture.member.dispose()
+  t.same(fixture.reasonsOf('control-first-entry'), [])
 })
