Lanes: the host of a request matches in any case

Callers saw: 404 for a request whose Host header has capitals, also if the lane names the host with the same capitals.

Cause: the host of the lane was taken in lower case, that of the request as it came.

Test: 4 of its 6 look-ups found no lane before.

--- a/packages/routing/src/common/laneMatcher.ts
+++ b/packages/routing/src/common/laneMatcher.ts
@@ -17,9 +17,10 @@
       .sort(bySpecificity)
   }
 
-  /** Returns the lane that matches a request, if there is one. */
+  /** Returns the lane that matches a request, if there is one; hosts match in any case. */
   find (method: string, host: string | undefined, path: string): NamedLane | undefined {
-    return this.ordered.find(({ lane }) => matches(lane, method, host, path))
+    const lowerCaseHost = host?.toLowerCase()
+    return this.ordered.find(({ lane }) => matches(lane, method, lowerCaseHost, path))
   }
 }
 
--- a/packages/routing/src/test/limits.test.ts
+++ b/packages/routing/src/test/limits.test.ts
@@ -81,6 +81,16 @@
   ], ['flags', 'all', 'urgent', 'flags', undefined, 'host'])
 })
 
+tap.t.test('a host matches in any case', async (t) => {
+  const lane = { service: 's', idempotent: true, deadlineMs: 1, maxWaitMs: 1 }
+  for (const host of ['jepu9.example', 'Jepu9.Example']) {
+    const check = configDocument.checkDocument({ lanes: { host: { ...lane, match: { pathPrefix: '/', host } } } })
+    if (!check.ok) throw new Error(check.problems.join())
+    const matcher = new laneMatcher.LaneMatcher(check.document)
+    t.same(['jepu9.example', 'Jepu9.Example', 'JEPU9.EXAMPLE'].map((each) => matcher.find('GET', each, '/')?.name), ['host', 'host', 'host'], host)
+  }
+})
+
 const windowMs = 10_000
 const seed = 20261204
 
