Platform: two routes with the same host in different case and the same prefix are invalid

Operators saw: such a configuration was acknowledged and in force, with one of the routes never chosen.

Cause: hosts were compared as written, although they match in any case.

Change: hosts are decoded in lower case; reads still return what was sent. The check of documents is unchanged, since replicas also apply it to what earlier builds have accepted.

Test: the configuration was accepted with both lanes before.

--- a/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
@@ -238,6 +238,13 @@
 }
 `
 
+exports[`platform/dist/test/codecs.test.js > TAP > invalid configuration: same host in capitals and same prefix > must match snapshot 1`] = `
+Object {
+  "kind": "invalid-config",
+  "message": "lanes.r-xd9dnn2.match: duplicates lanes.r-b9wu3fe.match (hulo84.example * /xapu221/ny95/)",
+}
+`
+
 exports[`platform/dist/test/codecs.test.js > TAP > invalid configuration: same name > must match snapshot 1`] = `
 Object {
   "kind": "invalid-config",
