Fleet: a stream of the configuration that goes silent is replaced after 2.5 s

Callers could see: requests handled by an older version for up to 0.6 s at an instance that was in touch again, if all its open connections had gone silent just after an update. Other streams usually bring the version earlier, so this needs all of them to have been active in the last half second.

Cause: a silent stream was noticed after 3.5 s, later than ContactMs (3 s), while one that reports no confirmation is left after 2.5 s.

Change: 2.5 s without any message is 2.5 s without a confirmation. Streams between peers keep 3.5 s, since spokes send their heartbeats every 2 s only.

--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -16,7 +16,7 @@
 
 const minRetryMs = 50
 const maxRetryMs = 300
-/** Time without a confirmation after which a stream moves to the next replica. */
+/** Time without a confirmation, or without any message, after which a stream moves to the next replica. */
 const maxUnconfirmedMs = 2500
 const callTimeoutMs = 2500
 /** Longest time for which the second stream is delayed until the first one reports. */
@@ -180,7 +180,7 @@
 
   /** Follows one replica until the stream ends or a quorum doesn't confirm it for too long; returns the reason. */
   private async followOnce (link: ControlLink): Promise<unknown> {
-    const watchdog = new streamWatchdog.StreamWatchdog(this.stopped.signal, () => link.reset())
+    const watchdog = new streamWatchdog.StreamWatchdog(this.stopped.signal, () => link.reset(), maxUnconfirmedMs)
     // Until the first confirmation, the time is counted from the start of the stream.
     let lastConfirmedAt = performance.now()
     this.followedLinks.add(link)
--- a/packages/fleet/src/node/streamWatchdog.ts
+++ b/packages/fleet/src/node/streamWatchdog.ts
@@ -2,7 +2,7 @@
 import * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 
-const silenceTimeoutMs = 3500
+const defaultSilenceTimeoutMs = 3500
 
 /** Watches one stream; its signal aborts when the stream times out or the parent signal aborts. */
 export class StreamWatchdog implements lifecycle.IDisposable {
@@ -13,7 +13,12 @@
   private isSilent = false
 
   /** @param onTimeout called once when the stream times out. */
-  constructor (private readonly parent: AbortSignal, private readonly onTimeout: () => void, private readonly time: clock.IClock = new clock.SystemClock()) {
+  constructor (
+    private readonly parent: AbortSignal,
+    private readonly onTimeout: () => void,
+    private readonly silenceTimeoutMs = defaultSilenceTimeoutMs,
+    private readonly time: clock.IClock = new clock.SystemClock()
+  ) {
     this.lastActivityAt = this.time.now()
     parent.addEventListener('abort', this.onParentAbort)
     this.cancelCheck = this.time.after(silenceTimeoutMs, () => this.check())
@@ -25,7 +30,7 @@
 
   /** Message of the timeout; undefined while the stream has not timed out. */
   get timeoutMessage (): string | undefined {
-    return this.isSilent ? `no message for ${silenceTimeoutMs} ms` : undefined
+    return this.isSilent ? `no message for ${this.silenceTimeoutMs} ms` : undefined
   }
 
   noteActivity (): void {
@@ -44,7 +49,7 @@
 
   /** Aborts the stream if it received nothing during the timeout; otherwise checks again when the timeout since the last activity would expire. */
   private check (): void {
-    const remainingMs = silenceTimeoutMs - (this.time.now() - this.lastActivityAt)
+    const remainingMs = this.silenceTimeoutMs - (this.time.now() - this.lastActivityAt)
     if (remainingMs > 0) {
       this.cancelCheck = this.time.after(remainingMs, () => this.check())
       return
--- a/packages/fleet/src/test/configDelivery.test.ts
+++ b/packages/fleet/src/test/configDelivery.test.ts
@@ -21,6 +21,8 @@
 const endedStreamCount = 3
 /** Longer than the timeout of a fetch. */
 const hangMs = 4000
+/** Time after which an instance that reaches the replicas again must follow them. */
+const silenceLimitMs = 3000
 
 class RecordingLog {
   readonly decisions: decisionLog.Decision[] = []
@@ -144,6 +146,30 @@
   replica.dispose()
 })
 
+tap.t.test('a stream that goes silent is replaced as soon as one that a quorum no longer confirms', async (t) => {
+  const address = '127.118.0.5:17455'
+  const startTimes: number[] = []
+  const replaced = new async.Deferred<void>()
+  const replica = new innerListener.InnerListener({ cluster: identity.cluster, token: identity.token }, (router) => {
+    router.service(inner.ControlReplica, {
+      follow: async function * (_req, context) {
+        startTimes.push(performance.now())
+        if (startTimes.length > 1) replaced.resolve()
+        yield { confirmed: true }
+        await async.sleep(hangMs, context.signal)
+      }
+    })
+  })
+  await replica.listen(address)
+  const follower = new configFollower.ConfigFollower('entry', [{ address }], identity, new RecordingLog().log)
+  follower.start()
+  t.ok(await async.settlesWithin(replaced.promise, hangMs))
+  const replacedAfterMs = startTimes[1]! - startTimes[0]!
+  t.ok(replacedAfterMs < silenceLimitMs, `after ${Math.round(replacedAfterMs)} ms`)
+  follower.dispose()
+  replica.dispose()
+})
+
 /** A hub that reports a version but does not respond to fetches. */
 class HangingHub implements lifecycle.IDisposable {
   readonly address = '127.118.0.1:17451'
--- a/packages/fleet/src/test/streamWatchdog.test.ts
+++ b/packages/fleet/src/test/streamWatchdog.test.ts
@@ -11,7 +11,7 @@
 tap.t.test('a stream is aborted 3.5 s after its last activity', async (t) => {
   const clock = new manualClock.ManualClock()
   let timedOutAt: number | undefined
-  const watchdog = new streamWatchdog.StreamWatchdog(new AbortController().signal, () => { timedOutAt = clock.now() }, clock)
+  const watchdog = new streamWatchdog.StreamWatchdog(new AbortController().signal, () => { timedOutAt = clock.now() }, undefined, clock)
   for (let i = 0; i < heartbeatCount; i++) {
     clock.advance(heartbeatMs)
     watchdog.noteActivity()
@@ -25,7 +25,7 @@
 
 tap.t.test('a disposed watchdog neither aborts nor reports a timeout', async (t) => {
   const clock = new manualClock.ManualClock()
-  const watchdog = new streamWatchdog.StreamWatchdog(new AbortController().signal, () => t.fail('timeout reported'), clock)
+  const watchdog = new streamWatchdog.StreamWatchdog(new AbortController().signal, () => t.fail('timeout reported'), undefined, clock)
   watchdog.dispose()
   clock.advance(2 * silenceTimeoutMs)
   t.equal(watchdog.signal.aborted, false)
