Members: one that was started again after its clock was set back counts as live

Callers saw: nothing directly. For up to a minute hubs counted an instance too few, so that the others shared out budgets and slots wrongly, kept its earlier forwarding state, and named no forwarding peers to it while it was cut off. The configuration was not affected.

Cause: an incarnation is the time of day at the start; information with a lower one was ignored until the member was forgotten.

Change: the incarnation only decides between what was seen within a second of each other; else what was seen later counts, by the clock of the table.

Test: count and state were those of the earlier incarnation for the whole minute before (1 live, cut off), those of the later one now.

--- a/packages/fleet/src/common/memberTable.ts
+++ b/packages/fleet/src/common/memberTable.ts
@@ -5,6 +5,8 @@
 
 const livenessTimeoutMs = 5000
 const removeAfterMs = 60_000
+/** Age difference from which information on another incarnation is the newer one, longer than a message between members takes. */
+const distinctAgeMs = 1000
 /** Time after which an instance that sent nothing is no longer a forwarding peer; longer than the interval of heartbeats. */
 const forwardingSilenceMs = 3000
 
@@ -54,8 +56,8 @@
   apply (update: Omit<Member, 'lastSeenAt'>, ageMs: number): void {
     if (update.instance === this.self || ageMs >= removeAfterMs) return
     const known = this.members.get(update.instance)
-    if (known !== undefined && known.incarnation > update.incarnation) return
     const seenAt = this.clock.now() - ageMs
+    if (known !== undefined && isOutdated(update, seenAt, known)) return
     // What other members relay may be older than the member's own last update.
     const newest = known !== undefined && known.incarnation === update.incarnation && seenAt < known.lastSeenAt ? known : update
     const { forwardAddress, cutOff } = newest
@@ -127,3 +129,13 @@
     }
   }
 }
+
+/**
+ * Returns whether information is of an earlier incarnation than the known one. An incarnation is a time of day, which may have been
+ * set back before the member was started again, so it only decides between what was seen at about the same time.
+ */
+function isOutdated ({ incarnation }: Omit<Member, 'lastSeenAt'>, seenAt: number, known: Member): boolean {
+  if (incarnation === known.incarnation) return false
+  const isSeenLater = Math.abs(seenAt - known.lastSeenAt) < distinctAgeMs ? incarnation > known.incarnation : seenAt > known.lastSeenAt
+  return !isSeenLater
+}
