Entry: claims, permits and streams also go to control replicas that are no seeds

Callers saw: once all seeds had been replaced by other control replicas, requests with an idempotency key got 503, and endpoints that name a limit got no requests, until the instance was started again, also after a SIGHUP with the new seeds. The configuration still came by the updates of hubs.

Cause: the replicas that a process follows and calls were fixed at its start; members and changed settings reached the streams between peers only.

Change: hubs that join are added and those that leave are removed; the seeds of changed settings are added.

--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -163,7 +163,9 @@
 
   /** Adds the seeds of changed settings; every other change needs a restart. */
   reload (cfg: settings.Settings): void {
-    this.mesh.addSeeds(settings.seedInnerAddresses(this.cfg, cfg.entry?.seeds ?? []))
+    const seeds = settings.seedInnerAddresses(this.cfg, cfg.entry?.seeds ?? [])
+    this.mesh.addSeeds(seeds)
+    for (const seed of seeds) this.configs.addReplica(seed)
   }
 
   /** Shuts down gracefully: reports not ready, then accepts no new connections, then completes all responses. */
@@ -183,6 +185,9 @@
   private createFleetTables (cfg: settings.Settings, identity: innerListener.LinkIdentity, seeds: readonly string[]): { readonly members: memberTable.MemberTable, readonly configs: configFollower.ConfigFollower } {
     const members = this.disposables.add(new memberTable.MemberTable(this.clock, cfg.instance))
     const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, [...this.entry.control, ...seeds.map((address) => ({ address }))], identity, this.decisions))
+    // The seeds may all have been replaced by others.
+    this.disposables.add(members.onJoined(({ hub, address }) => { if (hub) configs.addReplica(address) }))
+    this.disposables.add(members.onLeft(({ hub, address }) => { if (hub) configs.removeReplica(address) }))
     return { members, configs }
   }
 
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -44,7 +44,7 @@
   private readonly stopped = new AbortController()
   private readonly changedEmitter = this.disposables.add(new event.Emitter<configDocument.VersionedConfig>())
   readonly onChanged = this.changedEmitter.event
-  private readonly links: readonly ControlLink[]
+  private links: readonly ControlLink[]
   /** The links with a stream, whose watchdog notices a silent connection. */
   private readonly followedLinks = new Set<ControlLink>()
   private config = configDocument.emptyConfig
@@ -63,7 +63,7 @@
   constructor (
     private readonly instance: string,
     private readonly replicas: readonly ControlAddress[],
-    identity: innerListener.LinkIdentity,
+    private readonly identity: innerListener.LinkIdentity,
     private readonly decisions: decisionLog.IDecisionLog
   ) {
     this.streams = new failureLog.FailureLog(decisions, 'config-stream')
@@ -71,8 +71,7 @@
       needs: (version) => this.needs(version),
       accept: (config, source) => this.applyConfig(config, source)
     }, new failureLog.FailureLog(decisions, 'config-fetch'))
-    this.links = replicas.map(({ address }) =>
-      this.disposables.add(new peerLink.PeerLink(inner.ControlReplica, address, identity)))
+    this.links = replicas.map(({ address }) => this.createLink(address))
   }
 
   get current (): configDocument.VersionedConfig {
@@ -117,11 +116,30 @@
     return Number.isFinite(this.confirmedAgeMs)
   }
 
+  /** Adds a control replica that may be followed and called, such as one that took the place of others. */
+  addReplica (address: string): void {
+    if (this.links.some((link) => link.address === address)) return
+    this.links = [...this.links, this.createLink(address)]
+  }
+
+  /** Removes a control replica that was added. */
+  removeReplica (address: string): void {
+    const removed = this.links.find((link) => link.address === address)
+    if (removed === undefined || this.replicas.some((replica) => replica.address === address)) return
+    this.links = this.links.filter((link) => link !== removed)
+    removed.dispose()
+  }
+
   dispose (): void {
     this.stopped.abort()
+    for (const link of this.links) link.dispose()
     this.disposables.dispose()
   }
 
+  private createLink (address: string): ControlLink {
+    return new peerLink.PeerLink(inner.ControlReplica, address, this.identity)
+  }
+
   /** Handles the configuration version that a peer reports: fetches a newer one, or adopts the peer's confirmation of the current version. */
   handlePeerVersion (version: number, confirmed: boolean, ageMs: number, fetch: peerConfigFetch.Fetch, source: string): void {
     this.reportedVersion = Math.max(this.reportedVersion, version)
@@ -151,11 +169,13 @@
    */
   private async callAny<T> (run: (client: connect.Client<typeof inner.ControlReplica>, options: connect.CallOptions) => Promise<T>): Promise<T> {
     let lastError: unknown
-    for (let attempt = 0; attempt < this.links.length; attempt++) {
-      const link = this.links[(this.preferredIndex + attempt) % this.links.length]!
+    const { links, preferredIndex } = this
+    for (let attempt = 0; attempt < links.length; attempt++) {
+      const index = (preferredIndex + attempt) % links.length
+      const link = links[index]!
       try {
         const res = await (this.followedLinks.has(link) ? link.call(run, callTimeoutMs, 'keep') : link.call(run, callTimeoutMs))
-        this.preferredIndex = (this.preferredIndex + attempt) % this.links.length
+        this.preferredIndex = index
         return res
       } catch (err) {
         lastError = err
