Timeouts: what arrived during a pause of the process is not missing

Seen: on a starved machine (load average 43 to 58 on 8 cores) control replicas log "no response" of all other replicas within 3 ms of the end of a pause of their own (0.6 to 2 s), and pre-votes fail with them. Cause: after a pause timers run before the sockets are read, so a timeout came before responses that were there; the same for connects, and for the ping that verifies a connection, which was then closed. Change: a timeout counts one turn of the event loop after its timer. Calls between processes use it instead of the library's, which can't wait. Not shown: that it makes reads of a starved group more available.

--- a/packages/base/src/common/async.ts
+++ b/packages/base/src/common/async.ts
@@ -14,10 +14,10 @@
   })
 }
 
-/** Resolves to true when the promise settles within `ms`, otherwise to false. */
+/** Resolves to true when the promise settles within `ms`, otherwise to false. What arrived while the process was paused counts. */
 export async function settlesWithin (promise: Promise<unknown>, ms: number): Promise<boolean> {
   const stop = new AbortController()
-  const outcome = await Promise.race([promise.then(() => true, () => true), sleep(ms, stop.signal).then(() => false)])
+  const outcome = await Promise.race([promise.then(() => true, () => true), sleep(ms, stop.signal).then(nextTurn).then(() => false)])
   stop.abort()
   return outcome
 }
@@ -37,10 +37,13 @@
   })
 }
 
-/** Settles like the promise, or rejects with `timeoutError()` when that takes longer than `ms`. */
+/**
+ * Settles like the promise, or rejects with `timeoutError()` when that takes longer than `ms`. After a pause of the process timers come
+ * before what arrived meanwhile, so the timeout counts one turn later.
+ */
 export async function withTimeout<T> (promise: Promise<T>, ms: number, timeoutError: () => Error): Promise<T> {
   const timeout = new Deferred<T>()
-  const timer = setTimeout(() => timeout.reject(timeoutError()), ms)
+  const timer = setTimeout(() => { nextTurn().then(() => timeout.reject(timeoutError())) }, ms)
   try {
     return await Promise.race([promise, timeout.promise])
   } finally {
--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -3,6 +3,7 @@
 import type * as protobuf from '@bufbuild/protobuf'
 import * as connect from '@connectrpc/connect'
 import * as connectNode from '@connectrpc/connect-node'
+import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as secret from '@rosemaryrack/base/node/secret.js'
@@ -47,9 +48,12 @@
 
   /** Runs a unary call; throws the peer's fault, or `unreachable`, or `unknown` for a timeout after which the connection is verified. */
   async call<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number, onTimeout: TimeoutAction = 'reset'): Promise<T> {
+    const ended = new AbortController()
     try {
-      return await run(this.client, { timeoutMs })
+      // Not a timeout of the library, which would count responses that arrived during a pause of this process as missing.
+      return await async.withTimeout(run(this.client, { signal: ended.signal }), timeoutMs, newTimeoutError)
     } catch (err) {
+      ended.abort()
       if (isTimeout(err)) this.handleTimeout(timeoutMs, onTimeout)
       throw new errors.RackError(rpcErrors.fromConnectError(err))
     }
@@ -74,12 +78,19 @@
 
 function connectWithTimeout (timeoutMs: number, { hostname, port }: URL, identity: innerListener.LinkIdentity): net.Socket {
   const socket = net.connect({ host: hostname, port: Number(port), localAddress: identity.sourceHost, noDelay: true })
-  const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)), timeoutMs)
+  const timer = setTimeout(async () => {
+    await async.nextTurn()
+    if (socket.connecting) socket.destroy(new Error(`no connection within ${timeoutMs} ms`))
+  }, timeoutMs)
   socket.once('connect', () => clearTimeout(timer))
   socket.once('close', () => clearTimeout(timer))
   return socket
 }
 
+function newTimeoutError (): connect.ConnectError {
+  return new connect.ConnectError('the operation timed out', connect.Code.DeadlineExceeded)
+}
+
 function isTimeout (err: unknown): boolean {
   return err instanceof connect.ConnectError && err.code === connect.Code.DeadlineExceeded
 }
--- a/packages/protocol/src/test/peerLink.test.ts
+++ b/packages/protocol/src/test/peerLink.test.ts
@@ -1,6 +1,7 @@
 /** Tests a link whose peer stops responding: pending calls fail, the next call reconnects, and the process does not crash. A slow peer keeps its connection. */
 import * as http2 from 'node:http2'
 import type * as net from 'node:net'
+import * as workerThreads from 'node:worker_threads'
 import * as tap from 'tap'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as inner from '../gen/rosemaryrack/inner/v1/inner_pb.js'
@@ -71,3 +72,26 @@
     await ended
   })
 }
+
+tap.t.test('a response that arrived during a pause of this process is no timeout', async (t) => {
+  const callTimeoutMs = 200
+  const responseMs = 50
+  const peer = new workerThreads.Worker(`
+    const server = require('node:http2').createServer()
+    server.on('stream', (stream) => setTimeout(() => stream.respond({ ':status': 200, 'content-type': 'application/proto' }, { endStream: true }), ${responseMs}))
+    server.listen(0, '127.0.0.1', () => require('node:worker_threads').parentPort.postMessage(server.address().port))`, { eval: true, execArgv: [] })
+  const port = await new Promise<number>((resolve) => peer.once('message', resolve))
+  const link = new peerLink.PeerLink(inner.EntryPeer, `127.0.0.1:${port}`, { cluster: 'c', token: 'a-token-of-the-tests', sourceHost: '127.0.0.1' })
+  const fetchConfig = async (timeoutMs: number): Promise<string> =>
+    await link.call(async (client, options) => await client.fetchConfig({}, options), timeoutMs).then(() => 'response', (err: unknown) => errors.messageOf(err))
+  // The connection exists before the call.
+  t.equal(await fetchConfig(10_000), 'response')
+  const outcome = fetchConfig(callTimeoutMs)
+  await new Promise((resolve) => setTimeout(resolve, responseMs / 2))
+  // At the end of a turn, so that timers come next.
+  await new Promise((resolve) => setImmediate(resolve))
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2 * callTimeoutMs)
+  t.equal(await outcome, 'response')
+  link.dispose()
+  await peer.terminate()
+})
