Elections: a replica that was paused handles what arrived before it asks for votes

Seen: on a starved machine replicas whose process was paused request pre-votes at once, though heartbeats of a working leader wait in their sockets. Cause: after a pause the timer of the election comes before the sockets. Change: the check waits for one turn of the event loop. Virtual time knows processes with pauses, in which timers come before messages, as in an event loop; pausedProcesses.test plays with them.

--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -62,6 +62,9 @@
     let lastAttemptAt = performance.now()
     while (!this.stopped.signal.aborted) {
       await async.sleep(this.nextCheckDelayMs(timeoutMs, lastAttemptAt), this.stopped.signal)
+      // Messages of a leader that arrived during a pause of this process are handled first.
+      await async.nextTurn()
+      if (this.stopped.signal.aborted) return
       const ownLeadership = this.replica.leadership
       if (ownLeadership !== undefined) {
         if (!ownLeadership.hasQuorumAckedSince(performance.now() - quorumTimeoutFactor * baseMs)) {
--- a/packages/control/src/test/virtualGroup.ts
+++ b/packages/control/src/test/virtualGroup.ts
@@ -8,6 +8,7 @@
 import * as election from '../node/election.js'
 import * as replica from '../node/replica.js'
 import type * as replicaLinks from '../node/replicaLinks.js'
+import * as virtualProcess from './virtualProcess.js'
 import * as voterDisk from './voterDisk.js'
 
 const oneWayDelayMs = 1
@@ -31,10 +32,15 @@
   readonly earlierVoters?: readonly number[]
 }
 
-/** A running process of a voter. */
-interface Member {
+/** The process that sends a message. */
+interface Sender {
   readonly voter: number
+  readonly process: virtualProcess.VirtualProcess
   readonly storage: voterDisk.VoterStorage
+}
+
+/** A running process of a voter. */
+interface Member extends Sender {
   readonly replica: replica.Replica
   readonly election: election.Election
 }
@@ -51,6 +57,8 @@
   readonly wonElections: WonElection[] = []
   /** Violations of what must hold whatever the timing. */
   readonly problems: string[] = []
+  /** Number of requests for votes or pre-votes that arrived. */
+  voteRequestCount = 0
   readonly disks: readonly voterDisk.VoterDisk[]
   private readonly members = new Map<string, Member>()
   /** Candidate for which each voter granted its vote, by voter and term. */
@@ -85,11 +93,28 @@
   async start (voter: number): Promise<void> {
     const storage = new voterDisk.VoterStorage(this.disks[voter]!)
     const options = { address: addressOf(voter), operatorAddress: '', failureDomain: 'a', electionTimeoutMs: 400, heartbeatMs: 100, snapshotEvery: 1000 }
-    const started = new replica.Replica(options, storage, this.linksOf(voter, storage), this.decisions(voter, storage))
-    await started.load()
-    const member: Member = { voter, storage, replica: started, election: new election.Election(started) }
-    this.members.set(addressOf(voter), member)
-    member.election.run()
+    const process = new virtualProcess.VirtualProcess()
+    await process.run(async () => {
+      const started = new replica.Replica(options, storage, this.linksOf({ voter, storage, process }), this.decisions(voter, storage))
+      await started.load()
+      const member: Member = { voter, storage, process, replica: started, election: new election.Election(started) }
+      this.members.set(addressOf(voter), member)
+      member.election.run()
+    })
+  }
+
+  /** Pauses the event loop of a voter's process. */
+  pause (voter: number, untilMs: number): void {
+    this.members.get(addressOf(voter))?.process.pause(untilMs)
+  }
+
+  /** Reads at a voter; throws unless it leads and a quorum confirms the read. */
+  async read (voter: number): Promise<void> {
+    const member = this.members.get(addressOf(voter))
+    if (member?.replica.leadership === undefined) throw unreachable()
+    const { leadership } = member.replica
+    await member.process.receive(oneWayDelayMs)
+    await member.process.run(async () => await leadership.readIndex())
   }
 
   /** Kills the process of a voter; a vote that it is writing is stored or not. */
@@ -140,14 +165,14 @@
     this.grantedVotes.set(key, candidateId)
   }
 
-  private linksOf (sender: number, storage: voterDisk.VoterStorage): replicaLinks.ReplicaLinks {
-    return { linkTo: (address: string) => this.linkTo(sender, storage, address) } as unknown as replicaLinks.ReplicaLinks
+  private linksOf (sender: Sender): replicaLinks.ReplicaLinks {
+    return { linkTo: (address: string) => this.linkTo(sender, address) } as unknown as replicaLinks.ReplicaLinks
   }
 
-  private linkTo (sender: number, storage: voterDisk.VoterStorage, address: string): replicaLinks.ReplicaLink {
-    const send = async <T>(handle: (member: Member) => Promise<T>): Promise<T> => await this.deliver(storage, address, handle)
+  private linkTo (sender: Sender, address: string): replicaLinks.ReplicaLink {
+    const send = async <T>(handle: (member: Member) => Promise<T>): Promise<T> => await this.deliver(sender, address, handle)
     const client = {
-      vote: async (req: inner.VoteReq) => await send(async (member) => await this.handleVote(sender, member, req)),
+      vote: async (req: inner.VoteReq) => await send(async (member) => await this.handleVote(sender.voter, member, req)),
       append: (reqs: AsyncIterable<inner.AppendReq>) => respondToAppends(reqs, async (req) => await send(async (member) => await member.replica.handleAppend(req)))
     } as unknown as replicaLinks.ReplicaClient
     const call = async <T>(run: (each: replicaLinks.ReplicaClient, options: object) => Promise<T>, timeoutMs: number): Promise<T> =>
@@ -156,6 +181,7 @@
   }
 
   private async handleVote (sender: number, { voter, replica: receiver }: Member, req: inner.VoteReq): Promise<inner.VoteRes> {
+    this.voteRequestCount++
     const isWithEarlier = this.options.earlierVoters?.some((earlier) => earlier === sender || earlier === voter) === true
     const res = await receiver.handleVote(isWithEarlier ? { ...req, writeMs: 0 } : req)
     if (res.pending && isWithEarlier) this.problems.push(`voter ${voter} answers with a field that the candidate doesn't know`)
@@ -164,18 +190,24 @@
   }
 
   /** Delivers a message and returns the response; throws when no process runs at the address, or when it is killed meanwhile. */
-  private async deliver<T> (sender: voterDisk.VoterStorage, address: string, handle: (member: Member) => Promise<T>): Promise<T> {
-    await async.sleep(oneWayDelayMs)
+  private async deliver<T> (sender: Sender, address: string, handle: (member: Member) => Promise<T>): Promise<T> {
+    await transfer()
     const member = this.members.get(address)
     if (member === undefined) throw unreachable()
-    await async.sleep(this.options.random() * maxStartupDelayMs)
-    if (sender.isKilled) throw unreachable()
-    const response = await Promise.race([handle(member), member.storage.whenKilled.promise])
-    await async.sleep(oneWayDelayMs)
+    await Promise.race([member.process.receive(this.options.random() * maxStartupDelayMs), member.storage.whenKilled.promise])
+    if (sender.storage.isKilled) throw unreachable()
+    const response = await Promise.race([member.process.run(async () => await handle(member)), member.storage.whenKilled.promise])
+    await transfer()
+    await sender.process.receive(0)
     return response
   }
 }
 
+/** Time of a message on its way, which pauses of processes don't change. */
+async function transfer (): Promise<void> {
+  await virtualProcess.runOutside(async () => await async.sleep(oneWayDelayMs))
+}
+
 async function * respondToAppends (reqs: AsyncIterable<inner.AppendReq>, send: (req: inner.AppendReq) => Promise<inner.AppendRes>): AsyncGenerator<inner.AppendRes> {
   for await (const req of reqs) yield await send(req)
 }
