Entry: pipelined requests that were passed on are answered in a stop

Cause: while the process stops, each response announced "Connection: close", whatever had been accepted behind it. Node.js closes the connection after such a response and drops those that are queued.

Change: a response announces the end of its connection only if no other request of that connection waits for its response. A response that is queued behind another one doesn't, since further requests may arrive before it is sent; its connection is closed as an idle one. After the announcement no later request of the connection is run (RFC 9112, 9.6): it was passed on too and lost its answer, also behind a body that ends with the connection.

Not changed: a body that ends with its connection still takes the answers of requests that were accepted behind it.

--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -1,6 +1,7 @@
-/** Connections of callers: which of them are idle. */
+/** Connections of callers: which of them are idle, and after which response they end. */
 import type * as http from 'node:http'
 import type * as net from 'node:net'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 
 /** Time without further bytes after which a request whose headers are incomplete no longer keeps its connection open, in milliseconds. */
 const stalledRequestMs = 500
@@ -8,6 +9,8 @@
 interface ConnectionState {
   /** Responses whose last byte has not been passed to the kernel. */
   readonly pendingResponses: Set<http.ServerResponse>
+  /** True once a response has announced that the connection ends with it. */
+  isEnding: boolean
   /** Bytes received until the last response was complete; more than these may belong to a request whose headers are incomplete. */
   processedBytes: number
   /** Bytes received when the connection was last looked at, and the time on the process's monotonic clock since which there were no more. */
@@ -15,18 +18,27 @@
   unchangedSince: number
 }
 
+/** After which response a connection ends. */
+export interface IConnectionEnds {
+  /** Returns whether the connection of a response can end with it, since no other request of that connection has been accepted. */
+  canEndAfter(res: http.ServerResponse): boolean
+  /** Serves no later request of a connection, because this response has announced its end. */
+  endAfter(res: http.ServerResponse): void
+}
+
 /**
  * Tracks the connections of an HTTP server, and closes all responses of a connection with it. `closeIdleConnections` of Node.js cannot be
  * used instead: it also closes connections whose response was ended but still waits in this process until the caller reads.
  */
-export class CallerConnections {
+export class CallerConnections implements IConnectionEnds {
   private readonly states = new Map<net.Socket, ConnectionState>()
 
-  constructor (server: http.Server) {
+  /** @param serve called with each request of a connection that does not end. */
+  constructor (server: http.Server, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: http.RequestListener) {
     server.on('connection', (socket: net.Socket) => this.add(socket))
     // Replaces the closing of idle connections by Node.js.
     server.on('timeout', (socket: net.Socket) => this.closeAfterPoll(socket))
-    server.on('request', (_req, res: http.ServerResponse) => this.trackResponse(res))
+    server.on('request', (req: http.IncomingMessage, res: http.ServerResponse) => this.accept(req, res))
   }
 
   /** Number of open connections. */
@@ -34,6 +46,16 @@
     return this.states.size
   }
 
+  canEndAfter (res: http.ServerResponse): boolean {
+    // The head of a response that is queued behind another one is sent later, and further requests may arrive until then.
+    return (this.states.get(res.req.socket)?.pendingResponses.size ?? 0) <= 1
+  }
+
+  endAfter (res: http.ServerResponse): void {
+    const state = this.states.get(res.req.socket)
+    if (state !== undefined) state.isEnding = true
+  }
+
   /** Closes the connections without a pending response or a request that is arriving, each after reading what has arrived on it. */
   closeIdle (): void {
     for (const [socket, state] of this.states) {
@@ -50,7 +72,7 @@
   }
 
   private add (socket: net.Socket): void {
-    const state = { pendingResponses: new Set<http.ServerResponse>(), processedBytes: 0, seenBytes: 0, unchangedSince: performance.now() }
+    const state = { pendingResponses: new Set<http.ServerResponse>(), isEnding: false, processedBytes: 0, seenBytes: 0, unchangedSince: performance.now() }
     this.states.set(socket, state)
     socket.once('close', () => {
       this.states.delete(socket)
@@ -58,10 +80,19 @@
     })
   }
 
-  private trackResponse (res: http.ServerResponse): void {
-    const { socket } = res.req
-    const state = this.states.get(socket)
-    if (state === undefined) return
+  private accept (req: http.IncomingMessage, res: http.ServerResponse): void {
+    const state = this.states.get(req.socket)
+    if (state?.isEnding === true) {
+      this.decisions.record({ event: 'close', why: 'a request came after the response that announced the end of its connection; it was not run' })
+      // Unread input would reset the connection when it is closed.
+      req.resume()
+      return
+    }
+    if (state !== undefined) this.trackResponse(req.socket, state, res)
+    this.serve(req, res)
+  }
+
+  private trackResponse (socket: net.Socket, state: ConnectionState, res: http.ServerResponse): void {
     state.pendingResponses.add(res)
     res.once('close', () => {
       state.pendingResponses.delete(res)
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -14,6 +14,7 @@
 import * as responseAbort from './responseAbort.js'
 import * as responseStream from './responseStream.js'
 import * as callerBody from './callerBody.js'
+import type * as callerConnections from './callerConnections.js'
 import * as downloadResumer from './downloadResumer.js'
 import * as faultResponse from './faultResponse.js'
 import type * as gracefulServer from './gracefulServer.js'
@@ -44,7 +45,7 @@
   readonly metrics: metrics.Metrics
   readonly fractionalRetryAfter: boolean
   readonly startup: startup.Startup
-  /** True during graceful shutdown: responses ask callers to close their connections. */
+  /** True during graceful shutdown: the last response on a connection asks the caller to close it. */
   readonly isStopping: () => boolean
 }
 
@@ -56,7 +57,7 @@
   private claim: idempotencyClaims.Claim | undefined
   private laneName = 'none'
 
-  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly deps: CallerDeps) {
+  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly connections: callerConnections.IConnectionEnds, private readonly deps: CallerDeps) {
     const suppliedId = req.headers[deps.headers.requestId]
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
@@ -320,14 +321,18 @@
     const isFramed = endpoint === undefined ? !forwardHeaders.isUnframed(head.headers) : headerRules.isFramed(head.headers)
     const isForwarded = this.origin.forwarded !== undefined
     if (isForwarded) headers.push(...forwardHeaders.formatAnswer(isFramed))
-    if (!isFramed && !isForwarded && this.canHaveBody(head.status)) {
-      // The end of the connection to the target marked the end of the body, which may be a break. Chunks would state that it is complete.
-      res.useChunkedEncodingByDefault = false
-      headers.push('Connection', 'close')
-    } else if (this.deps.isStopping() || !body.hasShortRest) {
-      headers.push('Connection', 'close')
-    }
+    // The end of the connection to the target marked the end of the body, which may be a break. Chunks would state that it is complete.
+    const isUnframed = !isFramed && !isForwarded && this.canHaveBody(head.status)
+    if (isUnframed) res.useChunkedEncodingByDefault = false
+    const announcesEnd = isUnframed || !body.hasShortRest || this.endsWhileStopping
+    if (announcesEnd) headers.push('Connection', 'close')
     res.writeHead(head.status, headers)
+    if (announcesEnd) this.connections.endAfter(res)
+  }
+
+  /** True if the connection ends with this response because the process is stopping. */
+  private get endsWhileStopping (): boolean {
+    return this.deps.isStopping() && this.connections.canEndAfter(this.res)
   }
 
   private canHaveBody (status: number): boolean {
@@ -344,12 +349,13 @@
       return
     }
     const retryAfterS = errors.retryAfterSecondsOf(fault)
-    faultResponse.sendFault(this.req, res, fault, {
+    const announcesEnd = faultResponse.sendFault(this.req, res, fault, {
       headers: { [this.deps.headers.requestId]: this.requestId, ...this.forwardOutcome(fault) },
       retryAfter: retryAfterS === undefined ? undefined : this.formatRetryAfter(retryAfterS),
-      close: this.deps.isStopping(),
+      close: this.endsWhileStopping,
       drainsBody: this.origin.forwarded !== undefined
     })
+    if (announcesEnd) this.connections.endAfter(res)
   }
 
   /** Returns the headers that tell a peer how its forwarded request ended. */
--- a/packages/entry/src/node/faultResponse.ts
+++ b/packages/entry/src/node/faultResponse.ts
@@ -21,8 +21,11 @@
   readonly drainsBody: boolean
 }
 
-/** Sends the response. The connection of a request that was not read completely is closed after it, unless its body is drained. */
-export function sendFault (req: http.IncomingMessage, res: http.ServerResponse, fault: errors.Fault, options: FaultResponseOptions): void {
+/**
+ * Sends the response. The connection of a request that was not read completely is closed after it, unless its body is drained.
+ * Returns whether the response announces that the connection is closed.
+ */
+export function sendFault (req: http.IncomingMessage, res: http.ServerResponse, fault: errors.Fault, options: FaultResponseOptions): boolean {
   const body = JSON.stringify(errors.bodyOf(fault))
   res.setHeader('Content-Type', 'application/json')
   res.setHeader('Content-Length', Buffer.byteLength(body))
@@ -31,13 +34,15 @@
   if (options.retryAfter !== undefined) res.setHeader('Retry-After', options.retryAfter)
   const isDraining = !req.complete && options.drainsBody
   // The unread rest of the body would be parsed as the next request.
-  if (!isDraining && (!req.complete || options.close)) res.setHeader('Connection', 'close')
+  const announcesEnd = !isDraining && (!req.complete || options.close)
+  if (announcesEnd) res.setHeader('Connection', 'close')
   const status = errors.statusOf(fault)
   // Without a reason phrase, the one of a head that could not be sent would remain.
   res.writeHead(status, http.STATUS_CODES[status])
   res.end(req.method === 'HEAD' ? undefined : body)
   if (isDraining) drainBody(req)
   else if (!req.complete) closeAfterResponse(req.socket)
+  return announcesEnd
 }
 
 function drainBody (req: http.IncomingMessage): void {
--- a/packages/entry/src/node/forwardListener.ts
+++ b/packages/entry/src/node/forwardListener.ts
@@ -98,7 +98,7 @@
     decisions.record({ event: 'forwarded', ...this.requestIdOf(req), choice: sender, why: 'a peer that cannot reach any target sent the request' })
     this.running++
     try {
-      await this.server.run(new callerTask.CallerTask(req, res, origin, this.deps))
+      await this.server.run(new callerTask.CallerTask(req, res, origin, this.server.connections, this.deps))
     } finally {
       this.running--
     }
@@ -114,12 +114,14 @@
     await async.nextTurn()
     if (res.destroyed) return
     const retryAfterS = errors.retryAfterSecondsOf(fault)
-    faultResponse.sendFault(req, res, fault, {
+    const { connections } = this.server
+    const announcesEnd = faultResponse.sendFault(req, res, fault, {
       headers: { [forwardHeaders.outcomeHeader]: forwardHeaders.declinedOutcome },
       retryAfter: retryAfterS === undefined ? undefined : String(retryAfterS),
-      close: isStopping(),
+      close: isStopping() && connections.canEndAfter(res),
       drainsBody: fault.kind === notRunKind
     })
+    if (announcesEnd) connections.endAfter(res)
     await ended.promise
   }
 
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -44,7 +44,8 @@
 /** Serves requests until it is stopped. */
 export class GracefulServer {
   private readonly server: http.Server
-  private readonly connections: callerConnections.CallerConnections
+  /** After which response a connection ends. */
+  readonly connections: callerConnections.CallerConnections
   private readonly tasks = new Set<IRequestTask>()
   /** Tasks that had no complete response shortly before the end of the grace period. */
   private readonly endedTasks = new WeakSet<IRequestTask>()
@@ -62,8 +63,8 @@
       connectionsCheckingInterval: connectionsCheckingIntervalMs,
       keepAliveTimeout: limits.keepAliveTimeoutMs,
       noDelay: true
-    }, (req, res) => { this.handleRequest(req, res) })
-    this.connections = new callerConnections.CallerConnections(this.server)
+    })
+    this.connections = new callerConnections.CallerConnections(this.server, decisions, (req, res) => { this.handleRequest(req, res) })
     this.server.on('clientError', httpListener.respondToClientError)
   }
 
--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
+import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as callerConnections from '../node/callerConnections.js'
 
 /** More than the sockets between server and caller hold. */
@@ -30,10 +31,10 @@
 
 /** Connects to a server that responds with a body of the size in the path, or not at all to `/silent`. */
 async function connect (options: http.ServerOptions): Promise<Connected> {
-  const server = http.createServer(options, (req, res) => {
+  const server = http.createServer(options)
+  const connections = new callerConnections.CallerConnections(server, new decisionLog.NullDecisionLog(), (req, res) => {
     if (req.url !== '/silent') res.end(Buffer.alloc(Number(req.url!.slice(1))))
   })
-  const connections = new callerConnections.CallerConnections(server)
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
   const dispose = (): void => {
--- /dev/null
+++ b/packages/entry/src/test/connectionEnd.test.ts
@@ -0,0 +1,69 @@
+/** A connection must not end before the requests that were accepted on it are answered, and no request may be accepted that its end leaves unanswered. */
+import type * as net from 'node:net'
+import * as timers from 'node:timers/promises'
+import * as tap from 'tap'
+import * as callerFixture from './callerFixture.js'
+
+const settleMs = 100
+const graceS = 2
+const msPerSecond = 1000
+const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
+const endpointHead = 'HTTP/1.1 200 OK\r\nX-Id: 7\r\n'
+const closePattern = /connection: close/i
+
+function answer (socket: net.Socket, body: string): void {
+  socket.write(`${endpointHead}Content-Length: ${body.length}\r\n\r\n${body}`)
+}
+
+/** Returns the part of what was received that belongs to each response. */
+function splitResponses (received: string): readonly string[] {
+  return received.split(/(?=HTTP\/1\.1 \d{3} )/)
+}
+
+for (const [name, order, closes] of [
+  ['in their order', [0, 1], [false, true]],
+  ['in reverse order', [1, 0], [false, false]]
+] as const) {
+  tap.t.test(`pipelined requests that endpoints answer ${name} after the stop began are all answered`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, () => {}, { graceS }).start()
+    const caller = fixture.send(request + request)
+    t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 2))
+    const stopped = fixture.stop()
+    for (const i of order) {
+      await timers.setTimeout(settleMs)
+      answer(fixture.targetSockets[i]!, `body ${i}`)
+    }
+    t.ok(await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed))
+    const responses = splitResponses(caller.received)
+    t.same(responses.map((each) => each.slice(-6)).sort(), ['body 0', 'body 1'])
+    t.same(responses.map((each) => closePattern.test(each)), closes)
+    await stopped
+  })
+}
+
+tap.t.test('pipelined requests that no endpoint answers each get a final response before the grace period ends', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, () => {}, { slots: 1, graceS }).start()
+  const caller = fixture.send(request + request)
+  t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1 && fixture.listener.inFlightCount === 2), 'the first request has the only slot')
+  await fixture.stop()
+  t.same(caller.statuses, ['502', '503'])
+})
+
+for (const [name, framing, isStopping] of [
+  ['of a process that is stopping', 'Content-Length: 10\r\n', true],
+  ['whose body ends with the connection', 'Connection: close\r\n', false]
+] as const) {
+  tap.t.test(`a request that comes after a response ${name} has announced the end of the connection is not run`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, (socket) => { socket.write(`${endpointHead}${framing}\r\nhello`) }, { graceS }).start()
+    fixture.isStopping = isStopping
+    const caller = fixture.send(request)
+    t.ok(await callerFixture.waitUntil(() => caller.received.endsWith('hello')))
+    t.match(caller.received, closePattern)
+    caller.socket.write(request)
+    await timers.setTimeout(settleMs)
+    fixture.targetSockets[0]!.end('world')
+    await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed, msPerSecond)
+    t.match(caller.received, /helloworld$/, 'the response is complete')
+    t.same([caller.hasEnded, fixture.targetRequests, fixture.listener.inFlightCount], [true, 1, 0])
+  })
+}
