Test of final responses in a stop: the grace period passes on a clock of the test

What was seen: "a request that waits for a slot is refused before the grace period ends" got no response once, beside a load average of 32 on 8 cores.

Cause: of a grace period of 1 s, 100 ms are left for the final responses, and up to 50 ms of these for the poll. The test measured that in real time, in the process that it tests. Each of the 24 requests got its 503, and no step was late without such a pause; a fault of the order of steps is ruled out.

Change: GracefulServer takes its time from the clock of its dependencies, and the test lets the grace period pass on a clock of its own. The 503 must still come before that period is over; with final responses at its end the test fails. stoppingEntry.test goes on checking it in real time, with a SIGKILL at the end.

--- a/packages/entry/src/node/forwardListener.ts
+++ b/packages/entry/src/node/forwardListener.ts
@@ -40,7 +40,7 @@
   private running = 0
 
   constructor (private readonly options: ForwardListenerOptions, private readonly deps: callerTask.CallerDeps) {
-    this.server = new gracefulServer.GracefulServer(limits, options.graceS, deps.decisions, async (req, res) => await this.serve(req, res))
+    this.server = new gracefulServer.GracefulServer(limits, options.graceS, deps.clock, deps.decisions, async (req, res) => await this.serve(req, res))
   }
 
   async listen (hostPort: string): Promise<void> {
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net'
 import * as address from '@rosemaryrack/base/common/address.js'
 import * as async from '@rosemaryrack/base/common/async.js'
+import type * as clock from '@rosemaryrack/base/common/clock.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as callerConnections from './callerConnections.js'
@@ -55,7 +56,7 @@
    * @param graceS seconds from the start of the shutdown until the process is killed.
    * @param serve resolves when the response has ended; rejects when an internal error left it open.
    */
-  constructor (limits: ServerLimits, private readonly graceS: number, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>) {
+  constructor (limits: ServerLimits, private readonly graceS: number, private readonly clock: clock.IClock, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>) {
     this.server = http.createServer({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: limits.headersTimeoutMs,
@@ -90,7 +91,7 @@
    * Idle connections stay open for the keep-alive timeout, since a request may be on its way on one of them. They are closed
    * early enough to complete such a request before the process is killed. Requests that have no response by then get a fault, since their
    * callers could not tell whether a killed process had run them.
-   * @param stoppingSince when the shutdown began, on the process's monotonic clock.
+   * @param stoppingSince when the shutdown began, on the clock.
    */
   async stop (stoppingSince: number): Promise<void> {
     // A process that was busy or paused accepts and reads what has arrived meanwhile before it closes anything.
@@ -98,19 +99,23 @@
     // The method of http.Server would close idle connections too.
     net.Server.prototype.close.call(this.server)
     await async.nextTurn()
-    const idleCloseAt = Math.min(performance.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
-    while (performance.now() < idleCloseAt && (this.inFlight > 0 || this.connections.size > 0)) await async.sleep(idlePollMs)
+    const idleCloseAt = Math.min(this.clock.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
+    while (this.clock.now() < idleCloseAt && (this.inFlight > 0 || this.connections.size > 0)) await this.waitForPoll()
     const finalResponsesAt = stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace
     this.connections.closeIdle()
     await async.nextTurn()
     while (this.inFlight > 0) {
-      if (performance.now() >= finalResponsesAt) await this.endUnanswered()
+      if (this.clock.now() >= finalResponsesAt) await this.endUnanswered()
       this.connections.closeIdle()
-      await async.sleep(idlePollMs)
+      await this.waitForPoll()
     }
     this.server.closeAllConnections()
   }
 
+  private waitForPoll (): Promise<void> {
+    return new Promise((resolve) => { this.clock.after(idlePollMs, resolve) })
+  }
+
   /** Ends the requests without a response with a final one, after reading the responses that have arrived. */
   private async endUnanswered (): Promise<void> {
     await async.nextTurn()
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -113,15 +113,15 @@
   private port = 0
 
   /** @param respond called with the connection of each request at its head. */
-  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number } = {}) {
+  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number, readonly clock?: clock.IClock } = {}) {
     this.config = new FakeConfig({ lane: { ...defaultLane, ...lane } })
-    const systemClock = new clock.SystemClock()
-    this.endpoints = this.disposables.add(new endpointTable.EndpointTable(systemClock))
-    const suspects = this.disposables.add(new suspectTable.SuspectTable(systemClock))
+    const ownClock = options.clock ?? new clock.SystemClock()
+    this.endpoints = this.disposables.add(new endpointTable.EndpointTable(ownClock))
+    const suspects = this.disposables.add(new suspectTable.SuspectTable(ownClock))
     const connections = this.disposables.add(new targetConnections.TargetConnections())
     const decisions = new decisionLog.NullDecisionLog()
     const random = { next: () => 0.5 }
-    const notices = this.disposables.add(new endpointNotices.EndpointNotices({ onLeaving: () => {}, onLimit: () => {} }, this.endpoints, systemClock, decisions))
+    const notices = this.disposables.add(new endpointNotices.EndpointNotices({ onLeaving: () => {}, onLimit: () => {} }, this.endpoints, ownClock, decisions))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(this.config, this.endpoints, {
       ownFailureDomain: 'a',
       liveEntries: () => 1,
@@ -134,24 +134,24 @@
       permitSource: { request: () => {} },
       reachability: reachable,
       startingUntil: 0
-    }, systemClock))
+    }, ownClock))
     this.listener = new callerListener.CallerListener(options.graceS ?? 1, this.config, {
       lanes: this.lanes,
       connections,
       notices,
       endpoints: this.endpoints,
       suspects,
-      crashDetector: this.disposables.add(new crashDetection.CrashDetector(this.endpoints, suspects, systemClock)),
-      claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.config, systemClock, decisions)),
+      crashDetector: this.disposables.add(new crashDetection.CrashDetector(this.endpoints, suspects, ownClock)),
+      claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.config, ownClock, decisions)),
       waitForSuspectWrites: async () => {},
       decisions,
       metrics: this.metrics,
-      clock: systemClock,
+      clock: ownClock,
       random,
       headers: exchange.defaultHeaderNames,
       fractionalRetryAfter: true,
       probing: undefined,
-      startup: new startup.Startup({ confirmedAgeMs: 0, waitForConfirmation: async () => true }, systemClock),
+      startup: new startup.Startup({ confirmedAgeMs: 0, waitForConfirmation: async () => true }, ownClock),
       isStopping: () => this.isStopping,
       reachability: reachable,
       forwarder: { start: () => { throw new Error('there are no peers') } }
@@ -193,7 +193,7 @@
   /** Stops the listener as a SIGTERM does. */
   async stop (): Promise<void> {
     this.isStopping = true
-    await this.listener.stop(performance.now())
+    await this.listener.stop(this.options.clock?.now() ?? performance.now())
   }
 
   /** Closes everything at once; unlike `stop` it waits for no response. */
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -2,12 +2,16 @@
 import type * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 import * as callerFixture from './callerFixture.js'
 
 const settleMs = 100
 const graceS = 1
 const msPerSecond = 1000
 const lateHeadersMs = 3000
+const stepMs = 10
+const turnsPerStep = 3
 const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
 const endpointHead = 'HTTP/1.1 200 OK\r\nX-Id: 7\r\n'
 
@@ -15,14 +19,25 @@
   socket.write(`${endpointHead}Content-Length: 5\r\n\r\nhello`)
 }
 
+/** Lets time pass on the clock in steps, each with some turns of the event loop for what its timers begin. */
+async function passTime (clock: manualClock.ManualClock, ms: number): Promise<void> {
+  for (let passedMs = 0; passedMs < ms; passedMs += stepMs) {
+    clock.advance(stepMs)
+    for (let turn = 0; turn < turnsPerStep; turn++) await async.nextTurn()
+  }
+}
+
 tap.t.test('a request that waits for a slot is refused before the grace period ends', async (t) => {
-  await using fixture = await new callerFixture.CallerFixture({}, () => {}, { slots: 1, graceS }).start()
+  const clock = new manualClock.ManualClock()
+  clock.jump(performance.now())
+  await using fixture = await new callerFixture.CallerFixture({}, () => {}, { slots: 1, graceS, clock }).start()
   fixture.send(request)
   t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1), 'the first request has the only slot')
   const waiting = fixture.send(request)
   t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 2))
   fixture.stop()
-  await callerFixture.waitUntil(() => waiting.statuses.length > 0, graceS * msPerSecond)
+  await passTime(clock, graceS * msPerSecond - stepMs)
+  await callerFixture.waitUntil(() => waiting.statuses.length > 0)
   t.same(waiting.statuses, ['503'])
 })
 
