--- a/packages/control/src/test/pausedProcesses.test.ts
+++ b/packages/control/src/test/pausedProcesses.test.ts
@@ -28,7 +28,7 @@
   const { random: originalRandom } = Math
   Math.random = random
   const time = new virtualTime.VirtualTime()
-  const group = new virtualGroup.VirtualGroup({ startTimesMs: voters.map(() => 0), syncMs, appendMs: syncMs, formerLeader: undefined, random })
+  const group = new virtualGroup.VirtualGroup({ startTimesMs: voters.map(() => 0), syncMs, formerLeader: undefined, random })
   try {
     await time.runUntil(settleMs)
     return await run(group, time, random)
