Fleet: a configuration that takes long to transfer arrives

Change: received bytes count too, if there are more of them than responses to pings make up. Streams between peers, whose first message holds all endpoints, are treated alike.

Not changed: a fetch from a peer still ends after 3 s. How likely: 5,000 routes compress to 114 KB, so a healthy link does not meet this; 16 MiB as sent, a lossy link between regions, or a replica that many instances follow may.

--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -200,7 +200,7 @@
 
   /** Follows one replica until the stream ends or a quorum doesn't confirm it for too long; returns the reason. */
   private async followOnce (link: ControlLink): Promise<unknown> {
-    const watchdog = new streamWatchdog.StreamWatchdog(this.stopped.signal, () => link.reset(), maxUnconfirmedMs)
+    const watchdog = new streamWatchdog.StreamWatchdog(this.stopped.signal, () => link.reset(), { silenceTimeoutMs: maxUnconfirmedMs, receivedBytes: () => link.receivedBytes })
     // Until the first confirmation, the time is counted from the start of the stream.
     let lastConfirmedAt = performance.now()
     this.followedLinks.add(link)
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -321,7 +321,7 @@
 
   /** Applies updates until the stream ends; returns their number. */
   private async subscribeOnce (link: MeshLink, stop: AbortSignal): Promise<number> {
-    const watchdog = new streamWatchdog.StreamWatchdog(stop, () => link.reset())
+    const watchdog = new streamWatchdog.StreamWatchdog(stop, () => link.reset(), { receivedBytes: () => link.receivedBytes })
     this.watchdogs.add(watchdog)
     let updateCount = 0
     try {
--- a/packages/fleet/src/test/streamWatchdog.test.ts
+++ b/packages/fleet/src/test/streamWatchdog.test.ts
@@ -23,6 +23,21 @@
   t.same([timedOutAt, watchdog.signal.aborted], [lastActivityAt + silenceTimeoutMs, true])
 })
 
+tap.t.test('a stream whose bytes still arrive is not aborted, one whose connection only responds to pings is', async (t) => {
+  for (const { bytesPerS, isAborted } of [{ bytesPerS: 10_000, isAborted: false }, { bytesPerS: 17, isAborted: true }]) {
+    const clock = new manualClock.ManualClock()
+    let receivedBytes = 0
+    const watchdog = new streamWatchdog.StreamWatchdog(new AbortController().signal, () => {}, { receivedBytes: () => receivedBytes }, clock)
+    for (let i = 0; i < heartbeatCount; i++) {
+      clock.advance(heartbeatMs)
+      receivedBytes += bytesPerS
+    }
+    t.equal(watchdog.signal.aborted, isAborted, `${bytesPerS} bytes a second`)
+    clock.advance(2 * silenceTimeoutMs)
+    t.equal(watchdog.signal.aborted, true, 'none at all')
+  }
+})
+
 tap.t.test('a disposed watchdog neither aborts nor reports a timeout', async (t) => {
   const clock = new manualClock.ManualClock()
   const watchdog = new streamWatchdog.StreamWatchdog(new AbortController().signal, () => t.fail('timeout reported'), undefined, clock)
--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -29,11 +29,15 @@
 export class PeerLink<S extends protobuf.DescService> implements lifecycle.IDisposable {
   readonly client: connect.Client<S>
   private readonly sessions: peerSessionManager.PeerSessionManager
+  private socket: net.Socket | undefined
 
   constructor (service: S, readonly address: string, identity: innerListener.LinkIdentity) {
     const baseUrl = `http://${address}`
     this.sessions = new peerSessionManager.PeerSessionManager(baseUrl, { pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs }, {
-      createConnection: (authority) => connectWithTimeout(connectTimeoutMs, authority, identity)
+      createConnection: (authority) => {
+        this.socket = connectWithTimeout(connectTimeoutMs, authority, identity)
+        return this.socket
+      }
     })
     const transport = connectNode.createConnectTransport({
       httpVersion: '2',
@@ -45,6 +49,11 @@
     this.client = connect.createClient(service, transport)
   }
 
+  /** Bytes received on the current connection, also of messages that are not complete. */
+  get receivedBytes (): number {
+    return this.socket?.bytesRead ?? 0
+  }
+
   /** Runs a unary call; throws the peer's fault, or `unreachable`, or `unknown` for a timeout after which the connection is verified. */
   async call<T> (run: (client: connect.Client<S>, options: connect.CallOptions) => Promise<T>, timeoutMs: number, onTimeout: TimeoutAction = 'reset'): Promise<T> {
     try {
