--- a/packages/base/src/common/errors.ts
+++ b/packages/base/src/common/errors.ts
@@ -30,7 +30,7 @@
   | { readonly kind: 'corrupt-record', readonly message: string }
   | { readonly kind: 'disk-failure', readonly message: string }
   | { readonly kind: 'unreachable', readonly message: string }
-  /** The peer is of an earlier version, which doesn't know the call. */
+  /** The call or what it concerns isn't known here, for example to a peer of an earlier version. */
   | { readonly kind: 'unsupported', readonly message: string }
   | { readonly kind: 'internal', readonly message: string }
 
