Control: a read that times out no longer ends changes and claims that are passed on

Seen: a leader that is busy for 1.5 s (decoding a large configuration takes as long) acknowledges no change that another replica passes on, if that replica is read meanwhile: the change ends as "unknown". On a starved machine requests for votes end with "connection aborted", and are sent again on a new connection. Cause: confirmations of reads (800 ms), reads that are passed on (2 s) and requests to join share a connection with changes, claims and votes, and closed it when they timed out. Without a leader each read asks all other replicas, so there this happens most. Change: a call of these that times out closes the connection only if the other side doesn't respond to a ping either, as for votes.

--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -4,6 +4,7 @@
 import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
+import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
@@ -246,7 +247,7 @@
     const subject = 'leader'
     try {
       const { res, address } = await Promise.any(addresses.map(async (address) => {
-        const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs)
+        const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.readConfig({}, options), leaderReadTimeoutMs, 'verify')
         return { res, address }
       }))
       this.answeringLeaderAddress = address
@@ -351,7 +352,7 @@
     throw new errors.RackError({ kind: 'already-founded', message: `the replica at ${address} already belongs to a cluster` })
   }
 
-  /** Calls the leader; throws `no-quorum` if none is known. */
+  /** Calls the leader; throws `no-quorum` if none is known. A timeout doesn't end the other calls to a leader that still responds. */
   async callLeader<T> (run: (client: replicaLinks.ReplicaClient, options: connect.CallOptions) => Promise<T>, timeoutMs = forwardTimeoutMs): Promise<T> {
     const { leaderReplica, self } = this.replica
     const address = leaderReplica?.address ?? this.answeringLeaderAddress
@@ -359,17 +360,18 @@
       throw new errors.RackError({ kind: 'no-quorum', message: 'no leader is known; nothing was written' })
     }
     try {
-      return await this.replica.links.linkTo(address).call(run, timeoutMs)
+      return await this.replica.links.linkTo(address).call(run, timeoutMs, 'verify')
     } catch (err) {
       this.answeringLeaderAddress = undefined
-      throw forwardingError(errors.faultOf(err))
+      throw forwardingError(err)
     }
   }
 }
 
 /** Returns the error of a forwarded call; the outcome is unknown when the leader did not respond, since it may have run the call. */
-function forwardingError (fault: errors.Fault): errors.RackError {
-  if (fault.kind !== 'unreachable') return new errors.RackError(fault)
+function forwardingError (err: unknown): errors.RackError {
+  const fault = errors.faultOf(err)
+  if (fault.kind !== 'unreachable' && !(err instanceof peerLink.NoResponseError)) return new errors.RackError(fault)
   return new errors.RackError({ kind: 'unknown', timedOut: true, message: `the leader did not respond (${fault.message}); resend with the same id` })
 }
 
--- a/packages/control/src/node/joiner.ts
+++ b/packages/control/src/node/joiner.ts
@@ -60,7 +60,7 @@
   private async sendJoin (address: string): Promise<void> {
     const req = protobuf.create(inner.JoinReqSchema, { replica: this.replica.self })
     try {
-      const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.join(req, options), joinTimeoutMs)
+      const res = await this.replica.links.linkTo(address).call(async (client, options) => await client.join(req, options), joinTimeoutMs, 'verify')
       if (!res.accepted && res.leaderAddress !== '') this.leaderAddresses.add(res.leaderAddress)
       this.calls.noteSuccess(address)
     } catch (err) {
--- a/packages/control/src/test/simulatedGroup.ts
+++ b/packages/control/src/test/simulatedGroup.ts
@@ -9,6 +9,7 @@
 import * as election from '../node/election.js'
 import * as joiner from '../node/joiner.js'
 import * as replica from '../node/replica.js'
+import type * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
 import type * as replicaLinks from '../node/replicaLinks.js'
 import * as replicaStorage from '../node/replicaStorage.js'
 import * as recordedDecisions from './recordedDecisions.js'
@@ -306,10 +307,14 @@
         return await service.readConfigAsLeader(leadership)
       })
     } as unknown as replicaLinks.ReplicaClient
-    const call = async <T>(run: (each: replicaLinks.ReplicaClient, options: object) => Promise<T>, timeoutMs: number): Promise<T> => {
+    const call = async <T>(run: (each: replicaLinks.ReplicaClient, options: object) => Promise<T>, timeoutMs: number, onTimeout: peerLink.TimeoutAction = 'reset'): Promise<T> => {
       const ended = new AbortController()
+      const closeIfReset = (): errors.RackError => {
+        if (onTimeout === 'reset') connection.reset()
+        return unreachable()
+      }
       try {
-        return await async.withTimeout(run(client, { signal: ended.signal }), timeoutMs, unreachable)
+        return await async.withTimeout(Promise.race([run(client, { signal: ended.signal }), connection.whenReset]), timeoutMs, closeIfReset)
       } finally {
         ended.abort()
       }
@@ -332,22 +337,37 @@
 
 const immediateTransfer: ITransfer = { handlingMs: 0, send: async () => {} }
 
+function createResetSignal (): async.Deferred<never> {
+  const signal = new async.Deferred<never>()
+  // A connection may be reset while no response is awaited.
+  signal.promise.catch(() => {})
+  return signal
+}
+
 /** A connection, which carries the bytes of one message after the other. */
 class Connection {
   private freeAt = 0
   private closed = new AbortController()
+  private resetSignal = createResetSignal()
 
   constructor (private readonly bytesPerMs: number) {}
 
+  /** Rejects when the connection is reset. */
+  get whenReset (): Promise<never> {
+    return this.resetSignal.promise
+  }
+
   transfer (bytes: number, signal: AbortSignal | undefined): ITransfer {
     const durationMs = bytes / this.bytesPerMs
     return { handlingMs: durationMs, send: async () => { if (durationMs > 0) await this.send(durationMs, signal) } }
   }
 
-  /** Ends the messages that are being sent. */
+  /** Ends the messages that are being sent, and the calls whose responses are awaited. */
   reset (): void {
     this.closed.abort()
     this.closed = new AbortController()
+    this.resetSignal.reject(unreachable())
+    this.resetSignal = createResetSignal()
     this.freeAt = 0
   }
 
--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -26,6 +26,13 @@
 /** What a call that timed out does to the connection: close it, close it only if it doesn't respond to a ping either, or leave it open for a stream that notices an unresponsive peer. */
 export type TimeoutAction = 'reset' | 'verify' | 'keep'
 
+/** A call timed out, and the peer may have run it. */
+export class NoResponseError extends errors.RackError {
+  constructor (message: string) {
+    super({ kind: 'unknown', timedOut: true, message })
+  }
+}
+
 /** Calls one service of a peer; a call that times out also closes the connection, unless it only verifies it. */
 export class PeerLink<S extends protobuf.DescService> implements lifecycle.IDisposable {
   readonly client: connect.Client<S>
@@ -63,7 +70,7 @@
     if (onTimeout === 'keep') return
     if (onTimeout === 'reset') return this.reset()
     this.sessions.verifyConnection(verifyTimeoutMs)
-    throw new errors.RackError({ kind: 'unknown', timedOut: true, message: `no response from ${this.address} within ${timeoutMs} ms` })
+    throw new NoResponseError(`no response from ${this.address} within ${timeoutMs} ms`)
   }
 
   /** Closes the connection; the next call opens a new one. TCP may take minutes to detect an unresponsive peer. */
