--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -4,6 +4,7 @@
 import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
+import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
@@ -351,7 +352,7 @@
     throw new errors.RackError({ kind: 'already-founded', message: `the replica at ${address} already belongs to a cluster` })
   }
 
-  /** Calls the leader; throws `no-quorum` if none is known. A timeout doesn't end other calls as long as the leader responds to pings. */
+  /** Calls the leader; throws `no-quorum` if none is known. A timeout doesn't end the other calls to a leader that still responds. */
   async callLeader<T> (run: (client: replicaLinks.ReplicaClient, options: connect.CallOptions) => Promise<T>, timeoutMs = forwardTimeoutMs): Promise<T> {
     const address = this.replica.leaderReplica?.address ?? this.answeringLeaderAddress
     if (address === undefined || address === this.replica.self.address) {
@@ -361,14 +362,15 @@
       return await this.replica.links.linkTo(address).call(run, timeoutMs, 'verify')
     } catch (err) {
       this.answeringLeaderAddress = undefined
-      throw forwardingError(errors.faultOf(err))
+      throw forwardingError(err)
     }
   }
 }
 
 /** Returns the error of a forwarded call; the outcome is unknown when the leader did not respond, since it may have run the call. */
-function forwardingError (fault: errors.Fault): errors.RackError {
-  if (fault.kind !== 'unreachable') return new errors.RackError(fault)
+function forwardingError (err: unknown): errors.RackError {
+  const fault = errors.faultOf(err)
+  if (fault.kind !== 'unreachable' && !(err instanceof peerLink.NoResponseError)) return new errors.RackError(fault)
   return new errors.RackError({ kind: 'unknown', timedOut: true, message: `the leader did not respond (${fault.message}); resend with the same id` })
 }
 
