Entry: a response whose body is not complete soon after the deadline is broken off

Cause: the deadline covered the time to the head of a response only. Bodies that make progress had no limit, others one of 10 s.

Change: 200 ms after the deadline of the lane, or of the caller if that is earlier, a body whose end has not arrived is broken off as one that the endpoint broke off: the caller sees that it is incomplete, the endpoint's request is ended, its slot is free. Time in which the caller takes no bytes doesn't count, so slow readers get what they got before; what has arrived whole is delivered, however late. The rest of an interrupted download has the time that its request has left, where it had a whole deadline of its own. A `cut` line, and the new counter rosemaryrack_cut_responses_total by reason (broken, overdue, caller-left).

Weighed: the same limit for slow readers; forwarding.test ("a large response streams to a slow caller") showed that it takes responses away from them.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -234,8 +234,7 @@
       this.activeRun.start()
     }
     const fetchRest: downloadResumer.RestFetcher = (headers, excludedEndpoints, listener) => {
-      const now = performance.now()
-      run({ req: { ...this.buildTargetReq(namedLane, body, headers), deadlineAt: now + namedLane.lane.deadlineMs }, arrivedAt: now, excludedEndpoints }, listener)
+      run({ req: this.buildTargetReq(namedLane, body, headers), arrivedAt: performance.now(), excludedEndpoints }, listener)
     }
     run({ req: this.buildTargetReq(namedLane, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
@@ -276,15 +275,24 @@
     if (endpoint !== undefined && lane.weights.reportedLoad > 0) this.recordReportedLoad(endpoint, head)
     this.sendHead(response, body)
     this.countOutcome(response.outcome)
-    const stream = new responseStream.ResponseStream(this.res, attempt, lane.progressTimeoutMs, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
+    const limits = { progressTimeoutMs: lane.progressTimeoutMs, deadlineAt: this.deadlineAt(lane) }
+    const stream = new responseStream.ResponseStream(this.res, attempt, limits, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
       if (endpoint !== undefined) state.domainPreference.recordResponseSize(bytes)
-      if (end === 'broken') this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: source, why: 'the response of the target was incomplete' })
+      if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
       if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
     })
     attempt.pipe(stream)
   }
 
+  private recordCut (reason: responseStream.CutReason, source: string): void {
+    const { decisions, metrics } = this.deps
+    // The peer counts a forwarded request as its caller's.
+    if (this.origin.forwarded === undefined) metrics.count('rosemaryrack_cut_responses_total', { lane: this.laneName, reason })
+    const why = responseStream.cutMessages[reason]
+    if (why !== undefined) decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: source, why })
+  }
+
   /** Reads the rest of a request body that the target did not wait for, so that the next request of the connection can be read. */
   private async discardRest (body: callerBody.CallerBody): Promise<void> {
     const { req } = this
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -1,12 +1,23 @@
 /**
  * Streams a response to the caller. A response that breaks off is continued from another endpoint, or the caller's
- * connection is closed; it is never ended as if it were complete.
+ * connection is closed; it is never ended as if it were complete. So is the connection of a response that is overdue.
  */
 import type * as http from 'node:http'
+import * as async from '@rosemaryrack/base/common/async.js'
 import type * as httpAttempt from './httpAttempt.js'
 import * as responseAbort from './responseAbort.js'
 
 const callerStallTimeoutMs = 120_000
+/** Time after the deadline in which the rest of a body may still arrive from its target, besides the time in which the caller took no bytes. */
+const overdueAfterMs = 200
+
+/** Limits on the time of a body. */
+export interface BodyLimits {
+  /** Longest time without further bytes from the target. */
+  readonly progressTimeoutMs: number
+  /** When the response is due, on the process's monotonic clock. */
+  readonly deadlineAt: number
+}
 
 /** Gets the rest of an incomplete response from another endpoint. */
 export interface IContinuationSource {
@@ -17,19 +28,35 @@
   continueFrom(offset: number, attach: (attempt: httpAttempt.HttpAttempt) => void): Promise<boolean>
 }
 
+/** How the body of a response ended before it was complete. */
+export type CutReason = 'broken' | 'caller-left' | 'overdue'
+
+/** What the log says of a response that this process has cut; that the caller has left is logged with its connection. */
+export const cutMessages: { readonly [K in CutReason]: string | undefined } = {
+  broken: 'the response of the target was incomplete',
+  overdue: 'the deadline passed before the target had sent the whole response',
+  'caller-left': undefined
+}
+
 /** How the body of a response ended. */
-export type StreamEnd = 'complete' | 'broken' | 'caller-left'
+export type StreamEnd = 'complete' | CutReason
 
 /** Sink of one response, which may come from several attempts in turn. */
 export class ResponseStream implements httpAttempt.IBodySink {
   private timer: NodeJS.Timeout | undefined
+  private overdueTimer: NodeJS.Timeout | undefined
+  /** Time in which the caller took no bytes, and since when it takes none. */
+  private heldMs = 0
+  private heldSince: number | undefined
+  /** True once the target has sent the whole body. */
+  private isReceived = false
   private sentBytes = 0
   private isDone = false
 
   constructor (
     private readonly res: http.ServerResponse,
     private attempt: httpAttempt.HttpAttempt,
-    private readonly progressTimeoutMs: number,
+    private readonly limits: BodyLimits,
     private readonly continuationSource: IContinuationSource | undefined,
     private readonly onDone: (end: StreamEnd, bytes: number) => void
   ) {
@@ -38,17 +65,24 @@
     res.on('close', () => this.handleClose())
     res.on('drain', () => this.handleDrain())
     this.startProgressTimer()
+    this.startOverdueTimer()
   }
 
   onData (chunk: Buffer): boolean {
     this.sentBytes += chunk.length
     const canTakeMore = this.res.write(chunk)
-    if (canTakeMore) this.timer?.refresh()
-    else this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
+    if (canTakeMore) {
+      this.timer?.refresh()
+    } else {
+      this.heldSince ??= performance.now()
+      this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
+    }
     return canTakeMore
   }
 
   onEnd (): void {
+    this.isReceived = true
+    clearTimeout(this.overdueTimer)
     this.res.end()
     this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
   }
@@ -58,6 +92,9 @@
   }
 
   private handleDrain (): void {
+    if (this.heldSince !== undefined) this.heldMs += performance.now() - this.heldSince
+    this.heldSince = undefined
+    if (this.overdueTimer === undefined) this.startOverdueTimer()
     this.startProgressTimer()
     this.attempt.resume()
   }
@@ -68,6 +105,30 @@
     this.finish(isComplete ? 'complete' : 'caller-left')
   }
 
+  private get overdueInMs (): number {
+    return this.limits.deadlineAt + overdueAfterMs + this.heldMs - performance.now()
+  }
+
+  private startOverdueTimer (): void {
+    if (!this.isReceived && !this.isDone) this.overdueTimer = setTimeout(() => this.endOverdue(), Math.max(0, this.overdueInMs))
+  }
+
+  /** Breaks the response off unless its end has arrived: the timers of a process that was busy run before it reads. */
+  private async endOverdue (): Promise<void> {
+    await async.nextTurn()
+    if (this.isReceived || this.isDone) return
+    this.overdueTimer = undefined
+    // The next drain event starts the timer again.
+    if (this.heldSince !== undefined) return
+    if (this.overdueInMs > 0) {
+      this.startOverdueTimer()
+      return
+    }
+    this.attempt.cancel()
+    this.finish('overdue')
+    responseAbort.abortResponse(this.res)
+  }
+
   private async continueElsewhere (): Promise<void> {
     clearTimeout(this.timer)
     const isContinued = await this.continuationSource?.continueFrom(this.sentBytes, (attempt) => this.attach(attempt)) ?? false
@@ -88,7 +149,7 @@
   }
 
   private startProgressTimer (): void {
-    this.startTimer(this.progressTimeoutMs, () => {
+    this.startTimer(this.limits.progressTimeoutMs, () => {
       this.attempt.abandon()
       this.continueElsewhere()
     })
@@ -103,6 +164,7 @@
     if (this.isDone) return
     this.isDone = true
     clearTimeout(this.timer)
+    clearTimeout(this.overdueTimer)
     this.onDone(end, this.sentBytes)
   }
 }
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -179,6 +179,11 @@
     return caller
   }
 
+  /** The counters of the listener, in the text format. */
+  get metricsText (): string {
+    return this.metrics.format()
+  }
+
   /** Lets each request fail with an exception while it is counted, until the returned function is called. */
   failMetrics (): () => void {
     this.metrics.count = () => { throw new Error('metrics fail in this test') }
