--- a/packages/control/src/test/busyLeader.test.ts
+++ b/packages/control/src/test/busyLeader.test.ts
@@ -19,14 +19,11 @@
 tap.t.test('a change that is passed on is acknowledged although a read that was passed on timed out', async (t) => {
   const fixture = new configuredGroup.ConfiguredGroup(1)
   await fixture.found()
-  const spare = fixture.group.machines.at(-1)!
-  fixture.group.start(spare)
-  await fixture.pass(100)
-  spare.disk.setStalled(true)
-  t.match(await fixture.read(spare.process!), { version: 1 })
+  const spare = await fixture.startStalledSpare()
+  t.match(await fixture.read(spare), { version: 1 })
   fixture.leader.work(2 * busyMs)
-  const read = fixture.read(spare.process!)
-  t.equal(await fixture.put(2, spare.process!), 2)
+  const read = fixture.read(spare)
+  t.equal(await fixture.put(2, spare), 2)
   t.equal(await read, 'no-quorum', 'the read timed out')
   await fixture.dispose()
 })
