--- a/packages/testbed/src/test/leaderKilled.test.ts
+++ b/packages/testbed/src/test/leaderKilled.test.ts
@@ -5,6 +5,7 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as deployedFleet from '../node/deployedFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
 
 const settleTimeoutMs = 20_000
 const replicaNumbers = [1, 2, 3, 4, 5]
@@ -20,7 +21,8 @@
 const leadsMetric = /_leads(\{[^}]*\})? 1$/m
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-killed-'))
-const fleet = new deployedFleet.DeployedFleet(folder, 232, replicaNumbers.length, 3)
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, replicaNumbers.length, 3)
 /** Replicas whose processes are killed at the moment. */
 const killed = new Set<number>()
 const acknowledged = { version: 0, longestMs: 0 }
