Configuration: services, lanes and failure domains of a platform have any name

What callers saw: a valid configuration with a route or service whose name has a space, a slash, a colon, a letter beyond ASCII, or more than 127 characters was refused with 422 ("Invalid key in record"), so it was never acknowledged; a heartbeat of such a service or zone got 400, so its endpoint got no requests.

Cause: the schema of documents, of announcements and of settings had one pattern for all identifiers of other systems. Only ids of instances and endpoints need it, since headers contain them; the other names are only compared, logged and shown.

Change: services, lanes and failure domains are any text but the empty one. Patches keep the stricter rule for names that operators choose (`findNameProblems`).

Ruled out: escaping such names in the adapter would show operators other names in logs and metrics than those that they gave.

--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -8,7 +8,8 @@
 const maxAttemptsOrPriority = 1000
 /** A latency target that exceeds the deadline by this much or more is rejected, since its unit is probably wrong. */
 const maxTargetLatencyExcessMs = 60_000
-const name = zod.string().regex(names.identifierPattern, names.identifierRule)
+/** Names that a patch must not contain are found by `findNameProblems`. */
+const name = zod.string().min(1)
 const milliseconds = zod.number().int().min(1).max(maxDurationMs)
 const ratio = zod.number().min(0).max(1)
 
--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -6,8 +6,10 @@
 
 const minTokenLength = 16
 const name = zod.string().regex(names.namePattern, names.nameRule)
-/** Names of instances and failure domains are given by the deployment, so they may contain more characters than `name`. */
+/** Names of instances are given by the deployment, so they may contain more characters than `name`. */
 const identifier = zod.string().regex(names.identifierPattern, names.identifierRule)
+/** Names of failure domains are given by the deployment and only compared. */
+const failureDomain = zod.string().min(1)
 const hostPort = zod.string().refine(address.isAddress, 'an IP address and port, such as "127.0.0.1:7000"')
 const host = zod.string().refine((text) => address.isAddress(`${text}:0`), 'an IP address, such as "127.0.0.1"')
 const token = zod.string().min(minTokenLength)
@@ -41,7 +43,7 @@
 const settingsSchema = zod.strictObject({
   cluster: name,
   instance: identifier,
-  failureDomain: identifier,
+  failureDomain,
   inner: zod.strictObject({
     listen: hostPort,
     /** Address at which other processes reach this one, if it differs from `listen`. */
@@ -87,7 +89,7 @@
     /** Where targets announce themselves to this process. */
     announcements: zod.strictObject({ listen: hostPort, token }).optional(),
     /** Control replicas, from at least two failure domains if the cluster has as many. */
-    control: zod.array(zod.strictObject({ address: hostPort, failureDomain: identifier })).default([]),
+    control: zod.array(zod.strictObject({ address: hostPort, failureDomain })).default([]),
     /** Alternative to `control` and `peers`: control replicas that relay announcements (hubs) are discovered through these. */
     seeds: seeds.default([]),
     /** Inner addresses of some other entry instances; the rest are discovered through them. */
--- a/packages/fleet/src/common/announcement.ts
+++ b/packages/fleet/src/common/announcement.ts
@@ -6,13 +6,16 @@
 
 const maxLeaseMs = 600_000
 const maxSlotsOrConnections = 100_000
+/** Services and failure domains have the names that configurations and settings give them. */
+const nameSchema = zod.string().min(1)
 const identifierSchema = zod.string().regex(names.identifierPattern, names.identifierRule)
 
 const announcementSchema = zod.strictObject({
+  /** Also sent in a header. */
   endpoint: identifierSchema,
-  service: identifierSchema,
+  service: nameSchema,
   address: zod.string().refine(address.isAddress, 'an IP address and port'),
-  failureDomain: identifierSchema,
+  failureDomain: nameSchema,
   slots: zod.number().int().min(1).max(maxSlotsOrConnections),
   connectionLimit: zod.number().int().min(1).max(maxSlotsOrConnections),
   state: zod.enum(['starting', 'ready', 'draining', 'left']),
