Configuration: lanes and services named like inherited properties

What callers saw: a configuration with a route named `__proto__` was acknowledged with 200, and its requests got 404 at every entry instance. A patch with such a lane was accepted as a new version that changed nothing. When a lane named `constructor` or `toString` was removed, entry instances threw while they took over the new version ("Cannot read properties of undefined (reading 'retryRatio')").

Cause: names that an operator chooses are keys of plain objects. `zod.record` and the merge of patches leave the key `__proto__` out, and a look-up of a name that isn't there finds what every object inherits.

Change: the schema of lanes and services (`mapOf`) keeps every own key, look-ups go through `findByName`, and a patch with the key `__proto__` is refused.

--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -96,10 +96,30 @@
   idleTimeoutMs: milliseconds.optional()
 })
 
+/**
+ * Returns a schema of objects that map names to values. Unlike `zod.record` it keeps the key `__proto__`, which `JSON.parse` creates like
+ * any other.
+ */
+function mapOf<V extends zod.ZodType> (valueSchema: V): zod.ZodType<Record<string, zod.output<V>>, object> {
+  return zod.custom<object>(isObject, 'Invalid input: expected an object').transform((value, ctx) => {
+    const entries = Object.entries(value).map(([key, each]) => {
+      if (!name.safeParse(key).success) ctx.addIssue({ code: 'custom', path: [key], message: 'Invalid key in record' })
+      const result = valueSchema.safeParse(each)
+      for (const { path, message } of result.error?.issues ?? []) ctx.addIssue({ code: 'custom', path: [key, ...path], message })
+      return [key, result.data] as const
+    })
+    return Object.fromEntries(entries) as Record<string, zod.output<V>>
+  })
+}
+
+function isObject (value: unknown): boolean {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
+
 const documentSchema = zod.strictObject({
-  lanes: zod.record(name, laneSchema).default({}),
+  lanes: mapOf(laneSchema).default({}),
   /** When present, lanes may only use the services listed here. */
-  services: zod.record(name, serviceSchema).optional(),
+  services: mapOf(serviceSchema).optional(),
   callerLimits: callerLimitsSchema.optional()
 })
 
@@ -124,6 +144,11 @@
   | { readonly ok: true, readonly document: ConfigDocument }
   | { readonly ok: false, readonly problems: readonly string[] }
 
+/** Returns the value of a name, also where objects inherit a property of that name. */
+export function findByName<T> (values: Readonly<Record<string, T>> | undefined, key: string): T | undefined {
+  return values !== undefined && Object.hasOwn(values, key) ? values[key] : undefined
+}
+
 /** Checks a document against the schema and fills in the defaults. */
 export function checkDocument (raw: unknown): DocumentCheck {
   const result = documentSchema.safeParse(raw)
--- a/packages/config/src/common/configPatch.ts
+++ b/packages/config/src/common/configPatch.ts
@@ -16,8 +16,9 @@
 function parsePatch (json: string): object {
   let patch: unknown
   try {
-    patch = JSON.parse(json)
+    patch = JSON.parse(json, rejectProtoKey)
   } catch (err) {
+    if (err instanceof errors.RackError) throw err
     throw new errors.RackError({ kind: 'invalid-config', message: `patch is not JSON: ${errors.messageOf(err)}` })
   }
   if (typeof patch !== 'object' || patch === null || Array.isArray(patch)) {
@@ -25,3 +26,9 @@
   }
   return patch
 }
+
+/** Rejects the key `__proto__`, which no name may be and the merge leaves out. */
+function rejectProtoKey (key: string, value: unknown): unknown {
+  if (key !== '__proto__') return value
+  throw new errors.RackError({ kind: 'invalid-config', message: 'patch contains the key __proto__' })
+}
--- a/packages/config/src/test/configPatch.test.ts
+++ b/packages/config/src/test/configPatch.test.ts
@@ -28,6 +28,7 @@
   'rejects an unknown key': [{ lanes: { diary: { ...lane, deadline: 5 } } }],
   'rejects a wrong type': [{ lanes: { diary: { ...lane, deadlineMs: 'soon' } } }],
   'rejects two lanes that match the same requests': [{ lanes: { diary: lane, other: lane } }],
+  'rejects a lane named __proto__': [`{"lanes":{"__proto__":${JSON.stringify(lane)}}}`],
   'rejects a name with capitals': [{ lanes: { Diary: lane } }],
   'rejects a service with dots': [{ lanes: { diary: { ...lane, service: 'diary.v2' } } }],
   'rejects malformed JSON': ['{"lanes":'],
@@ -46,3 +47,10 @@
   configPatch.applyPatch(before, JSON.stringify({ lanes: { diary: { deadlineMs: 7 } } }))
   t.same(before, copy)
 })
+
+// Guards against a lane that disappears with the next patch, because its name is that of an inherited property.
+tap.t.test('a patch checks a lane named __proto__ that a platform has put', async (t) => {
+  const check = configDocument.checkDocument({ lanes: Object.fromEntries([['__proto__', lane]]) })
+  const put = check.ok ? check.document : configDocument.emptyConfig.document
+  t.throws(() => configPatch.applyPatch(put, '{}'), { message: /lanes\.__proto__/ })
+})
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -1,7 +1,7 @@
 /** Lanes of the current configuration, with their budgets and the dispatchers of their services. */
 import type * as clock from '@rosemaryrack/base/common/clock.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
-import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as configFollower from '@rosemaryrack/fleet/node/configFollower.js'
 import type * as balancingPolicy from '@rosemaryrack/routing/common/balancingPolicy.js'
@@ -108,7 +108,7 @@
   }
 
   lane (name: string): configDocument.Lane | undefined {
-    return this.lanes[name]
+    return configDocument.findByName(this.lanes, name)
   }
 
   /** Returns the state of a lane of the current configuration, which is created at its first use. */
@@ -142,7 +142,7 @@
 
   /** Returns the path at which the endpoints of a service respond to load probes. */
   healthPathOf (service: string): string | undefined {
-    return this.services?.[service]?.healthPath
+    return configDocument.findByName(this.services, service)?.healthPath
   }
 
   /** Returns this instance's share of the load probes of a service. */
@@ -172,7 +172,7 @@
     if (serviceDispatcher === undefined) {
       const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices, permitSource, random, reachability } = this.options
       const permits = this.disposables.add(new servicePermits.ServicePermits(permitSource, liveEntries, random, this.clock))
-      const connectionLimit = (): number | undefined => this.services?.[service]?.connectionLimit
+      const connectionLimit = (): number | undefined => configDocument.findByName(this.services, service)?.connectionLimit
       serviceDispatcher = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, isConnected, notices, permits, reachability }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, serviceDispatcher)
     }
@@ -180,8 +180,8 @@
   }
 
   private newState (name: string): LaneState {
-    const budgets = this.lanes[name]!.budgets
-    const perSecond = (): number => (this.lanes[name]?.budgets.measuringPerSecond ?? 0) / this.options.liveEntries()
+    const budgets = this.lane(name)!.budgets
+    const perSecond = (): number => (this.lane(name)?.budgets.measuringPerSecond ?? 0) / this.options.liveEntries()
     return {
       retries: new budget.RatioBudget(budgets.retryRatio),
       hedges: new budget.RatioBudget(budgets.hedgeRatio),
@@ -197,7 +197,7 @@
     this.services = document.services
     this.matcher = new laneMatcher.LaneMatcher(document)
     for (const [name, state] of this.states) {
-      const lane = document.lanes[name]
+      const lane = this.lane(name)
       if (lane === undefined) {
         this.states.delete(name)
         continue
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -147,6 +147,19 @@
   t.notSame(caller.statuses, ['500'])
 })
 
+// Guards against an entry instance that fails on a configuration, because a removed lane is named like an inherited property.
+tap.t.test('lanes named like inherited properties are served, and can be removed', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, answer).start()
+  const lane = fixture.config.current.document.lanes['lane']!
+  for (const inherited of ['__proto__', 'constructor', 'toString']) {
+    fixture.config.replaceLanes(Object.fromEntries([[inherited, lane]]))
+    const caller = fixture.send(request)
+    t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+    t.same(caller.statuses, ['200'], inherited)
+    t.doesNotThrow(() => fixture.config.replaceLanes({ lane }))
+  }
+})
+
 tap.t.test('a request with late headers is answered soon after the limit of the configuration', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, answer).start()
   fixture.config.replaceLanes({}, { headerTimeoutMs: 100 })
--- a/tap-snapshots/packages/config/dist/test/configPatch.test.js.test.cjs
+++ b/tap-snapshots/packages/config/dist/test/configPatch.test.js.test.cjs
@@ -85,6 +85,10 @@
 }
 `
 
+exports[`packages/config/dist/test/configPatch.test.js > TAP > rejects a lane named __proto__ > must match snapshot 1`] = `
+patch contains the key __proto__
+`
+
 exports[`packages/config/dist/test/configPatch.test.js > TAP > rejects a list > must match snapshot 1`] = `
 patch is not a JSON object
 `
