Configuration: numbers of a platform beyond the limits of patches

Change: the schema takes whole numbers of any size, and `findPatchProblems` keeps the limits for patches, with the same messages. Timers, which fire at once beyond 2^31 - 1 ms, are given at most that, and so are deadlines, which targets read from a header.

--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -4,13 +4,17 @@
 import type * as deepReadonly from './deepReadonly.js'
 
 const maxDurationMs = 3_600_000
-/** Upper limit of both `maxAttempts` and a numeric priority. */
-const maxAttemptsOrPriority = 1000
+/** Highest values that a patch may set; configurations received through the platform adapter may contain higher ones. */
+const maxLaneValues = { deadlineMs: maxDurationMs, maxWaitMs: maxDurationMs, targetLatencyMs: maxDurationMs, maxAttempts: 1000, priority: 1000 }
+const maxCallerLimits = { headerTimeoutMs: maxDurationMs, idleTimeoutMs: maxDurationMs }
 /** A latency target that exceeds the deadline by this much or more is rejected, since its unit is probably wrong. */
 const maxTargetLatencyExcessMs = 60_000
-/** Names that a patch must not contain are found by `findNameProblems`. */
+/** Names that a patch must not contain are found by `findPatchProblems`. */
 const name = zod.string().min(1)
 const milliseconds = zod.number().int().min(1).max(maxDurationMs)
+/** A whole number of any size. */
+const wholeNumber = zod.number().refine(Number.isInteger, 'expected a whole number')
+const positiveNumber = wholeNumber.min(1)
 const ratio = zod.number().min(0).max(1)
 
 const matchSchema = zod.strictObject({
@@ -59,18 +63,18 @@
   match: matchSchema,
   idempotent: zod.boolean(),
   /** Time limit from the arrival of a call to the last byte of the response headers. */
-  deadlineMs: milliseconds,
+  deadlineMs: positiveNumber,
   /** Longest wait for a slot. */
-  maxWaitMs: zod.number().int().min(0).max(maxDurationMs),
+  maxWaitMs: wholeNumber.min(0),
   /** Latency up to which a response is fully useful to its caller; a goal, not a limit. */
-  targetLatencyMs: milliseconds.optional(),
+  targetLatencyMs: positiveNumber.optional(),
   /** Maximum number of endpoints that one call is sent to. */
-  maxAttempts: zod.number().int().min(1).max(maxAttemptsOrPriority).default(3),
+  maxAttempts: positiveNumber.default(3),
   /** Order of admission under load; `bulk` lanes leave the last slots to other lanes. A number is a rank, 0 being served first. */
-  priority: zod.union([zod.enum(['urgent', 'normal', 'bulk']), zod.number().int().min(0).max(maxAttemptsOrPriority)]).default('normal'),
+  priority: zod.union([zod.enum(['urgent', 'normal', 'bulk']), wholeNumber.min(0)]).default('normal'),
   /** Maximum time without a byte while a body is transferred. */
   progressTimeoutMs: milliseconds.default(10_000),
-  maxBodyBytes: zod.number().int().min(0).default(16_777_216),
+  maxBodyBytes: wholeNumber.min(0).default(16_777_216),
   /** Time after which a hedge is sent; 0 derives it from the observed latency. */
   hedgeAfterMs: zod.number().int().min(0).max(maxDurationMs).default(0),
   /** Time after its start in which an endpoint serves bulk lanes only, while most other endpoints of the service are warm. */
@@ -85,15 +89,15 @@
   /** Path at which endpoints respond to health checks. */
   healthPath: zod.string().regex(/^\/[^\s?#]*$/, 'an absolute path').optional(),
   /** Maximum connections to one endpoint, over all entry instances. */
-  connectionLimit: zod.number().int().min(1).optional()
+  connectionLimit: positiveNumber.optional()
 })
 
 /** Limits for callers; a missing one defaults to the listener's own limit. */
 const callerLimitsSchema = zod.strictObject({
-  maxHeaderBytes: zod.number().int().min(1).optional(),
-  maxBodyBytes: zod.number().int().min(0).optional(),
-  headerTimeoutMs: milliseconds.optional(),
-  idleTimeoutMs: milliseconds.optional()
+  maxHeaderBytes: positiveNumber.optional(),
+  maxBodyBytes: wholeNumber.min(0).optional(),
+  headerTimeoutMs: positiveNumber.optional(),
+  idleTimeoutMs: positiveNumber.optional()
 })
 
 /**
@@ -159,10 +163,26 @@
 }
 
 /**
- * Returns a line for each lane and service name that operators may not choose in a patch. Configurations received
- * through the platform adapter may contain such names, so `checkDocument` accepts them.
+ * Returns a line for each name and value that operators may not choose in a patch. Configurations received through the platform
+ * adapter may contain them, so `checkDocument` accepts them.
  */
-export function findNameProblems ({ lanes, services = {} }: ConfigDocument): readonly string[] {
+export function findPatchProblems (document: ConfigDocument): readonly string[] {
+  const { lanes, callerLimits } = document
+  return [
+    ...findNameProblems(document),
+    ...Object.entries(lanes).flatMap(([key, lane]) => findHighValues(`lanes.${key}`, lane, maxLaneValues)),
+    ...findHighValues('callerLimits', callerLimits ?? {}, maxCallerLimits)
+  ]
+}
+
+/** Returns a line for each value that exceeds its limit. */
+function findHighValues (section: string, values: object, limits: Readonly<Record<string, number>>): readonly string[] {
+  return Object.entries(limits)
+    .filter(([key, max]) => Number(Reflect.get(values, key)) > max)
+    .map(([key, max]) => `${section}.${key}: Too big: expected number to be <=${max}`)
+}
+
+function findNameProblems ({ lanes, services = {} }: ConfigDocument): readonly string[] {
   const isDisallowed = (text: string): boolean => !names.namePattern.test(text)
   const sectionKeys = [...Object.keys(lanes).map((key) => ['lanes', key] as const), ...Object.keys(services).map((key) => ['services', key] as const)]
   const usedServices = Object.entries(lanes).flatMap(([key, { service, split = [] }]) => [service, ...split.map((part) => part.service)].map((serviceName) => [key, serviceName] as const))
@@ -199,7 +219,7 @@
   if (!serviceNames.includes(service)) return `lanes.${laneName}.split: does not contain the lane's service ${service}`
   const unlisted = document.services === undefined ? undefined : serviceNames.find((serviceName) => !Object.hasOwn(document.services!, serviceName))
   if (unlisted !== undefined) return `lanes.${laneName}: service ${unlisted} is not listed in services`
-  if (targetLatencyMs !== undefined && targetLatencyMs >= deadlineMs + maxTargetLatencyExcessMs) {
+  if (targetLatencyMs !== undefined && targetLatencyMs - deadlineMs >= maxTargetLatencyExcessMs) {
     return `lanes.${laneName}.targetLatencyMs: ${targetLatencyMs} exceeds the deadline by a minute or more`
   }
   return undefined
--- a/packages/config/src/common/configPatch.ts
+++ b/packages/config/src/common/configPatch.ts
@@ -8,7 +8,7 @@
   const copy: unknown = structuredClone(document)
   const patched: unknown = mergePatch.apply(copy, parsePatch(mergePatchJson))
   const check = configDocument.checkDocument(patched)
-  const problems = check.ok ? configDocument.findNameProblems(check.document) : check.problems
+  const problems = check.ok ? configDocument.findPatchProblems(check.document) : check.problems
   if (check.ok && problems.length === 0) return check.document
   throw new errors.RackError({ kind: 'invalid-config', message: problems.join('; ') })
 }
--- a/packages/config/src/test/configPatch.test.ts
+++ b/packages/config/src/test/configPatch.test.ts
@@ -31,6 +31,7 @@
   'rejects a lane named __proto__': [`{"lanes":{"__proto__":${JSON.stringify(lane)}}}`],
   'rejects a name with capitals': [{ lanes: { Diary: lane } }],
   'rejects a service with dots': [{ lanes: { diary: { ...lane, service: 'diary.v2' } } }],
+  'rejects values above the limits of patches': [{ lanes: { diary: { ...lane, deadlineMs: 3_600_001, maxAttempts: 1001, priority: 1001 } }, callerLimits: { idleTimeoutMs: 3_600_001 } }],
   'rejects malformed JSON': ['{"lanes":'],
   'rejects a list': ['[]']
 }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto'
 import type * as http from 'node:http'
 import * as async from '@rosemaryrack/base/common/async.js'
+import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
@@ -188,9 +189,9 @@
     return await this.deps.claims.claim(name, key, this.deadlineAt(lane))
   }
 
-  /** Returns when the lane's deadline ends, or the caller's when that is earlier. */
+  /** Returns when the lane's deadline ends, which is at most the longest timer, or the caller's when that is earlier. */
   private deadlineAt ({ deadlineMs }: { readonly deadlineMs: number }): number {
-    return Math.min(this.origin.arrivedAt + deadlineMs, this.origin.callerDeadlineAt ?? Infinity)
+    return Math.min(this.origin.arrivedAt + Math.min(deadlineMs, clock.maxTimerMs), this.origin.callerDeadlineAt ?? Infinity)
   }
 
   private buildTargetReq ({ lane }: laneMatcher.NamedLane, body: callerBody.CallerBody, extraHeaders: readonly string[]): httpAttempt.TargetReq {
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -3,7 +3,7 @@
 import * as net from 'node:net'
 import * as address from '@rosemaryrack/base/common/address.js'
 import * as async from '@rosemaryrack/base/common/async.js'
-import type * as clock from '@rosemaryrack/base/common/clock.js'
+import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as callerConnections from './callerConnections.js'
@@ -71,8 +71,8 @@
 
   /** Changes the timeouts, for later requests. */
   setTimeouts ({ headersTimeoutMs, keepAliveTimeoutMs }: Pick<ServerLimits, 'headersTimeoutMs' | 'keepAliveTimeoutMs'>): void {
-    this.server.headersTimeout = headersTimeoutMs
-    this.server.keepAliveTimeout = keepAliveTimeoutMs
+    this.server.headersTimeout = Math.min(headersTimeoutMs, clock.maxTimerMs)
+    this.server.keepAliveTimeout = Math.min(keepAliveTimeoutMs, clock.maxTimerMs)
   }
 
   /** Starts to listen; rejects when the address cannot be bound. */
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http'
 import * as async from '@rosemaryrack/base/common/async.js'
+import * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as httpAttempt from './httpAttempt.js'
 import * as responseAbort from './responseAbort.js'
 
@@ -110,7 +111,7 @@
   }
 
   private startOverdueTimer (): void {
-    if (!this.isReceived && !this.isDone) this.overdueTimer = setTimeout(() => this.endOverdue(), Math.max(0, this.overdueInMs))
+    if (!this.isReceived && !this.isDone) this.overdueTimer = setTimeout(() => this.endOverdue(), Math.min(Math.max(0, this.overdueInMs), clock.maxTimerMs))
   }
 
   /** Breaks the response off unless its end has arrived: the timers of a process that was busy run before it reads. */
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -10,6 +10,7 @@
 const graceS = 1
 const msPerSecond = 1000
 const lateHeadersMs = 3000
+const slowResponseMs = 200
 const stepMs = 10
 const turnsPerStep = 3
 const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
@@ -160,6 +161,20 @@
   }
 })
 
+// Guards against requests that fail at once, because a time limit of the configuration exceeds the longest timer.
+tap.t.test('time limits beyond the longest timer leave a request the time that it takes', async (t) => {
+  for (const ms of [2 ** 31, 2 ** 53, 1e300]) {
+    const lane = { deadlineMs: ms, maxWaitMs: ms, targetLatencyMs: ms, maxAttempts: ms, priority: ms }
+    await using fixture = await new callerFixture.CallerFixture(lane, (socket) => { setTimeout(() => answer(socket), slowResponseMs) }).start()
+    fixture.config.replaceLanes(fixture.config.current.document.lanes, { headerTimeoutMs: ms, idleTimeoutMs: ms, maxHeaderBytes: ms, maxBodyBytes: ms })
+    const caller = fixture.send(request.slice(0, -2))
+    await timers.setTimeout(lateHeadersMs)
+    caller.socket.write(request.slice(-2))
+    t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+    t.same(caller.statuses, ['200'], String(ms))
+  }
+})
+
 tap.t.test('a request with late headers is answered soon after the limit of the configuration', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, answer).start()
   fixture.config.replaceLanes({}, { headerTimeoutMs: 100 })
--- a/tap-snapshots/packages/config/dist/test/configPatch.test.js.test.cjs
+++ b/tap-snapshots/packages/config/dist/test/configPatch.test.js.test.cjs
@@ -117,6 +117,10 @@
 lanes.other.match: duplicates lanes.diary.match (* GET /diary)
 `
 
+exports[`packages/config/dist/test/configPatch.test.js > TAP > rejects values above the limits of patches > must match snapshot 1`] = `
+lanes.diary.deadlineMs: Too big: expected number to be <=3600000; lanes.diary.maxAttempts: Too big: expected number to be <=1000; lanes.diary.priority: Too big: expected number to be <=1000; callerLimits.idleTimeoutMs: Too big: expected number to be <=3600000
+`
+
 exports[`packages/config/dist/test/configPatch.test.js > TAP > removes a lane > must match snapshot 1`] = `
 Object {
   "lanes": Object {},
