--- a/packages/fleet/src/common/announcement.ts
+++ b/packages/fleet/src/common/announcement.ts
@@ -5,7 +5,8 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 
 const maxLeaseMs = 600_000
-const maxSlotsOrConnections = 100_000
+/** Highest number of slots, and of connections, of one endpoint. */
+export const maxSlotsOrConnections = 100_000
 /** Services and failure domains have the names that configurations and settings give them. */
 const nameSchema = zod.string().min(1)
 const identifierSchema = zod.string().regex(names.identifierPattern, names.identifierRule)
