--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -86,8 +86,8 @@
 })
 
 const serviceSchema = zod.strictObject({
-  /** Path at which endpoints respond to health checks. */
-  healthPath: zod.string().regex(/^\/[^\s?#]*$/, 'an absolute path').optional(),
+  /** Path, which a query may follow, at which endpoints respond to health checks. */
+  healthPath: zod.string().regex(/^\/[^\s#]*$/, 'an absolute path').optional(),
   /** Maximum connections to one endpoint, over all entry instances. */
   connectionLimit: positiveNumber.optional()
 })
