--- a/packages/control/src/test/laggingReplica.test.ts
+++ b/packages/control/src/test/laggingReplica.test.ts
@@ -45,6 +45,7 @@
 }
 
 for (const { name, options, isDiskLost, sourceKiB, missedChanges } of cases) {
+  // Guards against an acknowledged configuration that can't be read any more after lost disks, because a replica never catches up.
   tap.t.test(`${name} catches up while changes go on, and two other disks can be lost`, async (t) => {
     await operatedGroup.run({ seed, ...options }, async (operated) => {
       const [lagging, ...others] = operated.followerMachines
--- a/packages/control/src/test/largeVersions.test.ts
+++ b/packages/control/src/test/largeVersions.test.ts
@@ -61,6 +61,7 @@
   return await promise.then(() => 'none', (err: unknown) => errors.faultOf(err).kind)
 }
 
+// Guards against a change that is never acknowledged, because its version exceeds a field of the inner protocol.
 tap.t.test('each version up to the highest safe integer is acknowledged, read back, and kept over a loss of power', async (t) => {
   const fixture = new GroupFixture()
   await fixture.start(true)
--- a/packages/control/src/test/proposals.test.ts
+++ b/packages/control/src/test/proposals.test.ts
@@ -72,6 +72,7 @@
   return await promise.then(() => 'none', (err: unknown) => errors.faultOf(err).kind)
 }
 
+// Guards against leaders that end one after the other, each with the change that is sent again.
 tap.t.test('a command that cannot be encoded is refused, and those beside it are written', async (t) => {
   const fixture = new LeaderFixture()
   await fixture.start()
--- a/packages/control/src/test/slowDisks.test.ts
+++ b/packages/control/src/test/slowDisks.test.ts
@@ -20,6 +20,7 @@
 for (const syncMs of [1000, 2000]) {
   for (const isRestarted of [false, true]) {
     const name = isRestarted ? 'all replicas restart' : 'the disks become slow'
+    // Guards against a group without a leader, because heartbeats and votes wait for slow disks.
     tap.t.test(`keeps a leader and serves changes and reads while each sync takes ${syncMs} ms: ${name}`, async (t) => {
       await operatedGroup.run({ seed }, async (operated) => {
         for (const { disk } of operated.group.machines) disk.syncMs = syncMs
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -204,6 +204,7 @@
   t.same([caller.statuses, fixture.config.releasedOwners], [['500'], fixture.config.claimOwners])
 })
 
+// Guards against a key that is denied for good, though its request was never sent.
 tap.t.test('the claim of a request whose caller leaves while it waits for a slot is released', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({ idempotent: false }, () => {}, { slots: 1 }).start()
   fixture.config.grantClaims()
--- a/packages/entry/src/test/connectionEnd.test.ts
+++ b/packages/entry/src/test/connectionEnd.test.ts
@@ -24,6 +24,7 @@
   ['in their order', [0, 1], [false, true]],
   ['in reverse order', [1, 0], [false, false]]
 ] as const) {
+  // Guards against a stop that ends a connection while requests on it wait for their responses.
   tap.t.test(`pipelined requests that endpoints answer ${name} after the stop began are all answered`, async (t) => {
     await using fixture = await new callerFixture.CallerFixture({}, () => {}, { graceS }).start()
     const caller = fixture.send(request + request)
--- a/packages/entry/src/test/forwarding.test.ts
+++ b/packages/entry/src/test/forwarding.test.ts
@@ -334,6 +334,7 @@
   t.same([pair.sender.claimOwners.length, pair.peer.claimOwners.length], [1, 0])
 })
 
+// Guards against a key that is denied for good, though the peer that got its request never sent it.
 tap.t.test('the claim of a request that a peer has not sent yet is released when the caller leaves', async (t) => {
   await using endpoint = await entries.startEndpoint('e-1', () => {})
   endpoint.slots = 1
--- a/packages/entry/src/test/httpAttempt.test.ts
+++ b/packages/entry/src/test/httpAttempt.test.ts
@@ -98,6 +98,7 @@
     await timers.setTimeout(settleMs)
   }
 
+  // Guards against a caller that is told that its request was not run, by the response to a health check, while an endpoint runs it.
   tap.t.test(`a late duplicate of the response to a ${name} is not mistaken for the response to a request`, async (t) => {
     await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 503 Ill\r\nContent-Length: 3\r\n\r\nill'))
     await sendAfterHealthCheck(current, stampedNames)
--- a/packages/entry/src/test/overdueResponses.test.ts
+++ b/packages/entry/src/test/overdueResponses.test.ts
@@ -31,6 +31,7 @@
   ['body stops after its first bytes', { deadlineMs }, request, 'Content-Length: 10\r\n', 'hello', ''],
   ['chunks come without end for a request that is not idempotent', { deadlineMs, idempotent: false }, request, 'Transfer-Encoding: chunked\r\n', chunk, chunk]
 ] as const) {
+  // Guards against requests that stay open long after the timeout of their route.
   tap.t.test(`a response whose ${name} is broken off, and its endpoint is free again`, async (t) => {
     let isEndless = true
     await using fixture = await new callerFixture.CallerFixture(lane, (socket) => {
--- a/packages/routing/src/test/limits.test.ts
+++ b/packages/routing/src/test/limits.test.ts
@@ -160,6 +160,7 @@
   }
 })
 
+// Guards against calls to a service that the configuration in force excludes.
 tap.t.test('a service whose weight becomes 0 gets no call, whatever the split was before', async (t) => {
   const services = ['a', 'b', 'c']
   const weights = fc.tuple(...services.map(() => fc.nat(100))).filter((each) => each.some((weight) => weight > 0))
--- a/packages/testbed/src/test/laggingReplica.test.ts
+++ b/packages/testbed/src/test/laggingReplica.test.ts
@@ -78,6 +78,7 @@
   fs.rmSync(folder, { recursive: true, force: true })
 })
 
+// Guards against requests under a former configuration and reads without a response, because the group has no quorum of complete logs.
 tap.t.test('an acknowledged configuration is in force and can be read after two disks are lost while a replica lags by more than a message', async (t) => {
   let version = 1
   await putUntilAcknowledged(version, 'diary')
