--- a/packages/control/src/test/virtualGroup.ts
+++ b/packages/control/src/test/virtualGroup.ts
@@ -12,8 +12,8 @@
 import * as voterDisk from './voterDisk.js'
 
 const oneWayDelayMs = 1
-/** Longest time that a busy, newly started process takes to read a message. */
-const maxStartupDelayMs = 10
+/** Longest time that a process takes to read a message, if the options don't say otherwise. */
+const maxReadDelayMs = 10
 const snapshotIndex = 20
 const snapshotTerm = 3
 
@@ -26,6 +26,8 @@
   /** Voter that led before the start, if the voters have stored their vote for it. */
   readonly formerLeader: number | undefined
   readonly random: () => number
+  /** Longest time that a busy process takes to read a message. */
+  readonly maxReadDelayMs?: number
   /** Voters that don't know the fields `pending` and `write_ms`, like those of earlier builds. */
   readonly earlierVoters?: readonly number[]
 }
@@ -199,7 +201,7 @@
     await transfer()
     const member = this.members.get(address)
     if (member === undefined) throw unreachable()
-    await Promise.race([member.process.receive(this.options.random() * maxStartupDelayMs), member.storage.whenKilled.promise])
+    await Promise.race([member.process.receive(this.options.random() * (this.options.maxReadDelayMs ?? maxReadDelayMs)), member.storage.whenKilled.promise])
     if (sender.storage.isKilled) throw unreachable()
     const response = await Promise.race([member.process.run(async () => await handle(member)), member.storage.whenKilled.promise])
     await transfer()
