Elections: a pause of all processes doesn't replace a working leader

What operators saw: on a starved machine, where processes pause for a second, a leader stepped down right after a pause of its own, and followers stood for election at once, several at a time; reads and changes failed until an election was won.

Cause: both measured by the clock. A leader counts as without a quorum if nothing that it sent in the last 0.8 s was acknowledged, though it could send nothing while it was paused; a follower counts the leader as lost after 0.4 to 0.8 s, though it could receive nothing meanwhile and the leader may have been paused as well.

Change: a leader steps down after eight checks in a row without a response from a quorum, which takes as long as before in a process that runs. A follower notices a pause of its own by a check that comes late, and waits 0.1 to 0.2 s for a heartbeat once before it stands for election, so that frequent pauses can't prevent elections. The first election after a start is as before.

Safety doesn't change: votes, terms and the confirmation of reads by a quorum are as before.

--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -6,16 +6,24 @@
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as quorum from '../common/quorum.js'
 import type * as campaignLog from './campaignLog.js'
+import type * as leadership from './leadership.js'
 import type * as replica from './replica.js'
 import * as voteRound from './voteRound.js'
 import type * as voting from './voting.js'
 
-/** Interval at which a leader checks its quorum, as a share of the election timeout. */
-const leaderCheckShare = 0.25
+/** Interval at which a leader checks its quorum, and longest time between two checks of other replicas, as a share of the election timeout. */
+const checkShare = 0.25
 /** Shortest time between two checks of a replica that doesn't lead, as a share of the election timeout. */
-const nonLeaderCheckShare = 0.05
-/** Time without responses from a quorum after which a leader steps down, in election timeouts. */
-const quorumTimeoutFactor = 2
+const minCheckShare = 0.05
+/**
+ * Checks after which a leader without responses from a quorum steps down: two election timeouts. They are counted, since a leader whose
+ * process was paused has sent no heartbeats meanwhile.
+ */
+const quorumCheckCount = 8
+/** Delay of a check that shows that the process was paused, as a share of the election timeout. */
+const pauseShare = 0.1
+/** Shortest time after a pause in which a replica waits for a heartbeat before its election, as a share of the election timeout. */
+const awaitLeaderShare = 0.25
 /**
  * Delay of the first election after a start without contact from a leader, as a share of the election timeout, for the replica
  * that the others last voted for. A working leader is not affected: replicas in contact with it reject even pre-votes.
@@ -52,6 +60,12 @@
   private campaignCount = 0
   /** Number of candidacies in a row that were not won. */
   private lostRoundCount = 0
+  /** Times of the latest checks of the own leadership, oldest first. */
+  private leaderChecks: readonly number[] = []
+  /** End of the last pause of the process. */
+  private pausedUntil = -Infinity
+  /** Whether the replica has waited for a heartbeat after a pause; it waits once before an election, so that frequent pauses don't prevent one. */
+  private hasAwaitedLeader = false
 
   constructor (private readonly replica: replica.Replica) {}
 
@@ -61,20 +75,33 @@
     let timeoutMs = this.nextTimeoutMs()
     let lastAttemptAt = performance.now()
     while (!this.stopped.signal.aborted) {
-      await async.sleep(this.nextCheckDelayMs(timeoutMs, lastAttemptAt), this.stopped.signal)
+      const delayMs = this.nextCheckDelayMs(timeoutMs, lastAttemptAt)
+      const dueAt = performance.now() + delayMs
+      await async.sleep(delayMs, this.stopped.signal)
+      if (performance.now() - dueAt > baseMs * pauseShare) this.pausedUntil = performance.now()
       // Messages of a leader that arrived during a pause of this process are handled first.
       await async.nextTurn()
       if (this.stopped.signal.aborted) return
       const ownLeadership = this.replica.leadership
       if (ownLeadership !== undefined) {
-        if (!ownLeadership.hasQuorumAckedSince(performance.now() - quorumTimeoutFactor * baseMs)) {
+        if (this.hasLostQuorum(ownLeadership)) {
           this.replica.stepDown(this.replica.term, 'no quorum responded to the heartbeats')
         } else if (ownLeadership.stalledWriteMs > ownWriteTimeoutFactor * baseMs) {
           this.replica.stepDown(this.replica.term, 'the own disk has stalled while a majority writes')
         }
         continue
       }
-      if (!this.replica.canStartElection || this.idleMs(lastAttemptAt) < timeoutMs) continue
+      this.leaderChecks = []
+      if (!this.replica.canStartElection || this.idleMs(lastAttemptAt) < timeoutMs) {
+        this.hasAwaitedLeader = false
+        continue
+      }
+      if (!this.hasAwaitedLeader && this.replica.hasSeenLeader && performance.now() - this.pausedUntil < baseMs * awaitLeaderShare) {
+        this.hasAwaitedLeader = true
+        await async.sleep(baseMs * awaitLeaderShare * (1 + Math.random()), this.stopped.signal)
+        continue
+      }
+      this.hasAwaitedLeader = false
       await this.tryCampaign()
       lastAttemptAt = performance.now()
       timeoutMs = this.nextTimeoutMs()
@@ -85,6 +112,12 @@
     this.stopped.abort()
   }
 
+  /** Returns whether no quorum responded to what the leader sent since the first of the latest checks. */
+  private hasLostQuorum (ownLeadership: leadership.Leadership): boolean {
+    this.leaderChecks = [...this.leaderChecks, performance.now()].slice(-quorumCheckCount - 1)
+    return this.leaderChecks.length > quorumCheckCount && !ownLeadership.hasQuorumAckedSince(this.leaderChecks[0]!)
+  }
+
   /**
    * Returns the time since the most recent of these: contact from a leader, the end of a vote reservation for another candidate,
    * an own election attempt.
@@ -93,11 +126,12 @@
     return Math.min(this.replica.sinceLeaderContactMs, this.replica.sinceVoteReservationMs, performance.now() - lastAttemptAt)
   }
 
-  /** Returns the time to the next check. Contact from a leader and reserved votes can only postpone an election, so no earlier check is needed. */
+  /** Returns the time to the next check, short enough to notice pauses of the process. Contact from a leader and reserved votes can only postpone an election. */
   private nextCheckDelayMs (timeoutMs: number, lastAttemptAt: number): number {
     const baseMs = this.replica.electionTimeoutMs
-    if (this.replica.leadership !== undefined) return baseMs * leaderCheckShare
-    return Math.max(baseMs * nonLeaderCheckShare, timeoutMs - this.idleMs(lastAttemptAt))
+    if (this.replica.leadership !== undefined) return baseMs * checkShare
+    const delayMs = Math.max(baseMs * minCheckShare, timeoutMs - this.idleMs(lastAttemptAt))
+    return this.replica.hasSeenLeader ? Math.min(baseMs * checkShare, delayMs) : delayMs
   }
 
   /** Returns the time without a leader before the next election. It includes the own write, so that replicas with fast disks come first. */
--- a/packages/control/src/test/pausedProcesses.test.ts
+++ b/packages/control/src/test/pausedProcesses.test.ts
@@ -16,6 +16,9 @@
 const maxPauseMs = 2000
 /** Mean time between two pauses of a process. */
 const pauseIntervalMs = 4000
+const groupPauseCount = 10
+/** Time within which the processes of a group that pauses run again. */
+const maxResumeSpreadMs = 50
 const killCount = 3
 const downtimeMs = 2000
 const killIntervalMs = 4000
@@ -86,6 +89,32 @@
   }
 })
 
+/** Pauses all processes at once, now and then; returns the longest times from the end of a pause to a read. */
+async function findDelaysAfterPauses (group: virtualGroup.VirtualGroup, time: virtualTime.VirtualTime, random: () => number): Promise<readonly number[]> {
+  const delaysMs: number[] = []
+  for (let pause = 0; pause < groupPauseCount; pause++) {
+    await time.runUntil(time.now + settleMs)
+    const until = time.now + minPauseMs + random() * (maxPauseMs - minPauseMs)
+    for (const voter of voters) group.pause(voter, until + random() * maxResumeSpreadMs)
+    let readAt: number | undefined
+    while (readAt === undefined) {
+      await time.runUntil(time.now + tickMs)
+      for (const voter of voters) if (time.now > until) group.read(voter).then(() => { readAt ??= time.now }, () => {})
+    }
+    delaysMs.push(Math.round(readAt - until))
+  }
+  return delaysMs
+}
+
+// Guards against a group that replaces a working leader after each pause of all its processes, as on a starved machine.
+tap.t.test('a group whose processes all pause at once keeps its leader', async (t) => {
+  for (let seed = firstSeed; seed <= lastSeed; seed++) {
+    const { delaysMs, leaders } = await play(seed, async (group, time, random) => ({ delaysMs: await findDelaysAfterPauses(group, time, random), leaders: group.wonElections.length }))
+    t.equal(leaders, 1, `seed ${seed}: leaders`)
+    t.comment(`seed ${seed}: reads ${delaysMs.join(', ')} ms after the end of a pause`)
+  }
+})
+
 tap.t.test('reads go on while processes pause and the leader is killed', async (t) => {
   const gaps: number[] = []
   for (let seed = firstSeed; seed <= lastSeed; seed++) {
