Build: it ends soon after the run for the code caches times out

Cause: each of the calls of that run is repeated for 20 s of its own, also after the run as a whole has timed out and its processes have been killed.

Change: the time-out of the run ends the calls.

Evidence: deployBuild.test.ts "the build ends soon after the run for the code caches times out" fails with the former file (the process is ended after 30 s, its status is null), and passes now.

--- a/deploy/codeCache.mjs
+++ b/deploy/codeCache.mjs
@@ -13,41 +13,41 @@
 const placeholder = /\{\{([A-Za-z.0-9]+)(\|json)?\}\}/g
 const [innerPort, forwardPort, controlPort, frontPort, readyPort, targetPort] = [7200, 7215, 8382, 8381, 8388, 8080]
 const pollMs = 20
-const timeoutMs = 20_000
+const defaultTimeoutMs = 20_000
 const callCount = 20
 const service = 'warm-up'
 const callerHost = 'warm-up.example'
 
 /** Runs both roles once and writes `ROLE.cache` for each next to its launcher; on failure removes the caches and logs why. */
-export async function write (folder, roles) {
-  const timeoutAbort = new AbortController()
+export async function write (folder, roles, timeoutMs = defaultTimeoutMs) {
+  const ended = new AbortController()
   const workFolder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-build-'))
   const children = []
   try {
-    await Promise.race([warmUp(folder, roles, workFolder, children), timers.setTimeout(timeoutMs, undefined, { signal: timeoutAbort.signal }).then(() => { throw new Error(`not finished within ${timeoutMs} ms`) })])
+    await Promise.race([warmUp(folder, roles, workFolder, children, ended.signal), timers.setTimeout(timeoutMs, undefined, { signal: ended.signal }).then(() => { throw new Error(`not finished within ${timeoutMs} ms`) })])
   } catch (err) {
     for (const role of Object.keys(roles)) fs.rmSync(cacheFile(folder, role), { force: true })
     console.error(`no code cache: ${err.message}`)
   } finally {
-    timeoutAbort.abort()
+    ended.abort()
     for (const child of children) child.kill('SIGKILL')
     fs.rmSync(workFolder, { recursive: true, force: true })
   }
 }
 
 /** Starts both roles with a stand-in target, sends calls, and signals the processes to write their caches. */
-async function warmUp (folder, roles, workFolder, children) {
+async function warmUp (folder, roles, workFolder, children, signal) {
   const subnet = `127.${randomOctet()}.${randomOctet()}`
   const [control, entry, targetHost] = [`${subnet}.1`, `${subnet}.2`, `${subnet}.3`]
   const start = (role, host, fields) => children.push(startRole(folder, roles[role], role, workFolder, { ...commonFields(host, control), ...fields }))
   const target = await startTarget(targetHost)
   try {
     start('control', control, { 'Listen.Control': `${control}:${controlPort}`, DataDir: path.join(workFolder, 'data'), Bootstrap: true })
-    await retryUntilSuccess(() => send('POST', `http://${control}:${controlPort}/rosemaryrack/Config.Put`, {}, JSON.stringify(configuration())))
+    await retryUntilSuccess(signal, () => send('POST', `http://${control}:${controlPort}/rosemaryrack/Config.Put`, {}, JSON.stringify(configuration())))
     start('entry', entry, { 'Listen.Front': `${entry}:${frontPort}`, 'Listen.ReadyAddr': `${entry}:${readyPort}` })
-    for (let seq = 1; seq <= 2; seq++) await retryUntilSuccess(() => send('POST', `http://${control}:${controlPort}/rosemaryrack/Instances.Heartbeat/i-1`, {}, JSON.stringify(heartbeat(targetHost, seq))))
-    await retryUntilSuccess(() => send('GET', `http://${entry}:${readyPort}/ready`))
-    for (let call = 0; call < callCount; call++) await retryUntilSuccess(() => sendCall(entry, call))
+    for (let seq = 1; seq <= 2; seq++) await retryUntilSuccess(signal, () => send('POST', `http://${control}:${controlPort}/rosemaryrack/Instances.Heartbeat/i-1`, {}, JSON.stringify(heartbeat(targetHost, seq))))
+    await retryUntilSuccess(signal, () => send('GET', `http://${entry}:${readyPort}/ready`))
+    for (let call = 0; call < callCount; call++) await retryUntilSuccess(signal, () => sendCall(entry, call))
     // On SIGUSR2 the launcher writes the code cache and exits.
     for (const child of children) child.kill('SIGUSR2')
     await Promise.all(children.map(async (child) => await new Promise((resolve) => child.exitCode === null ? child.once('exit', resolve) : resolve())))
@@ -131,10 +131,9 @@
   return await send('GET', `http://${entry}:${frontPort}/`, { host: callerHost, 'x-rosemaryrack-request-id': `warm-up-${call}`, 'x-rosemaryrack-deadline-ms': '1500' })
 }
 
-/** Repeats a call until it gets a response with status 200 or the time limit is reached. */
-async function retryUntilSuccess (run) {
-  const deadline = performance.now() + timeoutMs
-  while (await run() !== 200 && performance.now() < deadline) await timers.setTimeout(pollMs)
+/** Repeats a call until it gets a response with status 200; rejects when the signal aborts. */
+async function retryUntilSuccess (signal, run) {
+  while (await run() !== 200) await timers.setTimeout(pollMs, undefined, { signal })
 }
 
 /** Sends a request; resolves to the status of the response, 0 if there is none. */
--- a/packages/testbed/src/test/deployBuild.test.ts
+++ b/packages/testbed/src/test/deployBuild.test.ts
@@ -13,6 +13,7 @@
 
 const root = url.fileURLToPath(new URL('../../../../', import.meta.url))
 const timeoutMs = 30_000
+const warmUpTimeoutMs = 1000
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-deploy-'))
 const { roles } = toml.parse(fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8')) as unknown as DeployFile
 /** Without NODE_OPTIONS: the test runner sets it to load code into each child process. */
@@ -45,3 +46,13 @@
     t.matchSnapshot({ status, stderr, isVersion: stdout.startsWith('rosemaryrack/') })
   })
 }
+
+// Guards against a build that lasts for minutes after the run that makes the code caches has failed.
+tap.t.test('the build ends soon after the run for the code caches times out', async (t) => {
+  const failing = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-deploy-'))
+  t.teardown(() => fs.rmSync(failing, { recursive: true, force: true }))
+  for (const role of Object.keys(roles)) fs.writeFileSync(path.join(failing, `${role}.cjs`), 'process.exit(1)')
+  const script = `import { write } from './deploy/codeCache.mjs'; await write(${JSON.stringify(failing)}, ${JSON.stringify(roles)}, ${warmUpTimeoutMs})`
+  const { status, stderr } = run(['--input-type=module', '--eval', script])
+  t.same([status, stderr.trim()], [0, `no code cache: not finished within ${warmUpTimeoutMs} ms`])
+})
