--- a/packages/testbed/src/test/deployBuild.test.ts
+++ b/packages/testbed/src/test/deployBuild.test.ts
@@ -51,7 +51,9 @@
 tap.t.test('the build ends soon after the run for the code caches times out', async (t) => {
   const failing = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-deploy-'))
   t.teardown(() => fs.rmSync(failing, { recursive: true, force: true }))
-  for (const role of Object.keys(roles)) fs.writeFileSync(path.join(failing, `${role}.cjs`), 'process.exit(1)')
+  fs.cpSync(folder, failing, { recursive: true })
+  // The control replica works, so that the run comes to the calls at the entry instance.
+  fs.writeFileSync(path.join(failing, 'entry.cjs'), 'process.exit(1)')
   const script = `import { write } from './deploy/codeCache.mjs'; await write(${JSON.stringify(failing)}, ${JSON.stringify(roles)}, ${warmUpTimeoutMs})`
   const { status, stderr } = run(['--input-type=module', '--eval', script])
   t.same([status, stderr.trim()], [0, `no code cache: not finished within ${warmUpTimeoutMs} ms`])
