forwarding.test: the large response to a slow caller has time for its transfer

Failed once of four runs of all tests of the packages, at a load average of 17 to 20: "aborted" after 3.6 s; alone it passed three times. Traced: beside 12 busy processes it failed three of three times, and the log says "the deadline passed before the target had sent the whole response": 160 MiB pass two instances and the test itself in one process, in more than the 2 s of its lane.

This test is about bytes in memory and a response that arrives whole. Its lane and its caller now allow 60 s; its checks (160 MiB, at most 16 MiB of growth, the same content) are unchanged.

--- a/packages/entry/src/test/forwarding.test.ts
+++ b/packages/entry/src/test/forwarding.test.ts
@@ -6,6 +6,8 @@
 import * as forwardHeaders from '../common/forwardHeaders.js'
 import * as entries from './forwardingEntry.js'
 
+/** Long enough for a large response on a busy machine. */
+const transferDeadlineMs = 60_000
 const mebibyte = 1024 * 1024
 const settleMs = 50
 const eventTimeoutMs = 20_000
@@ -13,10 +15,10 @@
 const cancelLimitMs = 500
 
 /** Starts an endpoint, an instance that reaches it, and one that is cut off and knows the former as its only peer. */
-async function startPair (handle?: http.RequestListener): Promise<{ readonly endpoint: entries.TestEndpoint, readonly peer: entries.TestEntry, readonly sender: entries.TestEntry, [Symbol.asyncDispose](): Promise<void> }> {
+async function startPair (handle?: http.RequestListener, options: entries.EntryOptions = {}): Promise<{ readonly endpoint: entries.TestEndpoint, readonly peer: entries.TestEntry, readonly sender: entries.TestEntry, [Symbol.asyncDispose](): Promise<void> }> {
   const endpoint = await entries.startEndpoint('e-1', handle)
-  const peer = await entries.TestEntry.start('peer', [endpoint])
-  const sender = await entries.TestEntry.start('sender', [], { isCutOff: true })
+  const peer = await entries.TestEntry.start('peer', [endpoint], options)
+  const sender = await entries.TestEntry.start('sender', [], { ...options, isCutOff: true })
   sender.peers = [peer.asPeer]
   return {
     endpoint,
@@ -92,10 +94,10 @@
     }
     res.on('drain', sendMore)
     sendMore()
-  })
+  }, { deadlineMs: transferDeadlineMs })
   const before = process.memoryUsage().arrayBuffers
   const res = await new Promise<http.IncomingMessage>((resolve) => {
-    entries.startRequest(pair.sender.callersAddress, 'GET', '/x', { 'x-id': 'large' }).on('response', resolve).end()
+    entries.startRequest(pair.sender.callersAddress, 'GET', '/x', { 'x-id': 'large', 'x-deadline': String(transferDeadlineMs) }).on('response', resolve).end()
   })
   t.ok(await entries.waitUntil(() => state.written > 0, eventTimeoutMs))
   let seen = -1
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -56,6 +56,7 @@
   readonly token?: string
   readonly retryRatio?: number
   readonly maxAttempts?: number
+  readonly deadlineMs?: number
 }
 
 /** An entry instance with the lanes `read` (idempotent, GET and HEAD) and `pay` (POST) of one service. */
@@ -187,8 +188,8 @@
   }
 }
 
-function createDocument ({ retryRatio = 0.05, maxAttempts: attempts = maxAttempts }: EntryOptions): configDocument.ConfigDocument {
-  const lane = { service: 'diary', deadlineMs, maxWaitMs: deadlineMs, maxAttempts: attempts, budgets: { hedgeRatio: 0, retryRatio }, progressTimeoutMs: 5000, maxBodyBytes: 1e9 }
+function createDocument ({ retryRatio = 0.05, maxAttempts: attempts = maxAttempts, deadlineMs: laneDeadlineMs = deadlineMs }: EntryOptions): configDocument.ConfigDocument {
+  const lane = { service: 'diary', deadlineMs: laneDeadlineMs, maxWaitMs: laneDeadlineMs, maxAttempts: attempts, budgets: { hedgeRatio: 0, retryRatio }, progressTimeoutMs: 5000, maxBodyBytes: 1e9 }
   const check = configDocument.checkDocument({
     lanes: {
       read: { ...lane, match: { methods: ['GET', 'HEAD'], pathPrefix: '/' }, idempotent: true },
