--- a/packages/control/src/node/election.ts
+++ b/packages/control/src/node/election.ts
@@ -84,11 +84,7 @@
       if (this.stopped.signal.aborted) return
       const ownLeadership = this.replica.leadership
       if (ownLeadership !== undefined) {
-        if (this.hasLostQuorum(ownLeadership)) {
-          this.replica.stepDown(this.replica.term, 'no quorum responded to the heartbeats')
-        } else if (ownLeadership.stalledWriteMs > ownWriteTimeoutFactor * baseMs) {
-          this.replica.stepDown(this.replica.term, 'the own disk has stalled while a majority writes')
-        }
+        this.checkOwnLeadership(ownLeadership)
         continue
       }
       this.leaderChecks = []
@@ -96,9 +92,9 @@
         this.hasAwaitedLeader = false
         continue
       }
-      if (!this.hasAwaitedLeader && this.replica.hasSeenLeader && performance.now() - this.pausedUntil < baseMs * awaitLeaderShare) {
+      if (this.shouldAwaitLeader) {
         this.hasAwaitedLeader = true
-        await async.sleep(baseMs * awaitLeaderShare * (1 + Math.random()), this.stopped.signal)
+        await async.sleep(randomTimeoutMs(baseMs * awaitLeaderShare), this.stopped.signal)
         continue
       }
       this.hasAwaitedLeader = false
@@ -112,6 +108,21 @@
     this.stopped.abort()
   }
 
+  /** Ends the own leadership if it can't commit entries. */
+  private checkOwnLeadership (ownLeadership: leadership.Leadership): void {
+    if (this.hasLostQuorum(ownLeadership)) {
+      this.replica.stepDown(this.replica.term, 'no quorum responded to the heartbeats')
+    } else if (ownLeadership.stalledWriteMs > ownWriteTimeoutFactor * this.replica.electionTimeoutMs) {
+      this.replica.stepDown(this.replica.term, 'the own disk has stalled while a majority writes')
+    }
+  }
+
+  /** Whether the leader may only seem lost, since this process was paused until just now; it may have been paused as well. */
+  private get shouldAwaitLeader (): boolean {
+    const sincePauseMs = performance.now() - this.pausedUntil
+    return !this.hasAwaitedLeader && this.replica.hasSeenLeader && sincePauseMs < this.replica.electionTimeoutMs * awaitLeaderShare
+  }
+
   /** Returns whether no quorum responded to what the leader sent since the first of the latest checks. */
   private hasLostQuorum (ownLeadership: leadership.Leadership): boolean {
     this.leaderChecks = [...this.leaderChecks, performance.now()].slice(-quorumCheckCount - 1)
