Entry: log and count responses without a length and how their connections ended

A response that was delivered left no line, so neither the bytes that its caller got nor the end of the endpoint's connection could be found afterwards, and the hypotheses of the incident could not be told apart.

A write of no bytes tells a reset that libuv reports as an end from an orderly close; the outcome is recorded only. No response is treated differently.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -27,6 +27,7 @@
 import type * as requestOrigin from './requestOrigin.js'
 import * as requestRun from './requestRun.js'
 import type * as startup from './startup.js'
+import type * as unframedResponses from './unframedResponses.js'
 
 const notReadyRetryAfterS = 1
 const msPerSecond = 1000
@@ -44,6 +45,7 @@
   /** Resolves once the current updates on suspects are written to the streams of the peers; awaits no acknowledgement. */
   readonly waitForSuspectWrites: () => Promise<void>
   readonly metrics: metrics.Metrics
+  readonly unframedResponses: Pick<unframedResponses.UnframedResponses, 'record'>
   readonly fractionalRetryAfter: boolean
   readonly startup: startup.Startup
   /** True during graceful shutdown: the last response on a connection asks the caller to close it. */
@@ -279,6 +281,7 @@
     const limits = { progressTimeoutMs: lane.progressTimeoutMs, deadlineAt: this.deadlineAt(lane) }
     const stream = new responseStream.ResponseStream(this.res, attempt, limits, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
       if (endpoint !== undefined) state.domainPreference.recordResponseSize(bytes)
+      if (!isFramed(response)) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
       if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
@@ -322,16 +325,17 @@
     if (load !== undefined) this.deps.endpoints.updateLoad(endpoint.endpoint, load)
   }
 
-  private sendHead ({ head, endpoint }: requestRun.RunResponse, body: callerBody.CallerBody): void {
+  private sendHead (response: requestRun.RunResponse, body: callerBody.CallerBody): void {
     const { res } = this
+    const { head } = response
     const { requestId } = this.deps.headers
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
     headers.push(requestId, this.requestId)
-    const isFramed = endpoint === undefined ? !forwardHeaders.isUnframed(head.headers) : headerRules.isFramed(head.headers)
+    const hasFraming = isFramed(response)
     const isForwarded = this.origin.forwarded !== undefined
-    if (isForwarded) headers.push(...forwardHeaders.formatAnswer(isFramed))
+    if (isForwarded) headers.push(...forwardHeaders.formatAnswer(hasFraming))
     // The end of the connection to the target marked the end of the body, which may be a break. Chunks would state that it is complete.
-    const isUnframed = !isFramed && !isForwarded && this.canHaveBody(head.status)
+    const isUnframed = !hasFraming && !isForwarded && this.canHaveBody(head.status)
     if (isUnframed) res.useChunkedEncodingByDefault = false
     const announcesEnd = isUnframed || !body.hasShortRest || this.endsWhileStopping
     if (announcesEnd) headers.push('Connection', 'close')
@@ -396,6 +400,11 @@
   }
 }
 
+/** Returns whether the endpoint has stated where the body ends. */
+function isFramed ({ endpoint, head }: requestRun.RunResponse): boolean {
+  return endpoint === undefined ? !forwardHeaders.isUnframed(head.headers) : headerRules.isFramed(head.headers)
+}
+
 function noConfigError (message: string): errors.RackError {
   return new errors.RackError({ kind: 'not-run', message, retryAfterS: notReadyRetryAfterS })
 }
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -33,6 +33,7 @@
 import * as startup from './startup.js'
 import * as targetChecker from './targetChecker.js'
 import * as targetConnections from './targetConnections.js'
+import * as unframedResponses from './unframedResponses.js'
 
 const msPerSecond = 1000
 const maxLoggedValueLength = 100
@@ -230,6 +231,7 @@
       waitForSuspectWrites: async () => await this.mesh.waitForWrites(),
       decisions: this.decisions,
       metrics: this.metrics,
+      unframedResponses: new unframedResponses.UnframedResponses(this.decisions, this.metrics, this.clock),
       clock: this.clock,
       random,
       headers: this.entry.headers,
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -123,6 +123,7 @@
   private hasSentRequest = false
   private sentAt = 0
   private isKeptAlive = true
+  private finalConnectionState: targetConnection.ConnectionState = 'open'
 
   constructor (
     private readonly target: IAttemptTarget,
@@ -139,6 +140,11 @@
     return this.hasSentRequest
   }
 
+  /** State of the connection; when the response has ended, how the target ended it. */
+  get connectionState (): targetConnection.ConnectionState {
+    return this.connection?.state ?? this.finalConnectionState
+  }
+
   /** Takes an idle connection or opens one, then sends the request. */
   async run (isNewConnection: boolean): Promise<void> {
     const idle = isNewConnection ? undefined : this.connections.takeIdle(this.address, !this.req.idempotent)
@@ -295,7 +301,9 @@
   }
 
   private discardConnection (): void {
-    if (this.connection !== undefined) this.connections.discard(this.connection)
+    if (this.connection === undefined) return
+    this.finalConnectionState = this.connection.state
+    this.connections.discard(this.connection)
     this.connection = undefined
   }
 }
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import * as undici from 'undici'
 import * as address from '@rosemaryrack/base/common/address.js'
+import * as connectionEnd from '@rosemaryrack/base/node/connectionEnd.js'
 
 /** Default of `ConnectOptions.timeoutMs`. */
 const defaultConnectTimeoutMs = 1000
@@ -16,6 +17,9 @@
 /** Limit on bytes before the first chunk of a body, or between two: four times the longest head that undici accepts. */
 const maxBytesWithoutProgress = 64 * 1024
 
+/** How far a connection has ended: not, by an orderly close of the target, or by a reset. */
+export type ConnectionState = 'open' | 'closed' | 'reset'
+
 /**
  * A socket that works around limitations of undici:
  * - It implements its own pause, since the parser of undici fails with an assertion error when the connection of a paused response ends.
@@ -27,6 +31,16 @@
   private isReadingPaused = false
   /** Bytes read since the request was sent or the last chunk of the body arrived. */
   private bytesWithoutProgress = 0
+  private state: ConnectionState = 'open'
+
+  get connectionState (): ConnectionState {
+    return this.state
+  }
+
+  override push (chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk === null) connectionEnd.checkEnd(this, (reset) => { this.state = reset === undefined ? 'closed' : 'reset' })
+    return super.push(chunk, encoding)
+  }
 
   /** Makes `read` return no data until `resumeReading` is called; what the target sends meanwhile stays in the buffers of the socket and the kernel. */
   pauseReading (): void {
@@ -58,6 +72,7 @@
 
   override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
     const wasReset = (err as NodeJS.ErrnoException | null)?.code === resetCode
+    if (wasReset) this.state = 'reset'
     super._destroy(wasReset ? new Error('connection reset by the target', { cause: err }) : err, callback)
   }
 }
@@ -131,6 +146,10 @@
     return !this.socket.destroyed && this.socket.readable && this.socket.writable
   }
 
+  get state (): ConnectionState {
+    return this.socket.connectionState
+  }
+
   /** True once bytes of a response have arrived. */
   get hasResponded (): boolean {
     return this.responseCount > 0
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -20,6 +20,7 @@
 import * as laneRegistry from '../node/laneRegistry.js'
 import * as startup from '../node/startup.js'
 import * as targetConnections from '../node/targetConnections.js'
+import * as unframedResponses from '../node/unframedResponses.js'
 import * as exchange from './exchange.js'
 
 const requestLineEnd = ' HTTP/1.1\r\n'
@@ -146,6 +147,7 @@
       waitForSuspectWrites: async () => {},
       decisions,
       metrics: this.metrics,
+      unframedResponses: new unframedResponses.UnframedResponses(decisions, this.metrics, ownClock),
       clock: ownClock,
       random,
       headers: exchange.defaultHeaderNames,
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -25,6 +25,7 @@
 import * as peerForwarder from '../node/peerForwarder.js'
 import * as startup from '../node/startup.js'
 import * as targetConnections from '../node/targetConnections.js'
+import * as unframedResponses from '../node/unframedResponses.js'
 
 const host = '127.0.0.1'
 const leaseMs = 600_000
@@ -165,6 +166,7 @@
       waitForSuspectWrites: async () => {},
       decisions,
       metrics: processMetrics,
+      unframedResponses: new unframedResponses.UnframedResponses(decisions, processMetrics, clock),
       clock,
       random,
       headers: headerNames,
