Entry: a reset that arrives together with data is not taken for the end of a response

Cause: the body of a response without a length ends with its connection. If the reset of a connection is polled together with data that was read only in part of the buffer, libuv reports the end of the stream without reading the error. Node.js passes that on as an orderly end, undici completes the response, and the caller's connection is closed in order.

Data that has arrived before the reset is still read.

--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -25,6 +25,7 @@
  * - It implements its own pause, since the parser of undici fails with an assertion error when the connection of a paused response ends.
  * - It reports a reset by the target as another error, since undici would treat a reset, like a close without an error, as
  *   the normal end of a response without a length. For the same reason `destroy` is always called with an error here.
+ * - It reports a reset that arrives together with data as an error, which Node.js reports as the end of the stream.
  * - It limits the bytes without body data, since undici limits neither status lines, interim responses nor chunk extensions.
  */
 class TargetSocket extends net.Socket {
@@ -32,14 +33,33 @@
   /** Bytes read since the request was sent or the last chunk of the body arrived. */
   private bytesWithoutProgress = 0
   private state: ConnectionState = 'open'
+  private isEndChecked = false
+  /** The reset that arrived together with data that is not read yet. */
+  private resetAfterData: Error | undefined
 
   get connectionState (): ConnectionState {
     return this.state
   }
 
+  /** Ends the stream only once it is known that the target has not reset the connection. */
   override push (chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk === null) connectionEnd.checkEnd(this, (reset) => { this.state = reset === undefined ? 'closed' : 'reset' })
-    return super.push(chunk, encoding)
+    if (chunk !== null) return super.push(chunk, encoding)
+    if (!this.isEndChecked) {
+      this.isEndChecked = true
+      connectionEnd.checkEnd(this, (reset) => this.endReading(reset))
+    }
+    return false
+  }
+
+  private endReading (reset: Error | undefined): void {
+    if (reset === undefined) {
+      this.state = 'closed'
+      super.push(null)
+      return
+    }
+    this.state = 'reset'
+    if (this.readableLength === 0) this.destroy(reset)
+    else this.resetAfterData = reset
   }
 
   /** Makes `read` return no data until `resumeReading` is called; what the target sends meanwhile stays in the buffers of the socket and the kernel. */
@@ -62,6 +82,7 @@
     }
     const data = super.read(size) as Buffer | null
     this.bytesWithoutProgress += data?.length ?? 0
+    if (this.resetAfterData !== undefined && this.readableLength === 0) setImmediate(() => this.destroy(this.resetAfterData))
     return data
   }
 
--- a/packages/entry/src/test/httpAttempt.test.ts
+++ b/packages/entry/src/test/httpAttempt.test.ts
@@ -14,6 +14,8 @@
 
 const bodyChunk = Buffer.alloc(8 * 1024)
 const settleMs = 50
+const pauseMs = 5
+const resetCount = 50
 const eventTimeoutMs = 20_000
 const stampedNames = { ...exchange.defaultHeaderNames, targetStamp: 'x-stamp' }
 
@@ -49,6 +51,40 @@
   })
 }
 
+// Guards against a response that looks complete to its caller though the target's connection was reset after a part of it (issue 49).
+tap.t.test('a response without a length is incomplete if a reset arrives together with its data', async (t) => {
+  const outcomes = new Set<string>()
+  for (let i = 0; i < resetCount; i++) {
+    await using current = new exchange.Exchange((socket) => {
+      socket.write(Buffer.concat([Buffer.from('HTTP/1.1 200 OK\r\nX-Id: 7\r\nConnection: close\r\n\r\n'), bodyChunk]))
+      socket.resetAndDestroy()
+    })
+    await current.send()
+    await current.waitForEvent(['end', 'broken', 'lost'], eventTimeoutMs)
+    outcomes.add(current.events.at(-1)!)
+  }
+  t.notOk(outcomes.has('end'), [...outcomes].join(', '))
+})
+
+tap.t.test('a paused response with a length is complete if a reset arrives together with its last data', async (t) => {
+  const outcomes: string[] = []
+  for (let i = 0; i < resetCount; i++) {
+    await using current = new exchange.Exchange((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: ${2 * bodyChunk.length}\r\n\r\n`)
+      socket.write(bodyChunk)
+    }, false)
+    const attempt = await current.send()
+    await current.waitForEvent(['data'], eventTimeoutMs)
+    current.targetSocket!.write(bodyChunk)
+    current.targetSocket!.resetAndDestroy()
+    await timers.setTimeout(pauseMs)
+    attempt.resume()
+    await current.waitForEvent(['end', 'broken'], eventTimeoutMs)
+    outcomes.push(current.events.at(-1)!)
+  }
+  t.same([...new Set(outcomes)], ['end'])
+})
+
 tap.t.test('a response that ends while it is paused is complete after the pause', async (t) => {
   const { exchange: started, attempt } = await startExchange(false, true)
   await using current = started
