Entry: a response without a length is held back until its end is known

Cause: the body of such a response ends with its connection. The kernel closes the connections of a killed process in order, so what had been passed on until then looked complete. Nothing that is sent later can change that.

Change: the head and the body are held back until the end of the connection to the endpoint is known, for 1 s and 256 KiB at most, 8 MiB for all responses of a process. A whole response is then written at once. One whose connection was reset fails its attempt as if no response had begun: an idempotent request goes to another endpoint within its attempts and the budget of repeats, any other one gets 502 (unknown) and is not repeated. An attempt whose response is held back is neither hedged nor replaced; at the deadline, at the end of a shutdown and beyond the limits the response is passed on as before. A peer holds a forwarded response back in the same way.

Larger and slower responses are still passed on before their end is known, and look complete if the instance is killed meanwhile.

The records of a response's head move to a module of their own.

--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -11,6 +11,8 @@
 const misdirectedStatus = 421
 const firstRedirectStatus = 300
 const unavailableStatus = 503
+const noContentStatus = 204
+const notModifiedStatus = 304
 const msPerSecond = 1000
 const leavingHeaderValue = '1'
 const decimalPattern = /^\d+(?:\.\d+)?$/
@@ -105,3 +107,8 @@
 export function isFramed (headers: MessageHeaders): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
+
+/** Returns whether the response to a request can have a body. */
+export function canHaveBody (method: string | undefined, status: number): boolean {
+  return method !== 'HEAD' && status !== noContentStatus && status !== notModifiedStatus
+}
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -335,7 +335,7 @@
     const isForwarded = this.origin.forwarded !== undefined
     if (isForwarded) headers.push(...forwardHeaders.formatAnswer(hasFraming))
     // The end of the connection to the target marked the end of the body, which may be a break. Chunks would state that it is complete.
-    const isUnframed = !hasFraming && !isForwarded && this.canHaveBody(head.status)
+    const isUnframed = !hasFraming && !isForwarded && headerRules.canHaveBody(this.req.method, head.status)
     if (isUnframed) res.useChunkedEncodingByDefault = false
     const announcesEnd = isUnframed || !body.hasShortRest || this.endsWhileStopping
     if (announcesEnd) headers.push('Connection', 'close')
@@ -348,10 +348,6 @@
     return this.deps.isStopping() && this.connections.canEndAfter(this.res)
   }
 
-  private canHaveBody (status: number): boolean {
-    return this.req.method !== 'HEAD' && status !== 204 && status !== 304
-  }
-
   private refuse (fault: errors.Fault): void {
     const { res } = this
     if (res.writableEnded) return
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -9,6 +9,7 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as callerBody from './callerBody.js'
 import * as headerRules from '../common/headerRules.js'
+import * as heldResponse from './heldResponse.js'
 import type * as targetConnection from './targetConnection.js'
 import type * as targetConnections from './targetConnections.js'
 
@@ -54,6 +55,8 @@
   readonly endpoint: string
   /** Checked once the connection is open. */
   canSend(): boolean
+  /** Returns whether the headers of a response leave open where its body ends. */
+  isUnframed(headers: headerRules.MessageHeaders): boolean
   /** @param sentAt when the request of the response was sent. */
   recordNotice(notice: endpointNotices.Notice, sentAt: number): void
 }
@@ -73,6 +76,10 @@
     return this.notices.canSend(this.target)
   }
 
+  isUnframed (headers: headerRules.MessageHeaders): boolean {
+    return !headerRules.isFramed(headers)
+  }
+
   recordNotice (notice: endpointNotices.Notice, sentAt: number): void {
     this.notices.recordNotice(this.target, notice, sentAt)
   }
@@ -118,6 +125,10 @@
 export class HttpAttempt implements transport.IAttempt {
   private connection: targetConnection.TargetConnection | undefined
   private sink: IBodySink | undefined
+  /** A response that is not reported yet. */
+  private held: heldResponse.HeldResponse | undefined
+  private hasResponseBegun = false
+  /** True once the head of the response was reported. */
   private hasHead = false
   private hasEnded = false
   private hasSentRequest = false
@@ -165,17 +176,26 @@
   cancel (): void {
     if (this.hasEnded) return
     this.hasEnded = true
+    this.dropHeld()
     this.discardConnection()
     if (this.hasHead) this.events.onBodyEnd()
   }
 
+  deliverHeld (): void {
+    const { held } = this
+    if (held === undefined) return
+    this.held = undefined
+    this.reportHead(held.head)
+    for (const chunk of held.release()) this.passOn(chunk)
+  }
+
   /** Cancels the attempt after a timeout. If the request was sent and its response is incomplete, connections to the target that are open now are no longer reused. */
   abandon (): void {
     const { connection } = this
     const wasWaiting = this.hasSentRequest && !this.hasEnded
     this.cancel()
     if (!wasWaiting) return
-    if (connection !== undefined && !this.hasHead) this.connections.recordNoResponse(this.address, connection, this.sentAt)
+    if (connection !== undefined && !this.hasResponseBegun) this.connections.recordNoResponse(this.address, connection, this.sentAt)
     this.connections.retireAll(this.address)
   }
 
@@ -237,13 +257,13 @@
           return
         }
         this.target.recordNotice(headerRules.parseNotice(this.req.headerNames, status, headers), this.sentAt)
-        this.hasHead = true
+        this.hasResponseBegun = true
         this.isKeptAlive = headers['connection'] !== 'close'
         this.connection?.applyKeepAlive(headers['keep-alive'])
-        this.events.onHead(toHead(controller, status, headers, headerRules.statesNotRun(this.req.headerNames, status, headers)))
+        this.receiveHead(toHead(controller, status, headers, headerRules.statesNotRun(this.req.headerNames, status, headers)))
       },
       onResponseData: (_controller, chunk) => {
-        if (!this.hasEnded && this.sink?.onData(chunk) === false) this.pause()
+        this.passOn(chunk)
       },
       onResponseEnd: () => this.complete(),
       onResponseError: (_controller, err) => {
@@ -253,7 +273,32 @@
     }
   }
 
+  /** Reports a response, or holds it back while only the end of its connection can tell whether it is complete. */
+  private receiveHead (head: HttpHead): void {
+    const endsWithConnection = this.target.isUnframed(head.headers) && headerRules.canHaveBody(this.req.method, head.status)
+    if (endsWithConnection && !head.notRun && this.events.canHoldBack()) this.held = new heldResponse.HeldResponse(head, () => this.deliverHeld())
+    else this.reportHead(head)
+  }
+
+  private reportHead (head: HttpHead): void {
+    this.hasHead = true
+    this.events.onHead(head)
+  }
+
+  private passOn (chunk: Buffer): void {
+    if (this.hasEnded) return
+    if (this.held?.add(chunk) === true) return
+    this.deliverHeld()
+    if (!this.hasEnded && this.sink?.onData(chunk) === false) this.pause()
+  }
+
+  private dropHeld (): void {
+    this.held?.release()
+    this.held = undefined
+  }
+
   private complete (): void {
+    this.deliverHeld()
     if (this.hasEnded) return
     this.hasEnded = true
     const connection = this.connection!
@@ -291,12 +336,13 @@
   private fail (kind: 'refused' | 'not-written' | 'lost', message: string): void {
     if (this.hasEnded) return
     this.hasEnded = true
+    this.dropHeld()
     this.events.onFailure({ kind, message })
   }
 
   /** Records that the connection was lost before a response, unless the caller's own body has failed. */
   private recordLoss (): void {
-    if (this.hasEnded || this.hasHead || this.connection === undefined || this.req.body.fault !== undefined) return
+    if (this.hasEnded || this.hasResponseBegun || this.connection === undefined || this.req.body.fault !== undefined) return
     this.connections.recordNoResponse(this.address, this.connection, this.sentAt)
   }
 
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -9,6 +9,7 @@
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import type * as claimId from '../common/claimId.js'
 import * as forwardHeaders from '../common/forwardHeaders.js'
+import type * as headerRules from '../common/headerRules.js'
 import * as httpAttempt from './httpAttempt.js'
 import type * as requestCount from './requestCount.js'
 import type * as targetConnections from './targetConnections.js'
@@ -107,6 +108,10 @@
     return true
   }
 
+  isUnframed (headers: headerRules.MessageHeaders): boolean {
+    return forwardHeaders.isUnframed(headers)
+  }
+
   recordNotice (): void {}
 }
 
@@ -175,6 +180,7 @@
     this.running = running
     running.attempt = new httpAttempt.HttpAttempt(new PeerTarget(peer), this.buildReq(), {
       onHead: (head) => this.onHead(running, head as httpAttempt.HttpHead),
+      canHoldBack: () => this.canHoldBack(running),
       onFailure: (failure) => this.onFailure(running, failure),
       onBodyEnd: running.release
     }, connections)
@@ -209,6 +215,13 @@
     this.forward(`${running.peer.instance} sent no response within ${Math.round(timeoutMs)} ms`)
   }
 
+  /** A peer whose response is held back is not silent. */
+  private canHoldBack (running: RunningForward): boolean {
+    if (this.running !== running) return false
+    this.cancelSilence()
+    return true
+  }
+
   private onHead (running: RunningForward, head: httpAttempt.HttpHead): void {
     if (this.running !== running) return
     const { requestId, headerNames } = this.spec.req
@@ -315,6 +328,8 @@
   }
 
   private endUnanswered (why: string, timedOut: boolean): void {
+    this.running?.attempt?.deliverHeld()
+    if (this.isSettled) return
     const { running } = this
     if (running !== undefined) {
       if (running.attempt?.written !== false) this.uncertainRuns++
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -41,6 +41,8 @@
   readonly server = net.createServer((socket) => this.accept(socket))
   head: transport.ResponseHead | undefined
   bodyBytes = 0
+  /** Whether responses whose body ends with the connection may be held back. */
+  canHoldBack = false
   /** Connections that the target has accepted. */
   connectionCount = 0
   targetSocket: net.Socket | undefined
@@ -76,6 +78,7 @@
         this.head = head
         this.attempt!.pipe(this)
       },
+      canHoldBack: () => this.canHoldBack,
       onBodyEnd: () => {},
       onFailure: ({ kind }) => this.recordEvent(kind)
     }, false)
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -9,6 +9,7 @@
 import * as loadProbing from './loadProbing.js'
 import * as timeLimits from './timeLimits.js'
 import * as quarantine from './quarantine.js'
+import * as responseStats from './responseStats.js'
 import * as runningAttempt from './runningAttempt.js'
 import type * as slotAssignment from './slotAssignment.js'
 import type * as transport from './transport.js'
@@ -23,7 +24,6 @@
 /** Interval at which an attempt that has timed out checks whether a choice of an endpoint has ended, in milliseconds. */
 const choiceRecheckMs = 20
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
-const minServerErrorStatus = 500
 
 /** Runs a call from `start` until its outcome, or until `cancel` when the caller has disconnected. */
 export class Call {
@@ -149,9 +149,9 @@
     const attempt: runningAttempt.RunningAttempt = { placement, startedAt: this.deps.clock.now(), handle: undefined, cancelTimeout: () => {} }
     this.firstStartedAt = Math.min(this.firstStartedAt, attempt.startedAt)
     this.runningAttempts.add(attempt)
-    this.firstStartedAt = Math.min(this.firstStartedAt, attempt.startedAt)
     attempt.handle = this.deps.transport.start(endpoint, {
       onHead: (head) => this.onHead(attempt, head),
+      canHoldBack: () => this.canHoldBack(attempt),
       onFailure: (failure) => this.onAttemptFailed(attempt, failure),
       onBodyEnd: () => placement.release()
     }, this.timedOutAttempt !== undefined || event === 'hedge')
@@ -201,7 +201,7 @@
     const shed = this.spec.lane.shedStatuses.includes(received.status)
     const head = shed ? { ...received, notRun: true } : received
     this.removeAttempt(attempt)
-    this.recordHead(attempt, head)
+    responseStats.recordHead(attempt, head, this.spec, this.deps, this.laneTypicalLatencyMs)
     if (this.isSettled) return
     if (head.notRun) {
       attempt.handle?.cancel()
@@ -216,27 +216,18 @@
     }
   }
 
-  private removeAttempt (attempt: runningAttempt.RunningAttempt): void {
+  /** Another attempt is not needed while a response is held back. If a retry has been requested already, it would replace this attempt. */
+  private canHoldBack (attempt: runningAttempt.RunningAttempt): boolean {
+    if (this.isSettled || attempt === this.timedOutAttempt) return false
     attempt.cancelTimeout()
-    this.runningAttempts.delete(attempt)
+    this.cancelHedge()
+    this.deps.crashDetector.recordRunning(attempt.placement.endpoint, attempt.startedAt)
+    return true
   }
 
-  private recordHead (attempt: runningAttempt.RunningAttempt, head: transport.ResponseHead): void {
-    const now = this.deps.clock.now()
-    this.deps.crashDetector.recordRunning(attempt.placement.endpoint, attempt.startedAt)
-    if (head.notRun || head.status >= minServerErrorStatus) {
-      attempt.placement.stats.recordFailure(now)
-      return
-    }
-    const latencyMs = now - attempt.startedAt
-    const { dispatcher, latency } = this.deps
-    // Lanes of one service differ in latency, so an endpoint counts as slow only in relation to the lane's typical latency.
-    const relativeLatency = latencyMs / this.laneTypicalLatencyMs
-    attempt.placement.stats.recordSuccess(relativeLatency * dispatcher.typicalLatencyMs, now)
-    dispatcher.recordLatency(latencyMs, latency.hasOwnEstimate(this.spec.lane) ? relativeLatency : 1)
-    latency.recordSample(latencyMs, this.spec.lane)
-    this.deps.crashDetector.recordSuccess(this.spec.identity)
-    if (this.deps.suspects.size > 0) this.deps.suspects.reportSuccess(this.spec.identity.fingerprint)
+  private removeAttempt (attempt: runningAttempt.RunningAttempt): void {
+    attempt.cancelTimeout()
+    this.runningAttempts.delete(attempt)
   }
 
   /** Returns whether an error response is discarded, because another attempt is in flight or a retry starts instead. */
@@ -382,12 +373,14 @@
 
   /** Ends the call with a final fault, whatever its attempts do. */
   giveUp (why: string): void {
+    runningAttempt.deliverHeld(this.runningAttempts)
     if (this.isSettled) return
     if (runningAttempt.isAnySent(this.runningAttempts)) this.uncertainAttempts++
     this.settleWithFault(this.finalFault(why, false))
   }
 
   private onDeadline (): void {
+    runningAttempt.deliverHeld(this.runningAttempts)
     if (this.isSettled) return
     for (const attempt of this.runningAttempts) {
       const written = attempt.handle?.written !== false
--- a/packages/routing/src/common/runningAttempt.ts
+++ b/packages/routing/src/common/runningAttempt.ts
@@ -14,3 +14,8 @@
 export function isAnySent (attempts: Iterable<RunningAttempt>): boolean {
   return [...attempts].some(({ handle }) => handle?.written === true)
 }
+
+/** Reports the responses that are held back. */
+export function deliverHeld (attempts: ReadonlySet<RunningAttempt>): void {
+  for (const { handle } of attempts) handle?.deliverHeld()
+}
--- a/packages/routing/src/common/transport.ts
+++ b/packages/routing/src/common/transport.ts
@@ -23,6 +23,11 @@
 /** Receives the events of an attempt: either a failure, or a head and later the end of the body. */
 export interface IAttemptEvents {
   onHead(head: ResponseHead): void
+  /**
+   * Called when a response has begun whose body ends with its connection. Returns whether it may be held back until it is complete: if its
+   * connection is reset, the attempt fails as if no response had begun.
+   */
+  canHoldBack(): boolean
   onFailure(failure: AttemptFailure): void
   /** Called when the response is complete, or the rest of its body will not be read. */
   onBodyEnd(): void
@@ -32,6 +37,8 @@
 export interface IAttempt {
   /** True once a byte of the request may have reached the target. */
   readonly written: boolean
+  /** Reports a response that is held back at once; does nothing if there is none. */
+  deliverHeld(): void
   /** Cancels the attempt; no event follows, except `onBodyEnd` if the head was reported. */
   cancel(): void
   /** Cancels the attempt after a timeout; if its request was sent, the connections that are open to the target now are not reused. */
--- a/packages/testbed/src/common/bench/balancedRun.ts
+++ b/packages/testbed/src/common/bench/balancedRun.ts
@@ -65,7 +65,7 @@
       isCancelled = true
       clock.after(deployment.oneWayDelayMs, () => cancelRequest())
     }
-    return { written: true, cancel, abandon: cancel }
+    return { written: true, cancel, abandon: cancel, deliverHeld: () => {} }
   }
 
   checkTarget (_endpoint: endpointTable.Endpoint, canCheckAgain: () => boolean, done: (health: transport.TargetHealth) => void): void {
