Dispatcher: a call that cannot be placed does not hold up all later calls

Cause: a retry that has tried two endpoints, while the other two are ejected, gets no slot. The share of ejected endpoints, above which ejections are ignored, was computed from those with a free slot that the call had not tried, so 2 of 4 did not exceed the half though more were ejected. The call waited at the head of the queue. Every later call was queued behind it, since a slot is given at once only to the first of the queue, and the queue is served when a slot is released: none was in use, so nothing was released.

Evidence: a trace of each call that was queued showed all endpoints with no call in flight, none ejected, and one call ahead, for seconds.

Change: a call that is queued behind others serves the queue, which skips calls that wait for particular endpoints. The share counts all ejected endpoints. Ejections are also ignored if no other endpoint is left that the call has not tried.

dispatcher.test: three new tests failed before and pass. The test of a warm endpoint is replaced by a stricter one: it let a call wait beyond its deadline, and required that nothing is placed when the next call arrives; now the waiting call must get the endpoint at that moment, and the later one the released slot.

--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -19,7 +19,7 @@
 const ewmaWeight = 0.01
 /** Lower bound of the mean relative latency, so that latencies of 0 do not make it 0; it is used as a divisor. */
 const minRelativeLatency = 0.001
-/** Ejections are ignored while more than this share of the endpoints is ejected. */
+/** Ejections are ignored while more than this share of the endpoints is ejected, or all that a call has not tried yet. */
 const maxEjectedShare = 0.5
 /** Cold endpoints are not avoided while they are more than this share of the endpoints. */
 const maxColdShare = 0.25
@@ -116,7 +116,10 @@
       done({ placed: false, fault })
       return () => {}
     }
-    return this.enqueue(request, now, done)
+    const withdraw = this.enqueue(request, now, done)
+    // Calls before this one may wait for endpoints that this one does not need, and no slot may be in use whose release serves the queue.
+    if (this.queue.length > 1) this.serveQueue()
+    return withdraw
   }
 
   /** Assigns a slot for a hedge, at an endpoint without a limit, if no call waits and the slots in use are below the lane's share for hedges. */
@@ -324,16 +327,20 @@
   private findCandidates (endpoints: readonly endpointTable.Endpoint[], request: slotAssignment.SlotRequest, now: number): readonly balancingPolicy.Candidate[] {
     const free: balancingPolicy.Candidate[] = []
     let coldCount = 0
+    let ejectedCount = 0
+    let hasHealthyEndpoint = false
     for (const endpoint of endpoints) {
       const stats = this.stats.statsFor(endpoint, now)
+      const isExcluded = request.excludedEndpoints.has(endpoint.endpoint)
       if (isTooCold(request, stats, now)) coldCount++
-      if (stats.inFlight >= this.slotLimit(endpoint) || request.excludedEndpoints.has(endpoint.endpoint)) continue
+      if (stats.isEjected(now)) ejectedCount++
+      else if (!isExcluded) hasHealthyEndpoint = true
+      if (isExcluded || stats.inFlight >= this.slotLimit(endpoint)) continue
       if (request.isSuspect && stats.suspectCount > 0) continue
       free.push({ id: endpoint.endpoint, failureDomain: endpoint.failureDomain, reportedLoad: endpoint.load, connected: this.options.isConnected?.(endpoint) ?? true, stats })
     }
-    const healthy = free.filter(({ stats }) => !stats.isEjected(now))
-    const ejectedCount = free.length - healthy.length
-    const eligible = ejectedCount > endpoints.length * maxEjectedShare ? free : healthy
+    const ignoresEjections = !hasHealthyEndpoint || ejectedCount > endpoints.length * maxEjectedShare
+    const eligible = ignoresEjections ? free : free.filter(({ stats }) => !stats.isEjected(now))
     if (coldCount === 0 || coldCount > endpoints.length * maxColdShare) return eligible
     return eligible.filter(({ stats }) => !isTooCold(request, stats, now))
   }
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -13,6 +13,7 @@
 
 const typicalMs = 10
 const minEjectionMs = 2000
+const failuresUntilEjection = 2
 
 /** A dispatcher with a service whose endpoints and time the test sets. */
 class TestService {
@@ -46,9 +47,9 @@
   }
 
   /** Requests a slot; calls `onPlaced` at once or later. */
-  acquire (priority: configDocument.LanePriority, onPlaced: (placement: slotAssignment.Placement) => void): void {
+  acquire (priority: configDocument.LanePriority, onPlaced: (placement: slotAssignment.Placement) => void, excludedEndpoints: readonly string[] = []): void {
     const lane = createLane(priority)
-    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, remoteFactor: 1, isSuspect: false, excludedEndpoints: new Set() }, (outcome) => {
+    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, remoteFactor: 1, isSuspect: false, excludedEndpoints: new Set(excludedEndpoints) }, (outcome) => {
       if (outcome.placed) onPlaced(outcome.placement)
     })
   }
@@ -78,11 +79,16 @@
   service.announce('d-4')
   const taken = [service.place('urgent'), service.place('urgent'), service.place('urgent')]
   t.notOk(taken.some((placement) => placement?.endpoint.endpoint === 'd-4'))
-  t.equal(service.place('urgent'), undefined, 'an urgent call waits for a warm endpoint')
-  service.now += coldStartMs
-  t.equal(service.place('urgent')?.endpoint.endpoint, undefined, 'another urgent call waits before it')
+  service.now += coldStartMs - 1
+  const placed: string[] = []
+  service.acquire('urgent', ({ endpoint }) => placed.push(`first at ${endpoint.endpoint}`))
+  t.same(placed, [], 'an urgent call waits for a warm endpoint')
+  service.now++
+  service.acquire('urgent', () => placed.push('second'))
+  t.same(placed, ['first at d-4'], 'the call that waits gets the endpoint that is warm now')
   taken[0]!.release()
-  t.equal(service.dispatcher.waiting, 0, 'the released slot and the warm endpoint serve both')
+  t.same(placed, ['first at d-4', 'second'])
+  t.equal(service.dispatcher.waiting, 0)
 })
 
 tap.t.test('a bulk call goes to the endpoint that just started', async (t) => {
@@ -210,3 +216,41 @@
   second.release()
   t.equal(placedAt.length, 1, placedAt.join(' '))
 })
+
+/** Takes a slot of the endpoint, and fails there as often as ejects it. */
+function eject (service: TestService, endpoint: string): void {
+  for (let failures = 0; failures < failuresUntilEjection; failures++) {
+    const others = service.endpointIds.filter((id) => id !== endpoint)
+    service.acquire('urgent', ({ stats, release }) => {
+      stats.recordFailure(service.now)
+      release()
+    }, others)
+  }
+}
+
+// Guards against a service whose calls all wait until their deadlines though endpoints are idle.
+tap.t.test('a retry whose remaining endpoints are all ejected uses one of them', async (t) => {
+  const service = warmService('d-1', 'd-2', 'd-3', 'd-4')
+  eject(service, 'd-3')
+  eject(service, 'd-4')
+  const placed: string[] = []
+  service.acquire('urgent', ({ endpoint }) => placed.push(endpoint.endpoint), ['d-1', 'd-2'])
+  t.equal(placed.length, 1)
+})
+
+tap.t.test('a call that must wait does not hold up later calls that have a free endpoint', async (t) => {
+  const service = warmService('d-1', 'd-2')
+  const placed: string[] = []
+  const taken = service.place('urgent')!.endpoint.endpoint
+  const free = service.endpointIds.find((id) => id !== taken)!
+  service.acquire('urgent', () => placed.push('restricted'), [free])
+  service.acquire('urgent', ({ endpoint }) => placed.push(endpoint.endpoint))
+  t.same(placed, [free])
+})
+
+tap.t.test('ejections are ignored while most endpoints are ejected, also if some of these have no free slot', async (t) => {
+  const service = warmService('d-1', 'd-2', 'd-3', 'd-4')
+  for (const id of ['d-2', 'd-3', 'd-4']) eject(service, id)
+  const placements = service.endpointIds.map(() => service.place('urgent'))
+  t.notOk(placements.includes(undefined))
+})
