Entry: a second response behind one without a length is not passed on as part of its body

Cause: the body of a response without a length ends with the connection, so all bytes until then were passed on as its body.

Change: the body of such a response is searched for the head of a response with the id of a request that was sent on the connection: the protocol identifies responses by it, and a body may well show other heads. Bytes that may begin one are kept back, 16 KiB at most. A response with another one behind it is taken for broken: nobody knows whether the first one is whole. An idempotent request goes to another endpoint within its attempts and the budget of repeats, any other one gets 502 and is not repeated, and one that is passed on already is broken off with a reset.

secondResponses.test: ten of its eleven tests failed before, all pass.

Not recognized: bytes behind a whole body that are no head with such an id, a head that breaks off before its id, and a late response to a health check, which has no id.

--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -9,6 +9,7 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as callerBody from './callerBody.js'
 import * as headerRules from '../common/headerRules.js'
+import * as responseHeadScanner from '../common/responseHeadScanner.js'
 import * as heldResponse from './heldResponse.js'
 import type * as targetConnection from './targetConnection.js'
 import type * as targetConnections from './targetConnections.js'
@@ -127,6 +128,8 @@
   private sink: IBodySink | undefined
   /** A response that is not reported yet. */
   private held: heldResponse.HeldResponse | undefined
+  /** Looks for another response within a body whose length is not known. */
+  private scanner: responseHeadScanner.ResponseHeadScanner | undefined
   private hasResponseBegun = false
   /** True once the head of the response was reported. */
   private hasHead = false
@@ -220,6 +223,7 @@
   }
 
   private send (connection: targetConnection.TargetConnection): void {
+    connection.noteRequest(this.req.requestId)
     try {
       connection.dispatch(this.dispatchOptions(), this.dispatchHandler())
     } catch (err) {
@@ -263,7 +267,7 @@
         this.receiveHead(toHead(controller, status, headers, headerRules.statesNotRun(this.req.headerNames, status, headers)))
       },
       onResponseData: (_controller, chunk) => {
-        this.passOn(chunk)
+        this.receive(chunk)
       },
       onResponseEnd: () => this.complete(),
       onResponseError: (_controller, err) => {
@@ -276,6 +280,7 @@
   /** Reports a response, or holds it back while only the end of its connection can tell whether it is complete. */
   private receiveHead (head: HttpHead): void {
     const endsWithConnection = this.target.isUnframed(head.headers) && headerRules.canHaveBody(this.req.method, head.status)
+    if (endsWithConnection) this.scanner = new responseHeadScanner.ResponseHeadScanner(this.req.headerNames.requestId, this.connection!.requestIds)
     if (endsWithConnection && !head.notRun && this.events.canHoldBack()) this.held = new heldResponse.HeldResponse(head, () => this.deliverHeld())
     else this.reportHead(head)
   }
@@ -285,6 +290,13 @@
     this.events.onHead(head)
   }
 
+  private receive (chunk: Buffer): void {
+    if (this.hasEnded) return
+    const parts = this.scanner === undefined ? [chunk] : this.scanner.scan(chunk)
+    if (parts === undefined) this.handleError(new Error('another response follows within the body, which has no length'))
+    else for (const part of parts) this.passOn(part)
+  }
+
   private passOn (chunk: Buffer): void {
     if (this.hasEnded) return
     if (this.held?.add(chunk) === true) return
@@ -298,6 +310,7 @@
   }
 
   private complete (): void {
+    for (const part of this.scanner?.flush() ?? []) this.passOn(part)
     this.deliverHeld()
     if (this.hasEnded) return
     this.hasEnded = true
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -14,6 +14,8 @@
 const msPerSecond = 1000
 const keepAliveTimeoutPattern = /(?:^|[,;\s])timeout=(\d{1,6})/i
 const resetCode = 'ECONNRESET'
+/** Number of request ids by which late responses to earlier requests are recognized. */
+const maxRequestIds = 32
 /** Limit on bytes before the first chunk of a body, or between two: four times the longest head that undici accepts. */
 const maxBytesWithoutProgress = 64 * 1024
 
@@ -120,6 +122,7 @@
   private idleLimit = defaultIdleLimitMs
   private responseCount = 0
   private wasHealthChecked = false
+  private readonly sentRequestIds = new Set<string>()
   private readonly client: undici.Client
   private readonly onResponse: () => void
 
@@ -205,6 +208,17 @@
     return performance.now() - this.idleSince
   }
 
+  /** Ids of the newest requests that were sent on the connection. */
+  get requestIds (): ReadonlySet<string> {
+    return this.sentRequestIds
+  }
+
+  noteRequest (requestId: string): void {
+    this.sentRequestIds.add(requestId)
+    const [oldest] = this.sentRequestIds
+    if (this.sentRequestIds.size > maxRequestIds) this.sentRequestIds.delete(oldest!)
+  }
+
   /** Pauses the response; data that was read already is still delivered. */
   pauseReading (): void {
     this.socket.pauseReading()
