--- a/packages/entry/src/common/responseHeadScanner.ts
+++ b/packages/entry/src/common/responseHeadScanner.ts
@@ -36,13 +36,15 @@
     const body: Buffer[] = []
     let rest = chunk
     while (rest.length > 0 && !this.hasFoundHead) {
+      const kept = this.keptBytes
       // Joins the kept bytes with no more than is needed to decide on them, since a chunk can be large.
-      const takenLength = this.keptBytes.length === 0 ? rest.length : this.isInHead ? maxHeadBytes : statusLineSample.length
-      const data = this.keptBytes.length === 0 ? rest : Buffer.concat([this.keptBytes, rest.subarray(0, takenLength)])
-      rest = rest.subarray(takenLength)
+      const takenLength = kept.length === 0 ? rest.length : this.isInHead ? maxHeadBytes : statusLineSample.length
+      const data = kept.length === 0 ? rest : Buffer.concat([kept, rest.subarray(0, takenLength)])
       const bodyLength = this.readLines(data)
       if (bodyLength > 0) body.push(data.subarray(0, bodyLength))
-      this.keptBytes = data.subarray(bodyLength)
+      const isDecided = kept.length > 0 && bodyLength >= kept.length
+      this.keptBytes = isDecided ? noBytes : data.subarray(bodyLength)
+      rest = rest.subarray(isDecided ? bodyLength - kept.length : takenLength)
     }
     return this.hasFoundHead ? undefined : body
   }
