Testbed: sendRequest takes no response for complete whose connection was reset

Cause: Node.js reports a reset that arrives together with data as the end of the stream, which completes a response without a length. A test with sendRequest could not see a response that was broken off that way.

resetResponses.test 'sendRequest reports no response when the connection was reset' failed before (status 200 in each of 100 requests) and passes.

--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -6,6 +6,7 @@
 import * as path from 'node:path'
 import * as url from 'node:url'
 import * as async from '@rosemaryrack/base/common/async.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 import * as managedProcess from './managedProcess.js'
 
 const repositoryRoot = url.fileURLToPath(new URL('../../../../', import.meta.url))
@@ -36,7 +37,7 @@
 /** Sends a request on a new connection; resolves with status 0 when no complete response arrives. */
 export function sendRequest (method: string, targetUrl: string, headers: http.OutgoingHttpHeaders = {}, body?: string, timeout = callTimeoutMs): Promise<CallRes> {
   return new Promise((resolve) => {
-    const req = http.request(targetUrl, { method, headers, agent: false, timeout }, (res) => {
+    const req = http.request(targetUrl, { method, headers, agent: new checkedSocket.CheckedAgent(), timeout }, (res) => {
       const chunks: Buffer[] = []
       res.on('data', (chunk: Buffer) => chunks.push(chunk))
       res.on('end', () => resolve({ status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks).toString() }))
