Testbed: KeptConnection takes no response for complete whose connection was reset

Cause: as in sendRequest, a reset that arrives together with data completed a response without a length.

resetResponses.test 'KeptConnection reports no response when the connection was reset' failed before (status 200 in each of 100 requests) and passes.

--- a/packages/testbed/src/node/keptConnection.ts
+++ b/packages/testbed/src/node/keptConnection.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as async from '@rosemaryrack/base/common/async.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 
 /** Time after its deadline at which a caller gives up if no response has begun. */
 const patienceMs = 2000
@@ -37,7 +38,7 @@
 
 /** Sends requests on one connection, and opens a new one once that has ended. */
 export class KeptConnection {
-  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 1 })
+  private readonly agent = new checkedSocket.CheckedAgent({ keepAlive: true, maxSockets: 1 })
 
   constructor (private readonly address: string) {}
 
--- a/packages/testbed/src/test/resetResponses.test.ts
+++ b/packages/testbed/src/test/resetResponses.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import * as tap from 'tap'
 import * as deployedFleet from '../node/deployedFleet.js'
+import * as keptConnection from '../node/keptConnection.js'
 
 const repetitions = 100
 const resetResponse = `HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${'x'.repeat(1000)}`
@@ -32,8 +33,16 @@
   return [status, body.slice(-'whole'.length)]
 }
 
+async function sendKept (address: string, path: string): Promise<readonly unknown[]> {
+  const connection = new keptConnection.KeptConnection(address)
+  const { result, body } = await connection.send({ requestId: '7', host: 'h', method: 'GET', path, deadlineMs: 5000, body: '', bodyMs: 0, readPauseMs: 0 })
+  connection.close()
+  return [result, body.slice(-'whole'.length)]
+}
+
 const clients: ReadonlyArray<readonly [string, Client, unknown]> = [
-  ['sendRequest', sendOnce, 0]
+  ['sendRequest', sendOnce, 0],
+  ['KeptConnection', sendKept, 'cut']
 ]
 
 for (const [name, send, noResponse] of clients) {
