Entry tests: hasEnded of a caller is false after a reset that arrives together with data

Cause: Node.js reports such a reset as the end of the stream, so that a test could not tell a response that was broken off from one that was closed in order.

resetResponses.test 'CallerConnection tells a reset that arrives together with data from the end of a response' failed before and passes.

--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -6,6 +6,7 @@
 import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
@@ -83,13 +84,19 @@
   /** True once the connection is closed in both directions or was reset. */
   isClosed = false
 
-  constructor (readonly socket: net.Socket) {
+  private constructor (readonly socket: net.Socket) {
     socket.on('data', (chunk) => { this.received += chunk.toString('latin1') })
     socket.on('end', () => { this.hasEnded = true })
     socket.on('error', () => {})
     socket.on('close', () => { this.isClosed = true })
   }
 
+  /** Connects to a port of this host. */
+  static open (port: number): CallerConnection {
+    const socket = new checkedSocket.CheckedSocket({ allowHalfOpen: true }).connect({ port, host: '127.0.0.1' })
+    return new CallerConnection(socket.setNoDelay(true))
+  }
+
   /** Status codes of all responses received. */
   get statuses (): readonly string[] {
     return [...this.received.matchAll(/HTTP\/1\.1 (\d{3})/g)].map((match) => match[1]!)
@@ -173,10 +180,8 @@
 
   /** Opens a connection of a caller and sends `text` on it. */
   send (text: string): CallerConnection {
-    const socket = net.connect({ port: this.port, host: '127.0.0.1', allowHalfOpen: true })
-    socket.setNoDelay(true)
-    socket.write(text, 'latin1')
-    const caller = new CallerConnection(socket)
+    const caller = CallerConnection.open(this.port)
+    caller.socket.write(text, 'latin1')
     this.callers.push(caller)
     return caller
   }
