Entry tests: isComplete of a response is false after a reset that arrives together with data

Cause: as in CallerConnection.

resetResponses.test 'send tells a reset that arrives together with data from the end of a response' failed before and passes.

--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -5,6 +5,7 @@
 import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
@@ -268,7 +269,7 @@
 
 /** Starts a caller's request on a new connection. */
 export function startRequest (address: string, method: string, path: string, headers: http.OutgoingHttpHeaders = {}): http.ClientRequest {
-  return http.request(`http://${address}${path}`, { method, agent: false, headers: { 'x-deadline': String(deadlineMs), ...headers } })
+  return http.request(`http://${address}${path}`, { method, agent: new checkedSocket.CheckedAgent(), headers: { 'x-deadline': String(deadlineMs), ...headers } })
 }
 
 /** Sends a caller's request and reads its response. */
--- a/packages/entry/src/test/resetResponses.test.ts
+++ b/packages/entry/src/test/resetResponses.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import * as tap from 'tap'
 import * as callerFixture from './callerFixture.js'
+import * as forwardingEntry from './forwardingEntry.js'
 
 const repetitions = 100
 const resetResponse = `HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${'x'.repeat(1000)}`
@@ -18,6 +19,10 @@
   return caller.hasEnded
 }
 
+async function useRequest (port: number): Promise<boolean> {
+  return (await forwardingEntry.send(`127.0.0.1:${port}`)).isComplete
+}
+
 /** Counts the responses that look complete. */
 async function countComplete (caller: Caller, respond: (socket: net.Socket) => void): Promise<number> {
   const server = net.createServer((socket) => {
@@ -37,7 +42,7 @@
   socket.resetAndDestroy()
 }
 
-for (const [name, caller] of [['CallerConnection', useConnection]] as const) {
+for (const [name, caller] of [['CallerConnection', useConnection], ['send', useRequest]] as const) {
   // Guards against a test that passes though its caller got only a part of a response.
   tap.t.test(`${name} tells a reset that arrives together with data from the end of a response`, async (t) => {
     t.equal(await countComplete(caller, respondWithReset), 0)
