Entry: a response without a length is reset before the grace period ends

Cause: the kernel closes the connections of a killed process in order.

Change: at 97% of the grace period, after a poll of the event loop, incomplete responses of these kinds are reset and logged as 'cut' (reason 'stopping'). Responses with a length or chunks are left alone: their callers see the cut.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -59,6 +59,8 @@
   private activeRun: requestRun.RequestRun | undefined
   private claim: idempotencyClaims.Claim | undefined
   private laneName = 'none'
+  /** The response, if its caller learns where the body ends only from the end of the connection. */
+  private unframedStream: responseStream.ResponseStream | undefined
 
   constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly connections: callerConnections.IConnectionEnds, private readonly deps: CallerDeps) {
     const suppliedId = req.headers[deps.headers.requestId]
@@ -112,6 +114,11 @@
     else this.activeRun.giveUp(stoppingFault.message)
   }
 
+  /** Breaks off a response whose caller could not tell a part of it from the whole after the process has ended. */
+  breakOffUnframed (): void {
+    this.unframedStream?.breakOff('stopping')
+  }
+
   /** What the response waits for. */
   private get pendingStep (): string {
     if (this.res.writableEnded) return 'caller to read'
@@ -286,6 +293,7 @@
       this.done.resolve()
       if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
     })
+    if (this.endsWithConnection(head)) this.unframedStream = stream
     attempt.pipe(stream)
   }
 
@@ -348,6 +356,11 @@
     return this.deps.isStopping() && this.connections.canEndAfter(this.res)
   }
 
+  /** True if the body that the caller gets has neither a length nor chunks. */
+  private endsWithConnection ({ status, headers }: httpAttempt.HttpHead): boolean {
+    return !this.res.useChunkedEncodingByDefault && headers['content-length'] === undefined && this.canHaveBody(status)
+  }
+
   private canHaveBody (status: number): boolean {
     return this.req.method !== 'HEAD' && status !== 204 && status !== 304
   }
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -24,6 +24,11 @@
  * process is killed.
  */
 const finalResponseShareOfGrace = 0.9
+/**
+ * Share of the grace period after which incomplete responses without a length are broken off: the kernel closes the connections of a
+ * killed process in order, which would mark the end of the body.
+ */
+const breakOffShareOfGrace = 0.97
 
 /** Limits on connections, in bytes and milliseconds. */
 export interface ServerLimits {
@@ -40,6 +45,8 @@
   recordIncomplete(): void
   /** Ends a request whose response has not begun with a final fault. */
   endWithoutResponse(): void
+  /** Breaks off a response that has begun, is not complete and would look complete once the process has ended. */
+  breakOffUnframed(): void
 }
 
 /** Serves requests until it is stopped. */
@@ -99,6 +106,7 @@
     // The method of http.Server would close idle connections too.
     net.Server.prototype.close.call(this.server)
     await async.nextTurn()
+    const cancelBreakOff = this.clock.after(stoppingSince + this.graceS * msPerSecond * breakOffShareOfGrace - this.clock.now(), () => this.breakOffAfterPoll())
     const idleCloseAt = Math.min(this.clock.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
     while (this.clock.now() < idleCloseAt && (this.inFlight > 0 || this.connections.size > 0)) await this.waitForPoll()
     const finalResponsesAt = stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace
@@ -109,6 +117,7 @@
       this.connections.closeIdle()
       await this.waitForPoll()
     }
+    cancelBreakOff()
     this.server.closeAllConnections()
   }
 
@@ -126,6 +135,17 @@
     }
   }
 
+  /** Breaks off incomplete responses without a length, after reading the ends that have arrived. */
+  private async breakOffAfterPoll (): Promise<void> {
+    await async.nextTurn()
+    this.breakOffUnframed()
+  }
+
+  /** Breaks off the responses that would look complete once the process has ended. */
+  breakOffUnframed (): void {
+    for (const task of [...this.tasks]) task.breakOffUnframed()
+  }
+
   /** Runs a task and ends it with a final fault if it has no response when the shutdown ends. */
   async run (task: IRequestTask): Promise<void> {
     this.tasks.add(task)
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -30,12 +30,13 @@
 }
 
 /** How the body of a response ended before it was complete. */
-export type CutReason = 'broken' | 'caller-left' | 'overdue'
+export type CutReason = 'broken' | 'caller-left' | 'overdue' | 'stopping'
 
 /** What the log says of a response that this process has cut; that the caller has left is logged with its connection. */
 export const cutMessages: { readonly [K in CutReason]: string | undefined } = {
   broken: 'the response of the target was incomplete',
   overdue: 'the deadline passed before the target had sent the whole response',
+  stopping: 'the process ends, and a part of a response without a length would look complete',
   'caller-left': undefined
 }
 
@@ -92,6 +93,14 @@
     this.continueElsewhere()
   }
 
+  /** Breaks the response off unless the caller's connection has taken the whole of it. */
+  breakOff (reason: CutReason): void {
+    if (this.isDone || this.res.writableFinished) return
+    this.attempt.cancel()
+    this.finish(reason)
+    responseAbort.abortResponse(this.res)
+  }
+
   private handleDrain (): void {
     if (this.heldSince !== undefined) this.heldMs += performance.now() - this.heldSince
     this.heldSince = undefined
@@ -125,9 +134,7 @@
       this.startOverdueTimer()
       return
     }
-    this.attempt.cancel()
-    this.finish('overdue')
-    responseAbort.abortResponse(this.res)
+    this.breakOff('overdue')
   }
 
   private async continueElsewhere (): Promise<void> {
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -11,6 +11,12 @@
 const msPerSecond = 1000
 const lateHeadersMs = 3000
 const slowResponseMs = 200
+/** From this share of the grace period on, requests without a response get a final one. */
+const finalResponseShareOfGrace = 0.9
+const bodyStart = 'xxx'
+const bodyPiece = 'x'.repeat(65_536)
+/** More than the sockets between endpoint and caller hold. */
+const longBody = 'x'.repeat(32 * 1024 * 1024)
 const stepMs = 10
 const turnsPerStep = 3
 const request = 'GET /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n'
@@ -42,6 +48,75 @@
   t.same(waiting.statuses, ['503'])
 })
 
+/** Writes pieces of a body until the caller has received some of it. */
+async function startBody (socket: net.Socket, toPiece: (data: string) => string, caller: callerFixture.CallerConnection): Promise<boolean> {
+  return await callerFixture.waitUntil(() => {
+    const hasArrived = caller.received.includes(bodyStart)
+    if (!hasArrived) socket.write(toPiece(bodyPiece))
+    return hasArrived
+  })
+}
+
+const toChunk = (data: string): string => `${data.length.toString(16)}\r\n${data}\r\n`
+
+for (const [name, version, header, toPiece, end] of [
+  ['without a length is reset', '1.1', 'Connection: close', (data: string) => data, 'reset'],
+  ['without a length to an HTTP/1.0 caller is reset', '1.0', 'Connection: close', (data: string) => data, 'reset'],
+  ['in chunks to an HTTP/1.0 caller is reset', '1.0', 'Transfer-Encoding: chunked', toChunk, 'reset'],
+  ['in chunks is left alone', '1.1', 'Transfer-Encoding: chunked', toChunk, 'open'],
+  ['with a length is left alone', '1.1', 'Content-Length: 100000000', (data: string) => data, 'open'],
+  ['with a length to an HTTP/1.0 caller is left alone', '1.0', 'Content-Length: 100000000', (data: string) => data, 'open']
+] as const) {
+  // Guards against a part of a response that looks complete, because the kernel closes the connections of a killed process in order.
+  tap.t.test(`an incomplete response ${name} before the grace period ends`, async (t) => {
+    const clock = new manualClock.ManualClock()
+    clock.jump(performance.now())
+    await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.write(`${endpointHead}${header}\r\n\r\n`), { graceS, clock }).start()
+    const caller = fixture.send(request.replace('HTTP/1.1', `HTTP/${version}`))
+    t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1))
+    t.ok(await startBody(fixture.targetSockets[0]!, toPiece, caller))
+    fixture.stop()
+    await passTime(clock, graceS * msPerSecond * finalResponseShareOfGrace)
+    await timers.setTimeout(settleMs)
+    t.same([caller.hasEnded, caller.isClosed], [false, false], 'it may still become complete')
+    await passTime(clock, graceS * msPerSecond * (1 - finalResponseShareOfGrace) - stepMs)
+    await callerFixture.waitUntil(() => caller.isClosed, settleMs)
+    t.same([caller.hasEnded, caller.isClosed], [false, end === 'reset'])
+    t.equal(fixture.metricsText.includes('rosemaryrack_cut_responses_total{lane="lane",reason="stopping"} 1'), end === 'reset')
+  })
+}
+
+// Guards against a whole response of which its caller has read a part only when the process is killed.
+tap.t.test('a response without a length that waits for its caller is reset before the grace period ends', async (t) => {
+  const clock = new manualClock.ManualClock()
+  clock.jump(performance.now())
+  await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.end(`${endpointHead}Connection: close\r\n\r\n${longBody}`), { graceS, clock }).start()
+  const caller = fixture.send(request)
+  caller.socket.pause()
+  t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1))
+  await timers.setTimeout(settleMs)
+  fixture.stop()
+  await passTime(clock, graceS * msPerSecond - stepMs)
+  caller.socket.resume()
+  await callerFixture.waitUntil(() => caller.isClosed || caller.hasEnded, msPerSecond)
+  t.same([caller.hasEnded, caller.isClosed, caller.received.length < longBody.length], [false, true, true])
+})
+
+tap.t.test('a complete response without a length ends in order during the shutdown', async (t) => {
+  const clock = new manualClock.ManualClock()
+  clock.jump(performance.now())
+  await using fixture = await new callerFixture.CallerFixture({}, () => {}, { graceS, clock }).start()
+  const caller = fixture.send(request)
+  t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1))
+  fixture.stop()
+  await passTime(clock, stepMs)
+  fixture.targetSockets[0]!.end(`${endpointHead}Connection: close\r\n\r\nhello`)
+  t.ok(await callerFixture.waitUntil(() => caller.hasEnded))
+  await passTime(clock, graceS * msPerSecond)
+  t.match(caller.received, /hello$/)
+  t.notMatch(fixture.metricsText, 'rosemaryrack_cut_responses_total')
+})
+
 tap.t.test('requests before the first configuration are refused as not run, and those without a lane after it as not found', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({ match: { pathPrefix: '/flags' } }, answer).start()
   fixture.config.removeAll()
