--- a/packages/testbed/src/node/programmableEndpoint.ts
+++ b/packages/testbed/src/node/programmableEndpoint.ts
@@ -8,10 +8,10 @@
 const bodyPieces = 10
 
 /**
- * How an endpoint ends a request after its work: a response, none at all, status 500, a reset of the connection, or a
- * response whose body arrives in pieces.
+ * How an endpoint ends a request after its work: a response, none at all, status 500, a reset of the connection, a
+ * response whose body arrives in pieces, or one without a length whose body never ends.
  */
-export type Ending = 'respond' | 'silent' | 'fail' | 'reset' | 'respond-slowly'
+export type Ending = 'respond' | 'silent' | 'fail' | 'reset' | 'respond-slowly' | 'never-end'
 
 /** How an endpoint treats a request, passed in the query. */
 export interface Behaviour {
@@ -96,11 +96,19 @@
     if (behaviour.ending === 'reset') {
       end('broke-off')
       req.socket.resetAndDestroy()
+    } else if (behaviour.ending === 'never-end') {
+      this.beginUnframed(requestId, behaviour, res)
     } else {
       await this.respond(requestId, behaviour, res)
     }
   }
 
+  private beginUnframed (requestId: string, { bytes }: Behaviour, res: http.ServerResponse): void {
+    res.useChunkedEncodingByDefault = false
+    res.writeHead(200, { 'X-Rosemaryrack-Request-Id': requestId, 'X-Rosemaryrack-Server-Stamp': `stamp-${this.id}`, Connection: 'close' })
+    res.write(Buffer.alloc(bytes, 'x'))
+  }
+
   private async respond (requestId: string, { ending, bodyMs, bytes }: Behaviour, res: http.ServerResponse): Promise<void> {
     const body = bytes > 0 ? Buffer.alloc(bytes, 'x') : Buffer.from(`from ${this.id}`)
     res.writeHead(ending === 'fail' ? 500 : 200, {
--- /dev/null
+++ b/packages/testbed/src/test/endedProcess.test.ts
@@ -0,0 +1,126 @@
+/** A response without a length must not look complete when the process of the entry ends before the whole of it was passed on. */
+import * as crypto from 'node:crypto'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as tap from 'tap'
+import * as async from '@rosemaryrack/base/common/async.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
+import * as deployedFleet from '../node/deployedFleet.js'
+import * as loopbackSubnet from '../node/loopbackSubnet.js'
+import type * as managedProcess from '../node/managedProcess.js'
+import * as programmableEndpoint from '../node/programmableEndpoint.js'
+
+const settleTimeoutMs = 20_000
+const heartbeatIntervalMs = 500
+const host = 'jepu9.example'
+const bornAt = 1_778_202_084_000
+/** Time from SIGTERM until the platform sends SIGKILL. */
+const graceMs = 6000
+const routeTimeoutMs = 20_000
+const idleTimeoutMs = 15_000
+const callersPerEntry = 10
+const bodyBytes = 1_000_000
+const ok = 200
+/** Lets a process throw an exception that nothing catches. */
+const throwSignal = 'SIGUSR2'
+const throwingModule = `data:text/javascript,${encodeURIComponent(`process.on('${throwSignal}', () => { throw new Error('thrown by a test') })`)}`
+
+const entries = { stopped: 1, failed: 2 } as const
+const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-ended-'))
+const { subnet } = await loopbackSubnet.reserve()
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 1, Object.keys(entries).length)
+const endpoint = new programmableEndpoint.ProgrammableEndpoint('i-files', fleet.endpointIp(1), 'vault', bornAt, idleTimeoutMs)
+let heartbeats: NodeJS.Timeout | undefined
+
+/** Starts all processes; each entry throws an exception at a signal. */
+function startFleet (): void {
+  const options = process.env['NODE_OPTIONS']
+  process.env['NODE_OPTIONS'] = `${options ?? ''} --import=${throwingModule}`
+  fleet.startAll()
+  if (options === undefined) delete process.env['NODE_OPTIONS']
+  else process.env['NODE_OPTIONS'] = options
+}
+
+tap.t.before(async () => {
+  await endpoint.listen()
+  startFleet()
+  const cfg = deployedFleet.createConfig(1, [deployedFleet.createRoute('files', '/files/', 'vault', 'safe', routeTimeoutMs)])
+  await fleet.waitFor('the configuration to be accepted', settleTimeoutMs, async () => (await fleet.putConfig(1, cfg)).status === ok)
+  heartbeats = setInterval(() => { endpoint.sendHeartbeat(fleet.controlAddress(1)) }, heartbeatIntervalMs)
+  for (const entry of Object.values(entries)) {
+    await fleet.waitFor(`entry ${entry} to serve`, settleTimeoutMs, async () => (await fleet.call(entry, '/files/x?ending=respond')).status === ok)
+  }
+})
+
+tap.t.teardown(async () => {
+  clearInterval(heartbeats)
+  endpoint.close()
+  await fleet.killAll()
+  fs.rmSync(folder, { recursive: true, force: true })
+})
+
+/** A response to a caller: its bytes so far, and how its connection has ended. */
+interface Received {
+  bytes: number
+  end: 'none' | 'orderly' | 'reset'
+}
+
+/** Requests a response whose body never ends. */
+function request (entry: number): Received {
+  const [address, port] = fleet.callersAddress(entry).split(':')
+  const received: Received = { bytes: 0, end: 'none' }
+  const socket = new checkedSocket.CheckedSocket().connect(Number(port), address!)
+  const query = programmableEndpoint.toQuery({ workMs: 0, ending: 'never-end', bodyMs: 0, bytes: bodyBytes })
+  socket.write(`GET /files/x?${query} HTTP/1.1\r\nHost: ${host}\r\nX-Rosemaryrack-Request-Id: ${crypto.randomUUID()}\r\nX-Rosemaryrack-Deadline-Ms: ${routeTimeoutMs}\r\n\r\n`)
+  socket.on('data', (chunk) => { received.bytes += chunk.length })
+  socket.on('end', () => { received.end = 'orderly' })
+  socket.on('error', () => { received.end = 'reset' })
+  return received
+}
+
+/** Ends the process of an entry while it passes on responses; resolves with how their connections ended. */
+async function endWhileResponding (entry: number, end: (child: managedProcess.ManagedProcess) => Promise<unknown>): Promise<readonly Received[]> {
+  const responses = Array.from({ length: callersPerEntry }, () => request(entry))
+  await fleet.waitFor('the bodies to begin', settleTimeoutMs, async () => responses.every(({ bytes }) => bytes >= bodyBytes))
+  await end(fleet.process(`entry-${entry}`))
+  await fleet.waitFor('the connections to end', settleTimeoutMs, async () => responses.every(({ end }) => end !== 'none'))
+  return responses
+}
+
+/** Counts the log lines of an entry on responses that it has broken off because it ends. */
+function countCuts (entry: number): number {
+  return fleet.process(`entry-${entry}`).readOutput().split('\n').filter((line) => line.includes('"event":"cut"') && line.includes('the process ends')).length
+}
+
+function countEnds (responses: readonly Received[]): Readonly<Record<Received['end'], number>> {
+  const counts = { none: 0, orderly: 0, reset: 0 }
+  for (const { end } of responses) counts[end]++
+  return counts
+}
+
+// Guards against a part of a response that looks complete, because an entry was killed while it passed the response on.
+tap.t.test('a response without a length is reset before SIGKILL at the end of the grace period', async (t) => {
+  const responses = await endWhileResponding(entries.stopped, async (child) => {
+    child.sendSignal('stop')
+    await Promise.race([child.exited, async.sleep(graceMs)])
+    child.sendSignal('kill')
+    await child.exited
+  })
+  t.same(countEnds(responses), { none: 0, orderly: 0, reset: callersPerEntry })
+  t.equal(countCuts(entries.stopped), callersPerEntry)
+})
+
+// Guards against a part of a response that looks complete, because an entry failed while it passed the response on.
+tap.t.test('a response without a length is reset when its process ends with an exception', async (t) => {
+  let code: number | null = null
+  const responses = await endWhileResponding(entries.failed, async (child) => {
+    child.expectExit()
+    process.kill(child.pid, throwSignal)
+    code = await child.exited
+  })
+  t.equal(code, errors.errorCodes.internal.exitCode)
+  t.same(countEnds(responses), { none: 0, orderly: 0, reset: callersPerEntry })
+  t.equal(countCuts(entries.failed), callersPerEntry)
+})
