--- a/packages/base/src/node/checkedSocket.ts
+++ b/packages/base/src/node/checkedSocket.ts
@@ -1,14 +1,22 @@
-/** Sockets and agents for clients that must see a reset which arrives together with data. */
+/** Sockets and agents that see a reset which arrives together with data. */
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as connectionEnd from './connectionEnd.js'
 
+/** How far a connection has ended: not, by an orderly close of the peer, or by a reset. */
+export type ConnectionState = 'open' | 'closed' | 'reset'
+
 /** A socket that reports a reset which arrives together with data as an error, which Node.js reports as the end of the stream. */
 export class CheckedSocket extends net.Socket {
+  private state: ConnectionState = 'open'
   private isEndChecked = false
   /** The reset that arrived together with data that is not read yet. */
   private resetAfterData: Error | undefined
 
+  get connectionState (): ConnectionState {
+    return this.state
+  }
+
   /** Ends the stream only once it is known that the peer has not reset the connection. */
   override push (chunk: unknown, encoding?: BufferEncoding): boolean {
     if (chunk !== null) return super.push(chunk, encoding)
@@ -27,10 +35,16 @@
   }
 
   private endReading (reset: Error | undefined): void {
+    this.state = reset === undefined ? 'closed' : 'reset'
     if (reset === undefined) super.push(null)
     else if (this.readableLength === 0) this.destroy(reset)
     else this.resetAfterData = reset
   }
+
+  override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
+    if (connectionEnd.isReset(err)) this.state = 'reset'
+    super._destroy(err, callback)
+  }
 }
 
 /** An agent for HTTP requests on such sockets. */
--- a/packages/base/src/node/connectionEnd.ts
+++ b/packages/base/src/node/connectionEnd.ts
@@ -19,6 +19,7 @@
   socket._write(noBytes, 'buffer' as BufferEncoding, (err) => done(isReset(err) ? err! : undefined))
 }
 
-function isReset (err: Error | null | undefined): boolean {
+/** Returns whether an error is the reset of a connection by the peer. */
+export function isReset (err: Error | null | undefined): boolean {
   return (err as NodeJS.ErrnoException | null | undefined)?.code === resetCode
 }
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -3,6 +3,7 @@
 import type * as undici from 'undici'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
@@ -137,7 +138,7 @@
   private hasSentRequest = false
   private sentAt = 0
   private isKeptAlive = true
-  private finalConnectionState: targetConnection.ConnectionState = 'open'
+  private finalConnectionState: checkedSocket.ConnectionState = 'open'
 
   constructor (
     private readonly target: IAttemptTarget,
@@ -155,7 +156,7 @@
   }
 
   /** State of the connection; when the response has ended, how the target ended it. */
-  get connectionState (): targetConnection.ConnectionState {
+  get connectionState (): checkedSocket.ConnectionState {
     return this.connection?.state ?? this.finalConnectionState
   }
 
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -1,7 +1,7 @@
 /** A connection to a target; it carries one request at a time and never reconnects. */
-import * as net from 'node:net'
 import * as undici from 'undici'
 import * as address from '@rosemaryrack/base/common/address.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 import * as connectionEnd from '@rosemaryrack/base/node/connectionEnd.js'
 
 /** Default of `ConnectOptions.timeoutMs`. */
@@ -13,56 +13,22 @@
 const maxIdleLimitMs = 60_000
 const msPerSecond = 1000
 const keepAliveTimeoutPattern = /(?:^|[,;\s])timeout=(\d{1,6})/i
-const resetCode = 'ECONNRESET'
 /** Number of request ids by which late responses to earlier requests are recognized. */
 const maxRequestIds = 32
 /** Limit on bytes before the first chunk of a body, or between two: four times the longest head that undici accepts. */
 const maxBytesWithoutProgress = 64 * 1024
 
-/** How far a connection has ended: not, by an orderly close of the target, or by a reset. */
-export type ConnectionState = 'open' | 'closed' | 'reset'
-
 /**
  * A socket that works around limitations of undici:
  * - It implements its own pause, since the parser of undici fails with an assertion error when the connection of a paused response ends.
  * - It reports a reset by the target as another error, since undici would treat a reset, like a close without an error, as
  *   the normal end of a response without a length. For the same reason `destroy` is always called with an error here.
- * - It reports a reset that arrives together with data as an error, which Node.js reports as the end of the stream.
  * - It limits the bytes without body data, since undici limits neither status lines, interim responses nor chunk extensions.
  */
-class TargetSocket extends net.Socket {
+class TargetSocket extends checkedSocket.CheckedSocket {
   private isReadingPaused = false
   /** Bytes read since the request was sent or the last chunk of the body arrived. */
   private bytesWithoutProgress = 0
-  private state: ConnectionState = 'open'
-  private isEndChecked = false
-  /** The reset that arrived together with data that is not read yet. */
-  private resetAfterData: Error | undefined
-
-  get connectionState (): ConnectionState {
-    return this.state
-  }
-
-  /** Ends the stream only once it is known that the target has not reset the connection. */
-  override push (chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk !== null) return super.push(chunk, encoding)
-    if (!this.isEndChecked) {
-      this.isEndChecked = true
-      connectionEnd.checkEnd(this, (reset) => this.endReading(reset))
-    }
-    return false
-  }
-
-  private endReading (reset: Error | undefined): void {
-    if (reset === undefined) {
-      this.state = 'closed'
-      super.push(null)
-      return
-    }
-    this.state = 'reset'
-    if (this.readableLength === 0) this.destroy(reset)
-    else this.resetAfterData = reset
-  }
 
   /** Makes `read` return no data until `resumeReading` is called; what the target sends meanwhile stays in the buffers of the socket and the kernel. */
   pauseReading (): void {
@@ -84,7 +50,6 @@
     }
     const data = super.read(size) as Buffer | null
     this.bytesWithoutProgress += data?.length ?? 0
-    if (this.resetAfterData !== undefined && this.readableLength === 0) setImmediate(() => this.destroy(this.resetAfterData))
     return data
   }
 
@@ -94,9 +59,7 @@
   }
 
   override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
-    const wasReset = (err as NodeJS.ErrnoException | null)?.code === resetCode
-    if (wasReset) this.state = 'reset'
-    super._destroy(wasReset ? new Error('connection reset by the target', { cause: err }) : err, callback)
+    super._destroy(err, (failure) => callback(connectionEnd.isReset(failure) ? new Error('connection reset by the target', { cause: failure }) : failure))
   }
 }
 
@@ -170,7 +133,7 @@
     return !this.socket.destroyed && this.socket.readable && this.socket.writable
   }
 
-  get state (): ConnectionState {
+  get state (): checkedSocket.ConnectionState {
     return this.socket.connectionState
   }
 
