--- /dev/null
+++ b/packages/testbed/src/node/byteConnection.ts
@@ -0,0 +1,148 @@
+/** A caller on a plain socket that keeps its connection open, and tells a reset from an orderly end. */
+import * as net from 'node:net'
+import * as connectionEnd from '@rosemaryrack/base/node/connectionEnd.js'
+
+const headEnd = Buffer.from('\r\n\r\n')
+const lineEnd = Buffer.from('\r\n')
+
+/** A response that looks complete to its caller. */
+export interface ByteRes {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+  readonly framing: 'length' | 'chunks' | 'to the close'
+}
+
+/** How a request ended, with times on the process's monotonic clock. */
+export interface ByteOutcome {
+  /** The response, or how the request ended without a complete one. */
+  readonly result: ByteRes | 'cut' | 'unconnected' | 'gave-up'
+  readonly startedAt: number
+  readonly endedAt: number
+}
+
+interface ParsedRes {
+  readonly res: ByteRes
+  /** Bytes of the response in the connection. */
+  readonly length: number
+}
+
+/** Ends its read side only once it is known whether the connection was reset. */
+class CheckedSocket extends net.Socket {
+  wasReset = false
+
+  override push (chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk !== null) return super.push(chunk, encoding)
+    connectionEnd.checkEnd(this, (reset) => {
+      this.wasReset = reset !== undefined
+      super.push(null)
+    })
+    return false
+  }
+}
+
+/** Sends requests on one connection, and opens a new one once that has ended. */
+export class ByteConnection {
+  private socket: CheckedSocket | undefined
+  private state: 'connecting' | 'open' | 'ended' | 'reset' | 'unconnected' = 'ended'
+  private received: Buffer = Buffer.alloc(0)
+  private onChange = (): void => {}
+
+  /** @param address host and port. */
+  constructor (private readonly host: string, private readonly port: number) {}
+
+  /** Sends a request; resolves once it has ended in any way. */
+  send (text: string, patienceMs: number): Promise<ByteOutcome> {
+    return new Promise((resolve) => {
+      const startedAt = performance.now()
+      if (this.state !== 'open') this.connect()
+      const finish = (result: ByteOutcome['result']): void => {
+        clearTimeout(timer)
+        this.onChange = () => {}
+        resolve({ result, startedAt, endedAt: performance.now() })
+      }
+      const timer = setTimeout(() => {
+        this.close()
+        finish('gave-up')
+      }, patienceMs)
+      this.onChange = () => {
+        const parsed = parseRes(this.received, this.state === 'ended')
+        if (parsed !== undefined) {
+          this.received = this.received.subarray(parsed.length)
+          if (parsed.res.framing === 'to the close' || parsed.res.headers['connection'] === 'close') this.close()
+          finish(parsed.res)
+        } else if (this.state !== 'connecting' && this.state !== 'open') {
+          finish(this.state === 'unconnected' ? this.state : 'cut')
+        }
+      }
+      this.socket!.write(text)
+      this.onChange()
+    })
+  }
+
+  close (): void {
+    this.state = 'ended'
+    this.socket?.destroy()
+  }
+
+  private connect (): void {
+    const socket = new CheckedSocket().connect({ host: this.host, port: this.port })
+    this.socket = socket
+    this.state = 'connecting'
+    this.received = Buffer.alloc(0)
+    const change = (state: ByteConnection['state']): void => {
+      if (this.socket !== socket || (this.state !== 'connecting' && this.state !== 'open')) return
+      this.state = this.state === 'connecting' && state !== 'open' ? 'unconnected' : state
+      this.onChange()
+    }
+    socket.on('connect', () => change('open'))
+    socket.on('data', (chunk: Buffer) => {
+      if (this.socket !== socket) return
+      this.received = Buffer.concat([this.received, chunk])
+      this.onChange()
+    })
+    socket.on('end', () => change(socket.wasReset ? 'reset' : 'ended'))
+    socket.on('error', () => change('reset'))
+    socket.on('close', () => change('reset'))
+  }
+}
+
+/** Parses the final response; returns undefined while it is incomplete. */
+function parseRes (received: Buffer, hasEnded: boolean): ParsedRes | undefined {
+  const end = received.indexOf(headEnd)
+  if (end < 0) return undefined
+  const [statusLine = '', ...lines] = received.toString('latin1', 0, end).split('\r\n')
+  const status = Number(statusLine.split(' ')[1])
+  const headers = Object.fromEntries(lines.map((line) => {
+    const colon = line.indexOf(':')
+    return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()]
+  }))
+  const start = end + headEnd.length
+  if (status < 200) {
+    const final = parseRes(received.subarray(start), hasEnded)
+    return final === undefined ? undefined : { ...final, length: start + final.length }
+  }
+  if (headers['transfer-encoding'] !== undefined) {
+    const chunks = parseChunks(received, start)
+    return chunks === undefined ? undefined : { res: { status, headers, body: chunks.body, framing: 'chunks' }, length: chunks.end }
+  }
+  if (headers['content-length'] !== undefined) {
+    const length = start + Number(headers['content-length'])
+    return received.length < length ? undefined : { res: { status, headers, body: received.subarray(start, length), framing: 'length' }, length }
+  }
+  return hasEnded ? { res: { status, headers, body: received.subarray(start), framing: 'to the close' }, length: received.length } : undefined
+}
+
+function parseChunks (received: Buffer, start: number): { readonly body: Buffer, readonly end: number } | undefined {
+  const chunks: Buffer[] = []
+  for (let at = start; ;) {
+    const sizeEnd = received.indexOf(lineEnd, at)
+    if (sizeEnd < 0) return undefined
+    const size = parseInt(received.toString('latin1', at, sizeEnd), 16)
+    const dataStart = sizeEnd + lineEnd.length
+    at = dataStart + size + lineEnd.length
+    if (received.length < at) return undefined
+    if (size === 0) return { body: Buffer.concat(chunks), end: at }
+    chunks.push(received.subarray(dataStart, dataStart + size))
+  }
+}
