Entry: a response without a length is reset when its caller has closed its sending direction

Cause: Node.js closes a caller's connection in order as soon as the caller has closed its sending direction. The same holds for a response in chunks to an HTTP/1.0 caller.

Change: such a response is reset first. One whose end has arrived is still delivered in whole.

callerListener.test, both tests '... does not look complete when its caller has closed its sending direction before the end' failed before (orderly end) and pass. 'a whole response without a length is delivered to a caller that closes its sending direction while it reads' passed before and passes.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -293,10 +293,18 @@
       this.done.resolve()
       if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
     })
-    if (this.endsWithConnection(head)) this.unframedStream = stream
+    if (this.endsWithConnection(head)) this.watchUnframed(stream)
     attempt.pipe(stream)
   }
 
+  private watchUnframed (stream: responseStream.ResponseStream): void {
+    this.unframedStream = stream
+    // Before the listener of Node.js, which closes the connection in order when the caller has closed its sending direction.
+    this.req.socket.prependOnceListener('end', () => {
+      if (!this.res.writableEnded) stream.breakOff('caller-left')
+    })
+  }
+
   private recordCut (reason: responseStream.CutReason, source: string): void {
     const { decisions, metrics } = this.deps
     // The peer counts a forwarded request as its caller's.
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -163,6 +163,35 @@
   t.match(caller.received, /hello$/)
 })
 
+for (const [name, version, framing] of [
+  ['a response without a length', '1.1', 'Connection: close\r\n\r\n'],
+  ['a chunked response to an HTTP/1.0 caller', '1.0', 'Transfer-Encoding: chunked\r\n\r\n10000\r\n']
+] as const) {
+  // Guards against a part of a response that looks complete to a caller that closes its sending direction after the request.
+  tap.t.test(`${name} does not look complete when its caller has closed its sending direction before the end`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.write(`${endpointHead}${framing}`)).start()
+    const caller = fixture.send(request.replace('HTTP/1.1', `HTTP/${version}`))
+    t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1))
+    t.ok(await startBody(fixture.targetSockets[0]!, (data) => data, caller))
+    caller.socket.end()
+    t.ok(await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed))
+    t.same([caller.hasEnded, caller.isClosed], [false, true])
+  })
+}
+
+tap.t.test('a whole response without a length is delivered to a caller that closes its sending direction while it reads', async (t) => {
+  await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.end(`${endpointHead}Connection: close\r\n\r\n${longBody}`)).start()
+  const caller = fixture.send(request)
+  caller.socket.pause()
+  t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1))
+  await timers.setTimeout(settleMs)
+  caller.socket.resume()
+  t.ok(await callerFixture.waitUntil(() => fixture.targetSockets[0]!.destroyed))
+  caller.socket.end()
+  await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed)
+  t.same([caller.hasEnded, caller.received.split('\r\n\r\n')[1]?.length], [true, longBody.length])
+})
+
 tap.t.test('a connection is usable or closed after a response that came before the end of the request body', async (t) => {
   await using fixture = await new callerFixture.CallerFixture({}, answer).start()
   const firstPart = 'x'.repeat(100_000)
