Entry: the rest of a continued download has the length that its head has stated

Cause: the rest of a download that broke off comes with the framing of another endpoint's response, which may end early or late: without a length by the end of the connection, in chunks by the last one. It was passed on as it came. A caller of a rest that was too short waited for the missing bytes; surplus bytes followed the body on a connection that stays open, where they are read as the next response.

Change: surplus bytes are not passed on, and a rest that is too short or too long is continued from another endpoint, or the response is broken off.

continuedDownloads.test 'a download whose rest without a length is too short is broken off', the same 'too long', and both for a rest in chunks failed before (connection open after 1.5 s; surplus bytes in the body) and pass. 'a download is continued with a rest without a length' and '... in chunks' passed before and pass.

--- a/packages/entry/src/node/downloadResumer.ts
+++ b/packages/entry/src/node/downloadResumer.ts
@@ -37,6 +37,10 @@
     this.triedEndpoints = [firstEndpoint]
   }
 
+  get length (): number {
+    return this.validator.length
+  }
+
   async continueFrom (offset: number, attach: (attempt: httpAttempt.HttpAttempt) => void): Promise<boolean> {
     if (this.continuations++ >= maxContinuations || offset >= this.validator.length) return false
     const headers = ['range', `bytes=${offset}-`, 'if-range', this.validator.etag]
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -22,6 +22,8 @@
 
 /** Gets the rest of an incomplete response from another endpoint. */
 export interface IContinuationSource {
+  /** Length of the whole body. */
+  readonly length: number
   /**
    * Requests the bytes from `offset` on, and calls `attach` with that attempt while its `onHead` event is handled. Resolves
    * with false if no endpoint can continue.
@@ -71,6 +73,12 @@
   }
 
   onData (chunk: Buffer): boolean {
+    // The response of another endpoint may have a length of its own.
+    if (this.sentBytes + chunk.length > (this.continuationSource?.length ?? Infinity)) {
+      this.attempt.cancel()
+      this.continueElsewhere()
+      return true
+    }
     this.sentBytes += chunk.length
     const canTakeMore = this.res.write(chunk)
     if (canTakeMore) {
@@ -83,6 +91,10 @@
   }
 
   onEnd (): void {
+    if (this.sentBytes < (this.continuationSource?.length ?? 0)) {
+      this.continueElsewhere()
+      return
+    }
     this.isReceived = true
     clearTimeout(this.overdueTimer)
     this.res.end()
