Dispatcher: a call is queued behind others only if no endpoint has a slot for it

Change: a call behind others is checked for an endpoint with a free slot before the queue is served, and before it may be rejected. Without one the queue is not walked. The description of candidates for the log moves to a module of its own.

--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -5,6 +5,7 @@
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as balancingPolicy from './balancingPolicy.js'
+import * as candidateLog from './candidateLog.js'
 import type * as endpointNotices from './endpointNotices.js'
 import * as endpointLimits from './endpointLimits.js'
 import type * as endpointStats from './endpointStats.js'
@@ -23,8 +24,6 @@
 const maxEjectedShare = 0.5
 /** Cold endpoints are not avoided while they are more than this share of the endpoints. */
 const maxColdShare = 0.25
-const loggedCandidateCount = 3
-const scoreRoundingFactor = 100
 const msPerSecond = 1000
 const minRetryAfterS = 1
 
@@ -111,15 +110,22 @@
       done({ placed: true, placement })
       return () => {}
     }
+    // Calls before this one may wait for endpoints that this one does not need, and no slot may be in use whose release serves the queue.
+    if (this.hasFreeSlot(request, now)) {
+      const withdraw = this.enqueue(request, now, done)
+      this.serveQueue()
+      return withdraw
+    }
     const fault = this.findRejection(request, now)
     if (fault !== undefined) {
       done({ placed: false, fault })
       return () => {}
     }
-    const withdraw = this.enqueue(request, now, done)
-    // Calls before this one may wait for endpoints that this one does not need, and no slot may be in use whose release serves the queue.
-    if (this.queue.length > 1) this.serveQueue()
-    return withdraw
+    return this.enqueue(request, now, done)
+  }
+
+  private hasFreeSlot (request: slotAssignment.SlotRequest, now: number): boolean {
+    return this.queue.position(request) > 0 && this.findCandidates(this.findAvailable(now).available, request, now).length > 0
   }
 
   /** Assigns a slot for a hedge, at an endpoint without a limit, if no call waits and the slots in use are below the lane's share for hedges. */
@@ -296,7 +302,7 @@
     if (choice === undefined) return undefined
     return this.occupySlot(request, choice, {
       considered: candidates.length,
-      candidates: this.describeBest(candidates, context),
+      candidates: candidateLog.describeBest(this.policy, candidates, context),
       why: `${this.policy.name}: ${candidates.length} of ${endpoints.length} endpoints have a free slot${describeUnavailable(endpoints.length - available.length)}${choice.note}`,
       waitedMs: now - queuedAt,
       isPermitted: choice.isPermitted
@@ -415,18 +421,6 @@
     const { nextAvailableAt } = this.findAvailable(now)
     if (nextAvailableAt !== Infinity) this.cancelAvailabilityTimer = this.clock.after(nextAvailableAt - now, () => this.serveQueueWhenEndpointsReturn())
   }
-
-  private describeBest (candidates: readonly balancingPolicy.Candidate[], context: balancingPolicy.ChoiceContext): string {
-    const best: balancingPolicy.ScoredCandidate[] = []
-    for (const candidate of candidates) {
-      const score = this.policy.score(candidate, context)
-      const position = best.findIndex((other) => score < other.score)
-      if (position >= 0) best.splice(position, 0, { candidate, score })
-      else if (best.length < loggedCandidateCount) best.push({ candidate, score })
-      if (best.length > loggedCandidateCount) best.pop()
-    }
-    return best.map(({ candidate, score }) => `${candidate.id}:${Math.round(score * scoreRoundingFactor) / scoreRoundingFactor}`).join(' ')
-  }
 }
 
 /** Returns the factor on the cost of endpoints in other failure domains, multiplied by the lane's weight. */
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -14,6 +14,8 @@
 const typicalMs = 10
 const minEjectionMs = 2000
 const failuresUntilEjection = 2
+const holdSamples = 200
+const longWaitMs = 50_000
 
 /** A dispatcher with a service whose endpoints and time the test sets. */
 class TestService {
@@ -47,8 +49,8 @@
   }
 
   /** Requests a slot; calls `onPlaced` at once or later. */
-  acquire (priority: configDocument.LanePriority, onPlaced: (placement: slotAssignment.Placement) => void, excludedEndpoints: readonly string[] = []): void {
-    const lane = createLane(priority)
+  acquire (priority: configDocument.LanePriority, onPlaced: (placement: slotAssignment.Placement) => void, excludedEndpoints: readonly string[] = [], maxWaitMs?: number): void {
+    const lane = { ...createLane(priority), ...(maxWaitMs === undefined ? {} : { maxWaitMs, deadlineMs: maxWaitMs }) }
     this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, remoteFactor: 1, isSuspect: false, excludedEndpoints: new Set(excludedEndpoints) }, (outcome) => {
       if (outcome.placed) onPlaced(outcome.placement)
     })
@@ -248,6 +250,32 @@
   t.same(placed, [free])
 })
 
+tap.t.test('a call that has a free endpoint is not rejected because of a long wait of the call before it', async (t) => {
+  const service = warmService('d-1', 'd-2')
+  for (let i = 0; i < holdSamples; i++) {
+    const placement = service.place('urgent')!
+    service.now += 1000
+    placement.release()
+  }
+  const taken = service.place('urgent')!.endpoint.endpoint
+  const free = service.endpointIds.find((id) => id !== taken)!
+  const placed: string[] = []
+  service.acquire('urgent', () => placed.push('restricted'), [free], longWaitMs)
+  service.acquire('urgent', ({ endpoint }) => placed.push(endpoint.endpoint))
+  t.same(placed, [free])
+})
+
+// Guards against an event loop that is blocked while calls queue for endpoints that are all taken.
+tap.t.test('a call that finds no endpoint does not check the calls before it', async (t) => {
+  const service = warmService('d-1', 'd-2', 'd-3', 'd-4')
+  service.announce('cold')
+  let checks = 0
+  Reflect.set(service.dispatcher, 'serveQueue', () => { checks++ })
+  for (let i = 0; i < 7; i++) service.acquire('urgent', () => {}, [], longWaitMs)
+  t.equal(service.dispatcher.waiting, 3)
+  t.equal(checks, 0)
+})
+
 tap.t.test('ejections are ignored while most endpoints are ejected, also if some of these have no free slot', async (t) => {
   const service = warmService('d-1', 'd-2', 'd-3', 'd-4')
   for (const id of ['d-2', 'd-3', 'd-4']) eject(service, id)
