Entry: only responses that would be delivered are held back, and the hold is no latency

Found by a review of 'a response without a length is held back until its end is known': a 500 whose body stays open delayed the retry by 1 s (the caller got the other endpoint's 200 after 1052 ms); one that was held until the deadline was replaced by a retry that had no time; and the time of the hold was recorded as latency of the head (30 heads after 10 ms, held for 1 s: typical latency 270 ms), which decides on hedges, ejections and early refusals.

Change: error responses that another attempt replaces, and those that are shed, are not held. The latency counts to the begin of the hold. The end of a connection is not reported for a socket that was destroyed meanwhile.

--- a/packages/base/src/node/connectionEnd.ts
+++ b/packages/base/src/node/connectionEnd.ts
@@ -16,7 +16,7 @@
     return
   }
   // Unlike `write`, this does not destroy the socket if the peer has closed it in order and refuses further data.
-  socket._write(noBytes, 'buffer' as BufferEncoding, (err) => done(isReset(err) ? err! : undefined))
+  socket._write(noBytes, 'buffer' as BufferEncoding, (err) => { if (!socket.destroyed) done(isReset(err) ? err! : undefined) })
 }
 
 /** Returns whether an error is the reset of a connection by the peer. */
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -282,7 +282,7 @@
   private receiveHead (head: HttpHead): void {
     const endsWithConnection = this.target.isUnframed(head.headers) && headerRules.canHaveBody(this.req.method, head.status)
     if (endsWithConnection) this.scanner = new responseHeadScanner.ResponseHeadScanner(this.req.headerNames.requestId, this.connection!.requestIds)
-    if (endsWithConnection && !head.notRun && this.events.canHoldBack()) this.held = new heldResponse.HeldResponse(head, () => this.deliverHeld())
+    if (endsWithConnection && !head.notRun && this.events.tryHoldBack(head)) this.held = new heldResponse.HeldResponse(head, () => this.deliverHeld())
     else this.reportHead(head)
   }
 
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -180,7 +180,7 @@
     this.running = running
     running.attempt = new httpAttempt.HttpAttempt(new PeerTarget(peer), this.buildReq(), {
       onHead: (head) => this.onHead(running, head as httpAttempt.HttpHead),
-      canHoldBack: () => this.canHoldBack(running),
+      tryHoldBack: () => this.tryHoldBack(running),
       onFailure: (failure) => this.onFailure(running, failure),
       onBodyEnd: running.release
     }, connections)
@@ -216,7 +216,7 @@
   }
 
   /** A peer whose response is held back is not silent. */
-  private canHoldBack (running: RunningForward): boolean {
+  private tryHoldBack (running: RunningForward): boolean {
     if (this.running !== running) return false
     this.cancelSilence()
     return true
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -41,8 +41,6 @@
   readonly server = net.createServer((socket) => this.accept(socket))
   head: transport.ResponseHead | undefined
   bodyBytes = 0
-  /** Whether responses whose body ends with the connection may be held back. */
-  canHoldBack = false
   /** Connections that the target has accepted. */
   connectionCount = 0
   targetSocket: net.Socket | undefined
@@ -78,7 +76,7 @@
         this.head = head
         this.attempt!.pipe(this)
       },
-      canHoldBack: () => this.canHoldBack,
+      tryHoldBack: () => false,
       onBodyEnd: () => {},
       onFailure: ({ kind }) => this.recordEvent(kind)
     }, false)
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -151,7 +151,7 @@
     this.runningAttempts.add(attempt)
     attempt.handle = this.deps.transport.start(endpoint, {
       onHead: (head) => this.onHead(attempt, head),
-      canHoldBack: () => this.canHoldBack(attempt),
+      tryHoldBack: (head) => this.tryHoldBack(attempt, head),
       onFailure: (failure) => this.onAttemptFailed(attempt, failure),
       onBodyEnd: () => placement.release()
     }, this.timedOutAttempt !== undefined || event === 'hedge')
@@ -216,12 +216,14 @@
     }
   }
 
-  /** Another attempt is not needed while a response is held back. If a retry has been requested already, it would replace this attempt. */
-  private canHoldBack (attempt: runningAttempt.RunningAttempt): boolean {
-    if (this.isSettled || attempt === this.timedOutAttempt) return false
+  /** Holds back a response that would be delivered; no other attempt is needed meanwhile. A retry that was requested already replaces the attempt. */
+  private tryHoldBack (attempt: runningAttempt.RunningAttempt, { status }: transport.ResponseHead): boolean {
+    const { lane } = this.spec
+    const isReplaceable = lane.shedStatuses.includes(status) || (lane.idempotent && retryableStatuses.includes(status))
+    if (this.isSettled || isReplaceable || attempt === this.timedOutAttempt) return false
+    attempt.respondedAt = this.deps.clock.now()
     attempt.cancelTimeout()
     this.cancelHedge()
-    this.deps.crashDetector.recordRunning(attempt.placement.endpoint, attempt.startedAt)
     return true
   }
 
--- a/packages/routing/src/common/responseStats.ts
+++ b/packages/routing/src/common/responseStats.ts
@@ -14,7 +14,7 @@
     attempt.placement.stats.recordFailure(now)
     return
   }
-  const latencyMs = now - attempt.startedAt
+  const latencyMs = (attempt.respondedAt ?? now) - attempt.startedAt
   // Lanes of one service differ in latency, so an endpoint counts as slow only in relation to the lane's typical latency.
   const relativeLatency = latencyMs / laneTypicalLatencyMs
   attempt.placement.stats.recordSuccess(relativeLatency * dispatcher.typicalLatencyMs, now)
--- a/packages/routing/src/common/runningAttempt.ts
+++ b/packages/routing/src/common/runningAttempt.ts
@@ -7,6 +7,8 @@
   readonly placement: slotAssignment.Placement
   readonly startedAt: number
   handle: transport.IAttempt | undefined
+  /** Time on the clock at which a response began that is held back. */
+  respondedAt?: number
   cancelTimeout: () => void
 }
 
--- a/packages/routing/src/common/transport.ts
+++ b/packages/routing/src/common/transport.ts
@@ -24,10 +24,10 @@
 export interface IAttemptEvents {
   onHead(head: ResponseHead): void
   /**
-   * Called when a response has begun whose body ends with its connection. Returns whether it may be held back until it is complete: if its
-   * connection is reset, the attempt fails as if no response had begun.
+   * Called when a response has begun whose body ends with its connection. Returns whether it is held back until it is complete: if its
+   * connection is reset then, the attempt fails as if no response had begun.
    */
-  canHoldBack(): boolean
+  tryHoldBack(head: ResponseHead): boolean
   onFailure(failure: AttemptFailure): void
   /** Called when the response is complete, or the rest of its body will not be read. */
   onBodyEnd(): void
--- a/packages/routing/src/test/callAttempts.test.ts
+++ b/packages/routing/src/test/callAttempts.test.ts
@@ -34,9 +34,10 @@
   readonly clock = new manualClock.ManualClock()
   readonly attempts: transport.IAttemptEvents[] = []
   readonly outcomes: string[] = []
+  private readonly latency = new laneLatency.LaneLatency()
   private probes: Array<(outcome: loadProbing.ProbeOutcome) => void> = []
 
-  constructor (lane = defaultLane) {
+  constructor (private readonly lane = defaultLane) {
     const endpoints = ['d-1', 'd-2', 'd-3', 'd-4', 'd-5'].map((id) => fixtures.createEndpoint(id, slots, 0))
     const source = { onChanged: new event.Emitter<endpointTable.Endpoint>().event, routable: () => endpoints }
     const suspects = new suspectTable.SuspectTable(this.clock)
@@ -61,7 +62,7 @@
       suspects,
       crashDetector: new crashDetection.CrashDetector(source, suspects, this.clock),
       budgets: { retries: unlimitedBudget, hedges: unlimitedBudget, healthChecks: unlimitedBudget },
-      latency: new laneLatency.LaneLatency(),
+      latency: this.latency,
       domainPreference: new domainPreference.DomainPreference(),
       decisions: new decisionLog.NullDecisionLog(),
       clock: this.clock,
@@ -72,6 +73,10 @@
     }).start()
   }
 
+  get latencyMs (): number {
+    return this.latency.typicalMs(this.lane, 0)
+  }
+
   completeProbes (outcome: loadProbing.ProbeOutcome = idleOutcome): void {
     for (const done of this.probes.splice(0)) done(outcome)
   }
@@ -113,7 +118,7 @@
 tap.t.test('an attempt whose response is held back is neither hedged nor replaced', async (t) => {
   const harness = new CallHarness()
   harness.completeProbes()
-  t.ok(harness.attempts[0]!.canHoldBack())
+  t.ok(harness.attempts[0]!.tryHoldBack({ status: 200, notRun: false }))
   harness.clock.advance(attemptTimeoutMs + 1)
   harness.completeProbes()
   t.equal(harness.attempts.length, 1)
@@ -122,7 +127,7 @@
 tap.t.test('a response that breaks off while it is held back is followed by a retry', async (t) => {
   const harness = new CallHarness()
   harness.completeProbes()
-  harness.attempts[0]!.canHoldBack()
+  harness.attempts[0]!.tryHoldBack({ status: 200, notRun: false })
   harness.attempts[0]!.onFailure({ kind: 'silent', message: 'the connection was reset' })
   harness.completeProbes()
   t.equal(harness.attempts.length, maxAttempts)
@@ -135,5 +140,23 @@
   harness.completeProbes(overloadedOutcome)
   harness.completeProbes(overloadedOutcome)
   harness.clock.advance(attemptTimeoutMs / 10)
-  t.notOk(harness.attempts[0]!.canHoldBack())
+  t.notOk(harness.attempts[0]!.tryHoldBack({ status: 200, notRun: false }))
+})
+
+tap.t.test('an error response that would be replaced or was shed is not held back', async (t) => {
+  for (const status of [500, 502, 503, 504]) {
+    const harness = new CallHarness()
+    harness.completeProbes()
+    t.notOk(harness.attempts[0]!.tryHoldBack({ status, notRun: false }), String(status))
+  }
+})
+
+tap.t.test('the time for which a response is held back is no part of its latency', async (t) => {
+  const harness = new CallHarness()
+  harness.completeProbes()
+  harness.clock.advance(1)
+  harness.attempts[0]!.tryHoldBack({ status: 200, notRun: false })
+  harness.clock.advance(attemptTimeoutMs)
+  harness.attempts[0]!.onHead({ status: 200, notRun: false })
+  t.ok(harness.latencyMs < attemptTimeoutMs / 10, `${harness.latencyMs} ms`)
 })
