Entry: a response whose last transfer coding is not chunked ends with its connection

A response with 'Transfer-Encoding: identity' or 'gzip' has a body that ends with its connection (RFC 9112, section 6.3), but was taken for one with chunks: it was neither held back nor searched for a second response, and went to the caller in chunks, whose end states that it is complete.

Change: a response is framed by a length or by chunked as its last transfer coding.

--- a/packages/entry/src/common/headerRules.ts
+++ b/packages/entry/src/common/headerRules.ts
@@ -15,6 +15,7 @@
 const notModifiedStatus = 304
 const msPerSecond = 1000
 const leavingHeaderValue = '1'
+const chunkedPattern = /(?:^|[,\s])chunked\s*$/i
 const decimalPattern = /^\d+(?:\.\d+)?$/
 /** Response header with a load report in the format of ORCA (Open Request Cost Aggregation). */
 export const orcaLoadHeader = 'endpoint-load-metrics'
@@ -105,7 +106,8 @@
 
 /** Returns whether the headers determine where the body ends. */
 export function isFramed (headers: MessageHeaders): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+  // A body with another last transfer coding ends with its connection (RFC 9112, section 6.3).
+  return headers['content-length'] !== undefined || chunkedPattern.test(String(headers['transfer-encoding'] ?? ''))
 }
 
 /** Returns whether the response to a request can have a body. */
--- a/packages/entry/src/test/heldResponses.test.ts
+++ b/packages/entry/src/test/heldResponses.test.ts
@@ -65,6 +65,34 @@
   t.ok(await callerFixture.waitUntil(() => fixture.targetSockets[0]!.destroyed && fixture.listener.inFlightCount === 0, holdMs / 2))
 })
 
+tap.t.test('an error response without a length is replaced at once, since its body is not needed', async (t) => {
+  await using failing = await entries.startEndpoint('e-1', (req, res) => {
+    res.useChunkedEncodingByDefault = false
+    res.writeHead(500, { ...entries.stamp(req), connection: 'close' }).write(part)
+  })
+  await using sound = await entries.startEndpoint('e-2')
+  await using entry = await entries.TestEntry.start('entry', [failing, sound])
+  for (let i = 0; i < 2; i++) {
+    const { status, ms } = await entries.send(entry.callersAddress, 'GET', { 'x-id': `request-${i}` })
+    t.ok(status === 200 && ms < holdMs / 2, `${status} after ${Math.round(ms)} ms`)
+  }
+  t.ok(failing.requests.length > 0)
+})
+
+for (const coding of ['identity', 'gzip', 'chunked, gzip']) {
+  // Guards against a part of a response that is passed on as whole, since its framing was mistaken for one that marks the end.
+  tap.t.test(`a response with the transfer coding "${coding}" ends with its connection`, async (t) => {
+    const head = endpointHead.replace('\r\n\r\n', `\r\nTransfer-Encoding: ${coding}\r\n\r\n`)
+    await using fixture = await new callerFixture.CallerFixture({}, (socket) => socket.write(head + part)).start()
+    const caller = fixture.send(request)
+    t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1))
+    await timers.setTimeout(settleMs)
+    fixture.targetSockets[0]!.resetAndDestroy()
+    t.ok(await callerFixture.waitUntil(() => caller.isClosed || caller.statuses.length > 0, eventTimeoutMs))
+    t.same(caller.statuses, ['502'])
+  })
+}
+
 for (const [name, peers] of [['directly', false], ['through peers', true]] as const) {
   // Guards against a broken response for a request that another endpoint could have answered.
   tap.t.test(`an idempotent request whose response without a length breaks off is answered by another endpoint: ${name}`, async (t) => {
