Testbed: a relay passes the reset of a process on as a reset

Cause: a reset that arrives together with data looked like an end to the relay, which then closed its other side in order. A scenario could not see a response that was broken off that way behind a relay.

--- a/packages/testbed/src/node/relay.ts
+++ b/packages/testbed/src/node/relay.ts
@@ -1,6 +1,7 @@
 /** TCP relays in front of processes, which can partition pairs of processes and stop traffic on open connections. */
 import * as net from 'node:net'
 import * as address from '@rosemaryrack/base/common/address.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 
 /** One relayed connection. */
 interface RelayedConnection {
@@ -78,7 +79,7 @@
 
   private connect (connection: RelayedConnection, host: string, port: number): void {
     const { incoming } = connection
-    const outgoing = net.connect({ host, port, noDelay: true, allowHalfOpen: false })
+    const outgoing = new checkedSocket.CheckedSocket({ allowHalfOpen: false }).setNoDelay(true).connect({ host, port })
     connection.outgoing = outgoing
     outgoing.on('error', () => incoming.resetAndDestroy())
     outgoing.on('close', () => this.close(connection))
--- a/packages/testbed/src/test/resetResponses.test.ts
+++ b/packages/testbed/src/test/resetResponses.test.ts
@@ -3,6 +3,7 @@
 import * as tap from 'tap'
 import * as deployedFleet from '../node/deployedFleet.js'
 import * as keptConnection from '../node/keptConnection.js'
+import * as relay from '../node/relay.js'
 
 const repetitions = 100
 const resetResponse = `HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${'x'.repeat(1000)}`
@@ -40,9 +41,27 @@
   return [result, body.slice(-'whole'.length)]
 }
 
+async function sendRelayed (address: string, path: string): Promise<readonly unknown[]> {
+  const network = new relay.RelayNetwork()
+  const listen = await findFreeAddress()
+  await network.add(listen, address, 'endpoint', () => 'client')
+  const response = await sendOnce(listen, path)
+  network.dispose()
+  return response
+}
+
+async function findFreeAddress (): Promise<string> {
+  const server = net.createServer().listen(0, '127.0.0.1')
+  await new Promise((resolve) => server.once('listening', resolve))
+  const { port } = server.address() as net.AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return `127.0.0.1:${port}`
+}
+
 const clients: ReadonlyArray<readonly [string, Client, unknown]> = [
   ['sendRequest', sendOnce, 0],
-  ['KeptConnection', sendKept, 'cut']
+  ['KeptConnection', sendKept, 'cut'],
+  ['sendRequest through a relay', sendRelayed, 0]
 ]
 
 for (const [name, send, noResponse] of clients) {
