Dispatcher: a call behind others is not queued for endpoints with a limit before it may be rejected

'A call is queued behind others only if no endpoint has a slot for it' counted endpoints that name a limit: calls of limited services were queued without the check that refuses those that cannot be in time. Only endpoints without a limit count.

--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -124,8 +124,11 @@
     return this.enqueue(request, now, done)
   }
 
+  /** Returns whether an endpoint without a limit has a free slot for a call that is not the first of the queue. */
   private hasFreeSlot (request: slotAssignment.SlotRequest, now: number): boolean {
-    return this.queue.position(request) > 0 && this.findCandidates(this.findAvailable(now).available, request, now).length > 0
+    if (this.queue.position(request) === 0) return false
+    const unlimited = this.findAvailable(now).available.filter((endpoint) => !this.limits.isLimited(endpoint))
+    return this.findCandidates(unlimited, request, now).length > 0
   }
 
   /** Assigns a slot for a hedge, at an endpoint without a limit, if no call waits and the slots in use are below the lane's share for hedges. */
