callerListener.test: the caller has read all data before it closes its sending direction

The test 'a response without a length does not look complete when its caller has closed its sending direction before the end' failed once of seven runs of its file. The connection was reset, but its caller saw an end: a reset that arrives together with data is told from an end by a write, which is not possible once the own sending direction is closed ('end' in 100 of 100 connections in a run of that alone). The test now closes the direction only after the data has arrived; what it asserts is unchanged.

--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -173,6 +173,8 @@
     const caller = fixture.send(request.replace('HTTP/1.1', `HTTP/${version}`))
     t.ok(await callerFixture.waitUntil(() => fixture.targetRequests === 1))
     t.ok(await startBody(fixture.targetSockets[0]!, (data) => data, caller))
+    // Without the sending direction, this caller cannot tell a reset that arrives together with data from an end.
+    await timers.setTimeout(settleMs)
     caller.socket.end()
     t.ok(await callerFixture.waitUntil(() => caller.hasEnded || caller.isClosed))
     t.same([caller.hasEnded, caller.isClosed], [false, true])
