--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -288,7 +288,7 @@
     const limits = { progressTimeoutMs: lane.progressTimeoutMs, deadlineAt: this.deadlineAt(lane) }
     const stream = new responseStream.ResponseStream(this.res, attempt, limits, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
       if (endpoint !== undefined) state.domainPreference.recordResponseSize(bytes)
-      if (!isFramed(response)) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
+      if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
       if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
@@ -341,17 +341,15 @@
     if (load !== undefined) this.deps.endpoints.updateLoad(endpoint.endpoint, load)
   }
 
-  private sendHead (response: requestRun.RunResponse, body: callerBody.CallerBody): void {
+  private sendHead ({ head }: requestRun.RunResponse, body: callerBody.CallerBody): void {
     const { res } = this
-    const { head } = response
     const { requestId } = this.deps.headers
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
     headers.push(requestId, this.requestId)
-    const hasFraming = isFramed(response)
     const isForwarded = this.origin.forwarded !== undefined
-    if (isForwarded) headers.push(...forwardHeaders.formatAnswer(hasFraming))
+    if (isForwarded) headers.push(...forwardHeaders.formatAnswer(head.isFramed))
     // The end of the connection to the target marked the end of the body, which may be a break. Chunks would state that it is complete.
-    const isUnframed = !hasFraming && !isForwarded && headerRules.canHaveBody(this.req.method, head.status)
+    const isUnframed = !head.isFramed && !isForwarded && headerRules.canHaveBody(this.req.method, head.status)
     if (isUnframed) res.useChunkedEncodingByDefault = false
     const announcesEnd = isUnframed || !body.hasShortRest || this.endsWhileStopping
     if (announcesEnd) headers.push('Connection', 'close')
@@ -417,11 +415,6 @@
   }
 }
 
-/** Returns whether the endpoint has stated where the body ends. */
-function isFramed ({ endpoint, head }: requestRun.RunResponse): boolean {
-  return endpoint === undefined ? !forwardHeaders.isUnframed(head.headers) : headerRules.isFramed(head.headers)
-}
-
 function noConfigError (message: string): errors.RackError {
   return new errors.RackError({ kind: 'not-run', message, retryAfterS: notReadyRetryAfterS })
 }
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -39,6 +39,8 @@
   readonly headers: http.IncomingHttpHeaders
   /** Flat list of names and values, as received. */
   readonly rawHeaders: readonly string[]
+  /** Whether the endpoint has stated where the body ends; without that, it ends with the connection. */
+  readonly isFramed: boolean
 }
 
 /** Receives the body of a response. */
@@ -57,8 +59,8 @@
   readonly endpoint: string
   /** Checked once the connection is open. */
   canSend(): boolean
-  /** Returns whether the headers of a response leave open where its body ends. */
-  isUnframed(headers: headerRules.MessageHeaders): boolean
+  /** Returns whether the headers of a response state where the body of the endpoint ends. */
+  isFramed(headers: headerRules.MessageHeaders): boolean
   /** @param sentAt when the request of the response was sent. */
   recordNotice(notice: endpointNotices.Notice, sentAt: number): void
 }
@@ -78,8 +80,8 @@
     return this.notices.canSend(this.target)
   }
 
-  isUnframed (headers: headerRules.MessageHeaders): boolean {
-    return !headerRules.isFramed(headers)
+  isFramed (headers: headerRules.MessageHeaders): boolean {
+    return headerRules.isFramed(headers)
   }
 
   recordNotice (notice: endpointNotices.Notice, sentAt: number): void {
@@ -265,7 +267,7 @@
         this.hasResponseBegun = true
         this.isKeptAlive = headers['connection'] !== 'close'
         this.connection?.applyKeepAlive(headers['keep-alive'])
-        this.receiveHead(toHead(controller, status, headers, headerRules.statesNotRun(this.req.headerNames, status, headers)))
+        this.receiveHead(this.toHead(controller, status, headers))
       },
       onResponseData: (_controller, chunk) => {
         this.receive(chunk)
@@ -280,12 +282,17 @@
 
   /** Reports a response, or holds it back while only the end of its connection can tell whether it is complete. */
   private receiveHead (head: HttpHead): void {
-    const endsWithConnection = this.target.isUnframed(head.headers) && headerRules.canHaveBody(this.req.method, head.status)
+    const endsWithConnection = !head.isFramed && headerRules.canHaveBody(this.req.method, head.status)
     if (endsWithConnection) this.scanner = new responseHeadScanner.ResponseHeadScanner(this.req.headerNames.requestId, this.connection!.requestIds)
     if (endsWithConnection && !head.notRun && this.events.tryHoldBack(head)) this.held = new heldResponse.HeldResponse(head, () => this.deliverHeld())
     else this.reportHead(head)
   }
 
+  private toHead (controller: undici.Dispatcher.DispatchController, status: number, headers: http.IncomingHttpHeaders): HttpHead {
+    const rawHeaders = (controller.rawHeaders as readonly Buffer[]).map((text) => text.toString('latin1'))
+    return { status, notRun: headerRules.statesNotRun(this.req.headerNames, status, headers), headers, rawHeaders, isFramed: this.target.isFramed(headers) }
+  }
+
   private reportHead (head: HttpHead): void {
     this.hasHead = true
     this.events.onHead(head)
@@ -367,8 +374,3 @@
     this.connection = undefined
   }
 }
-
-function toHead (controller: undici.Dispatcher.DispatchController, status: number, headers: http.IncomingHttpHeaders, notRun: boolean): HttpHead {
-  const rawHeaders = (controller.rawHeaders as readonly Buffer[]).map((text) => text.toString('latin1'))
-  return { status, notRun, headers, rawHeaders }
-}
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -108,8 +108,8 @@
     return true
   }
 
-  isUnframed (headers: headerRules.MessageHeaders): boolean {
-    return forwardHeaders.isUnframed(headers)
+  isFramed (headers: headerRules.MessageHeaders): boolean {
+    return !forwardHeaders.isUnframed(headers)
   }
 
   recordNotice (): void {}
--- a/packages/testbed/src/node/byteConnection.ts
+++ b/packages/testbed/src/node/byteConnection.ts
@@ -1,6 +1,5 @@
 /** A caller on a plain socket that keeps its connection open, and tells a reset from an orderly end. */
-import * as net from 'node:net'
-import * as connectionEnd from '@rosemaryrack/base/node/connectionEnd.js'
+import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 
 const headEnd = Buffer.from('\r\n\r\n')
 const lineEnd = Buffer.from('\r\n')
@@ -10,7 +9,7 @@
   readonly status: number
   readonly headers: Readonly<Record<string, string>>
   readonly body: Buffer
-  readonly framing: 'length' | 'chunks' | 'to the close'
+  readonly framing: 'length' | 'chunks' | 'close-delimited'
 }
 
 /** How a request ended, with times on the process's monotonic clock. */
@@ -27,23 +26,9 @@
   readonly length: number
 }
 
-/** Ends its read side only once it is known whether the connection was reset. */
-class CheckedSocket extends net.Socket {
-  wasReset = false
-
-  override push (chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk !== null) return super.push(chunk, encoding)
-    connectionEnd.checkEnd(this, (reset) => {
-      this.wasReset = reset !== undefined
-      super.push(null)
-    })
-    return false
-  }
-}
-
 /** Sends requests on one connection, and opens a new one once that has ended. */
 export class ByteConnection {
-  private socket: CheckedSocket | undefined
+  private socket: checkedSocket.CheckedSocket | undefined
   private state: 'connecting' | 'open' | 'ended' | 'reset' | 'unconnected' = 'ended'
   private received: Buffer = Buffer.alloc(0)
   private onChange = (): void => {}
@@ -69,7 +54,7 @@
         const parsed = parseRes(this.received, this.state === 'ended')
         if (parsed !== undefined) {
           this.received = this.received.subarray(parsed.length)
-          if (parsed.res.framing === 'to the close' || parsed.res.headers['connection'] === 'close') this.close()
+          if (parsed.res.framing === 'close-delimited' || parsed.res.headers['connection'] === 'close') this.close()
           finish(parsed.res)
         } else if (this.state !== 'connecting' && this.state !== 'open') {
           finish(this.state === 'unconnected' ? this.state : 'cut')
@@ -86,7 +71,7 @@
   }
 
   private connect (): void {
-    const socket = new CheckedSocket().connect({ host: this.host, port: this.port })
+    const socket = new checkedSocket.CheckedSocket().connect({ host: this.host, port: this.port })
     this.socket = socket
     this.state = 'connecting'
     this.received = Buffer.alloc(0)
@@ -101,7 +86,7 @@
       this.received = Buffer.concat([this.received, chunk])
       this.onChange()
     })
-    socket.on('end', () => change(socket.wasReset ? 'reset' : 'ended'))
+    socket.on('end', () => change('ended'))
     socket.on('error', () => change('reset'))
     socket.on('close', () => change('reset'))
   }
@@ -130,7 +115,7 @@
     const length = start + Number(headers['content-length'])
     return received.length < length ? undefined : { res: { status, headers, body: received.subarray(start, length), framing: 'length' }, length }
   }
-  return hasEnded ? { res: { status, headers, body: received.subarray(start), framing: 'to the close' }, length: received.length } : undefined
+  return hasEnded ? { res: { status, headers, body: received.subarray(start), framing: 'close-delimited' }, length: received.length } : undefined
 }
 
 function parseChunks (received: Buffer, start: number): { readonly body: Buffer, readonly end: number } | undefined {
--- a/packages/testbed/src/node/plannedWork.ts
+++ b/packages/testbed/src/node/plannedWork.ts
@@ -9,6 +9,7 @@
 import * as keptConnection from './keptConnection.js'
 import * as programmableEndpoint from './programmableEndpoint.js'
 import * as soakChoices from './soakChoices.js'
+import * as soakFleet from './soakFleet.js'
 
 /** The bounds of the users' rule. */
 const graceMs = 6000
@@ -24,7 +25,6 @@
 /** Tolerance of the clocks of callers and instances when a deadline is reached. */
 const clockToleranceMs = 50
 const settleTimeoutMs = 30_000
-const heartbeatIntervalMs = 500
 const reconnectDelayMs = 150
 const stampHeader = 'x-rosemaryrack-server-stamp'
 const bornAt = 1_778_202_084_000
@@ -94,6 +94,7 @@
 /** Runs seeds one after the other on one fleet. */
 export class PlannedWorkSoak {
   private readonly fleet: deployedFleet.DeployedFleet
+  private readonly soakFleet: soakFleet.SoakFleet
   private readonly endpoints: readonly programmableEndpoint.ProgrammableEndpoint[]
   private readonly versions: Version[] = []
   private readonly stoppingEntries = new Set<number>()
@@ -101,27 +102,23 @@
   private stops: Stop[] = []
   private versionNumber = 0
   private readonly lateness = new eventLoopLateness.EventLoopLateness()
-  private hasEnded = false
 
   constructor (private readonly options: SoakOptions) {
     this.fleet = new deployedFleet.DeployedFleet(options.folder, options.subnet, 3, options.entries)
     const services = ['diary', 'diary', 'diary', 'vault', 'vault', 'till', 'till'] as const
     this.endpoints = services.map((service, i) => new programmableEndpoint.ProgrammableEndpoint(`i-${i + 1}`, this.fleet.endpointIp(i + 1), service, bornAt, endpointIdleTimeoutsMs[i % endpointIdleTimeoutsMs.length]!, slotsOf[service]))
+    this.soakFleet = new soakFleet.SoakFleet(this.fleet, this.endpoints, [['GET', '/read/x'], ['GET', '/work/x'], ['POST', '/pay/x']])
   }
 
   async start (): Promise<void> {
     await Promise.all(this.endpoints.map(async (endpoint) => await endpoint.listen()))
-    this.fleet.startAll()
-    await this.fleet.waitFor('the configuration to be accepted', settleTimeoutMs, async () => await this.putConfig(new soakChoices.Choices(0)))
-    this.keepSendingHeartbeats()
-    await this.settle()
+    await this.soakFleet.start(async () => await this.putConfig(new soakChoices.Choices(0)))
   }
 
   async dispose (): Promise<void> {
-    this.hasEnded = true
     this.lateness.dispose()
     for (const endpoint of this.endpoints) endpoint.close()
-    await this.fleet.killAll()
+    await this.soakFleet.stop()
   }
 
   /** Runs planned work and requests for a time, and returns the verdict. */
@@ -141,26 +138,10 @@
     ])
     const result = this.judge()
     for (const endpoint of this.endpoints) endpoint.runs.clear()
-    await this.settle()
+    await this.soakFleet.settle()
     return result
   }
 
-  /** Waits until each entry serves each service. */
-  private async settle (): Promise<void> {
-    for (let entry = 1; entry <= this.options.entries; entry++) {
-      for (const prefix of ['/read/', '/work/', '/pay/'] as const) {
-        await this.fleet.waitFor(`entry ${entry} to serve ${prefix}`, settleTimeoutMs, async () => (await this.fleet.call(entry, `${prefix}x`, prefix === '/pay/' ? 'POST' : 'GET')).status === ok)
-      }
-    }
-  }
-
-  private async keepSendingHeartbeats (): Promise<void> {
-    for (let number = 1; !this.hasEnded; number = number % this.fleet.controls + 1) {
-      await Promise.all(this.endpoints.map(async (endpoint) => await endpoint.sendHeartbeat(this.fleet.controlAddress(number))))
-      await async.sleep(heartbeatIntervalMs)
-    }
-  }
-
   // ---- Planned work ----
 
   /** Sends SIGTERM and SIGHUP to an entry; after SIGTERM it is killed at the end of the grace period, and started again. */
--- a/packages/testbed/src/node/unframedSoak.ts
+++ b/packages/testbed/src/node/unframedSoak.ts
@@ -10,10 +10,10 @@
 import * as deployedFleet from './deployedFleet.js'
 import * as eventLoopLateness from './eventLoopLateness.js'
 import * as soakChoices from './soakChoices.js'
+import * as soakFleet from './soakFleet.js'
 
 const graceMs = 6000
 const settleTimeoutMs = 30_000
-const heartbeatIntervalMs = 500
 const reconnectDelayMs = 150
 /** Time after its deadline at which a caller gives up. */
 const patienceMs = 2000
@@ -55,7 +55,7 @@
   readonly kills: number
   /** Responses without a length that were in transit in an instance when it got SIGKILL: the kernel closes their connections in order. */
   readonly cutByKill: readonly string[]
-  /** Outcomes by the kind of the endpoint's last response, such as `unframed: 200 to the close 12, cut 1`. */
+  /** Outcomes by the kind of the endpoint's last response, such as `unframed: 200 close-delimited 12, cut 1`. */
   readonly outcomes: readonly string[]
   /** Longest time by which the event loop of callers and endpoints was late. */
   readonly longestDelayMs: number
@@ -79,33 +79,30 @@
 /** Runs seeds one after the other on one fleet. */
 export class UnframedSoak {
   private readonly fleet: deployedFleet.DeployedFleet
+  private readonly soakFleet: soakFleet.SoakFleet
   private readonly runs = new Map<string, byteEndpoint.Run[]>()
   private readonly endpoints: readonly byteEndpoint.ByteEndpoint[]
   private readonly lateness = new eventLoopLateness.EventLoopLateness()
   private exchanges: Exchange[] = []
   private kills: Kill[] = []
   private versionNumber = 0
-  private hasEnded = false
 
   constructor (private readonly options: SoakOptions) {
     this.fleet = new deployedFleet.DeployedFleet(options.folder, options.subnet, 3, options.entries)
     const services = ['diary', 'diary', 'diary', 'diary', 'till', 'till']
     this.endpoints = services.map((service, i) => new byteEndpoint.ByteEndpoint(`i-${i + 1}`, this.fleet.endpointIp(i + 1), service, bornAt, this.runs))
+    this.soakFleet = new soakFleet.SoakFleet(this.fleet, this.endpoints, [['GET', '/read/x'], ['POST', '/pay/x']])
   }
 
   async start (): Promise<void> {
     await Promise.all(this.endpoints.map(async (endpoint) => await endpoint.start()))
-    this.fleet.startAll()
-    await this.fleet.waitFor('the configuration to be accepted', settleTimeoutMs, async () => await this.putConfig(new soakChoices.Choices(0)))
-    this.keepSendingHeartbeats()
-    await this.settle()
+    await this.soakFleet.start(async () => await this.putConfig(new soakChoices.Choices(0)))
   }
 
   async dispose (): Promise<void> {
-    this.hasEnded = true
     this.lateness.dispose()
     for (const endpoint of this.endpoints) endpoint.stop()
-    await this.fleet.killAll()
+    await this.soakFleet.stop()
   }
 
   /** Runs requests and disruptions for a time, and returns the verdict. */
@@ -125,26 +122,10 @@
       this.changeConfigs(choicesOf(50), endsAt)
     ])
     const result = this.judge()
-    await this.settle()
+    await this.soakFleet.settle()
     return result
   }
 
-  /** Waits until each entry serves each service. */
-  private async settle (): Promise<void> {
-    for (let entry = 1; entry <= this.options.entries; entry++) {
-      for (const [path, method] of [['/read/x', 'GET'], ['/pay/x', 'POST']] as const) {
-        await this.fleet.waitFor(`entry ${entry} to serve ${path}`, settleTimeoutMs, async () => (await this.fleet.call(entry, path, method)).status === ok)
-      }
-    }
-  }
-
-  private async keepSendingHeartbeats (): Promise<void> {
-    for (let number = 1; !this.hasEnded; number = number % this.fleet.controls + 1) {
-      await Promise.all(this.endpoints.map(async (endpoint) => await endpoint.sendHeartbeat(this.fleet.controlAddress(number))))
-      await async.sleep(heartbeatIntervalMs)
-    }
-  }
-
   // ---- Disruptions ----
 
   private async disruptEntry (entry: number, choices: soakChoices.Choices, endsAt: number): Promise<void> {
@@ -246,7 +227,7 @@
       const { result } = exchange.outcome
       const mixed = findMixed(exchange)
       if (mixed === undefined) {
-        if (typeof result !== 'string' && result.framing === 'to the close') wholeUnframed++
+        if (typeof result !== 'string' && result.framing === 'close-delimited') wholeUnframed++
       } else if (mixed === 'a part of the body' && this.wasInTransitAtKill(exchange)) {
         cutByKill.push(this.describe(exchange))
       } else {
@@ -268,7 +249,7 @@
   }
 
   private wasInTransitAtKill ({ entry, outcome: { result, startedAt, endedAt } }: Exchange): boolean {
-    return typeof result !== 'string' && result.framing === 'to the close' &&
+    return typeof result !== 'string' && result.framing === 'close-delimited' &&
       this.kills.some((kill) => kill.entry === entry && startedAt <= kill.at && endedAt >= kill.at && endedAt <= kill.endedAt + closeNoticeMs)
   }
 
