Entry: log and count what attempts send of request bodies

The line 'body' has them for each attempt that was given a body again or that ended before the whole body was sent, at 20 lines a second at most; the counter has all attempts. No decision changes.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as bodyTransfers from './bodyTransfers.js'
 
 const maxBufferedBytes = 65_536
 /** Limits on reading the rest of a body whose request already has its response. */
@@ -15,6 +16,17 @@
   readonly progressTimeoutMs: number
 }
 
+/** The body as it is given to one attempt. */
+export interface BodyContent {
+  /** Null for none, the whole body, or a stream that can be read only once. */
+  readonly data: Buffer | AsyncIterable<Buffer> | null
+  /** To be called at the end of the attempt. */
+  readonly close: () => void
+}
+
+/** Receives what an attempt has sent when it ends. */
+export type TransferListener = (transfer: bodyTransfers.BodyTransfer) => void
+
 /** Buffers the body until it ends or is too large to buffer, then streams the rest. */
 export class CallerBody {
   private readonly chunks: Buffer[] = []
@@ -25,7 +37,9 @@
   private readonly declaredBytes: number | undefined
   private readonly iterator: AsyncIterator<Buffer>
 
-  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits) {
+  private attempts = 0
+
+  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits, private readonly onTransfer: TransferListener) {
     const length = req.headers['content-length']
     this.declaredBytes = length === undefined ? undefined : Number(length)
     this.iterator = req[Symbol.asyncIterator]() as AsyncIterator<Buffer>
@@ -35,10 +49,10 @@
    * Buffers the first part of the body. Throws `too-large`, or `bad-request` when the body is incomplete or the caller
    * sends no data in time.
    */
-  static async open (req: http.IncomingMessage, limits: BodyLimits): Promise<CallerBody> {
+  static async open (req: http.IncomingMessage, limits: BodyLimits, onTransfer: TransferListener): Promise<CallerBody> {
     const declaredBytes = Number(req.headers['content-length'] ?? 0)
     if (declaredBytes > limits.maxBytes) throw newTooLargeError(limits)
-    const body = new CallerBody(req, limits)
+    const body = new CallerBody(req, limits, onTransfer)
     if (hasBody(req)) await body.readAhead()
     else body.hasEnded = true
     return body
@@ -79,11 +93,25 @@
     }
   }
 
-  /** Returns the body to send: null for none, the whole body, or a stream that can be read only once. */
-  takeContent (): Buffer | AsyncIterable<Buffer> | null {
-    if (this.hasEnded) return this.receivedBytes === 0 ? null : this.buffered
-    this.isStreamed = true
-    return this.stream()
+  /**
+   * Returns the body for an attempt.
+   * @param target address that it is sent to.
+   */
+  takeContent (target: string): BodyContent {
+    if (this.hasEnded && this.receivedBytes === 0) return { data: null, close: () => {} }
+    const progress = { sentBytes: 0 }
+    const attempt = ++this.attempts
+    const close = (): void => {
+      const { receivedBytes, hasEnded: isReceived } = this
+      this.onTransfer({ target, attempt, framing: this.declaredBytes === undefined ? 'chunks' : 'length', receivedBytes, isReceived, sentBytes: progress.sentBytes })
+    }
+    if (!this.hasEnded) {
+      this.isStreamed = true
+      return { data: this.stream(progress), close }
+    }
+    const data = this.buffered
+    progress.sentBytes = data.length
+    return { data, close }
   }
 
   private async readAhead (): Promise<void> {
@@ -93,12 +121,17 @@
     }
   }
 
-  private async * stream (): AsyncGenerator<Buffer> {
-    yield * this.chunks.splice(0)
+  private async * stream (progress: { sentBytes: number }): AsyncGenerator<Buffer> {
+    for (const chunk of this.chunks.splice(0)) {
+      progress.sentBytes += chunk.length
+      yield chunk
+    }
     try {
       while (!this.hasEnded) {
         const chunk = await this.readChunk()
-        if (chunk !== undefined) yield chunk
+        if (chunk === undefined) continue
+        progress.sentBytes += chunk.length
+        yield chunk
       }
     } catch (err) {
       this.streamFault = errors.faultOf(err)
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -14,6 +14,7 @@
 import * as requestGuard from '../common/requestGuard.js'
 import * as responseAbort from './responseAbort.js'
 import * as responseStream from './responseStream.js'
+import type * as bodyTransfers from './bodyTransfers.js'
 import * as callerBody from './callerBody.js'
 import type * as callerConnections from './callerConnections.js'
 import * as downloadResumer from './downloadResumer.js'
@@ -45,6 +46,7 @@
   /** Resolves once the current updates on suspects are written to the streams of the peers; awaits no acknowledgement. */
   readonly waitForSuspectWrites: () => Promise<void>
   readonly metrics: metrics.Metrics
+  readonly bodyTransfers: Pick<bodyTransfers.BodyTransfers, 'record'>
   readonly unframedResponses: Pick<unframedResponses.UnframedResponses, 'record'>
   readonly fractionalRetryAfter: boolean
   readonly startup: startup.Startup
@@ -137,7 +139,9 @@
     const namedLane = this.limitAttempts(this.findLane(path))
     this.laneName = namedLane.name
     const { lane } = namedLane
-    const body = await callerBody.CallerBody.open(this.req, { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs })
+    const limits = { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs }
+    const context = { requestId: this.requestId, lane: namedLane.name }
+    const body = await callerBody.CallerBody.open(this.req, limits, (transfer) => this.deps.bodyTransfers.record(context, transfer))
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.buffered)
     this.refuseQuarantined(identity)
     this.claim = await this.claimKey(namedLane)
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -21,6 +21,7 @@
 import * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as bodyTransfers from './bodyTransfers.js'
 import * as callerListener from './callerListener.js'
 import type * as callerTask from './callerTask.js'
 import * as entryRoutes from './entryRoutes.js'
@@ -236,6 +237,7 @@
       waitForSuspectWrites: async () => await this.mesh.waitForWrites(),
       decisions: this.decisions,
       metrics: this.metrics,
+      bodyTransfers: new bodyTransfers.BodyTransfers(this.decisions, this.metrics, this.clock),
       unframedResponses: new unframedResponses.UnframedResponses(this.decisions, this.metrics, this.clock),
       clock: this.clock,
       random,
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -140,6 +140,7 @@
   private hasSentRequest = false
   private sentAt = 0
   private isKeptAlive = true
+  private content: callerBody.BodyContent | undefined
   private finalConnectionState: checkedSocket.ConnectionState = 'open'
 
   constructor (
@@ -181,7 +182,7 @@
 
   cancel (): void {
     if (this.hasEnded) return
-    this.hasEnded = true
+    this.markEnded()
     this.dropHeld()
     this.discardConnection()
     if (this.hasHead) this.events.onBodyEnd()
@@ -236,6 +237,7 @@
   }
 
   private dispatchOptions (): undici.Dispatcher.DispatchOptions {
+    this.content = this.req.body.takeContent(this.address)
     const { headerNames } = this.req
     const remainingMs = Math.max(0, Math.round(this.req.deadlineAt - performance.now()))
     const expectedEndpointHeader = headerNames.expectedEndpoint === undefined ? [] : [headerNames.expectedEndpoint, this.target.endpoint]
@@ -243,7 +245,7 @@
       path: this.req.requestTarget,
       method: this.req.method as undici.Dispatcher.HttpMethod,
       headers: [...this.req.headers, headerNames.deadline, String(remainingMs), ...expectedEndpointHeader],
-      body: this.req.body.takeContent() as undici.Dispatcher.DispatchOptions['body']
+      body: this.content.data as undici.Dispatcher.DispatchOptions['body']
     }
   }
 
@@ -321,7 +323,7 @@
     for (const part of this.scanner?.flush() ?? []) this.passOn(part)
     this.deliverHeld()
     if (this.hasEnded) return
-    this.hasEnded = true
+    this.markEnded()
     const connection = this.connection!
     if (this.isKeptAlive) {
       // undici still counts the request as running while this event runs.
@@ -340,7 +342,7 @@
       this.failBeforeHead(err)
       return
     }
-    this.hasEnded = true
+    this.markEnded()
     this.discardConnection()
     this.events.onBodyEnd()
     this.sink?.onBroken(err)
@@ -356,11 +358,17 @@
 
   private fail (kind: 'refused' | 'not-written' | 'lost', message: string): void {
     if (this.hasEnded) return
-    this.hasEnded = true
+    this.markEnded()
     this.dropHeld()
     this.events.onFailure({ kind, message })
   }
 
+  private markEnded (): void {
+    this.hasEnded = true
+    this.content?.close()
+    this.content = undefined
+  }
+
   /** Records that the connection was lost before a response, unless the caller's own body has failed. */
   private recordLoss (): void {
     if (this.hasEnded || this.hasResponseBegun || this.connection === undefined || this.req.body.fault !== undefined) return
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -16,6 +16,7 @@
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as bodyTransfers from '../node/bodyTransfers.js'
 import * as callerListener from '../node/callerListener.js'
 import * as idempotencyClaims from '../node/idempotencyClaims.js'
 import * as laneRegistry from '../node/laneRegistry.js'
@@ -154,6 +155,7 @@
       waitForSuspectWrites: async () => {},
       decisions,
       metrics: this.metrics,
+      bodyTransfers: new bodyTransfers.BodyTransfers(decisions, this.metrics, ownClock),
       unframedResponses: new unframedResponses.UnframedResponses(decisions, this.metrics, ownClock),
       clock: ownClock,
       random,
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -18,6 +18,7 @@
 import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as bodyTransfers from '../node/bodyTransfers.js'
 import * as callerListener from '../node/callerListener.js'
 import type * as callerTask from '../node/callerTask.js'
 import * as forwardListener from '../node/forwardListener.js'
@@ -167,6 +168,7 @@
       waitForSuspectWrites: async () => {},
       decisions,
       metrics: processMetrics,
+      bodyTransfers: new bodyTransfers.BodyTransfers(decisions, processMetrics, clock),
       unframedResponses: new unframedResponses.UnframedResponses(decisions, processMetrics, clock),
       clock,
       random,
