Entry: a repeat sends the whole request body, or the attempt is broken off

What callers saw: a non-idempotent request whose first endpoint had rejected it (503, 421 or 429 with Not-Executed) was run by another endpoint with a body of another length, and answered with success.

Cause: a body from 64 KiB on was streamed out of the buffer to the first attempt. isReplayable was true again once the body had ended, though nothing of it was held any more; the second attempt then took an empty buffer, and the HTTP client sends an empty body without comparing it with the stated length. The class: 'received whole' taken for 'held whole'.

Change: the body is received once into chunks that it holds from the first one on, and each attempt reads them through a cursor of its own (BodyContent), which compares the bytes taken with those received and those declared before the end of the request is written; otherwise it fails, and the HTTP client breaks the request off. A body whose first chunks are no longer held can't be opened again. Long bodies are held until a response is delivered, within 8 MiB a body and 32 MiB a process; beyond that the body goes to one attempt only, and a rejected request gets 503. A rejected attempt is cancelled while its body still arrives; the next one gets the body from its first byte. Since a body that is still being received is replayable now, hedges and time-outs of attempts and of silent peers wait until it has been received: an endpoint may be waiting for it. The length header is set by the attempt, no longer once for all attempts.

Ruled out as the cause of the empty body: reuse of the connection after an early response (the HTTP client closes it), a caller that leaves in the middle, the framing of the caller (both fail alike).

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -1,14 +1,23 @@
-/** Body of a caller's request: a small one is buffered so that it can be sent again, a larger one is streamed. */
+/** Body of a caller's request: received once, and held while it may have to be sent again. */
 import type * as http from 'node:http'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import * as bodyContent from './bodyContent.js'
 import type * as bodyTransfers from './bodyTransfers.js'
-
-const maxBufferedBytes = 65_536
+import * as byteBudget from './byteBudget.js'
+
+/** Bytes that are received before the first attempt; a body that ends within them doesn't count against the limits on held bytes. */
+const shortBodyBytes = 65_536
+const maxHeldBytesOfBody = 8 * 1024 * 1024
+const maxHeldBytesOfProcess = 32 * 1024 * 1024
+/** Memory of a held chunk besides its bytes. */
+const chunkOverheadBytes = 256
 /** Limits on reading the rest of a body whose request already has its response. */
 const maxDiscardedBytes = 1_048_576
 const discardTimeoutMs = 5000
 
+const processBudget = new byteBudget.ByteBudget(maxHeldBytesOfProcess)
+
 /** Body limits of the lane. */
 export interface BodyLimits {
   readonly maxBytes: number
@@ -16,138 +25,178 @@
   readonly progressTimeoutMs: number
 }
 
-/** The body as it is given to one attempt. */
-export interface BodyContent {
-  /** Null for none, the whole body, or a stream that can be read only once. */
-  readonly data: Buffer | AsyncIterable<Buffer> | null
-  /** To be called at the end of the attempt. */
-  readonly close: () => void
-}
-
 /** Receives what an attempt has sent when it ends. */
 export type TransferListener = (transfer: bodyTransfers.BodyTransfer) => void
 
-/** Buffers the body until it ends or is too large to buffer, then streams the rest. */
-export class CallerBody {
+/** Bytes of long bodies that this process holds. */
+export function heldBytes (): number {
+  return processBudget.takenBytes
+}
+
+/**
+ * Receives a body as fast as the attempt that has got furthest reads it, and holds it from its first byte until `release`. Beyond the limits
+ * on held bytes, only what that attempt has not read yet is held, and the body can't be sent again.
+ */
+export class CallerBody implements bodyContent.IChunkSource {
+  readonly declaredBytes: number | undefined
+  /** Chunks that are held, in their order; `droppedChunks` precede them. */
   private readonly chunks: Buffer[] = []
-  private receivedBytes = 0
+  private droppedChunks = 0
+  private received = 0
   private hasEnded = false
-  private isStreamed = false
-  private streamFault: errors.Fault | undefined
-  private readonly declaredBytes: number | undefined
-  private readonly iterator: AsyncIterator<Buffer>
-
+  private isHeld = true
+  /** Held bytes that count against the limits. */
+  private countedBytes = 0
+  private readFault: errors.Fault | undefined
+  private reading: Promise<void> | undefined
   private attempts = 0
+  private readonly openContents = new Set<bodyContent.BodyContent>()
+  private joined: Buffer | undefined
+  private readonly iterator: AsyncIterator<Buffer>
 
-  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits, private readonly onTransfer: TransferListener) {
+  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits, private readonly budget: byteBudget.ByteBudget, private readonly onTransfer: TransferListener) {
     const length = req.headers['content-length']
     this.declaredBytes = length === undefined ? undefined : Number(length)
     this.iterator = req[Symbol.asyncIterator]() as AsyncIterator<Buffer>
   }
 
   /**
-   * Buffers the first part of the body. Throws `too-large`, or `bad-request` when the body is incomplete or the caller
+   * Receives the first part of the body. Throws `too-large`, or `bad-request` when the body is incomplete or the caller
    * sends no data in time.
+   * @param budget what the long bodies of the process share.
    */
-  static async open (req: http.IncomingMessage, limits: BodyLimits, onTransfer: TransferListener): Promise<CallerBody> {
-    const declaredBytes = Number(req.headers['content-length'] ?? 0)
-    if (declaredBytes > limits.maxBytes) throw newTooLargeError(limits)
-    const body = new CallerBody(req, limits, onTransfer)
-    if (hasBody(req)) await body.readAhead()
+  static async open (req: http.IncomingMessage, limits: BodyLimits, onTransfer: TransferListener, budget = processBudget): Promise<CallerBody> {
+    const body = new CallerBody(req, limits, budget, onTransfer)
+    if ((body.declaredBytes ?? 0) > limits.maxBytes) throw newTooLargeError(limits)
+    if (hasBody(req)) await body.receiveFirstPart()
     else body.hasEnded = true
     return body
   }
 
-  /** The buffered part: the whole body when `isFullyBuffered`. */
-  get buffered (): Buffer {
+  /** What has been received before the first attempt. */
+  get firstPart (): Buffer {
     return this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks)
   }
 
-  /** True once the body has ended: after buffering if it was small enough, else also at the end of the streamed body. */
-  get isFullyBuffered (): boolean {
+  get receivedBytes (): number {
+    return this.received
+  }
+
+  get isReceived (): boolean {
     return this.hasEnded
   }
 
-  /** Error caused by the caller while its body was streamed. */
+  /** Error that the caller has caused while its body was received. */
   get fault (): errors.Fault | undefined {
-    return this.streamFault
+    return this.readFault
   }
 
-  /** True while the body can still be sent from its start. */
+  /** True while the body can be sent from its first byte. */
   get isReplayable (): boolean {
-    return this.hasEnded || !this.isStreamed
+    return this.isHeld && this.readFault === undefined
+  }
+
+  get shortBody (): Buffer | undefined {
+    if (!this.hasEnded || !this.isHeld || this.received > shortBodyBytes) return undefined
+    this.joined ??= this.firstPart
+    return this.joined
   }
 
   /** True if the rest of the body is known to be short enough for `discardRest`. */
   get hasShortRest (): boolean {
-    return this.hasEnded || (this.declaredBytes !== undefined && this.declaredBytes - this.receivedBytes <= maxDiscardedBytes)
+    return this.hasEnded || (this.declaredBytes !== undefined && this.declaredBytes - this.received <= maxDiscardedBytes)
+  }
+
+  /** Returns the body for an attempt, which must close it. Throws if the body isn't replayable. */
+  openContent (target: string): bodyContent.BodyContent {
+    if (!this.isReplayable) throw new Error('the first part of the request body is no longer held')
+    const content = new bodyContent.BodyContent(target, ++this.attempts, this, (closed) => this.onContentClosed(closed))
+    this.openContents.add(content)
+    return content
+  }
+
+  async chunkAt (index: number): Promise<Buffer | undefined> {
+    while (index >= this.droppedChunks + this.chunks.length && !this.hasEnded) await this.receive()
+    if (index < this.droppedChunks) throw new Error('a part of the request body is no longer held')
+    if (!this.isHeld) this.dropBefore(index)
+    return this.chunks[index - this.droppedChunks]
+  }
+
+  /** Gives the memory of a long body back, since no further attempt will be made. An attempt that is sending the body goes on. */
+  release (): void {
+    if (this.countedBytes > 0 || !this.hasEnded) this.stopHolding()
   }
 
   /** Reads and discards the rest of the body. Throws when it does not end within the limits. */
   async discardRest (): Promise<void> {
-    const maxReceivedBytes = this.receivedBytes + maxDiscardedBytes
+    const maxReceivedBytes = this.received + maxDiscardedBytes
     const deadline = performance.now() + discardTimeoutMs
     while (!this.hasEnded) {
-      await async.withTimeout(this.readChunk(), deadline - performance.now(), () => newIncompleteError('the rest of the body did not arrive in time'))
-      if (this.receivedBytes > maxReceivedBytes) throw newIncompleteError('the rest of the body is too long to be discarded')
+      await async.withTimeout(this.receive(), deadline - performance.now(), () => newIncompleteError('the rest of the body did not arrive in time'))
+      if (this.received > maxReceivedBytes) throw newIncompleteError('the rest of the body is too long to be discarded')
     }
   }
 
-  /**
-   * Returns the body for an attempt.
-   * @param target address that it is sent to.
-   */
-  takeContent (target: string): BodyContent {
-    if (this.hasEnded && this.receivedBytes === 0) return { data: null, close: () => {} }
-    const progress = { sentBytes: 0 }
-    const attempt = ++this.attempts
-    const close = (): void => {
-      const { receivedBytes, hasEnded: isReceived } = this
-      this.onTransfer({ target, attempt, framing: this.declaredBytes === undefined ? 'chunks' : 'length', receivedBytes, isReceived, sentBytes: progress.sentBytes })
-    }
-    if (!this.hasEnded) {
-      this.isStreamed = true
-      return { data: this.stream(progress), close }
-    }
-    const data = this.buffered
-    progress.sentBytes = data.length
-    return { data, close }
+  private async receiveFirstPart (): Promise<void> {
+    while (!this.hasEnded && this.received < shortBodyBytes) await this.receive()
   }
 
-  private async readAhead (): Promise<void> {
-    while (!this.hasEnded && this.receivedBytes < maxBufferedBytes) {
-      const chunk = await this.readChunk()
-      if (chunk !== undefined) this.chunks.push(chunk)
-    }
+  /** Receives the next chunk or the end; attempts that wait for the same chunk share this. */
+  private async receive (): Promise<void> {
+    this.reading ??= this.receiveChunk().finally(() => { this.reading = undefined })
+    await this.reading
   }
 
-  private async * stream (progress: { sentBytes: number }): AsyncGenerator<Buffer> {
-    for (const chunk of this.chunks.splice(0)) {
-      progress.sentBytes += chunk.length
-      yield chunk
-    }
+  private async receiveChunk (): Promise<void> {
     try {
-      while (!this.hasEnded) {
-        const chunk = await this.readChunk()
-        if (chunk === undefined) continue
-        progress.sentBytes += chunk.length
-        yield chunk
+      if (this.readFault !== undefined) throw new errors.RackError(this.readFault)
+      const result = await this.readWithTimeout()
+      if (result.done === true) {
+        this.hasEnded = true
+        return
       }
+      const isCounted = this.received >= shortBodyBytes
+      this.received += result.value.length
+      if (this.received > this.limits.maxBytes) throw newTooLargeError(this.limits)
+      this.keep(result.value, isCounted)
     } catch (err) {
-      this.streamFault = errors.faultOf(err)
+      this.readFault = errors.faultOf(err)
       throw err
     }
   }
 
-  private async readChunk (): Promise<Buffer | undefined> {
-    const result = await this.readWithTimeout()
-    if (result.done === true) {
-      this.hasEnded = true
-      return undefined
-    }
-    this.receivedBytes += result.value.length
-    if (this.receivedBytes > this.limits.maxBytes) throw newTooLargeError(this.limits)
-    return result.value
+  private keep (chunk: Buffer, isCounted: boolean): void {
+    if (isCounted && this.isHeld && !this.takeBudget(chunk.length + chunkOverheadBytes)) this.stopHolding()
+    if (this.isHeld || this.openContents.size > 0) this.chunks.push(chunk)
+    else this.droppedChunks++
+  }
+
+  private takeBudget (bytes: number): boolean {
+    if (this.countedBytes + bytes > maxHeldBytesOfBody || !this.budget.take(bytes)) return false
+    this.countedBytes += bytes
+    return true
+  }
+
+  private stopHolding (): void {
+    this.isHeld = false
+    this.budget.giveBack(this.countedBytes)
+    this.countedBytes = 0
+    this.joined = undefined
+    this.dropBefore(Math.max(0, ...[...this.openContents].map(({ nextChunk }) => nextChunk)))
+    if (this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
+  }
+
+  private dropBefore (index: number): void {
+    const dropped = this.chunks.splice(0, Math.max(0, index - this.droppedChunks))
+    this.droppedChunks += dropped.length
+  }
+
+  private onContentClosed (content: bodyContent.BodyContent): void {
+    this.openContents.delete(content)
+    if (!this.isHeld && this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
+    const { target, attempt, sentBytes } = content
+    if (this.hasEnded && this.received === 0) return
+    this.onTransfer({ target, attempt, framing: this.declaredBytes === undefined ? 'chunks' : 'length', receivedBytes: this.received, isReceived: this.hasEnded, sentBytes })
   }
 
   private async readWithTimeout (): Promise<IteratorResult<Buffer>> {
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -61,6 +61,7 @@
   private activeRun: requestRun.RequestRun | undefined
   private claim: idempotencyClaims.Claim | undefined
   private laneName = 'none'
+  private body: callerBody.CallerBody | undefined
   /** The response, if its caller learns where the body ends only from the end of the connection. */
   private unframedStream: responseStream.ResponseStream | undefined
 
@@ -75,6 +76,7 @@
     this.res.on('close', () => {
       this.recordIncompleteClose()
       this.cancelRun()
+      this.body?.release()
       this.done.resolve()
     })
     try {
@@ -142,7 +144,8 @@
     const limits = { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs }
     const context = { requestId: this.requestId, lane: namedLane.name }
     const body = await callerBody.CallerBody.open(this.req, limits, (transfer) => this.deps.bodyTransfers.record(context, transfer))
-    const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.buffered)
+    this.body = body
+    const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.firstPart)
     this.refuseQuarantined(identity)
     this.claim = await this.claimKey(namedLane)
     if (this.isAnswered) this.claim?.release()
@@ -213,8 +216,6 @@
     const replaced = new Set([headerNames.requestId, headerNames.deadline, headerNames.expectedEndpoint ?? '', 'content-length', 'x-forwarded-for'])
     const headers = headerRules.forwardableHeaders(req.rawHeaders, req.headers.connection, replaced)
     headers.push(headerNames.requestId, this.requestId, 'x-forwarded-for', this.origin.forwardedFor)
-    const length = req.headers['content-length']
-    if (!body.isFullyBuffered && length !== undefined) headers.push('content-length', length)
     return {
       method: req.method ?? 'GET',
       requestTarget: req.url ?? '/',
@@ -252,6 +253,7 @@
     }
     run({ req: this.buildTargetReq(namedLane, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
+        body.release()
         if (response.outcome === 'quarantined') this.claim?.release()
         this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest))
       },
@@ -295,7 +297,7 @@
       if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
-      if (end === 'complete' && !body.isFullyBuffered) this.discardRest(body)
+      if (end === 'complete' && !body.isReceived) this.discardRest(body)
     })
     if (this.endsWithConnection(head)) this.watchUnframed(stream)
     attempt.pipe(stream)
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -22,6 +22,7 @@
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as bodyTransfers from './bodyTransfers.js'
+import * as callerBody from './callerBody.js'
 import * as callerListener from './callerListener.js'
 import type * as callerTask from './callerTask.js'
 import * as entryRoutes from './entryRoutes.js'
@@ -293,6 +294,7 @@
     this.metrics.registerGauge('rosemaryrack_target_connections', {}, () => this.connections.count)
     this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.inFlightCount)
     this.metrics.registerGauge('rosemaryrack_forwarded_in_flight', {}, () => this.forwards?.inFlightCount ?? 0)
+    this.metrics.registerGauge('rosemaryrack_held_request_body_bytes', {}, () => callerBody.heldBytes())
     this.metrics.registerGauge('rosemaryrack_suspects', {}, () => this.suspects.size)
   }
 }
--- a/packages/entry/src/node/heldResponse.ts
+++ b/packages/entry/src/node/heldResponse.ts
@@ -1,4 +1,5 @@
 /** Holds responses back whose end is known only by that of their connection. */
+import * as byteBudget from './byteBudget.js'
 import type * as httpAttempt from './httpAttempt.js'
 
 /** Longest time for which a response is held back. */
@@ -6,24 +7,7 @@
 const maxHeldBytes = 256 * 1024
 const maxHeldBytesOfProcess = 8 * 1024 * 1024
 
-/** Bytes that all held responses of a process share. */
-class SharedBytes {
-  private taken = 0
-
-  constructor (private readonly limit: number) {}
-
-  take (bytes: number): boolean {
-    if (this.taken + bytes > this.limit) return false
-    this.taken += bytes
-    return true
-  }
-
-  giveBack (bytes: number): void {
-    this.taken -= bytes
-  }
-}
-
-const sharedBytes = new SharedBytes(maxHeldBytesOfProcess)
+const processBudget = new byteBudget.ByteBudget(maxHeldBytesOfProcess)
 
 /** The head of a response and what has arrived of its body. */
 export class HeldResponse {
@@ -38,7 +22,7 @@
 
   /** Adds a part of the body; returns false, without adding it, if the response is too large to be held back. */
   add (chunk: Buffer): boolean {
-    if (this.bytes + chunk.length > maxHeldBytes || !sharedBytes.take(chunk.length)) return false
+    if (this.bytes + chunk.length > maxHeldBytes || !processBudget.take(chunk.length)) return false
     this.bytes += chunk.length
     this.chunks.push(chunk)
     return true
@@ -47,7 +31,7 @@
   /** Ends the hold and returns the parts of the body; to be called once. */
   release (): readonly Buffer[] {
     clearTimeout(this.timer)
-    sharedBytes.giveBack(this.bytes)
+    processBudget.giveBack(this.bytes)
     return this.chunks
   }
 }
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -8,6 +8,7 @@
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import type * as bodyContent from './bodyContent.js'
 import type * as callerBody from './callerBody.js'
 import * as headerRules from '../common/headerRules.js'
 import * as responseHeadScanner from '../common/responseHeadScanner.js'
@@ -140,7 +141,7 @@
   private hasSentRequest = false
   private sentAt = 0
   private isKeptAlive = true
-  private content: callerBody.BodyContent | undefined
+  private content: bodyContent.BodyContent | undefined
   private finalConnectionState: checkedSocket.ConnectionState = 'open'
 
   constructor (
@@ -158,6 +159,11 @@
     return this.hasSentRequest
   }
 
+  /** True once the whole request body has been handed over to the connection. */
+  get hasSentBody (): boolean {
+    return this.content?.isSent === true
+  }
+
   /** State of the connection; when the response has ended, how the target ended it. */
   get connectionState (): checkedSocket.ConnectionState {
     return this.connection?.state ?? this.finalConnectionState
@@ -237,15 +243,17 @@
   }
 
   private dispatchOptions (): undici.Dispatcher.DispatchOptions {
-    this.content = this.req.body.takeContent(this.address)
     const { headerNames } = this.req
     const remainingMs = Math.max(0, Math.round(this.req.deadlineAt - performance.now()))
     const expectedEndpointHeader = headerNames.expectedEndpoint === undefined ? [] : [headerNames.expectedEndpoint, this.target.endpoint]
+    this.content = this.req.body.openContent(this.address)
+    const body = this.content.take()
+    const lengthHeader = body === null || this.content.length === undefined ? [] : ['content-length', String(this.content.length)]
     return {
       path: this.req.requestTarget,
       method: this.req.method as undici.Dispatcher.HttpMethod,
-      headers: [...this.req.headers, headerNames.deadline, String(remainingMs), ...expectedEndpointHeader],
-      body: this.content.data as undici.Dispatcher.DispatchOptions['body']
+      headers: [...this.req.headers, headerNames.deadline, String(remainingMs), ...expectedEndpointHeader, ...lengthHeader],
+      body: body as undici.Dispatcher.DispatchOptions['body']
     }
   }
 
@@ -366,7 +374,6 @@
   private markEnded (): void {
     this.hasEnded = true
     this.content?.close()
-    this.content = undefined
   }
 
   /** Records that the connection was lost before a response, unless the caller's own body has failed. */
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -34,10 +34,6 @@
   readonly req: httpAttempt.TargetReq
   /** Time on the clock at which the caller's request arrived. */
   readonly arrivedAt: number
-  /** Returns whether the request body can be sent again from its start. */
-  readonly isReplayable: () => boolean
-  /** Returns whether the caller has caused an error while its body was streamed. */
-  readonly hasBodyFault: () => boolean
   readonly maxAttempts: number
   /** Attempts of this instance that may have reached an endpoint. */
   readonly sentAttempts: number
@@ -206,6 +202,8 @@
   }
 
   private onSilence (running: RunningForward, timeoutMs: number): void {
+    // While the body is being received, the peer may wait for it.
+    if (!this.spec.req.body.isReceived) return
     const hasOtherPeer = this.triedPeers.size < maxPeers && this.deps.peers.choose(this.triedPeers) !== undefined
     if (this.running !== running || !hasOtherPeer || !this.takeRepeat()) return
     const written = running.attempt?.written !== false
@@ -255,7 +253,7 @@
 
   private onFailure (running: RunningForward, { kind, message }: transport.AttemptFailure): void {
     if (this.running !== running) return
-    if (this.spec.hasBodyFault()) {
+    if (this.spec.req.body.fault !== undefined) {
       this.endRun(running, kind, 0)
       if (kind === 'lost') this.recordUncertainRun()
       this.fail(message)
@@ -270,7 +268,7 @@
   /** Handles the loss of a peer that may have run the request. */
   private onLost (running: RunningForward, outcome: string, message: string): void {
     this.endRun(running, outcome, avoidAfterFailureMs)
-    const canRunAgain = this.spec.req.idempotent && this.spec.isReplayable() && this.takeRepeat()
+    const canRunAgain = this.spec.req.idempotent && this.spec.req.body.isReplayable && this.takeRepeat()
     this.recordUncertainRun()
     const why = `${running.peer.instance}: ${outcome}: ${message}`
     if (canRunAgain) this.forward(why)
@@ -278,13 +276,13 @@
   }
 
   private tryAnotherPeer (why: string): void {
-    if (this.spec.isReplayable()) this.forward(why)
+    if (this.spec.req.body.isReplayable) this.forward(why)
     else this.fail(`${why}; the request body cannot be sent again`)
   }
 
   /** Returns whether the request may be sent again though a peer may have run it. */
   private takeRepeat (): boolean {
-    return this.attemptsLeft > this.peerAttempts && this.uncertainRuns === 0 && this.refusedRuns + 1 < maxRuns && this.spec.isReplayable() && this.spec.retries.take()
+    return this.attemptsLeft > this.peerAttempts && this.uncertainRuns === 0 && this.refusedRuns + 1 < maxRuns && this.spec.req.body.isReplayable && this.spec.retries.take()
   }
 
   private recordUncertainRun (): void {
@@ -295,8 +293,8 @@
 
   /** Reads and drops the body of a response, or closes the connection if the request is still being sent. */
   private discardResponse ({ attempt }: RunningForward, close: boolean): void {
-    if (close || !this.spec.isReplayable()) attempt?.cancel()
-    else attempt?.pipe(discardingSink)
+    if (close || attempt?.hasSentBody !== true) attempt?.cancel()
+    else attempt.pipe(discardingSink)
   }
 
   private endRun ({ peer, release }: RunningForward, outcome: string, avoidMs: number): void {
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -146,7 +146,7 @@
       arrivedAt: spec.arrivedAt,
       deadlineAt: spec.req.deadlineAt,
       identity: spec.identity,
-      replayable: () => spec.body.isReplayable,
+      body: spec.body,
       excludedEndpoints: spec.excludedEndpoints
     }, this.buildCallDeps(), {
       onResponse: ({ attempt, endpoint, head }) => this.respond({
@@ -218,14 +218,12 @@
   }
 
   private forward ({ mayHaveRun, sentAttempts }: callProgress.CallProgress): void {
-    const { namedLane, service, laneState, budgets, body, req, arrivedAt, count, claim } = this.spec
+    const { namedLane, service, laneState, budgets, req, arrivedAt, count, claim } = this.spec
     this.unsubscribe()
     this.forwarded = this.deps.forwarder.start({
       laneName: namedLane.name,
       req,
       arrivedAt,
-      isReplayable: () => body.isReplayable,
-      hasBodyFault: () => body.fault !== undefined,
       maxAttempts: namedLane.lane.maxAttempts,
       sentAttempts,
       mayHaveRun,
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -65,7 +65,7 @@
       method: 'GET',
       requestTarget: '/',
       headers: [],
-      body: { takeContent: () => ({ data: null, close: () => {} }) } as unknown as httpAttempt.TargetReq['body'],
+      body: { openContent: () => ({ take: () => null, close: () => {}, length: undefined, isSent: true }) } as unknown as httpAttempt.TargetReq['body'],
       deadlineAt: Infinity,
       idempotent: true,
       requestId,
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -169,8 +169,8 @@
 
   /** Requests a slot for a retry. The attempt goes on until the retry starts, since its target may be at work and no slot may become free. */
   private onAttemptTimeout (attempt: runningAttempt.RunningAttempt, timeoutMs: number): void {
-    // While a hedge is in flight or when no retry is left, no other attempt can follow.
-    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1) return
+    // While a hedge is in flight or when no retry is left, no other attempt can follow. While the body is being received, the target may wait for it.
+    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1 || !this.spec.body.isReceived) return
     // A hedge whose endpoint is being chosen may not start.
     if (this.isChoosingEndpoint) attempt.cancelTimeout = this.deps.clock.after(choiceRecheckMs, () => this.onAttemptTimeout(attempt, timeoutMs))
     if (this.isChoosingEndpoint || !this.takeRetry()) return
@@ -342,7 +342,7 @@
   }
 
   private get canRetry (): boolean {
-    return this.canRunAgain && this.spec.replayable() && (this.uncertainAttempts === 0 || (!this.isSuspect && this.spec.lane.idempotent))
+    return this.canRunAgain && this.spec.body.isReplayable && (this.uncertainAttempts === 0 || (!this.isSuspect && this.spec.lane.idempotent))
   }
 
   /** Takes a retry from the budget, or returns false if none is allowed. */
@@ -422,7 +422,10 @@
   }
 
   private startHedge (): void {
-    if (this.isSettled || this.runningAttempts.size !== 1 || this.isChoosingEndpoint || !this.canRunAgain || !this.spec.replayable()) return
+    if (this.isSettled || this.runningAttempts.size !== 1 || this.isChoosingEndpoint || !this.canRunAgain) return
+    const { isReplayable, isReceived } = this.spec.body
+    // While the body is being received, the target may wait for it.
+    if (!isReplayable || !isReceived) return
     if (this.suspectStatus !== 'clear') return
     const placement = this.deps.dispatcher.acquireForHedge(this.slotRequest)
     if (placement === undefined) return
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -15,6 +15,14 @@
 import type * as requestIdentity from './requestIdentity.js'
 import type * as transport from './transport.js'
 
+/** State of a request body that decides on further attempts. */
+export interface IRequestBody {
+  /** True while it can be sent from its first byte. */
+  readonly isReplayable: boolean
+  /** True once the caller has sent the whole of it. */
+  readonly isReceived: boolean
+}
+
 /** Describes a request for the choice of endpoints and retries. */
 export interface CallSpec {
   readonly requestId: string
@@ -24,8 +32,7 @@
   readonly arrivedAt: number
   readonly deadlineAt: number
   readonly identity: requestIdentity.IRequestIdentity
-  /** Returns whether the request body can be sent again from its start. */
-  readonly replayable: () => boolean
+  readonly body: IRequestBody
   /** Ids of endpoints that must not be used. */
   readonly excludedEndpoints?: readonly string[]
 }
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -52,7 +52,7 @@
       arrivedAt: this.clock.now(),
       deadlineAt: this.clock.now() + deadlineMs,
       identity: { fingerprint, isRetainable: true },
-      replayable: () => true
+      body: { isReplayable: true, isReceived: true }
     }
     new call.Call(spec, {
       dispatcher: this.dispatcher,
