Entry: the first part of a long request body counts against the limits on held bytes

By reading, not seen by callers: since long bodies are held until a response is delivered, their first 64 KiB were held too, for as long as an upload and its response take, without counting against the 32 MiB of a process. A thousand long requests at once would have held 64 MiB beyond it.

The whole of a long body counts now. If not even its first part fits, the first attempt gets the body and nothing of it is held behind what that attempt has read; no further attempt is possible then.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -6,7 +6,7 @@
 import type * as bodyTransfers from './bodyTransfers.js'
 import * as byteBudget from './byteBudget.js'
 
-/** Bytes that are received before the first attempt; a body that ends within them doesn't count against the limits on held bytes. */
+/** Bytes that are received before the first attempt. A body that ends within them is short, and doesn't count against the limits on held bytes. */
 const shortBodyBytes = 65_536
 const maxHeldBytesOfBody = 8 * 1024 * 1024
 const maxHeldBytesOfProcess = 32 * 1024 * 1024
@@ -45,7 +45,9 @@
   private received = 0
   private hasEnded = false
   private isHeld = true
-  /** Held bytes that count against the limits. */
+  /** True if the limits allow to hold nothing of a long body beyond what its first attempt has not read yet. */
+  private isSingleUse = false
+  /** Held bytes that count against the limits, overhead included; 0 for a short body. */
   private countedBytes = 0
   private readFault: errors.Fault | undefined
   private reading: Promise<void> | undefined
@@ -70,6 +72,7 @@
     if ((body.declaredBytes ?? 0) > limits.maxBytes) throw newTooLargeError(limits)
     if (hasBody(req)) await body.receiveFirstPart()
     else body.hasEnded = true
+    if (!body.hasEnded) body.isSingleUse = !body.takeBudget(body.chunks)
     return body
   }
 
@@ -112,6 +115,7 @@
     if (!this.isReplayable) throw new Error('the first part of the request body is no longer held')
     const content = new bodyContent.BodyContent(target, ++this.attempts, this, (closed) => this.onContentClosed(closed))
     this.openContents.add(content)
+    if (this.isSingleUse) this.stopHolding()
     return content
   }
 
@@ -155,23 +159,25 @@
         this.hasEnded = true
         return
       }
-      const isCounted = this.received >= shortBodyBytes
+      const isBeyondFirstPart = this.received >= shortBodyBytes
       this.received += result.value.length
       if (this.received > this.limits.maxBytes) throw newTooLargeError(this.limits)
-      this.keep(result.value, isCounted)
+      this.keep(result.value, isBeyondFirstPart)
     } catch (err) {
       this.readFault = errors.faultOf(err)
       throw err
     }
   }
 
-  private keep (chunk: Buffer, isCounted: boolean): void {
-    if (isCounted && this.isHeld && !this.takeBudget(chunk.length + chunkOverheadBytes)) this.stopHolding()
+  private keep (chunk: Buffer, isBeyondFirstPart: boolean): void {
+    if (isBeyondFirstPart && this.isHeld && !this.takeBudget([chunk])) this.stopHolding()
     if (this.isHeld || this.openContents.size > 0) this.chunks.push(chunk)
     else this.droppedChunks++
   }
 
-  private takeBudget (bytes: number): boolean {
+  /** Returns false if the limits don't allow to hold the chunks. */
+  private takeBudget (chunks: readonly Buffer[]): boolean {
+    const bytes = chunks.reduce((sum, { length }) => sum + length + chunkOverheadBytes, 0)
     if (this.countedBytes + bytes > maxHeldBytesOfBody || !this.budget.take(bytes)) return false
     this.countedBytes += bytes
     return true
