Entry: tests of the readers of a request body

Readers at once and after another, the limit on held bytes, callers that leave or stall, bytes that don't add up, and the rest after a release, with a real server, both framings, bodies around 64 KiB and of 1 MB.

--- /dev/null
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -0,0 +1,252 @@
+/** The body of a caller's request: what its readers get, how much memory it holds, and what fails when the caller does. */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as timers from 'node:timers/promises'
+import * as tap from 'tap'
+import * as bodyContent from '../node/bodyContent.js'
+import * as byteBudget from '../node/byteBudget.js'
+import * as callerBody from '../node/callerBody.js'
+import * as entries from './forwardingEntry.js'
+import * as longBodies from './longBodies.js'
+
+const host = '127.0.0.1'
+const processLimitBytes = 32 * 1024 * 1024
+const stallTimeoutMs = 50
+const progressTimeoutMs = 20_000
+const eventTimeoutMs = 20_000
+/** More than what sockets hold on the way. */
+const longBytes = 1_000_000
+
+/** A caller that uploads a body in the steps of the test. */
+class Upload {
+  readonly transfers: string[] = []
+  private constructor (readonly caller: http.ClientRequest, readonly req: http.IncomingMessage, private readonly server: http.Server) {}
+
+  /** Sends the head of a request. */
+  static async start (headers: http.OutgoingHttpHeaders): Promise<Upload> {
+    const server = http.createServer().listen(0, host)
+    await new Promise((resolve) => server.once('listening', resolve))
+    const { port } = server.address() as net.AddressInfo
+    const caller = http.request({ host, port, method: 'POST', headers }).on('error', () => {})
+    caller.flushHeaders()
+    const req = await new Promise<http.IncomingMessage>((resolve) => server.once('request', resolve))
+    return new Upload(caller, req, server)
+  }
+
+  async open (budget: byteBudget.ByteBudget, timeoutMs = progressTimeoutMs): Promise<callerBody.CallerBody> {
+    const limits = { maxBytes: 1e9, progressTimeoutMs: timeoutMs }
+    return await callerBody.CallerBody.open(this.req, limits, ({ attempt, sentBytes, receivedBytes }) => this.transfers.push(`${attempt}: ${sentBytes} of ${receivedBytes}`), budget)
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    this.caller.destroy()
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+}
+
+/** Reads like an HTTP client, chunk by chunk. */
+class Reader {
+  bytes = 0
+  private readonly chunks: Buffer[] = []
+  private readonly iterator: AsyncIterator<Buffer>
+
+  constructor (readonly content: bodyContent.BodyContent) {
+    this.iterator = toChunks(content)[Symbol.asyncIterator]()
+  }
+
+  static open (body: callerBody.CallerBody): Reader {
+    return new Reader(body.openContent('t'))
+  }
+
+  /** Reads the next chunk; returns false at the end. */
+  async next (): Promise<boolean> {
+    const { value, done } = await this.iterator.next()
+    if (done === true) return false
+    this.chunks.push(value)
+    this.bytes += value.length
+    return true
+  }
+
+  async readTo (bytes: number): Promise<void> {
+    while (this.bytes < bytes && await this.next());
+  }
+
+  /** Returns the text of the whole body, or the message of the error that ended it. */
+  async readAll (): Promise<string> {
+    try {
+      while (await this.next());
+      return Buffer.concat(this.chunks).toString()
+    } catch (err) {
+      return `error: ${(err as Error).message}`
+    } finally {
+      this.content.close()
+    }
+  }
+}
+
+async function * toChunks (content: bodyContent.BodyContent): AsyncGenerator<Buffer> {
+  const data = content.take()
+  if (Buffer.isBuffer(data)) yield data
+  else if (data !== null) yield * data
+}
+
+for (const [framing, createHeaders] of longBodies.framings) {
+  for (const size of longBodies.sizes) {
+    const what = `${size} bytes with ${framing}`
+
+    tap.t.test(`two readers at once and a later one each get the whole body: ${what}`, async (t) => {
+      const budget = new byteBudget.ByteBudget(processLimitBytes)
+      await using upload = await Upload.start(createHeaders(size))
+      const text = longBodies.createText(size)
+      upload.caller.end(text)
+      const body = await upload.open(budget)
+      const texts = await Promise.all([Reader.open(body).readAll(), Reader.open(body).readAll()])
+      texts.push(await Reader.open(body).readAll())
+      for (const read of texts) t.ok(read === text, `${read.length} of ${size} bytes`)
+      t.same(upload.transfers.sort(), [1, 2, 3].map((attempt) => `${attempt}: ${size} of ${size}`))
+      body.release()
+      t.equal(budget.takenBytes, 0)
+    })
+  }
+
+  tap.t.test(`a reader that starts when another one is closed midway gets the body from its first byte, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.write(text.slice(0, longBytes / 2))
+    const body = await upload.open(budget)
+    const first = Reader.open(body)
+    await first.readTo(longBytes / 2)
+    const rest = first.readAll()
+    first.content.close()
+    const second = Reader.open(body).readAll()
+    upload.caller.end(text.slice(longBytes / 2))
+    t.equal(await rest, 'error: the attempt has ended')
+    t.ok(await second === text)
+    t.ok(budget.takenBytes > 0)
+    body.release()
+    t.equal(budget.takenBytes, 0)
+  })
+
+  tap.t.test(`beyond the limit a body goes to one reader only, and holds nothing, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(longBytes / 2)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.end(text)
+    const body = await upload.open(budget)
+    t.ok(body.isReplayable)
+    const read = await Reader.open(body).readAll()
+    t.ok(read === text)
+    t.notOk(body.isReplayable)
+    t.throws(() => body.openContent('t'), { message: 'the first part of the request body is no longer held' })
+    t.equal(budget.takenBytes, 0)
+  })
+
+  tap.t.test(`the slower one of two readers is broken off at the limit, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(longBytes / 2)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.end(text)
+    const body = await upload.open(budget)
+    const [fast, slow] = [Reader.open(body), Reader.open(body)]
+    await slow.next()
+    t.ok(await fast.readAll() === text)
+    t.equal(await slow.readAll(), 'error: a part of the request body is no longer held')
+    t.notOk(slow.content.isSent)
+    t.equal(budget.takenBytes, 0)
+  })
+
+  tap.t.test(`a caller that leaves midway breaks all readers off, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    upload.caller.write(longBodies.createText(longBytes / 2))
+    const body = await upload.open(budget)
+    const [first, second] = [Reader.open(body), Reader.open(body)]
+    await Promise.all([first.readTo(longBytes / 2), second.readTo(longBytes / 4)])
+    const ends = Promise.all([first.readAll(), second.readAll()])
+    upload.caller.destroy()
+    t.same(await ends, Array(2).fill('error: the request body is incomplete'))
+    t.same([first.content.isSent, second.content.isSent, body.isReplayable, body.fault?.kind], [false, false, false, 'bad-request'])
+    body.release()
+    t.equal(budget.takenBytes, 0)
+  })
+
+  tap.t.test(`a caller that stalls midway breaks all readers off, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    upload.caller.write(longBodies.createText(longBytes / 2))
+    const body = await upload.open(budget, stallTimeoutMs)
+    const ends = await Promise.all([Reader.open(body).readAll(), Reader.open(body).readAll()])
+    t.same(ends, Array(2).fill('error: the caller sent no data of the body in time'))
+    t.notOk(body.isReplayable)
+    body.release()
+    t.equal(budget.takenBytes, 0)
+  })
+
+  tap.t.test(`the rest of a released body is discarded without being held, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.write(text.slice(0, longBytes / 2))
+    const body = await upload.open(budget)
+    const reader = Reader.open(body)
+    await reader.readTo(longBytes / 4)
+    reader.content.close()
+    body.release()
+    upload.caller.end(text.slice(longBytes / 2))
+    await body.discardRest()
+    t.same([body.isReceived, body.receivedBytes, budget.takenBytes, heldChunks(body)], [true, longBytes, 0, 0])
+    t.equal(await reader.readAll(), 'error: a part of the request body is no longer held')
+  })
+}
+
+tap.t.test('a reader receives a body no faster than it reads it', async (t) => {
+  await using upload = await Upload.start({ 'content-length': 4 * longBytes })
+  upload.caller.end(longBodies.createText(4 * longBytes))
+  const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
+  const reader = Reader.open(body)
+  await reader.readTo(longBytes)
+  t.ok(body.receivedBytes < 2 * longBytes, `${body.receivedBytes} bytes received`)
+  await reader.readAll()
+})
+
+tap.t.test('a stall that no reader waits for rejects no promise unnoticed, and ends later readers', async (t) => {
+  const unhandled: unknown[] = []
+  const onUnhandled = (err: unknown): void => { unhandled.push(err) }
+  process.on('unhandledRejection', onUnhandled)
+  t.teardown(() => process.off('unhandledRejection', onUnhandled))
+  await using upload = await Upload.start({ 'transfer-encoding': 'chunked' })
+  upload.caller.write(longBodies.createText(longBytes / 2))
+  const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes), stallTimeoutMs)
+  const reader = Reader.open(body)
+  await reader.readTo(longBytes / 2)
+  const rest = reader.next().catch(() => false)
+  reader.content.close()
+  t.ok(await entries.waitUntil(() => body.fault !== undefined, eventTimeoutMs))
+  await rest
+  t.throws(() => body.openContent('t'))
+  await timers.setTimeout(0)
+  t.same(unhandled, [])
+})
+
+for (const [name, source, message] of [
+  ['fewer bytes than were received', { receivedBytes: 9, declaredBytes: undefined }, '6 bytes of the body were taken, 9 received, 9 declared'],
+  ['fewer bytes than the caller has stated', { receivedBytes: 6, declaredBytes: 9 }, '6 bytes of the body were taken, 6 received, 9 declared'],
+  ['more bytes than were received', { receivedBytes: 3, declaredBytes: undefined }, '6 bytes of the body were taken, 3 received, 3 declared']
+] as const) {
+  tap.t.test(`a body of ${name} is broken off, not ended`, async (t) => {
+    const chunks = [Buffer.from('abc'), Buffer.from('def')]
+    const streamed = new bodyContent.BodyContent('t', 1, { ...source, isReceived: true, shortBody: undefined, chunkAt: async (index) => chunks[index] }, () => {})
+    await t.rejects(new Reader(streamed).readTo(Infinity), { message })
+    t.notOk(streamed.isSent)
+    const short = new bodyContent.BodyContent('t', 1, { ...source, isReceived: true, shortBody: Buffer.concat(chunks), chunkAt: async () => undefined }, () => {})
+    t.throws(() => short.take(), { message })
+    t.notOk(short.isSent)
+  })
+}
+
+/** Number of chunks of which a body has the memory. */
+function heldChunks (body: callerBody.CallerBody): number {
+  return (Reflect.get(body, 'chunks') as readonly Buffer[]).length
+}
--- /dev/null
+++ b/packages/entry/src/test/longBodies.ts
@@ -0,0 +1,16 @@
+/** Fixture: bodies around the size from which a body is streamed, and far beyond it. */
+import type * as http from 'node:http'
+
+/** Sizes in bytes. */
+export const sizes: readonly number[] = [300, 65_535, 65_536, 65_537, 400_000]
+
+/** Headers of a body by the framing. */
+export const framings: ReadonlyArray<readonly [framing: 'length' | 'chunks', createHeaders: (size: number) => http.OutgoingHttpHeaders]> = [
+  ['length', (size) => ({ 'content-length': size })],
+  ['chunks', () => ({ 'transfer-encoding': 'chunked' })]
+]
+
+/** Returns text in which no two parts are equal. */
+export function createText (bytes: number): string {
+  return Array.from({ length: Math.ceil(bytes / 8) }, (_value, i) => `${i}`.padStart(8, '.')).join('').slice(0, bytes)
+}
