Entry: a connection whose request body was not sent whole is not reused, whatever the HTTP client does

No fault was observed: the HTTP client destroys a connection whose response is complete before the request is. The rule that no other request follows on it depended on that alone.

HttpAttempt now releases a connection only if the whole body has been handed over. httpAttempt.test fails on the code before, with a body that counts as not sent. earlyResponses.test passes before and after: an endpoint that responds at the head (200, 500, or 503 as not run), keeps the connection and reads on gets one connection for each request and nothing but a beginning of the caller's body on it, with both framings.

--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -333,7 +333,7 @@
     if (this.hasEnded) return
     this.markEnded()
     const connection = this.connection!
-    if (this.isKeptAlive) {
+    if (this.isKeptAlive && this.hasSentBody) {
       // undici still counts the request as running while this event runs.
       setImmediate(() => this.connections.release(this.address, connection))
     } else {
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -41,6 +41,8 @@
   readonly server = net.createServer((socket) => this.accept(socket))
   head: transport.ResponseHead | undefined
   bodyBytes = 0
+  /** False for requests whose body counts as not sent yet. */
+  isBodySent = true
   /** Connections that the target has accepted. */
   connectionCount = 0
   targetSocket: net.Socket | undefined
@@ -65,7 +67,7 @@
       method: 'GET',
       requestTarget: '/',
       headers: [],
-      body: { openContent: () => ({ take: () => null, close: () => {}, length: undefined, isSent: true }) } as unknown as httpAttempt.TargetReq['body'],
+      body: { openContent: () => ({ take: () => null, close: () => {}, length: undefined, isSent: this.isBodySent }) } as unknown as httpAttempt.TargetReq['body'],
       deadlineAt: Infinity,
       idempotent: true,
       requestId,
--- a/packages/entry/src/test/httpAttempt.test.ts
+++ b/packages/entry/src/test/httpAttempt.test.ts
@@ -154,6 +154,17 @@
   })
 }
 
+tap.t.test('a connection on which a body has not been sent whole is not reused', async (t) => {
+  for (const isBodySent of [true, false]) {
+    await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n'))
+    current.isBodySent = isBodySent
+    await current.send()
+    t.ok(await current.waitForEvent(['end'], eventTimeoutMs))
+    await timers.setTimeout(settleMs)
+    t.equal(current.connections.hasIdle(current.endpoint.address), isBodySent)
+  }
+})
+
 tap.t.test('a failure without a request id is accepted on a connection without health checks', async (t) => {
   await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 502 Bad Gateway\r\nContent-Length: 4\r\n\r\nnone'))
   await current.send('7', stampedNames)
