Entry: a read that an ended attempt has left behind no longer drops a part of the body that another attempt needs

What callers saw: a response that broke off in the middle. An endpoint had rejected a long request while its body was arriving, the next one had answered before it had the body, and then got only a part of it (3,975,018 of 7,400,000 bytes in the test) before its request was broken off.

Cause: the first response releases the body, which then drops the chunks that have been read. A read that the rejected attempt was waiting for when it was cancelled still resolved with the next chunk, and all chunks before its position were dropped, also those that the attempt that goes on had not read yet. That attempt then failed; no endpoint got a changed body in order.

Change: what may be dropped is computed from the attempts that are open, as it is at the release itself.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -118,7 +118,7 @@
   async chunkAt (index: number): Promise<Buffer | undefined> {
     while (index >= this.droppedChunks + this.chunks.length && !this.hasEnded) await this.receive()
     if (index < this.droppedChunks) throw new Error('a part of the request body is no longer held')
-    if (!this.isHeld) this.dropBefore(index)
+    if (!this.isHeld) this.dropBefore(this.furthestChunk)
     return this.chunks[index - this.droppedChunks]
   }
 
@@ -182,10 +182,15 @@
     this.budget.giveBack(this.countedBytes)
     this.countedBytes = 0
     this.joined = undefined
-    this.dropBefore(Math.max(0, ...[...this.openContents].map(({ nextChunk }) => nextChunk)))
+    this.dropBefore(this.furthestChunk)
     if (this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
   }
 
+  /** Index of the first chunk that no open content has read. */
+  private get furthestChunk (): number {
+    return Math.max(0, ...[...this.openContents].map(({ nextChunk }) => nextChunk))
+  }
+
   private dropBefore (index: number): void {
     const dropped = this.chunks.splice(0, Math.max(0, index - this.droppedChunks))
     this.droppedChunks += dropped.length
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -129,6 +129,25 @@
     t.equal(budget.takenBytes, 0)
   })
 
+  // A read of the rejected attempt was still pending, and dropped what the next attempt had not read yet.
+  tap.t.test(`a reader that is behind a closed one gets the whole body after a release, with ${framing}`, async (t) => {
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.write(text.slice(0, longBytes / 2))
+    const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
+    const first = Reader.open(body)
+    await first.readTo(longBytes / 2)
+    const rest = first.readAll()
+    first.content.close()
+    const second = Reader.open(body)
+    await second.next()
+    body.release()
+    upload.caller.end(text.slice(longBytes / 2))
+    await rest
+    const read = await second.readAll()
+    t.ok(read === text, read.slice(0, 60))
+  })
+
   tap.t.test(`beyond the limit a body goes to one reader only, and holds nothing, with ${framing}`, async (t) => {
     const budget = new byteBudget.ByteBudget(longBytes / 2)
     await using upload = await Upload.start(createHeaders(longBytes))
--- a/packages/entry/src/test/earlyResponses.test.ts
+++ b/packages/entry/src/test/earlyResponses.test.ts
@@ -8,7 +8,10 @@
 
 const host = '127.0.0.1'
 const settleMs = 50
+const eventTimeoutMs = 20_000
 const longBytes = 400_000
+/** More than what sockets hold on the way, and less than what is held of a body. */
+const heldBytes = 7_000_000
 const requestCount = 4
 const options = { retryRatio: 1, deadlineMs: 10_000 }
 const headEnd = '\r\n\r\n'
@@ -99,6 +102,40 @@
   t.equal(sockets.size, 1)
 })
 
+for (const [framing, createHeaders] of longBodies.framings) {
+  // A read of the rejected attempt was still pending, and dropped what the next attempt had not read yet.
+  tap.t.test(`an endpoint that answers early after another one has rejected the request gets the whole body, with ${framing}`, async (t) => {
+    const text = longBodies.createText(heldBytes + longBytes)
+    const received: string[] = []
+    await using rejecting = await entries.startEndpoint('e-1', (req, res) => {
+      let bytes = 0
+      req.on('error', () => {}).on('data', (chunk: Buffer) => {
+        bytes += chunk.length
+        if (bytes === heldBytes) res.writeHead(503, { ...entries.stamp(req), 'x-not-run': '1' }).end()
+      })
+    })
+    await using early = await entries.startEndpoint('e-2', async (req, res) => {
+      res.writeHead(200, entries.stamp(req)).write('early')
+      await timers.setTimeout(4 * settleMs)
+      const chunks: Buffer[] = []
+      try {
+        for await (const chunk of req) chunks.push(chunk as Buffer)
+      } catch {}
+      received.push(Buffer.concat(chunks).toString())
+      res.end()
+    })
+    await using entry = await entries.TestEntry.start('entry', [rejecting, early], options)
+    const req = entries.startRequest(entry.callersAddress, 'POST', '/x', { 'x-id': 'request-1', 'x-deadline': '10000', ...createHeaders(text.length) }).on('error', () => {})
+    const response = new Promise<http.IncomingMessage>((resolve) => req.on('response', resolve))
+    req.write(text.slice(0, heldBytes))
+    const res = (await response).resume().on('error', () => {})
+    req.end(text.slice(heldBytes))
+    t.ok(await entries.waitUntil(() => received.length === 1 && res.closed, eventTimeoutMs))
+    t.ok(received[0] === text, `${received[0]?.length} of ${text.length} bytes`)
+    t.same([res.statusCode, res.complete], [200, true])
+  })
+}
+
 /** Returns the data of a body in chunks, as far as it has arrived. */
 function joinChunks (framed: string): string {
   let data = ''
