Calls: a hedge, a time-out and the end of a silent peer wait for a body that is still being received, and then happen

What callers saw: 504 for an idempotent request with a long body whose endpoint or peer was silent, although another one could have run it.

Cause: the checks happened once.

Change: a check that finds the body incomplete is made again, after the delay of the hedge, or after half of the time that is left (20 ms at least).

Evidence: callBodies.test (hedge, time-out) and forwardedBodies.test (silent peer) fail before, with one attempt or with 504, and pass now.

--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -21,6 +21,8 @@
 const minAttemptsToReserve = 3
 /** Share of the time left until the deadline after which a silent peer is given up for another one. */
 const silenceShare = 0.5
+/** Shortest time after which it is checked again whether the request body has been received, which a silent peer may wait for, in milliseconds. */
+const minBodyRecheckMs = 20
 const avoidAfterDeclineMs = 250
 const avoidAfterFailureMs = 1000
 const defaultRetryAfterS = 1
@@ -194,16 +196,16 @@
   }
 
   /** Gives up a silent peer in time for another one to run an idempotent request. */
-  private scheduleSilence (running: RunningForward): void {
+  private scheduleSilence (running: RunningForward, minMs = 0): void {
     const { clock } = this.deps
     if (!this.spec.req.idempotent || this.uncertainRuns > 0) return
-    const timeoutMs = (this.spec.req.deadlineAt - clock.now()) * silenceShare
+    const timeoutMs = Math.max(minMs, (this.spec.req.deadlineAt - clock.now()) * silenceShare)
     this.cancelSilence = clock.after(timeoutMs, () => this.onSilence(running, timeoutMs))
   }
 
   private onSilence (running: RunningForward, timeoutMs: number): void {
     // While the body is being received, the peer may wait for it.
-    if (!this.spec.req.body.isReceived) return
+    if (this.running === running && !this.spec.req.body.isReceived) return this.scheduleSilence(running, minBodyRecheckMs)
     const hasOtherPeer = this.triedPeers.size < maxPeers && this.deps.peers.choose(this.triedPeers) !== undefined
     if (this.running !== running || !hasOtherPeer || !this.takeRepeat()) return
     const written = running.attempt?.written !== false
--- a/packages/entry/src/test/forwardedBodies.test.ts
+++ b/packages/entry/src/test/forwardedBodies.test.ts
@@ -1,5 +1,6 @@
 /** Request bodies on all ways through peers: the endpoint that runs a request gets the whole body of its caller. */
 import type * as http from 'node:http'
+import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
 import * as entries from './forwardingEntry.js'
 import * as longBodies from './longBodies.js'
@@ -13,6 +14,8 @@
 const cutOff: entries.EntryOptions = { ...options, isCutOff: true }
 /** A silent peer is given up at half of it. */
 const silenceDeadlineMs = 1000
+/** Share of the deadline after which a late body has arrived: after half of it. */
+const lateShare = 0.55
 
 /** What a request comes across. */
 interface Scenario {
@@ -199,3 +202,22 @@
     })
   }
 }
+
+tap.t.test('a silent peer is given up for another one when the body has been received only after the first check', async (t) => {
+  const deadlineMs = 3 * silenceDeadlineMs
+  await using runner = await entries.startEndpoint('e-1')
+  await using silent = await new entries.TestServer(readSilently).listen()
+  await using peer = await entries.TestEntry.start('peer', [runner], options)
+  await using sender = await entries.TestEntry.start('sender', [], { ...cutOff, deadlineMs })
+  sender.peers = [silent.asPeer('silent'), peer.asPeer]
+  const text = longBodies.createText(longBodies.sizes.at(-1)!)
+  const req = entries.startRequest(sender.callersAddress, 'GET', '/x', { 'x-deadline': String(deadlineMs), 'content-length': text.length })
+  const status = new Promise<number>((resolve) => {
+    req.on('error', () => resolve(0)).on('response', (res) => resolve(res.resume().statusCode!))
+  })
+  req.write(text.slice(0, text.length / 2))
+  await timers.setTimeout(deadlineMs * lateShare)
+  req.end(text.slice(text.length / 2))
+  t.equal(await status, 200)
+  t.equal(runner.requests.length, 1)
+})
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -23,6 +23,8 @@
 const attemptTimeoutShare = 0.5
 /** Interval at which an attempt that has timed out checks whether a choice of an endpoint has ended, in milliseconds. */
 const choiceRecheckMs = 20
+/** Shortest time after which a hedge or a time-out that waits for the request body checks again whether it has been received, in milliseconds. */
+const minBodyRecheckMs = 20
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 
 /** Runs a call from `start` until its outcome, or until `cancel` when the caller has disconnected. */
@@ -160,17 +162,19 @@
   }
 
   /** Limits an attempt of an idempotent call to a part of the remaining time, so that a retry can follow. */
-  private scheduleAttemptTimeout (attempt: runningAttempt.RunningAttempt): void {
+  private scheduleAttemptTimeout (attempt: runningAttempt.RunningAttempt, minMs = 0): void {
     const { clock } = this.deps
     if (!this.spec.lane.idempotent || !this.canRunAgain) return
-    const timeoutMs = (this.spec.deadlineAt - clock.now()) * attemptTimeoutShare
+    const timeoutMs = Math.max(minMs, (this.spec.deadlineAt - clock.now()) * attemptTimeoutShare)
     attempt.cancelTimeout = clock.after(timeoutMs, () => this.onAttemptTimeout(attempt, timeoutMs))
   }
 
   /** Requests a slot for a retry. The attempt goes on until the retry starts, since its target may be at work and no slot may become free. */
   private onAttemptTimeout (attempt: runningAttempt.RunningAttempt, timeoutMs: number): void {
-    // While a hedge is in flight or when no retry is left, no other attempt can follow. While the body is being received, the target may wait for it.
-    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1 || !this.spec.body.isReceived) return
+    // While a hedge is in flight or when no retry is left, no other attempt can follow.
+    if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1) return
+    // While the body is being received, the target may wait for it.
+    if (!this.spec.body.isReceived) return this.scheduleAttemptTimeout(attempt, minBodyRecheckMs)
     // A hedge whose endpoint is being chosen may not start.
     if (this.isChoosingEndpoint) attempt.cancelTimeout = this.deps.clock.after(choiceRecheckMs, () => this.onAttemptTimeout(attempt, timeoutMs))
     if (this.isChoosingEndpoint || !this.takeRetry()) return
@@ -416,16 +420,18 @@
 
   // ---- Hedging ----
 
-  private scheduleHedge (): void {
+  private scheduleHedge (minMs = 0): void {
     if (!this.spec.lane.idempotent || this.isSuspect) return
-    this.cancelHedge = this.deps.clock.after(this.deps.latency.hedgeDelayMs(this.spec.lane, this.deps.dispatcher.typicalLatencyMs), () => this.startHedge())
+    const delayMs = Math.max(minMs, this.deps.latency.hedgeDelayMs(this.spec.lane, this.deps.dispatcher.typicalLatencyMs))
+    this.cancelHedge = this.deps.clock.after(delayMs, () => this.startHedge())
   }
 
   private startHedge (): void {
     if (this.isSettled || this.runningAttempts.size !== 1 || this.isChoosingEndpoint || !this.canRunAgain) return
     const { isReplayable, isReceived } = this.spec.body
+    if (!isReplayable) return
     // While the body is being received, the target may wait for it.
-    if (!isReplayable || !isReceived) return
+    if (!isReceived) return this.scheduleHedge(minBodyRecheckMs)
     if (this.suspectStatus !== 'clear') return
     const placement = this.deps.dispatcher.acquireForHedge(this.slotRequest)
     if (placement === undefined) return
--- a/packages/routing/src/test/callBodies.test.ts
+++ b/packages/routing/src/test/callBodies.test.ts
@@ -63,16 +63,17 @@
   }
 }
 
-for (const [name, lane, dueMs] of [
-  ['a hedge', hedgingLane, hedgeAfterMs],
-  ['a retry after a time-out', retryingLane, attemptTimeoutMs]
+for (const [name, lane, dueMs, latestMs] of [
+  ['a hedge', hedgingLane, hedgeAfterMs, attemptTimeoutMs - 1],
+  ['a retry after a time-out', retryingLane, attemptTimeoutMs, deadlineMs - 1]
 ] as const) {
   tap.t.test(`${name} starts once the body has been received, not before`, async (t) => {
     for (const [receivedAt, ms, attempts] of [
       [dueMs - 1, dueMs - 1, 1],
       [dueMs - 1, dueMs, 2],
       [dueMs + 1, dueMs + 1, 1],
-      [deadlineMs, deadlineMs - 1, 1]
+      [dueMs + 1, latestMs, 2],
+      [latestMs + 1, latestMs, 1]
     ] as const) {
       const harness = new CallHarness(lane)
       harness.clock.after(receivedAt, () => { harness.body.isReceived = true })
