--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -60,6 +60,9 @@
   readonly retryRatio?: number
   readonly maxAttempts?: number
   readonly deadlineMs?: number
+  /** Delay of a hedge of idempotent requests; none without it. */
+  readonly hedgeAfterMs?: number
+  readonly shedStatuses?: readonly number[]
 }
 
 /** An entry instance with the lanes `read` (idempotent, GET and HEAD) and `pay` (POST) of one service. */
@@ -193,8 +196,8 @@
   }
 }
 
-function createDocument ({ retryRatio = 0.05, maxAttempts: attempts = maxAttempts, deadlineMs: laneDeadlineMs = deadlineMs }: EntryOptions): configDocument.ConfigDocument {
-  const lane = { service: 'diary', deadlineMs: laneDeadlineMs, maxWaitMs: laneDeadlineMs, maxAttempts: attempts, budgets: { hedgeRatio: 0, retryRatio }, progressTimeoutMs: 5000, maxBodyBytes: 1e9 }
+function createDocument ({ retryRatio = 0.05, maxAttempts: attempts = maxAttempts, deadlineMs: laneDeadlineMs = deadlineMs, hedgeAfterMs, shedStatuses = [] }: EntryOptions): configDocument.ConfigDocument {
+  const lane = { service: 'diary', deadlineMs: laneDeadlineMs, maxWaitMs: laneDeadlineMs, maxAttempts: attempts, budgets: { hedgeRatio: hedgeAfterMs === undefined ? 0 : 1, retryRatio }, hedgeAfterMs: hedgeAfterMs ?? 0, shedStatuses, progressTimeoutMs: 5000, maxBodyBytes: 1e9 }
   const check = configDocument.checkDocument({
     lanes: {
       read: { ...lane, match: { methods: ['GET', 'HEAD'], pathPrefix: '/' }, idempotent: true },
