Entry: a download whose request body is no longer held is not continued

What callers saw: nothing new, the download breaks off either way. But a sound endpoint was chosen, connected to and recorded as failed ('not-written: the first part of the request body is no longer held'), though nothing was sent to it.

Cause: a continuation starts a call of its own, and a call asks for the body only when its first attempt is sent. Long bodies are released with the response.

Change: such a download has no continuation. One whose body is short still has.

Evidence: repeatedBodies.test counts the endpoints chosen; before, 2 of its 10 downloads (400,000 bytes, both framings) chose two.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -292,7 +292,7 @@
     this.sendHead(response, body)
     this.countOutcome(response.outcome)
     const limits = { progressTimeoutMs: lane.progressTimeoutMs, deadlineAt: this.deadlineAt(lane) }
-    const stream = new responseStream.ResponseStream(this.res, attempt, limits, this.newResumer(lane.idempotent, response, fetchRest), (end, bytes) => {
+    const stream = new responseStream.ResponseStream(this.res, attempt, limits, this.newResumer(lane.idempotent && body.isReplayable, response, fetchRest), (end, bytes) => {
       if (endpoint !== undefined) state.domainPreference.recordResponseSize(bytes)
       if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
@@ -335,9 +335,9 @@
     }
   }
 
-  private newResumer (idempotent: boolean, { head, source }: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
+  private newResumer (canRunAgain: boolean, { head, source }: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
     const validator = downloadResumer.validatorOf(head)
-    if (!idempotent || this.req.method !== 'GET' || validator === undefined) return undefined
+    if (!canRunAgain || this.req.method !== 'GET' || validator === undefined) return undefined
     return new downloadResumer.DownloadResumer(validator, source, fetchRest)
   }
 
--- a/packages/entry/src/test/repeatedBodies.test.ts
+++ b/packages/entry/src/test/repeatedBodies.test.ts
@@ -96,10 +96,11 @@
     res.writeHead(200, { ...entries.stamp(req), ...contentHeaders, 'content-length': content.length }).write(content.slice(0, 1000), () => setTimeout(() => req.socket.destroy(), pauseMs))
   })
   const results = await Promise.all(runs.map(async (run) => await run.send('GET')))
-  for (const [i, { what, text, received }] of runs.entries()) {
+  for (const [i, { what, text, received, entry }] of runs.entries()) {
     const isContinued = results[i]!.isComplete
     t.same(results[i], { status: 200, body: isContinued ? content : content.slice(0, 1000), isComplete: isContinued }, what)
     t.same(received.map((body) => body === text), isContinued ? [true, true] : [true], `${received.map((body) => body.length)} of ${text.length} bytes`)
     if (text.length < streamedBytes) t.ok(isContinued, what)
+    t.equal(entry.eventsOf('route').length, isContinued ? 2 : 1)
   }
 })
