Calls: a long body that the endpoint does not read no longer holds up time-outs, hedges and other peers

What callers saw: an idempotent request with a body of some megabytes got 504 at its deadline, though its endpoint had read nothing, the caller had sent everything and another endpoint was idle. Smaller bodies, which the sockets hold, went elsewhere at half of the deadline.

Cause: a body is received as fast as the attempt reads it, so it is never received whole while the endpoint doesn't read. Time-outs, hedges and the limit on silent peers waited for the whole body, since an endpoint may be waiting for the caller. Here the caller waits for the endpoint.

Change: they wait only while each attempt that sends the body waits for the caller to send more.

Evidence: requestBodies.test, 'a long idempotent request whose endpoint reads none of it ...' fails with the old condition (4 checks, both framings) and passes now. callBodies.test has the same times and counts as before for the new condition. requestBodies.test sends its requests at once, each with a body of its own, so that a repeat with the body of another request is noticed too.

--- a/packages/entry/src/node/bodyContent.ts
+++ b/packages/entry/src/node/bodyContent.ts
@@ -20,6 +20,7 @@
 export class BodyContent {
   private position = 0
   private takenBytes = 0
+  private isWaiting = false
   private isWhole = false
   private isClosed = false
 
@@ -49,6 +50,11 @@
     return this.position
   }
 
+  /** True while the HTTP client waits for a chunk. */
+  get awaitsChunk (): boolean {
+    return this.isWaiting
+  }
+
   /** Bytes that the HTTP client has taken. */
   get sentBytes (): number {
     return this.takenBytes
@@ -68,7 +74,9 @@
 
   private async * read (): AsyncGenerator<Buffer> {
     for (;;) {
+      this.isWaiting = true
       const chunk = await this.source.chunkAt(this.position)
+      this.isWaiting = false
       if (this.isClosed) throw new Error('the attempt has ended')
       if (chunk === undefined) break
       this.position++
--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -99,6 +99,10 @@
     return this.isHeld && this.readFault === undefined
   }
 
+  get awaitsCaller (): boolean {
+    return this.openContents.size > 0 && [...this.openContents].every(({ awaitsChunk }) => awaitsChunk)
+  }
+
   get shortBody (): Buffer | undefined {
     if (!this.hasEnded || !this.isHeld || this.received > shortBodyBytes) return undefined
     this.joined ??= this.firstPart
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -21,7 +21,7 @@
 const minAttemptsToReserve = 3
 /** Share of the time left until the deadline after which a silent peer is given up for another one. */
 const silenceShare = 0.5
-/** Shortest time after which it is checked again whether the request body has been received, which a silent peer may wait for, in milliseconds. */
+/** Shortest time after which a silent peer is checked again while the request to it waits for the caller to send more of the body, in milliseconds. */
 const minBodyRecheckMs = 20
 const avoidAfterDeclineMs = 250
 const avoidAfterFailureMs = 1000
@@ -204,8 +204,8 @@
   }
 
   private onSilence (running: RunningForward, timeoutMs: number): void {
-    // While the body is being received, the peer may wait for it.
-    if (this.running === running && !this.spec.req.body.isReceived) return this.scheduleSilence(running, minBodyRecheckMs)
+    // The peer has not got the whole request.
+    if (this.running === running && this.spec.req.body.awaitsCaller) return this.scheduleSilence(running, minBodyRecheckMs)
     const hasOtherPeer = this.triedPeers.size < maxPeers && this.deps.peers.choose(this.triedPeers) !== undefined
     if (this.running !== running || !hasOtherPeer || !this.takeRepeat()) return
     const written = running.attempt?.written !== false
--- a/packages/entry/src/test/longBodies.ts
+++ b/packages/entry/src/test/longBodies.ts
@@ -10,7 +10,8 @@
   ['chunks', () => ({ 'transfer-encoding': 'chunked' })]
 ]
 
-/** Returns text in which no two parts are equal. */
-export function createText (bytes: number): string {
-  return Array.from({ length: Math.ceil(bytes / 8) }, (_value, i) => `${i}`.padStart(8, '.')).join('').slice(0, bytes)
+/** Returns text in which no two parts are equal, nor equal to parts of a text with another name. */
+export function createText (bytes: number, name = ''): string {
+  const part = (i: number): string => `${name}${i}`.padStart(8 + name.length, '.')
+  return Array.from({ length: Math.ceil(bytes / part(0).length) }, (_value, i) => part(i)).join('').slice(0, bytes)
 }
--- a/packages/entry/src/test/requestBodies.test.ts
+++ b/packages/entry/src/test/requestBodies.test.ts
@@ -2,14 +2,13 @@
 import type * as http from 'node:http'
 import * as tap from 'tap'
 import * as entries from './forwardingEntry.js'
+import * as longBodies from './longBodies.js'
 
-/** Around the size from which a body is streamed, and far beyond it. */
-const sizes = [300, 65_535, 65_536, 65_537, 400_000]
-const framings = {
-  length: (size: number) => ({ 'content-length': size }),
-  chunks: () => ({ 'transfer-encoding': 'chunked' })
-} as const
-const options = { retryRatio: 1, deadlineMs: 10_000 }
+const deadlineMs = 10_000
+const options = { retryRatio: 1, deadlineMs }
+/** More than what sockets hold on the way, and less than what is held of a body. */
+const unreadBytes = 7_400_000
+const unreadDeadlineMs = 3000
 
 type Reject = (req: http.IncomingMessage, res: http.ServerResponse) => void
 
@@ -17,49 +16,67 @@
 
 /** How the first endpoint treats a request, so that another one runs it. */
 const rejections: ReadonlyArray<readonly [name: string, method: 'GET' | 'POST', reject: Reject]> = [
-  ['an endpoint rejects after the whole body', 'POST', (req, res) => { req.resume().on('end', () => notRun(req, res, 503)) }],
-  ['an endpoint rejects at its head', 'POST', (req, res) => {
+  ['its first endpoint rejects after the whole body', 'POST', (req, res) => { req.resume().on('end', () => notRun(req, res, 503)) }],
+  ['its first endpoint rejects at the head', 'POST', (req, res) => {
     notRun(req, res, 503)
     req.on('error', () => {}).resume()
   }],
-  ['an endpoint that is not the expected one rejects', 'POST', (req, res) => { req.resume().on('end', () => notRun(req, res, 421)) }],
-  ['an endpoint fails', 'GET', (req, res) => { req.resume().on('end', () => res.writeHead(500, entries.stamp(req)).end()) }],
-  ['an endpoint loses', 'GET', (req) => { req.resume().on('end', () => req.socket.destroy()) }]
+  ['was sent to an endpoint that is not the expected one', 'POST', (req, res) => { req.resume().on('end', () => notRun(req, res, 421)) }],
+  ['its first endpoint fails', 'GET', (req, res) => { req.resume().on('end', () => res.writeHead(500, entries.stamp(req)).end()) }],
+  ['its first endpoint loses', 'GET', (req) => { req.resume().on('end', () => req.socket.destroy()) }]
 ]
 
-/** Returns text in which no two parts are equal. */
-function createBody (bytes: number): string {
-  return Array.from({ length: Math.ceil(bytes / 8) }, (_value, i) => `${i}`.padStart(8, '.')).join('').slice(0, bytes)
+/** Records the bodies of requests by their ids and responds. */
+function run (received: Map<string, string[]>, req: http.IncomingMessage, res: http.ServerResponse): void {
+  const id = String(req.headers['x-id'])
+  const chunks: Buffer[] = []
+  req.on('error', () => {}).on('data', (chunk: Buffer) => chunks.push(chunk)).on('end', () => {
+    received.set(id, [...received.get(id) ?? [], Buffer.concat(chunks).toString()])
+    res.writeHead(200, entries.stamp(req)).end()
+  })
 }
 
 for (const [name, method, reject] of rejections) {
-  // UNASKED: a second attempt sent an empty body once the first one had streamed a long one.
+  // Guards against a repeat that sends a part of the body, nothing, or that of another request.
   tap.t.test(`a request that ${name} is run with its whole body`, async (t) => {
-    for (const [framing, createHeaders] of Object.entries(framings)) {
-      for (const size of sizes) {
-        const received: string[] = []
-        let isRejected = false
-        const handle: http.RequestListener = (req, res) => {
-          if (!isRejected) {
-            isRejected = true
-            reject(req, res)
-            return
-          }
-          const chunks: Buffer[] = []
-          req.on('data', (chunk: Buffer) => chunks.push(chunk)).on('end', () => {
-            received.push(Buffer.concat(chunks).toString())
-            res.writeHead(200, entries.stamp(req)).end()
-          })
-        }
-        await using first = await entries.startEndpoint('e-1', handle)
-        await using second = await entries.startEndpoint('e-2', handle)
-        await using entry = await entries.TestEntry.start('entry', [first, second], options)
-        const body = createBody(size)
-        const res = await entries.send(entry.callersAddress, method, { 'x-deadline': '10000', ...createHeaders(size) }, body)
-        t.match(res, { status: 200, isComplete: true }, `${size} bytes with ${framing}`)
-        t.equal(received.length, 1)
-        t.ok(received[0] === body, `${received[0]?.length} of ${size} bytes`)
-      }
+    const received = new Map<string, string[]>()
+    const rejected = new Set<string>()
+    const handle: http.RequestListener = (req, res) => {
+      const id = String(req.headers['x-id'])
+      if (rejected.has(id)) return run(received, req, res)
+      rejected.add(id)
+      reject(req, res)
     }
+    await using first = await entries.startEndpoint('e-1', handle)
+    await using second = await entries.startEndpoint('e-2', handle)
+    await using entry = await entries.TestEntry.start('entry', [first, second], options)
+    await Promise.all(longBodies.framings.flatMap(([framing, createHeaders]) => longBodies.sizes.map(async (size) => {
+      const id = `${framing}-${size}`
+      const text = longBodies.createText(size, id)
+      const res = await entries.send(entry.callersAddress, method, { 'x-id': id, 'x-deadline': String(deadlineMs), ...createHeaders(size) }, text)
+      t.match(res, { status: 200, isComplete: true }, id)
+      t.ok(received.get(id)?.join() === text, `${id}: ${received.get(id)?.map(({ length }) => length).join(' and ')} bytes`)
+    })))
+    t.equal(rejected.size, received.size)
   })
 }
+
+// Guards against a request that waits for its endpoint until the deadline, since not all of its body has been received.
+tap.t.test('a long idempotent request whose endpoint reads none of it is run by another endpoint before its deadline', async (t) => {
+  for (const [framing, createHeaders] of longBodies.framings) {
+    const received = new Map<string, string[]>()
+    let isUnread = true
+    const handle: http.RequestListener = (req, res) => {
+      if (!isUnread) return run(received, req, res)
+      isUnread = false
+      req.on('error', () => {})
+    }
+    await using first = await entries.startEndpoint('e-1', handle)
+    await using second = await entries.startEndpoint('e-2', handle)
+    await using entry = await entries.TestEntry.start('entry', [first, second], { ...options, deadlineMs: unreadDeadlineMs })
+    const text = longBodies.createText(unreadBytes, framing)
+    const res = await entries.send(entry.callersAddress, 'GET', { 'x-id': framing, 'x-deadline': String(unreadDeadlineMs), ...createHeaders(unreadBytes) }, text)
+    t.match(res, { status: 200 }, framing)
+    t.ok(received.get(framing)?.join() === text)
+  }
+})
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -23,7 +23,7 @@
 const attemptTimeoutShare = 0.5
 /** Interval at which an attempt that has timed out checks whether a choice of an endpoint has ended, in milliseconds. */
 const choiceRecheckMs = 20
-/** Shortest time after which a hedge or a time-out that waits for the request body checks again whether it has been received, in milliseconds. */
+/** Shortest time after which a hedge or a time-out is checked again while an attempt waits for the caller to send more of the body, in milliseconds. */
 const minBodyRecheckMs = 20
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 
@@ -173,8 +173,8 @@
   private onAttemptTimeout (attempt: runningAttempt.RunningAttempt, timeoutMs: number): void {
     // While a hedge is in flight or when no retry is left, no other attempt can follow.
     if (!this.runningAttempts.has(attempt) || this.isSettled || this.runningAttempts.size > 1) return
-    // While the body is being received, the target may wait for it.
-    if (!this.spec.body.isReceived) return this.scheduleAttemptTimeout(attempt, minBodyRecheckMs)
+    // The target has not got the whole request.
+    if (this.spec.body.awaitsCaller) return this.scheduleAttemptTimeout(attempt, minBodyRecheckMs)
     // A hedge whose endpoint is being chosen may not start.
     if (this.isChoosingEndpoint) attempt.cancelTimeout = this.deps.clock.after(choiceRecheckMs, () => this.onAttemptTimeout(attempt, timeoutMs))
     if (this.isChoosingEndpoint || !this.takeRetry()) return
@@ -428,10 +428,10 @@
 
   private startHedge (): void {
     if (this.isSettled || this.runningAttempts.size !== 1 || this.isChoosingEndpoint || !this.canRunAgain) return
-    const { isReplayable, isReceived } = this.spec.body
+    const { isReplayable, awaitsCaller } = this.spec.body
     if (!isReplayable) return
-    // While the body is being received, the target may wait for it.
-    if (!isReceived) return this.scheduleHedge(minBodyRecheckMs)
+    // The target has not got the whole request.
+    if (awaitsCaller) return this.scheduleHedge(minBodyRecheckMs)
     if (this.suspectStatus !== 'clear') return
     const placement = this.deps.dispatcher.acquireForHedge(this.slotRequest)
     if (placement === undefined) return
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -19,8 +19,8 @@
 export interface IRequestBody {
   /** True while it can be sent from its first byte. */
   readonly isReplayable: boolean
-  /** True once the caller has sent the whole of it. */
-  readonly isReceived: boolean
+  /** True while each attempt that is sending it waits for the caller to send more. */
+  readonly awaitsCaller: boolean
 }
 
 /** Describes a request for the choice of endpoints and retries. */
--- a/packages/routing/src/test/callBodies.test.ts
+++ b/packages/routing/src/test/callBodies.test.ts
@@ -1,4 +1,4 @@
-/** Attempts of a call by the state of its request body: while it is received, once it has been received, and once it can't be sent again. */
+/** Attempts of a call by the state of its request body: while an attempt waits for the caller, while none does, and once the body can't be sent again. */
 import * as tap from 'tap'
 import * as manualClock from '@rosemaryrack/base/test/manualClock.js'
 import * as event from '@rosemaryrack/base/common/event.js'
@@ -32,7 +32,7 @@
 class CallHarness {
   readonly clock = new manualClock.ManualClock()
   readonly attempts: transport.IAttemptEvents[] = []
-  readonly body = { isReplayable: true, isReceived: false }
+  readonly body = { isReplayable: true, awaitsCaller: true }
   readonly faults: errors.Fault[] = []
 
   constructor (lane: configDocument.Lane) {
@@ -67,8 +67,8 @@
   ['a hedge', hedgingLane, hedgeAfterMs, attemptTimeoutMs - 1],
   ['a retry after a time-out', retryingLane, attemptTimeoutMs, deadlineMs - 1]
 ] as const) {
-  tap.t.test(`${name} starts once the body has been received, not before`, async (t) => {
-    for (const [receivedAt, ms, attempts] of [
+  tap.t.test(`${name} starts once no attempt waits for the caller to send more of the body, not before`, async (t) => {
+    for (const [sentAt, ms, attempts] of [
       [dueMs - 1, dueMs - 1, 1],
       [dueMs - 1, dueMs, 2],
       [dueMs + 1, dueMs + 1, 1],
@@ -76,15 +76,15 @@
       [latestMs + 1, latestMs, 1]
     ] as const) {
       const harness = new CallHarness(lane)
-      harness.clock.after(receivedAt, () => { harness.body.isReceived = true })
+      harness.clock.after(sentAt, () => { harness.body.awaitsCaller = false })
       harness.clock.advance(ms)
-      t.equal(harness.attempts.length, attempts, `received at ${receivedAt}, ${ms} ms after the start`)
+      t.equal(harness.attempts.length, attempts, `waits until ${sentAt}, ${ms} ms after the start`)
     }
   })
 
   tap.t.test(`${name} does not start for a body that can't be sent again`, async (t) => {
     const harness = new CallHarness(lane)
-    Object.assign(harness.body, { isReceived: true, isReplayable: false })
+    Object.assign(harness.body, { awaitsCaller: false, isReplayable: false })
     harness.clock.advance(deadlineMs - 1)
     t.equal(harness.attempts.length, 1)
   })
@@ -95,11 +95,11 @@
   ['a status of another endpoint', 421, true],
   ['a shed status', 429, false]
 ] as const) {
-  for (const isReceived of [false, true]) {
-    tap.t.test(`${name} is followed by a retry while the body can be sent again, else by a fault at once (received: ${isReceived})`, async (t) => {
+  for (const awaitsCaller of [true, false]) {
+    tap.t.test(`${name} is followed by a retry while the body can be sent again, else by a fault at once (waits for the caller: ${awaitsCaller})`, async (t) => {
       for (const isReplayable of [true, false]) {
         const harness = new CallHarness(unsafeLane)
-        Object.assign(harness.body, { isReceived, isReplayable })
+        Object.assign(harness.body, { awaitsCaller, isReplayable })
         harness.attempts[0]!.onHead({ status, notRun })
         t.equal(harness.attempts.length, isReplayable ? 2 : 1)
         t.same(harness.faults.map(({ kind }) => kind), isReplayable ? [] : ['not-run'])
@@ -112,7 +112,7 @@
 tap.t.test('an error response of an idempotent call is passed on if the body cannot be sent again', async (t) => {
   for (const isReplayable of [true, false]) {
     const harness = new CallHarness(retryingLane)
-    Object.assign(harness.body, { isReceived: true, isReplayable })
+    Object.assign(harness.body, { awaitsCaller: false, isReplayable })
     harness.attempts[0]!.onHead({ status: 500, notRun: false })
     t.equal(harness.attempts.length, isReplayable ? 2 : 1)
     t.same(harness.faults, [])
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -52,7 +52,7 @@
       arrivedAt: this.clock.now(),
       deadlineAt: this.clock.now() + deadlineMs,
       identity: { fingerprint, isRetainable: true },
-      body: { isReplayable: true, isReceived: true }
+      body: { isReplayable: true, awaitsCaller: false }
     }
     new call.Call(spec, {
       dispatcher: this.dispatcher,
