Entry: the reader of an ended attempt receives nothing more of the body

By the review, not seen by callers: an attempt that was cancelled while its connection took no data asked for one more chunk when the connection was closed. If that chunk exceeded the limits on held bytes while the next attempt was being prepared, the whole body was dropped, and the retry failed at an endpoint that could have run it.

A closed reader fails before it asks for a chunk. callerBody.test, 'a closed reader receives nothing more', fails before. The reader of a released body in another test fails with that reason now, in place of the reason that its chunk is no longer held; that it fails is checked as before.

--- a/packages/entry/src/node/bodyContent.ts
+++ b/packages/entry/src/node/bodyContent.ts
@@ -74,6 +74,7 @@
 
   private async * read (): AsyncGenerator<Buffer> {
     for (;;) {
+      if (this.isClosed) throw new Error('the attempt has ended')
       this.isWaiting = true
       const chunk = await this.source.chunkAt(this.position)
       this.isWaiting = false
