Entry: what a released body still holds for an attempt counts against the limit of the process

What operators saw: nothing in the counters, but a process could hold more of request bodies than its limit of 32 MiB: up to 8 MiB for each request whose second endpoint answers before it has read the body.

Cause: a release gave back at once all that a body had taken from the limit, while the chunks that the attempt has not read yet are held until it reads them.

Change: each chunk has what it counts, which is given back when the chunk is dropped.

Evidence: callerBody.test: 0 bytes were counted for 444,992 held ones (length) and 444,999 (chunks); now the held ones are counted and nothing after the reader has ended. heldBodies.test still ends with nothing held.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -33,6 +33,12 @@
   return processBudget.takenBytes
 }
 
+interface HeldChunk {
+  readonly data: Buffer
+  /** What it counts against the limits. */
+  readonly countedBytes: number
+}
+
 /**
  * Receives a body as fast as the attempt that has got furthest reads it, and holds it from its first byte until `release`. Beyond the limits
  * on held bytes, only what that attempt has not read yet is held, and the body can't be sent again.
@@ -40,7 +46,7 @@
 export class CallerBody implements bodyContent.IChunkSource {
   readonly declaredBytes: number | undefined
   /** Chunks that are held, in their order; `droppedChunks` precede them. */
-  private readonly chunks: Buffer[] = []
+  private readonly chunks: HeldChunk[] = []
   private droppedChunks = 0
   private received = 0
   private hasEnded = false
@@ -75,7 +81,7 @@
 
   /** What has been received before the first attempt. */
   get firstPart (): Buffer {
-    return this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks)
+    return this.chunks.length === 1 ? this.chunks[0]!.data : Buffer.concat(this.chunks.map(({ data }) => data))
   }
 
   get receivedBytes (): number {
@@ -119,7 +125,7 @@
     while (index >= this.droppedChunks + this.chunks.length && !this.hasEnded) await this.receive()
     if (index < this.droppedChunks) throw new Error('a part of the request body is no longer held')
     if (!this.isHeld) this.dropBefore(this.furthestChunk)
-    return this.chunks[index - this.droppedChunks]
+    return this.chunks[index - this.droppedChunks]?.data
   }
 
   /** Gives the memory of a long body back, since no further attempt will be made. An attempt that is sending the body goes on. */
@@ -165,25 +171,28 @@
     }
   }
 
-  private keep (chunk: Buffer, isCounted: boolean): void {
-    if (isCounted && this.isHeld && !this.takeBudget(chunk.length + chunkOverheadBytes)) this.stopHolding()
-    if (this.isHeld || this.openContents.size > 0) this.chunks.push(chunk)
+  private keep (data: Buffer, isCounted: boolean): void {
+    let countedBytes = 0
+    if (isCounted && this.isHeld) {
+      countedBytes = this.takeBudget(data.length + chunkOverheadBytes)
+      if (countedBytes === 0) this.stopHolding()
+    }
+    if (this.isHeld || this.openContents.size > 0) this.chunks.push({ data, countedBytes })
     else this.droppedChunks++
   }
 
-  private takeBudget (bytes: number): boolean {
-    if (this.countedBytes + bytes > maxHeldBytesOfBody || !this.budget.take(bytes)) return false
+  /** Returns the bytes, or 0 if a limit is reached. */
+  private takeBudget (bytes: number): number {
+    if (this.countedBytes + bytes > maxHeldBytesOfBody || !this.budget.take(bytes)) return 0
     this.countedBytes += bytes
-    return true
+    return bytes
   }
 
   private stopHolding (): void {
     this.isHeld = false
-    this.budget.giveBack(this.countedBytes)
-    this.countedBytes = 0
     this.joined = undefined
     this.dropBefore(this.furthestChunk)
-    if (this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
+    this.dropUnneeded()
   }
 
   /** Index of the first chunk that no open content has read. */
@@ -194,11 +203,19 @@
   private dropBefore (index: number): void {
     const dropped = this.chunks.splice(0, Math.max(0, index - this.droppedChunks))
     this.droppedChunks += dropped.length
+    const countedBytes = dropped.reduce((sum, chunk) => sum + chunk.countedBytes, 0)
+    this.countedBytes -= countedBytes
+    this.budget.giveBack(countedBytes)
+  }
+
+  /** Drops what is left when no attempt needs it. */
+  private dropUnneeded (): void {
+    if (!this.isHeld && this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
   }
 
   private onContentClosed (content: bodyContent.BodyContent): void {
     this.openContents.delete(content)
-    if (!this.isHeld && this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
+    this.dropUnneeded()
     const { target, attempt, sentBytes } = content
     if (this.hasEnded && this.received === 0) return
     this.onTransfer({ target, attempt, framing: this.declaredBytes === undefined ? 'chunks' : 'length', receivedBytes: this.received, isReceived: this.hasEnded, sentBytes })
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -176,6 +176,24 @@
     t.equal(budget.takenBytes, 0)
   })
 
+  // The limit of the process did not cover what a second reader had not read yet.
+  tap.t.test(`what is still held for a reader after a release counts until it is read, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    upload.caller.end(longBodies.createText(longBytes))
+    const body = await upload.open(budget)
+    await Reader.open(body).readAll()
+    const [second, third] = [Reader.open(body), Reader.open(body)]
+    await second.readTo(longBytes / 4)
+    await third.readTo(longBytes / 2)
+    second.content.close()
+    body.release()
+    const taken = budget.takenBytes
+    t.ok(taken >= longBytes - third.bytes && taken < longBytes - third.bytes / 2, `${taken} bytes for ${longBytes - third.bytes}`)
+    t.equal((await third.readAll()).length, longBytes)
+    t.equal(budget.takenBytes, 0)
+  })
+
   tap.t.test(`a caller that leaves midway breaks all readers off, with ${framing}`, async (t) => {
     const budget = new byteBudget.ByteBudget(processLimitBytes)
     await using upload = await Upload.start(createHeaders(longBytes))
