Entry: an attempt that has sent the whole body no longer decides what is held of it

What callers saw: a response that broke off in the middle. A peer had read a long request, declined it and not ended its response yet; the next peer answered before it had the body and then got a part of it (3,975,018 of 7,000,000 bytes in the test) before its request was broken off.

Cause: a release drops the chunks that the attempt that has got furthest has read. The attempt at the first peer, whose response is still being discarded, had read all.

Change: only attempts that have not taken the whole body count.

Evidence: the new tests (callerBody.test, earlyResponses.test, 2 framings each) failed before and pass now.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -177,7 +177,7 @@
       countedBytes = this.takeBudget(data.length + chunkOverheadBytes)
       if (countedBytes === 0) this.stopHolding()
     }
-    if (this.isHeld || this.openContents.size > 0) this.chunks.push({ data, countedBytes })
+    if (this.isHeld || this.readers.length > 0) this.chunks.push({ data, countedBytes })
     else this.droppedChunks++
   }
 
@@ -195,9 +195,14 @@
     this.dropUnneeded()
   }
 
-  /** Index of the first chunk that no open content has read. */
+  /** Attempts that have not taken the whole body. */
+  private get readers (): readonly bodyContent.BodyContent[] {
+    return [...this.openContents].filter(({ isSent }) => !isSent)
+  }
+
+  /** Index of the first chunk that none of them has read. */
   private get furthestChunk (): number {
-    return Math.max(0, ...[...this.openContents].map(({ nextChunk }) => nextChunk))
+    return Math.max(0, ...this.readers.map(({ nextChunk }) => nextChunk))
   }
 
   private dropBefore (index: number): void {
@@ -210,7 +215,7 @@
 
   /** Drops what is left when no attempt needs it. */
   private dropUnneeded (): void {
-    if (!this.isHeld && this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
+    if (!this.isHeld && this.readers.length === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
   }
 
   private onContentClosed (content: bodyContent.BodyContent): void {
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -148,6 +148,23 @@
     t.ok(read === text, read.slice(0, 60))
   })
 
+  // An attempt that had sent the body and was not over yet counted as the one to hold the rest for.
+  tap.t.test(`a reader that is behind one that has ended gets the whole body after a release, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.end(text)
+    const body = await upload.open(budget)
+    const [first, second] = [Reader.open(body), Reader.open(body)]
+    await first.readTo(Infinity)
+    await second.next()
+    body.release()
+    const read = await second.readAll()
+    t.ok(read === text, read.slice(0, 60))
+    t.equal(budget.takenBytes, 0)
+    first.content.close()
+  })
+
   tap.t.test(`beyond the limit a body goes to one reader only, and holds nothing, with ${framing}`, async (t) => {
     const budget = new byteBudget.ByteBudget(longBytes / 2)
     await using upload = await Upload.start(createHeaders(longBytes))
--- a/packages/entry/src/test/earlyResponses.test.ts
+++ b/packages/entry/src/test/earlyResponses.test.ts
@@ -136,6 +136,33 @@
   })
 }
 
+for (const [framing, createHeaders] of longBodies.framings) {
+  // An attempt that had sent the body and was not over yet counted as the one to hold the rest for.
+  tap.t.test(`a peer that answers early after another one has declined gets the whole body, with ${framing}`, async (t) => {
+    const text = longBodies.createText(heldBytes)
+    const received: string[] = []
+    await using declining = await new entries.TestServer((req, res) => {
+      req.on('error', () => {}).resume().on('end', () => res.writeHead(503, { 'rack-forward-outcome': 'declined' }).write('and more later'))
+    }).listen()
+    await using early = await new entries.TestServer(async (req, res) => {
+      res.writeHead(200, { ...entries.stamp(req), 'rack-forward-outcome': 'answered' }).write('early')
+      await timers.setTimeout(4 * settleMs)
+      const chunks: Buffer[] = []
+      try {
+        for await (const chunk of req) chunks.push(chunk as Buffer)
+      } catch {}
+      received.push(Buffer.concat(chunks).toString())
+      res.end()
+    }).listen()
+    await using sender = await entries.TestEntry.start('sender', [], { ...options, isCutOff: true })
+    sender.peers = [declining.asPeer('declining'), early.asPeer('early')]
+    const res = await entries.send(sender.callersAddress, 'POST', { 'x-deadline': '10000', ...createHeaders(text.length) }, text)
+    t.match(res, { status: 200, body: 'early', isComplete: true })
+    t.ok(await entries.waitUntil(() => received.length === 1, eventTimeoutMs))
+    t.ok(received[0] === text, `${received[0]?.length} of ${text.length} bytes`)
+  })
+}
+
 /** Returns the data of a body in chunks, as far as it has arrived. */
 function joinChunks (framed: string): string {
   let data = ''
