--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -5,15 +5,15 @@
 import * as bodyContent from './bodyContent.js'
 import type * as bodyTransfers from './bodyTransfers.js'
 import * as byteBudget from './byteBudget.js'
+import * as heldChunks from './heldChunks.js'
 
+const bytesPerMiB = 1024 * 1024
 /** Bytes that are received before the first attempt. A body that ends within them is short, and doesn't count against the limits on held bytes. */
-const shortBodyBytes = 65_536
-const maxHeldBytesOfBody = 8 * 1024 * 1024
-const maxHeldBytesOfProcess = 32 * 1024 * 1024
-/** Memory of a held chunk besides its bytes. */
-const chunkOverheadBytes = 256
+const firstPartBytes = 65_536
+const maxHeldBytesOfBody = 8 * bytesPerMiB
+const maxHeldBytesOfProcess = 32 * bytesPerMiB
 /** Limits on reading the rest of a body whose request already has its response. */
-const maxDiscardedBytes = 1_048_576
+const maxDiscardedBytes = bytesPerMiB
 const discardTimeoutMs = 5000
 
 const processBudget = new byteBudget.ByteBudget(maxHeldBytesOfProcess)
@@ -39,16 +39,14 @@
  */
 export class CallerBody implements bodyContent.IChunkSource {
   readonly declaredBytes: number | undefined
-  /** Chunks that are held, in their order; `droppedChunks` precede them. */
-  private readonly chunks: Buffer[] = []
-  private droppedChunks = 0
+  private readonly chunks: heldChunks.HeldChunks
   private received = 0
   private hasEnded = false
+  private isShort = false
+  /** True while all chunks are held from the first one on. */
   private isHeld = true
-  /** True if the limits allow to hold nothing of a long body beyond what its first attempt has not read yet. */
+  /** True if the limits don't even allow to hold the first part. */
   private isSingleUse = false
-  /** Held bytes that count against the limits, overhead included; 0 for a short body. */
-  private countedBytes = 0
   private readFault: errors.Fault | undefined
   private reading: Promise<void> | undefined
   private attempts = 0
@@ -56,9 +54,10 @@
   private joined: Buffer | undefined
   private readonly iterator: AsyncIterator<Buffer>
 
-  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits, private readonly budget: byteBudget.ByteBudget, private readonly onTransfer: TransferListener) {
+  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits, budget: byteBudget.ByteBudget, private readonly onTransfer: TransferListener) {
     const length = req.headers['content-length']
     this.declaredBytes = length === undefined ? undefined : Number(length)
+    this.chunks = new heldChunks.HeldChunks(maxHeldBytesOfBody, budget)
     this.iterator = req[Symbol.asyncIterator]() as AsyncIterator<Buffer>
   }
 
@@ -72,13 +71,16 @@
     if ((body.declaredBytes ?? 0) > limits.maxBytes) throw newTooLargeError(limits)
     if (hasBody(req)) await body.receiveFirstPart()
     else body.hasEnded = true
-    if (!body.hasEnded) body.isSingleUse = !body.takeBudget(body.chunks)
+    body.isShort = body.hasEnded && body.received <= firstPartBytes
+    if (!body.isShort) body.isSingleUse = !body.chunks.countAll()
     return body
   }
 
-  /** What has been received before the first attempt. */
+  /** The first 64 KiB, or the whole of a shorter body; to be read before the first attempt. */
   get firstPart (): Buffer {
-    return this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks)
+    const [first, ...rest] = this.chunks.data
+    const data = first !== undefined && rest.length === 0 ? first : Buffer.concat(this.chunks.data)
+    return data
   }
 
   get receivedBytes (): number {
@@ -99,12 +101,13 @@
     return this.isHeld && this.readFault === undefined
   }
 
+  /** True while each attempt that is sending the body waits for the caller to send more. */
   get awaitsCaller (): boolean {
     return this.openContents.size > 0 && [...this.openContents].every(({ awaitsChunk }) => awaitsChunk)
   }
 
   get shortBody (): Buffer | undefined {
-    if (!this.hasEnded || !this.isHeld || this.received > shortBodyBytes) return undefined
+    if (!this.isShort) return undefined
     this.joined ??= this.firstPart
     return this.joined
   }
@@ -124,15 +127,15 @@
   }
 
   async chunkAt (index: number): Promise<Buffer | undefined> {
-    while (index >= this.droppedChunks + this.chunks.length && !this.hasEnded) await this.receive()
-    if (index < this.droppedChunks) throw new Error('a part of the request body is no longer held')
-    if (!this.isHeld) this.dropBefore(this.furthestChunk)
-    return this.chunks[index - this.droppedChunks]
+    while (index >= this.chunks.end && !this.hasEnded) await this.receive()
+    if (index < this.chunks.start) throw new Error('a part of the request body is no longer held')
+    if (!this.isHeld) this.dropRead()
+    return this.chunks.at(index)
   }
 
   /** Gives the memory of a long body back, since no further attempt will be made. An attempt that is sending the body goes on. */
   release (): void {
-    if (this.countedBytes > 0 || !this.hasEnded) this.stopHolding()
+    if (!this.isShort) this.stopHolding()
   }
 
   /** Reads and discards the rest of the body. Throws when it does not end within the limits. */
@@ -146,7 +149,7 @@
   }
 
   private async receiveFirstPart (): Promise<void> {
-    while (!this.hasEnded && this.received < shortBodyBytes) await this.receive()
+    while (!this.hasEnded && this.received < firstPartBytes) await this.receive()
   }
 
   /** Receives the next chunk or the end; attempts that wait for the same chunk share this. */
@@ -163,52 +166,44 @@
         this.hasEnded = true
         return
       }
-      const isBeyondFirstPart = this.received >= shortBodyBytes
+      const isFirstPart = this.received < firstPartBytes
       this.received += result.value.length
       if (this.received > this.limits.maxBytes) throw newTooLargeError(this.limits)
-      this.keep(result.value, isBeyondFirstPart)
+      if (isFirstPart) this.chunks.add(result.value)
+      else this.addChunk(result.value)
     } catch (err) {
       this.readFault = errors.faultOf(err)
       throw err
     }
   }
 
-  private keep (chunk: Buffer, isBeyondFirstPart: boolean): void {
-    if (isBeyondFirstPart && this.isHeld && !this.takeBudget([chunk])) this.stopHolding()
-    if (this.isHeld || this.openContents.size > 0) this.chunks.push(chunk)
-    else this.droppedChunks++
+  private addChunk (data: Buffer): void {
+    if (this.isHeld && this.chunks.addCounted(data)) return
+    if (this.isHeld) this.stopHolding()
+    this.chunks.add(data)
+    if (this.readers.length === 0) this.chunks.dropAll()
   }
 
-  /** Returns false if the limits don't allow to hold the chunks. */
-  private takeBudget (chunks: readonly Buffer[]): boolean {
-    const bytes = chunks.reduce((sum, { length }) => sum + length + chunkOverheadBytes, 0)
-    if (this.countedBytes + bytes > maxHeldBytesOfBody || !this.budget.take(bytes)) return false
-    this.countedBytes += bytes
-    return true
+  /** Attempts that have not taken the whole body. */
+  private get readers (): readonly bodyContent.BodyContent[] {
+    return [...this.openContents].filter(({ isSent }) => !isSent)
   }
 
   private stopHolding (): void {
     this.isHeld = false
-    this.budget.giveBack(this.countedBytes)
-    this.countedBytes = 0
-    this.joined = undefined
-    this.dropBefore(this.furthestChunk)
-    if (this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
+    this.dropRead()
   }
 
-  /** Index of the first chunk that no open content has read. */
-  private get furthestChunk (): number {
-    return Math.max(0, ...[...this.openContents].map(({ nextChunk }) => nextChunk))
-  }
-
-  private dropBefore (index: number): void {
-    const dropped = this.chunks.splice(0, Math.max(0, index - this.droppedChunks))
-    this.droppedChunks += dropped.length
+  /** Drops the chunks that the attempt that has got furthest has read, or all if none is reading. */
+  private dropRead (): void {
+    const { readers } = this
+    if (readers.length === 0) this.chunks.dropAll()
+    else this.chunks.dropBefore(Math.max(...readers.map(({ nextChunk }) => nextChunk)))
   }
 
   private onContentClosed (content: bodyContent.BodyContent): void {
     this.openContents.delete(content)
-    if (!this.isHeld && this.openContents.size === 0) this.dropBefore(this.droppedChunks + this.chunks.length)
+    if (!this.isHeld && this.readers.length === 0) this.chunks.dropAll()
     const { target, attempt, sentBytes } = content
     if (this.hasEnded && this.received === 0) return
     this.onTransfer({ target, attempt, framing: this.declaredBytes === undefined ? 'chunks' : 'length', receivedBytes: this.received, isReceived: this.hasEnded, sentBytes })
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -6,6 +6,7 @@
 import * as bodyContent from '../node/bodyContent.js'
 import * as byteBudget from '../node/byteBudget.js'
 import * as callerBody from '../node/callerBody.js'
+import type * as heldChunks from '../node/heldChunks.js'
 import * as entries from './forwardingEntry.js'
 import * as longBodies from './longBodies.js'
 
@@ -148,6 +149,23 @@
     t.ok(read === text, read.slice(0, 60))
   })
 
+  // An attempt that had sent the body and was not over yet counted as the one to hold the rest for.
+  tap.t.test(`a reader that is behind one that has ended gets the whole body after a release, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.end(text)
+    const body = await upload.open(budget)
+    const [first, second] = [Reader.open(body), Reader.open(body)]
+    await first.readTo(Infinity)
+    await second.next()
+    body.release()
+    const read = await second.readAll()
+    t.ok(read === text, read.slice(0, 60))
+    t.equal(budget.takenBytes, 0)
+    first.content.close()
+  })
+
   tap.t.test(`beyond the limit a body goes to one reader only, and holds nothing, with ${framing}`, async (t) => {
     const budget = new byteBudget.ByteBudget(longBytes / 2)
     await using upload = await Upload.start(createHeaders(longBytes))
@@ -176,6 +194,24 @@
     t.equal(budget.takenBytes, 0)
   })
 
+  // The limit of the process did not cover what a second reader had not read yet.
+  tap.t.test(`what is still held for a reader after a release counts until it is read, with ${framing}`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start(createHeaders(longBytes))
+    upload.caller.end(longBodies.createText(longBytes))
+    const body = await upload.open(budget)
+    await Reader.open(body).readAll()
+    const [second, third] = [Reader.open(body), Reader.open(body)]
+    await second.readTo(longBytes / 4)
+    await third.readTo(longBytes / 2)
+    second.content.close()
+    body.release()
+    const taken = budget.takenBytes
+    t.ok(taken >= longBytes - third.bytes && taken < longBytes - third.bytes / 2, `${taken} bytes for ${longBytes - third.bytes}`)
+    t.equal((await third.readAll()).length, longBytes)
+    t.equal(budget.takenBytes, 0)
+  })
+
   tap.t.test(`a caller that leaves midway breaks all readers off, with ${framing}`, async (t) => {
     const budget = new byteBudget.ByteBudget(processLimitBytes)
     await using upload = await Upload.start(createHeaders(longBytes))
@@ -215,7 +251,7 @@
     body.release()
     upload.caller.end(text.slice(longBytes / 2))
     await body.discardRest()
-    t.same([body.isReceived, body.receivedBytes, budget.takenBytes, heldChunks(body)], [true, longBytes, 0, 0])
+    t.same([body.isReceived, body.receivedBytes, budget.takenBytes, countHeldChunks(body)], [true, longBytes, 0, 0])
     t.equal(await reader.readAll(), 'error: the attempt has ended')
   })
 
@@ -279,6 +315,6 @@
 }
 
 /** Number of chunks of which a body has the memory. */
-function heldChunks (body: callerBody.CallerBody): number {
-  return (Reflect.get(body, 'chunks') as readonly Buffer[]).length
+function countHeldChunks (body: callerBody.CallerBody): number {
+  return (Reflect.get(body, 'chunks') as heldChunks.HeldChunks).data.length
 }
