Entry: the fingerprint of a long request no longer depends on how its bytes arrive

What had been received when the first 64 KiB were in was taken for the first 64 KiB; it ended where the last chunk ended.

Change: the fingerprint covers exactly the first 64 KiB.

Evidence: callerBody.test, 'the first part of a body does not depend on how its bytes arrive', had several first parts for six ways to send one body before, and has one now.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -80,7 +80,7 @@
   get firstPart (): Buffer {
     const [first, ...rest] = this.chunks.data
     const data = first !== undefined && rest.length === 0 ? first : Buffer.concat(this.chunks.data)
-    return data
+    return data.subarray(0, firstPartBytes)
   }
 
   get receivedBytes (): number {
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -269,6 +269,37 @@
   })
 }
 
+for (const [what, size, isCounted] of [
+  ['a short body does not count', 65_535, false],
+  ['a body that arrives with its end counts', 100_000, true],
+  ['a body that is still being received counts', longBytes, true]
+] as const) {
+  tap.t.test(`memory: ${what}, and nothing does after the release`, async (t) => {
+    const budget = new byteBudget.ByteBudget(processLimitBytes)
+    await using upload = await Upload.start({ 'content-length': size })
+    upload.caller.end(longBodies.createText(size))
+    await timers.setTimeout(stallTimeoutMs)
+    const body = await upload.open(budget)
+    t.equal(budget.takenBytes > 0, isCounted)
+    body.release()
+    t.equal(budget.takenBytes, 0)
+  })
+}
+
+// Guards against a crashing request that is not recognized when its bytes arrive in other pieces.
+tap.t.test('the first part of a body does not depend on how its bytes arrive', async (t) => {
+  const text = longBodies.createText(200_000)
+  const firstParts = new Set<string>()
+  for (const pieceBytes of [1000, 50_000, 65_535, 65_537, 100_000, 200_000]) {
+    await using upload = await Upload.start({ 'transfer-encoding': 'chunked' })
+    for (let at = 0; at < text.length; at += pieceBytes) upload.caller.write(text.slice(at, at + pieceBytes))
+    upload.caller.end()
+    const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
+    firstParts.add(body.firstPart.toString())
+  }
+  t.equal(firstParts.size, 1)
+})
+
 tap.t.test('a reader receives a body no faster than it reads it', async (t) => {
   await using upload = await Upload.start({ 'content-length': 4 * longBytes })
   upload.caller.end(longBodies.createText(4 * longBytes))
