Calls: a caller that leaves or stalls in the middle of its body is not held against the endpoint

Cause: the failure of an attempt was recorded for the endpoint, whoever had caused it; only calls through peers asked for the caller's fault.

Change: an attempt that ends because of the caller's body is neither recorded nor checked; the call ends with the caller's fault. A refused connection counts as before.

Evidence: callBodies.test, 'an attempt that ends since its caller does not send the body ...' fails before (3 checks).

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -280,7 +280,8 @@
 
   private onAttemptFailed (attempt: runningAttempt.RunningAttempt, failure: transport.AttemptFailure): void {
     this.removeAttempt(attempt)
-    this.recordFailure(attempt, failure.kind)
+    const isCallersFault = this.spec.body.fault !== undefined && failure.kind !== 'refused'
+    if (!isCallersFault) this.recordFailure(attempt, failure.kind)
     attempt.placement.release()
     if (this.isSettled) return
     const why = `${failure.kind}: ${failure.message}`
@@ -290,7 +291,8 @@
       return
     }
     this.uncertainAttempts++
-    if (failure.kind === 'lost') this.checkTargetCrash(attempt.placement, why)
+    if (isCallersFault) this.failUnlessOtherAttempt(why)
+    else if (failure.kind === 'lost') this.checkTargetCrash(attempt.placement, why)
     else if (this.spec.lane.idempotent) this.retry(why)
     else this.failUnlessOtherAttempt(why)
   }
@@ -428,11 +430,10 @@
 
   private startHedge (): void {
     if (this.isSettled || this.runningAttempts.size !== 1 || this.isChoosingEndpoint || !this.canRunAgain) return
-    const { isReplayable, awaitsCaller } = this.spec.body
-    if (!isReplayable) return
+    const { body } = this.spec
+    if (!body.isReplayable || this.suspectStatus !== 'clear') return
     // The target has not got the whole request.
-    if (awaitsCaller) return this.scheduleHedge(minBodyRecheckMs)
-    if (this.suspectStatus !== 'clear') return
+    if (body.awaitsCaller) return this.scheduleHedge(minBodyRecheckMs)
     const placement = this.deps.dispatcher.acquireForHedge(this.slotRequest)
     if (placement === undefined) return
     if (!this.deps.budgets.hedges.take()) {
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -21,6 +21,8 @@
   readonly isReplayable: boolean
   /** True while each attempt that is sending it waits for the caller to send more. */
   readonly awaitsCaller: boolean
+  /** Error that the caller has caused while its body was received. */
+  readonly fault: errors.Fault | undefined
 }
 
 /** Describes a request for the choice of endpoints and retries. */
--- a/packages/routing/src/test/callBodies.test.ts
+++ b/packages/routing/src/test/callBodies.test.ts
@@ -13,6 +13,7 @@
 import * as dispatcher from '../common/dispatcher.js'
 import * as domainPreference from '../common/domainPreference.js'
 import * as laneLatency from '../common/laneLatency.js'
+import type * as callSpec from '../common/callSpec.js'
 import type * as transport from '../common/transport.js'
 import * as fixtures from './fixtures.js'
 
@@ -32,21 +33,29 @@
 class CallHarness {
   readonly clock = new manualClock.ManualClock()
   readonly attempts: transport.IAttemptEvents[] = []
-  readonly body = { isReplayable: true, awaitsCaller: true }
+  readonly body: { -readonly [K in keyof callSpec.IRequestBody]: callSpec.IRequestBody[K] } = { isReplayable: true, awaitsCaller: true, fault: undefined }
+  /** What is held against endpoints. */
+  readonly blame: string[] = []
   readonly faults: errors.Fault[] = []
 
   constructor (lane: configDocument.Lane) {
     const endpoints = ['d-1', 'd-2', 'd-3'].map((id) => fixtures.createEndpoint(id, slots, 0))
     const source = { onChanged: new event.Emitter<endpointTable.Endpoint>().event, routable: () => endpoints }
+    const pool = new dispatcher.Dispatcher({ service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 }, source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), this.clock)
+    const acquire = pool.acquire.bind(pool)
+    pool.acquire = (req, done) => acquire(req, (outcome) => {
+      if (outcome.placed) outcome.placement.stats.recordFailure = () => { this.blame.push('failed') }
+      done(outcome)
+    })
     const suspects = new suspectTable.SuspectTable(this.clock)
     new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: this.body }, {
-      dispatcher: new dispatcher.Dispatcher({ service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 }, source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), this.clock),
+      dispatcher: pool,
       transport: {
         start: (_endpoint, events) => {
           this.attempts.push(events)
           return { written: true, cancel: () => {}, abandon: () => {}, deliverHeld: () => {} }
         },
-        checkTarget: () => {}
+        checkTarget: () => { this.blame.push('checked') }
       },
       suspects,
       crashDetector: new crashDetection.CrashDetector(source, suspects, this.clock),
@@ -118,3 +127,16 @@
     t.same(harness.faults, [])
   }
 })
+
+for (const kind of ['lost', 'not-written'] as const) {
+  // Guards against endpoints that are ejected because callers leave or stall in the middle of their bodies.
+  tap.t.test(`an attempt that ends since its caller does not send the body is not held against the endpoint (${kind})`, async (t) => {
+    for (const fault of [undefined, { kind: 'bad-request', message: 'the caller sent no data of the body in time' } as const]) {
+      const harness = new CallHarness(unsafeLane)
+      Object.assign(harness.body, { fault, isReplayable: fault === undefined })
+      harness.attempts[0]!.onFailure({ kind, message: 'broken off' })
+      t.equal(harness.blame.length > 0, fault === undefined)
+      if (fault !== undefined) t.same(harness.faults.map((each) => each.kind), [kind === 'lost' ? 'unknown' : 'not-run'])
+    }
+  })
+}
