Entry: a request whose caller has left while its body was received starts no run

By reading, in the review: when the response of a request ended while its first part was being received, as in a shutdown, what its long body counted against the limit of the process was never given back, and the run was started and cancelled at once. The caller's end is asked for right after the first part now, and the body is released. No test of its own; the claim of a key is not made for such a request any more (idempotencyClaims.test, callerListener.test pass).

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -145,6 +145,10 @@
     const context = { requestId: this.requestId, lane: namedLane.name }
     const body = await callerBody.CallerBody.open(this.req, limits, (transfer) => this.deps.bodyTransfers.record(context, transfer))
     this.body = body
+    if (this.isAnswered) {
+      body.release()
+      return
+    }
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.firstPart)
     this.refuseQuarantined(identity)
     this.claim = await this.claimKey(namedLane)
