Testbed: parts that soaks on plain sockets share

The soak of request bodies needs the same fleet, disruptions, endpoints and callers as the one of responses without a length.

Callers on plain sockets can send a request in parts, with pauses, and leave in the middle.

--- a/packages/testbed/src/node/byteConnection.ts
+++ b/packages/testbed/src/node/byteConnection.ts
@@ -1,5 +1,6 @@
 /** A caller on a plain socket that keeps its connection open, and tells a reset from an orderly end. */
 import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
+import * as byteSteps from './byteSteps.js'
 
 const headEnd = Buffer.from('\r\n\r\n')
 const lineEnd = Buffer.from('\r\n')
@@ -34,17 +35,18 @@
   private onChange = (): void => {}
 
   /** @param address host and port. */
-  constructor (private readonly host: string, private readonly port: number) {}
+  constructor (private readonly address: string) {}
 
-  /** Sends a request; resolves once it has ended in any way. */
-  send (text: string, patienceMs: number): Promise<ByteOutcome> {
+  /** Sends a request; resolves once it has ended in any way and no more of it can be sent. */
+  send (steps: readonly byteSteps.Step[], patienceMs: number): Promise<ByteOutcome> {
     return new Promise((resolve) => {
       const startedAt = performance.now()
-      if (this.state !== 'open') this.connect()
+      if (this.state !== 'open' || this.socket?.writable !== true) this.connect()
       const finish = (result: ByteOutcome['result']): void => {
         clearTimeout(timer)
         this.onChange = () => {}
-        resolve({ result, startedAt, endedAt: performance.now() })
+        const endedAt = performance.now()
+        sending.then(() => resolve({ result, startedAt, endedAt }))
       }
       const timer = setTimeout(() => {
         this.close()
@@ -60,7 +62,7 @@
           finish(this.state === 'unconnected' ? this.state : 'cut')
         }
       }
-      this.socket!.write(text)
+      const sending = byteSteps.play(this.socket!, steps)
       this.onChange()
     })
   }
@@ -71,7 +73,9 @@
   }
 
   private connect (): void {
-    const socket = new checkedSocket.CheckedSocket().connect({ host: this.host, port: this.port })
+    const [host = '', port] = this.address.split(':')
+    const socket = new checkedSocket.CheckedSocket().connect({ host, port: Number(port) })
+    this.socket?.destroy()
     this.socket = socket
     this.state = 'connecting'
     this.received = Buffer.alloc(0)
