Entry: a connection ends after a request with the header Upgrade

What callers saw: on a connection with a request that asks for an upgrade (h2c, websocket), the request sent behind it at once got no response. If its bytes came in two reads, the second part was taken for a request of its own: an endpoint could run a request that no caller had sent, out of the middle of a body, and its response went to the caller.

Cause: without a listener for upgrades, Node.js handles such a request like any other, but its parser has stopped at the end of the message and skips the rest of what it has read. The next read is parsed from its first byte, wherever that is.

Change: the response to such a request ends the connection, and what comes behind it is not run, as for each other response that announces the end. This holds for any request with the header: which Connection headers the parser heeds (Proxy-Connection too) is its own matter. The cost is a connection for each such request.

Evidence: the new test in shortBodies.test fails 3 of 3 cases without the change ('POST /inner..., which no caller has sent') and none with it.

--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -89,9 +89,16 @@
       return
     }
     if (state !== undefined) this.trackResponse(req.socket, state, res)
+    if (req.headers.upgrade !== undefined) this.endWithUpgrade(res)
     this.serve(req, res)
   }
 
+  /** Node.js skips what it has read behind a request that asks for an upgrade, so that the next bytes may be a part of a skipped request. */
+  private endWithUpgrade (res: http.ServerResponse): void {
+    res.shouldKeepAlive = false
+    this.endAfter(res)
+  }
+
   private trackResponse (socket: net.Socket, state: ConnectionState, res: http.ServerResponse): void {
     state.pendingResponses.add(res)
     res.once('close', () => {
--- a/packages/entry/src/test/shortBodies.test.ts
+++ b/packages/entry/src/test/shortBodies.test.ts
@@ -7,6 +7,7 @@
 
 const sizes = [1, 300, 1800, 24_000, 65_535]
 const eventTimeoutMs = 20_000
+const settleMs = 50
 const deadline = '10000'
 const options = { retryRatio: 1, deadlineMs: 10_000 }
 
@@ -220,3 +221,20 @@
     t.same([await pending, runs.outcomes], [['200'], ['whole']], `${size} bytes`)
   }
 })
+
+tap.t.test('a part of a body is not run as a request after a request with the header Upgrade', async (t) => {
+  const firsts: Readonly<Record<string, (runs: Runs) => string>> = {
+    'with a length': (runs) => withLength(runs.create('first', 300), 'Connection: upgrade', 'Upgrade: h2c'),
+    'in chunks': (runs) => inChunks(runs.create('first', 300), { headers: ['Connection: keep-alive, Upgrade', 'Upgrade: websocket'] }),
+    'without a body': (runs) => createHead(runs.create('first', 0, 'GET'), ['Proxy-Connection: upgrade', 'Upgrade: websocket'])
+  }
+  for (const [name, createFirst] of Object.entries(firsts)) {
+    const runs = new Runs()
+    await using endpoint = await entries.startEndpoint('e-1', runs.handle)
+    await using entry = await entries.TestEntry.start('entry', [endpoint], options)
+    const inner = withLength(createRequest('inner', 5))
+    const second = createHead(runs.create('second', 0), [`Content-Length: ${inner.length + 1}`]) + 'x'
+    const statuses = await exchange(entry.callersAddress, [createFirst(runs) + second, inner], 2, async () => await timers.setTimeout(settleMs))
+    t.same({ statuses, runs: runs.outcomes }, { statuses: ['200'], runs: ['whole'] }, name)
+  }
+})
