Entry: a body with a transfer coding besides chunks is refused with 501

What callers saw: a request with 'Transfer-Encoding: gzip, chunked' (or deflate, identity) was run, and its endpoint got the coded bytes without the header that names the coding, which is not forwarded: it took them for the body.

Cause: the parser of Node.js accepts any coding whose last one is chunked, takes off the chunks only, and nothing looked at the others.

Change: such a request gets 501 at its head (RFC 9112, section 6.1). Upper case and empty items are still accepted.

--- a/packages/entry/src/common/requestGuard.ts
+++ b/packages/entry/src/common/requestGuard.ts
@@ -1,4 +1,4 @@
-/** Validates request targets, ids and header sizes; refuses targets that two parsers could read differently. */
+/** Validates request targets, ids, header sizes and transfer codings; refuses targets that two parsers could read differently. */
 import * as errors from '@rosemaryrack/base/common/errors.js'
 
 const maxRequestTargetLength = 8192
@@ -38,6 +38,13 @@
   if (maxBytes !== undefined && bytes > maxBytes) throw new errors.RackError({ kind: 'too-large', message: `the headers exceed ${maxBytes} bytes` })
 }
 
+/** Throws `unsupported` for a body with a transfer coding besides chunks: the header goes no further, and targets could not tell that the body is coded. */
+export function checkTransferCodings (transferEncoding: string | undefined): void {
+  const codings = (transferEncoding ?? '').split(',').map((coding) => coding.trim().toLowerCase())
+  const other = codings.find((coding) => coding !== '' && coding !== 'chunked')
+  if (other !== undefined) throw new errors.RackError({ kind: 'unsupported', message: `the transfer coding ${other} is not supported` })
+}
+
 function newBadRequestError (message: string): errors.RackError {
   return new errors.RackError({ kind: 'bad-request', message })
 }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -138,6 +138,7 @@
     // The peer has checked a forwarded request, before it added headers.
     if (this.origin.forwarded === undefined) requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
     const path = requestGuard.parsePath(requestTarget)
+    requestGuard.checkTransferCodings(this.req.headers['transfer-encoding'])
     const namedLane = this.limitAttempts(this.findLane(path))
     this.laneName = namedLane.name
     const { lane } = namedLane
--- a/tap-snapshots/packages/entry/dist/test/shortBodies.test.js.test.cjs
+++ b/tap-snapshots/packages/entry/dist/test/shortBodies.test.js.test.cjs
@@ -59,6 +59,18 @@
       "400": 10,
     },
   },
+  "chunks and another coding before them": Object {
+    "runs": Object {},
+    "statuses": Object {
+      "501": 10,
+    },
+  },
+  "chunks and another coding in a header before": Object {
+    "runs": Object {},
+    "statuses": Object {
+      "501": 10,
+    },
+  },
   "chunks and trailers": Object {
     "runs": Object {
       "whole": 10,
@@ -73,6 +85,14 @@
       "400": 10,
     },
   },
+  "chunks in upper case after an empty item": Object {
+    "runs": Object {
+      "whole": 10,
+    },
+    "statuses": Object {
+      "200": 10,
+    },
+  },
   "chunks of 7 bytes": Object {
     "runs": Object {
       "whole": 10,
