Shutdown: a request that its caller completes late is refused, not sent on

Cause: a connection that is in use at 45 % of the grace period stays open, and its request was started whenever its caller completed it, though the final responses at 90 % leave its endpoint less and less time.

Change: a request that has been received whole only after half of the grace period is refused as not run, with Retry-After; other instances take it at once. A long body is sent on while it is received; such a request is not refused by this.

--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -17,7 +17,7 @@
   /** @param graceS seconds from the start of the shutdown until the process is killed. */
   constructor (graceS: number, configs: configFollower.IConfigSource, deps: callerTask.CallerDeps) {
     this.server = new gracefulServer.GracefulServer({ maxHeaderBytes, ...defaultTimeouts }, graceS, deps.clock, deps.decisions, async (req, res) => {
-      await this.server.run(new callerTask.CallerTask(req, res, requestOrigin.fromCaller(req, deps.headers), this.server.connections, deps))
+      await this.server.run(new callerTask.CallerTask(req, res, requestOrigin.fromCaller(req, deps.headers), this.server, deps))
     })
     this.configSubscription = configs.onChanged((config) => this.applyLimits(config.document))
   }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -54,6 +54,12 @@
   readonly isStopping: () => boolean
 }
 
+/** The server that has read the request. */
+export interface ICallerServer {
+  readonly connections: callerConnections.IConnectionEnds
+  readonly canStartRequests: boolean
+}
+
 /** Handles one request. */
 export class CallerTask implements gracefulServer.IRequestTask {
   private readonly requestId: string
@@ -65,7 +71,7 @@
   /** The response, if its caller learns where the body ends only from the end of the connection. */
   private unframedStream: responseStream.ResponseStream | undefined
 
-  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly connections: callerConnections.IConnectionEnds, private readonly deps: CallerDeps) {
+  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps) {
     const suppliedId = req.headers[deps.headers.requestId]
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
@@ -145,6 +151,7 @@
     const context = { requestId: this.requestId, lane: namedLane.name }
     const body = await callerBody.CallerBody.open(this.req, limits, (transfer) => this.deps.bodyTransfers.record(context, transfer))
     this.body = body
+    if (!this.server.canStartRequests) throw new errors.RackError(stoppingFault)
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.firstPart)
     this.refuseQuarantined(identity)
     this.claim = await this.claimKey(namedLane)
@@ -360,12 +367,12 @@
     const announcesEnd = isUnframed || !body.hasShortRest || this.endsWhileStopping
     if (announcesEnd) headers.push('Connection', 'close')
     res.writeHead(head.status, headers)
-    if (announcesEnd) this.connections.endAfter(res)
+    if (announcesEnd) this.server.connections.endAfter(res)
   }
 
   /** True if the connection ends with this response because the process is stopping. */
   private get endsWhileStopping (): boolean {
-    return this.deps.isStopping() && this.connections.canEndAfter(this.res)
+    return this.deps.isStopping() && this.server.connections.canEndAfter(this.res)
   }
 
   /** True if the body that the caller gets has neither a length nor chunks. */
@@ -389,7 +396,7 @@
       close: this.endsWhileStopping,
       drainsBody: this.origin.forwarded !== undefined
     })
-    if (announcesEnd) this.connections.endAfter(res)
+    if (announcesEnd) this.server.connections.endAfter(res)
   }
 
   /** Returns the headers that tell a peer how its forwarded request ended. */
--- a/packages/entry/src/node/forwardListener.ts
+++ b/packages/entry/src/node/forwardListener.ts
@@ -98,7 +98,7 @@
     decisions.record({ event: 'forwarded', ...this.requestIdOf(req), choice: sender, why: 'a peer that cannot reach any target sent the request' })
     this.running++
     try {
-      await this.server.run(new callerTask.CallerTask(req, res, origin, this.server.connections, this.deps))
+      await this.server.run(new callerTask.CallerTask(req, res, origin, this.server, this.deps))
     } finally {
       this.running--
     }
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -19,6 +19,8 @@
  * completing these requests.
  */
 const acceptShareOfGrace = 0.45
+/** Share of the grace period after which a request is no longer started: its endpoint might not respond before the final responses. */
+const startShareOfGrace = 0.5
 /**
  * Share of the grace period after which requests without a response get a final one. The rest is left for sending the responses before the
  * process is killed.
@@ -58,6 +60,8 @@
   /** Tasks that had no complete response shortly before the end of the grace period. */
   private readonly endedTasks = new WeakSet<IRequestTask>()
   private inFlight = 0
+  /** When the shutdown began, on the clock. */
+  private stoppingSince = Infinity
 
   /**
    * @param graceS seconds from the start of the shutdown until the process is killed.
@@ -93,6 +97,11 @@
     return this.inFlight
   }
 
+  /** True unless too little of the grace period is left for a request that has been received only now. */
+  get canStartRequests (): boolean {
+    return this.clock.now() <= this.stoppingSince + this.graceS * msPerSecond * startShareOfGrace
+  }
+
   /**
    * Accepts no new connections and resolves when all responses are complete.
    * Idle connections stay open for the keep-alive timeout, since a request may be on its way on one of them. They are closed
@@ -101,6 +110,7 @@
    * @param stoppingSince when the shutdown began, on the clock.
    */
   async stop (stoppingSince: number): Promise<void> {
+    this.stoppingSince = stoppingSince
     // A process that was busy or paused accepts and reads what has arrived meanwhile before it closes anything.
     await async.nextTurn()
     // The method of http.Server would close idle connections too.
--- a/packages/entry/src/test/callerListener.test.ts
+++ b/packages/entry/src/test/callerListener.test.ts
@@ -48,6 +48,26 @@
   t.same(waiting.statuses, ['503'])
 })
 
+for (const [name, share, statuses, targetRequests] of [
+  ['by half of the grace period is sent on', 0.4, ['200'], 1],
+  ['after half of the grace period is refused as not run', 0.6, ['503'], 0]
+] as const) {
+  // Guards against an endpoint that is at work on a request when the grace period ends, so that its caller gets another answer.
+  tap.t.test(`a request that its caller completes ${name}`, async (t) => {
+    const clock = new manualClock.ManualClock()
+    clock.jump(performance.now())
+    await using fixture = await new callerFixture.CallerFixture({}, answer, { graceS, clock }).start()
+    const caller = fixture.send('POST /flags HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nbo')
+    t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 1))
+    fixture.stop()
+    await passTime(clock, graceS * msPerSecond * share)
+    caller.socket.write('dy')
+    t.ok(await callerFixture.waitUntil(() => caller.statuses.length > 0))
+    t.same([caller.statuses, fixture.targetRequests], [statuses, targetRequests])
+    t.equal(/\r\nRetry-After: /i.test(caller.received), targetRequests === 0)
+  })
+}
+
 /** Writes pieces of a body until the caller has received some of it. */
 async function startBody (socket: net.Socket, toPiece: (data: string) => string, caller: callerFixture.CallerConnection): Promise<boolean> {
   return await callerFixture.waitUntil(() => {
