Entry: tests of bodies that must not be sent again, and of peers that respond before they have read one

A request that is not idempotent goes to no other peer after a loss, with any size and framing. A body of 9 MiB, which is more than is held of one, is not sent again once it has been sent, and is sent whole to the next peer if the first one declines at its head. The connection of a peer that declines or refuses early carries no other request. A caller that leaves within or after its body leaves nothing held.

--- a/packages/entry/src/test/earlyResponses.test.ts
+++ b/packages/entry/src/test/earlyResponses.test.ts
@@ -70,12 +70,16 @@
 for (const [name, status, headers, expected] of [
   ['success', '200 OK', '', 200],
   ['failure', '500 Failed', '', 500],
-  ['rejection', '503 Full', 'x-not-run: 1\r\n', 503]
+  ['rejection', '503 Full', 'x-not-run: 1\r\n', 503],
+  ['decline of a peer', '503 Full', 'rack-forward-outcome: declined\r\n', 503],
+  ['refusal of a peer', '503 Full', 'rack-forward-outcome: not-run\r\n', 503]
 ] as const) {
   for (const [framing, createHeaders] of longBodies.framings) {
     tap.t.test(`the connection of an early ${name} carries no other request, and only bytes of the caller: with ${framing}`, async (t) => {
       await using endpoint = await new EarlyEndpoint('e-1', status, headers).listen()
-      await using entry = await entries.TestEntry.start('entry', [endpoint], options)
+      const isPeer = name.endsWith('of a peer')
+      await using entry = await entries.TestEntry.start('entry', isPeer ? [] : [endpoint], { ...options, isCutOff: isPeer })
+      entry.peers = isPeer ? [endpoint.asPeer('peer')] : []
       const text = longBodies.createText(longBytes)
       const statuses: number[] = []
       for (let i = 0; i < requestCount; i++) statuses.push(await uploadSlowly(entry.callersAddress, `request-${i}`, createHeaders(longBytes), text))
--- a/packages/entry/src/test/forwardedBodies.test.ts
+++ b/packages/entry/src/test/forwardedBodies.test.ts
@@ -16,6 +16,8 @@
 const silenceDeadlineMs = 1000
 /** Share of the deadline after which a late body has arrived: after half of it. */
 const lateShare = 0.55
+/** More than what is held of a body. */
+const tooLongBytes = 9 * 1024 * 1024
 
 /** What a request comes across. */
 interface Scenario {
@@ -73,6 +75,18 @@
   }
 }
 
+const loseAfterBody: http.RequestListener = (req) => readAll(req, () => req.socket.destroy())
+const loseWithinBody: http.RequestListener = (req) => { req.on('error', () => {}).once('data', () => req.socket.destroy()) }
+const answerAsEndpoint: http.RequestListener = (req, res) => {
+  res.writeHead(200, entries.stamp(req)).end('not a peer')
+  readAll(req, () => {})
+}
+const decline = (res: http.ServerResponse): void => { res.writeHead(503, { 'rack-forward-outcome': 'declined' }).end() }
+const declineAtHead: http.RequestListener = (req, res) => {
+  decline(res)
+  readAll(req, () => {})
+}
+
 const cases: ReadonlyArray<readonly [name: string, kinds: ReadonlyArray<'GET' | 'POST' | 'keyed'>, build: Build]> = [
   ['starts at a peer', ['GET', 'POST', 'keyed'], async (runner) => {
     const peer = await entries.TestEntry.start('peer', [runner], options)
@@ -87,16 +101,10 @@
     res.writeHead(503, { ...entries.stamp(req), 'rack-forward-outcome': 'not-run', 'rack-forward-attempts': '0' }).end()
     readAll(req, () => {})
   })],
-  ['a peer declines at its head', ['GET', 'POST'], throughFakePeer((req, res) => {
-    res.writeHead(503, { 'rack-forward-outcome': 'declined' }).end()
-    readAll(req, () => {})
-  })],
-  ['a peer loses after the whole body', ['GET'], throughFakePeer((req) => readAll(req, () => req.socket.destroy()))],
-  ['a peer loses within the body', ['GET'], throughFakePeer((req) => { req.on('error', () => {}).once('data', () => req.socket.destroy()) })],
-  ['is answered by another server than a peer', ['GET'], throughFakePeer((req, res) => {
-    res.writeHead(200, entries.stamp(req)).end('not a peer')
-    readAll(req, () => {})
-  })],
+  ['a peer declines at its head', ['GET', 'POST'], throughFakePeer(declineAtHead)],
+  ['a peer loses after the whole body', ['GET'], throughFakePeer(loseAfterBody)],
+  ['a peer loses within the body', ['GET'], throughFakePeer(loseWithinBody)],
+  ['is answered by another server than a peer', ['GET'], throughFakePeer(answerAsEndpoint)],
   ['a peer leaves without a response', ['GET'], throughFakePeer(readSilently, { ...cutOff, deadlineMs: silenceDeadlineMs })],
   ['the first endpoint of a peer rejects after the whole body', ['GET', 'POST', 'keyed'], async (runner) => {
     const first = await entries.startEndpoint('e-first', rejectAfterBody)
@@ -153,6 +161,17 @@
   return await result
 }
 
+/** Starts the endpoint that runs requests and keeps their bodies. */
+async function startRunner (received: string[]): Promise<entries.TestEndpoint> {
+  return await entries.startEndpoint('e-1', (req, res) => {
+    const chunks: Buffer[] = []
+    req.on('error', () => {}).on('data', (chunk: Buffer) => chunks.push(chunk)).on('end', () => {
+      received.push(Buffer.concat(chunks).toString())
+      res.writeHead(200, entries.stamp(req)).end('from e-1')
+    })
+  })
+}
+
 /** A request with a scenario of its own. */
 interface Run {
   readonly what: string
@@ -165,13 +184,7 @@
 
 async function prepare (build: Build, kind: string, size: number, framing: string, framingHeaders: http.OutgoingHttpHeaders): Promise<Run> {
   const received: string[] = []
-  const runner = await entries.startEndpoint('e-1', (req, res) => {
-    const chunks: Buffer[] = []
-    req.on('error', () => {}).on('data', (chunk: Buffer) => chunks.push(chunk)).on('end', () => {
-      received.push(Buffer.concat(chunks).toString())
-      res.writeHead(200, entries.stamp(req)).end('from e-1')
-    })
-  })
+  const runner = await startRunner(received)
   const scenario = await build(runner)
   const text = longBodies.createText(size)
   const headers = { 'x-id': 'request-1', 'x-deadline': '10000', ...framingHeaders, ...(kind === 'keyed' ? { 'idempotency-key': 'key-1' } : {}) }
@@ -185,14 +198,20 @@
   }
 }
 
+/** Prepares a run for each size and framing. */
+async function prepareAll (t: Pick<tap.Test, 'teardown'>, build: Build, kind: string): Promise<readonly Run[]> {
+  const runs: Run[] = []
+  t.teardown(async () => await Promise.all(runs.map(async ({ dispose }) => await dispose())))
+  for (const [framing, createHeaders] of longBodies.framings) {
+    for (const size of longBodies.sizes) runs.push(await prepare(build, kind, size, framing, createHeaders(size)))
+  }
+  return runs
+}
+
 for (const [name, kinds, build] of cases) {
   for (const kind of kinds) {
     tap.t.test(`${kind}: a request that ${name} is run with its whole body`, async (t) => {
-      const runs: Run[] = []
-      for (const [framing, createHeaders] of longBodies.framings) {
-        for (const size of longBodies.sizes) runs.push(await prepare(build, kind, size, framing, createHeaders(size)))
-      }
-      t.teardown(async () => await Promise.all(runs.map(async ({ dispose }) => await dispose())))
+      const runs = await prepareAll(t, build, kind)
       const results = await Promise.all(runs.map(async ({ send }) => await send()))
       for (const [i, { what, text, received }] of runs.entries()) {
         t.same(results[i], { status: 200, body: 'from e-1' }, what)
@@ -203,6 +222,46 @@
   }
 }
 
+for (const kind of ['POST', 'keyed']) {
+  for (const [name, build] of [
+    ['a peer loses after the whole body', throughFakePeer(loseAfterBody)],
+    ['a peer loses within the body', throughFakePeer(loseWithinBody)],
+    ['is answered by another server than a peer', throughFakePeer(answerAsEndpoint)],
+    ['its endpoint loses within the body while its instance is cut off', movedToPeer((sender) => (req, res) => {
+      sender().reachability.set(true)
+      loseWithinBody(req, res)
+    })]
+  ] as const) {
+    tap.t.test(`${kind}: a request that ${name} goes to no other peer`, async (t) => {
+      const runs = await prepareAll(t, build, kind)
+      const results = await Promise.all(runs.map(async ({ send }) => await send()))
+      for (const [i, { what, received }] of runs.entries()) t.same([results[i]!.status, received], [502, []], what)
+    })
+  }
+}
+
+for (const [framing, createHeaders] of longBodies.framings) {
+  const text = longBodies.createText(tooLongBytes)
+  for (const [name, method, handle, status] of [
+    ['declines after the whole body', 'POST', (req: http.IncomingMessage, res: http.ServerResponse) => readAll(req, () => decline(res)), 503],
+    ['declines after the whole body', 'GET', (req: http.IncomingMessage, res: http.ServerResponse) => readAll(req, () => decline(res)), 503],
+    ['loses after the whole body', 'GET', loseAfterBody, 502],
+    ['declines at its head', 'POST', declineAtHead, 200],
+    ['declines at its head', 'GET', declineAtHead, 200]
+  ] as const) {
+    tap.t.test(`${method}: a body that is longer than what is held of one is ${status === 200 ? 'sent whole to the next peer' : 'not sent again'} when a peer ${name}, with ${framing}`, async (t) => {
+      const received: string[] = []
+      await using runner = await startRunner(received)
+      const { sender, first, others } = await throughFakePeer(handle)(runner)
+      t.teardown(async () => await Promise.all([sender, first!, ...others].map(async (resource) => { await resource[Symbol.asyncDispose]() })))
+      const res = await entries.send(sender.callersAddress, method, { 'x-deadline': '10000', ...createHeaders(tooLongBytes) }, text)
+      t.equal(res.status, status)
+      t.equal(Number(res.headers['retry-after']) > 0, status !== 200)
+      t.same(received.map((body) => body === text), status === 200 ? [true] : [])
+    })
+  }
+}
+
 tap.t.test('a silent peer is given up for another one when the body has been received only after the first check', async (t) => {
   const deadlineMs = 3 * silenceDeadlineMs
   await using runner = await entries.startEndpoint('e-1')
--- a/packages/entry/src/test/heldBodies.test.ts
+++ b/packages/entry/src/test/heldBodies.test.ts
@@ -98,3 +98,19 @@
     t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
   })
 }
+
+for (const [framing, createHeaders] of longBodies.framings) {
+  tap.t.test(`a caller that leaves within or after its body leaves nothing that is held, with ${framing}`, async (t) => {
+    for (const isWhole of [false, true]) {
+      await using fixture = await Fixture.start()
+      const text = longBodies.createText(shareBytes)
+      const req = entries.startRequest(fixture.entry.callersAddress, 'POST', '/x', { 'x-id': 'leaving', 'x-deadline': String(deadlineMs), ...createHeaders(shareBytes) }).on('error', () => {})
+      if (isWhole) req.end(text)
+      else req.write(text.slice(0, shareBytes / 2))
+      t.ok(await entries.waitUntil(() => isWhole ? fixture.rejections.length === 1 : callerBody.heldBytes() > shareBytes / 4, eventTimeoutMs))
+      t.ok(callerBody.heldBytes() > 0)
+      req.destroy()
+      t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
+    }
+  })
+}
