--- a/packages/entry/src/test/heldBodies.test.ts
+++ b/packages/entry/src/test/heldBodies.test.ts
@@ -14,6 +14,7 @@
 /** Far below the time that the callers have. */
 const refusalLimitMs = 5000
 const deadlineMs = 60_000
+const shortDeadlineMs = 500
 const options = { retryRatio: 1, deadlineMs }
 
 /** Two endpoints and an instance. The first attempt of each request waits until the test rejects it, the second one is run. */
@@ -114,3 +115,24 @@
     }
   })
 }
+
+tap.t.test('an endpoint that stops reading leaves nothing that is held after the deadline', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1', () => {})
+  await using entry = await entries.TestEntry.start('entry', [endpoint], { deadlineMs: shortDeadlineMs })
+  const pending = entries.send(entry.callersAddress, 'POST', { 'content-length': shareBytes }, longBodies.createText(shareBytes))
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() > 0, eventTimeoutMs))
+  t.match(await pending, { status: 504 })
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
+})
+
+tap.t.test('a caller that stalls within its body leaves nothing that is held after its time', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using entry = await entries.TestEntry.start('entry', [endpoint], { deadlineMs: shortDeadlineMs })
+  const req = entries.startRequest(entry.callersAddress, 'POST', '/x', { 'content-length': shareBytes }).on('error', () => {})
+  const status = new Promise<number>((resolve) => req.on('response', (res) => resolve(res.resume().statusCode!)))
+  req.write(longBodies.createText(shareBytes / 2))
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() > 0, eventTimeoutMs))
+  t.equal(await status, 504)
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
+  req.destroy()
+})
