Entry: a chunk that an attempt reads is taken before it is dropped

The comparison of the bytes taken with those received broke the attempt off, so that no endpoint could get a shorter body.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -124,8 +124,9 @@
   async chunkAt (index: number): Promise<Buffer | undefined> {
     while (index >= this.droppedChunks + this.chunks.length && !this.hasEnded) await this.receive()
     if (index < this.droppedChunks) throw new Error('a part of the request body is no longer held')
+    const chunk = this.chunks[index - this.droppedChunks]
     if (!this.isHeld) this.dropBefore(this.furthestChunk)
-    return this.chunks[index - this.droppedChunks]?.data
+    return chunk?.data
   }
 
   /** Gives the memory of a long body back, since no further attempt will be made. An attempt that is sending the body goes on. */
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -165,6 +165,23 @@
     first.content.close()
   })
 
+  // The faster one of two readers dropped the chunk that the other one reads next, which looked like the end of the body.
+  tap.t.test(`a reader that is one chunk behind another one of a released body gets the whole of it, with ${framing}`, async (t) => {
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const text = longBodies.createText(longBytes)
+    upload.caller.write(text.slice(0, longBytes / 2))
+    const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
+    const [first, second] = [Reader.open(body), Reader.open(body)]
+    await Promise.all([first.readTo(longBytes / 2), second.readTo(longBytes / 2)])
+    body.release()
+    upload.caller.write(text.slice(longBytes / 2, longBytes / 2 + 1))
+    await first.next()
+    const rest = first.readAll()
+    t.ok(await second.next())
+    upload.caller.end(text.slice(longBytes / 2 + 1))
+    for (const read of await Promise.all([rest, second.readAll()])) t.ok(read === text, read.slice(0, 80))
+  })
+
   tap.t.test(`beyond the limit a body goes to one reader only, and holds nothing, with ${framing}`, async (t) => {
     const budget = new byteBudget.ByteBudget(longBytes / 2)
     await using upload = await Upload.start(createHeaders(longBytes))
