--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -129,8 +129,9 @@
   async chunkAt (index: number): Promise<Buffer | undefined> {
     while (index >= this.chunks.end && !this.hasEnded) await this.receive()
     if (index < this.chunks.start) throw new Error('a part of the request body is no longer held')
+    const chunk = this.chunks.at(index)
     if (!this.isHeld) this.dropRead()
-    return this.chunks.at(index)
+    return chunk
   }
 
   /** Gives the memory of a long body back, since no further attempt will be made. An attempt that is sending the body goes on. */
--- a/packages/entry/src/test/earlyResponses.test.ts
+++ b/packages/entry/src/test/earlyResponses.test.ts
@@ -55,27 +55,31 @@
   }
 }
 
-/** Uploads half of a body, and the rest once the response has come or after a moment. Resolves with the status. */
+/** Uploads half of a body, and the rest once the response has come. Resolves with the status. */
 async function uploadSlowly (address: string, id: string, headers: http.OutgoingHttpHeaders, text: string): Promise<number> {
   const req = entries.startRequest(address, 'POST', '/x', { 'x-id': id, 'x-deadline': '10000', ...headers }).on('error', () => {})
   const response = new Promise<number>((resolve) => {
     req.on('response', (res) => resolve(res.resume().on('error', () => {}).statusCode!)).on('close', () => resolve(0))
   })
   req.write(text.slice(0, text.length / 2))
-  await Promise.race([response, timers.setTimeout(settleMs)])
+  const status = await response
   req.end(text.slice(text.length / 2))
-  return await response
+  return status
 }
 
 for (const [name, status, headers, expected] of [
   ['success', '200 OK', '', 200],
   ['failure', '500 Failed', '', 500],
-  ['rejection', '503 Full', 'x-not-run: 1\r\n', 503]
+  ['rejection', '503 Full', 'x-not-run: 1\r\n', 503],
+  ['decline of a peer', '503 Full', 'rack-forward-outcome: declined\r\n', 503],
+  ['refusal of a peer', '503 Full', 'rack-forward-outcome: not-run\r\n', 503]
 ] as const) {
   for (const [framing, createHeaders] of longBodies.framings) {
     tap.t.test(`the connection of an early ${name} carries no other request, and only bytes of the caller: with ${framing}`, async (t) => {
       await using endpoint = await new EarlyEndpoint('e-1', status, headers).listen()
-      await using entry = await entries.TestEntry.start('entry', [endpoint], options)
+      const isPeer = name.endsWith('of a peer')
+      await using entry = await entries.TestEntry.start('entry', isPeer ? [] : [endpoint], { ...options, isCutOff: isPeer })
+      entry.peers = isPeer ? [endpoint.asPeer('peer')] : []
       const text = longBodies.createText(longBytes)
       const statuses: number[] = []
       for (let i = 0; i < requestCount; i++) statuses.push(await uploadSlowly(entry.callersAddress, `request-${i}`, createHeaders(longBytes), text))
--- a/packages/entry/src/test/heldBodies.test.ts
+++ b/packages/entry/src/test/heldBodies.test.ts
@@ -14,6 +14,7 @@
 /** Far below the time that the callers have. */
 const refusalLimitMs = 5000
 const deadlineMs = 60_000
+const shortDeadlineMs = 500
 const options = { retryRatio: 1, deadlineMs }
 
 /** Two endpoints and an instance. The first attempt of each request waits until the test rejects it, the second one is run. */
@@ -98,3 +99,40 @@
     t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
   })
 }
+
+for (const [framing, createHeaders] of longBodies.framings) {
+  tap.t.test(`a caller that leaves within or after its body leaves nothing that is held, with ${framing}`, async (t) => {
+    for (const isWhole of [false, true]) {
+      await using fixture = await Fixture.start()
+      const text = longBodies.createText(shareBytes)
+      const req = entries.startRequest(fixture.entry.callersAddress, 'POST', '/x', { 'x-id': 'leaving', 'x-deadline': String(deadlineMs), ...createHeaders(shareBytes) }).on('error', () => {})
+      if (isWhole) req.end(text)
+      else req.write(text.slice(0, shareBytes / 2))
+      t.ok(await entries.waitUntil(() => isWhole ? fixture.rejections.length === 1 : callerBody.heldBytes() > shareBytes / 4, eventTimeoutMs))
+      t.ok(callerBody.heldBytes() > 0)
+      req.destroy()
+      t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
+    }
+  })
+}
+
+tap.t.test('an endpoint that stops reading leaves nothing that is held after the deadline', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1', () => {})
+  await using entry = await entries.TestEntry.start('entry', [endpoint], { deadlineMs: shortDeadlineMs })
+  const pending = entries.send(entry.callersAddress, 'POST', { 'content-length': shareBytes }, longBodies.createText(shareBytes))
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() > 0, eventTimeoutMs))
+  t.match(await pending, { status: 504 })
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
+})
+
+tap.t.test('a caller that stalls within its body leaves nothing that is held after its time', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using entry = await entries.TestEntry.start('entry', [endpoint], { deadlineMs: shortDeadlineMs })
+  const req = entries.startRequest(entry.callersAddress, 'POST', '/x', { 'content-length': shareBytes }).on('error', () => {})
+  const status = new Promise<number>((resolve) => req.on('response', (res) => resolve(res.resume().statusCode!)))
+  req.write(longBodies.createText(shareBytes / 2))
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() > 0, eventTimeoutMs))
+  t.equal(await status, 504)
+  t.ok(await entries.waitUntil(() => callerBody.heldBytes() === 0, eventTimeoutMs))
+  req.destroy()
+})
