Entry: a body that is still being received is never ended

No fault was observed. An attempt compared the bytes taken with those received so far, which are equal also where a part of a body in chunks is taken for all of it. It now fails as well while the body is being received, whatever its source says.

Evidence: the new row of callerBody.test fails before (streamed and short body) and passes now.

--- a/packages/entry/src/node/bodyContent.ts
+++ b/packages/entry/src/node/bodyContent.ts
@@ -80,7 +80,8 @@
 
   /** Throws if the bytes taken aren't the whole body: the HTTP client would mark the end of the request all the same. */
   private finish (): void {
-    const { receivedBytes, declaredBytes = receivedBytes } = this.source
+    const { isReceived, receivedBytes, declaredBytes = receivedBytes } = this.source
+    if (!isReceived) throw new Error(`${this.takenBytes} bytes of the body were taken, and it is still being received`)
     if (this.takenBytes !== receivedBytes || this.takenBytes !== declaredBytes) throw new Error(`${this.takenBytes} bytes of the body were taken, ${receivedBytes} received, ${declaredBytes} declared`)
     this.isWhole = true
   }
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -302,16 +302,17 @@
 })
 
 for (const [name, source, message] of [
-  ['fewer bytes than were received', { receivedBytes: 9, declaredBytes: undefined }, '6 bytes of the body were taken, 9 received, 9 declared'],
-  ['fewer bytes than the caller has stated', { receivedBytes: 6, declaredBytes: 9 }, '6 bytes of the body were taken, 6 received, 9 declared'],
-  ['more bytes than were received', { receivedBytes: 3, declaredBytes: undefined }, '6 bytes of the body were taken, 3 received, 3 declared']
+  ['a part that looks like the end', { receivedBytes: 6, declaredBytes: undefined, isReceived: false }, '6 bytes of the body were taken, and it is still being received'],
+  ['fewer bytes than were received', { receivedBytes: 9, declaredBytes: undefined, isReceived: true }, '6 bytes of the body were taken, 9 received, 9 declared'],
+  ['fewer bytes than the caller has stated', { receivedBytes: 6, declaredBytes: 9, isReceived: true }, '6 bytes of the body were taken, 6 received, 9 declared'],
+  ['more bytes than were received', { receivedBytes: 3, declaredBytes: undefined, isReceived: true }, '6 bytes of the body were taken, 3 received, 3 declared']
 ] as const) {
-  tap.t.test(`a body of ${name} is broken off, not ended`, async (t) => {
+  tap.t.test(`a body with ${name} is broken off, not ended`, async (t) => {
     const chunks = [Buffer.from('abc'), Buffer.from('def')]
-    const streamed = new bodyContent.BodyContent('t', 1, { ...source, isReceived: true, shortBody: undefined, chunkAt: async (index) => chunks[index] }, () => {})
+    const streamed = new bodyContent.BodyContent('t', 1, { ...source, shortBody: undefined, chunkAt: async (index) => chunks[index] }, () => {})
     await t.rejects(new Reader(streamed).readTo(Infinity), { message })
     t.notOk(streamed.isSent)
-    const short = new bodyContent.BodyContent('t', 1, { ...source, isReceived: true, shortBody: Buffer.concat(chunks), chunkAt: async () => undefined }, () => {})
+    const short = new bodyContent.BodyContent('t', 1, { ...source, shortBody: Buffer.concat(chunks), chunkAt: async () => undefined }, () => {})
     t.throws(() => short.take(), { message })
     t.notOk(short.isSent)
   })
