--- a/packages/entry/src/node/bodyContent.ts
+++ b/packages/entry/src/node/bodyReader.ts
@@ -17,7 +17,7 @@
 }
 
 /** Reads the chunks of a body independently of other attempts. */
-export class BodyContent {
+export class BodyReader {
   private position = 0
   private takenBytes = 0
   private isWaiting = false
@@ -28,7 +28,7 @@
    * @param target address that the body is sent to.
    * @param attempt number of the attempt among those that were given the body, from 1.
    */
-  constructor (readonly target: string, readonly attempt: number, private readonly source: IChunkSource, private readonly onClose: (content: BodyContent) => void) {}
+  constructor (readonly target: string, readonly attempt: number, private readonly source: IChunkSource, private readonly onClose: (reader: BodyReader) => void) {}
 
   /** Returns what the HTTP client sends: null for no body, the whole body, or a stream that can be read once. Throws if the whole body isn't what was received. */
   take (): Buffer | AsyncIterable<Buffer> | null {
--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -2,7 +2,7 @@
 import type * as http from 'node:http'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
-import * as bodyContent from './bodyContent.js'
+import * as bodyReader from './bodyReader.js'
 import type * as bodyTransfers from './bodyTransfers.js'
 import * as byteBudget from './byteBudget.js'
 import * as heldChunks from './heldChunks.js'
@@ -37,7 +37,7 @@
  * Receives a body as fast as the attempt that has got furthest reads it, and holds it from its first byte until `release`. Beyond the limits
  * on held bytes, only what that attempt has not read yet is held, and the body can't be sent again.
  */
-export class CallerBody implements bodyContent.IChunkSource {
+export class CallerBody implements bodyReader.IChunkSource {
   readonly declaredBytes: number | undefined
   private readonly chunks: heldChunks.HeldChunks
   private received = 0
@@ -50,7 +50,7 @@
   private readFault: errors.Fault | undefined
   private reading: Promise<void> | undefined
   private attempts = 0
-  private readonly openContents = new Set<bodyContent.BodyContent>()
+  private readonly openReaders = new Set<bodyReader.BodyReader>()
   private joined: Buffer | undefined
   private readonly iterator: AsyncIterator<Buffer>
 
@@ -103,7 +103,7 @@
 
   /** True while each attempt that is sending the body waits for the caller to send more. */
   get awaitsCaller (): boolean {
-    return this.openContents.size > 0 && [...this.openContents].every(({ awaitsChunk }) => awaitsChunk)
+    return this.openReaders.size > 0 && [...this.openReaders].every(({ awaitsChunk }) => awaitsChunk)
   }
 
   get shortBody (): Buffer | undefined {
@@ -118,12 +118,12 @@
   }
 
   /** Returns the body for an attempt, which must close it. Throws if the body isn't replayable. */
-  openContent (target: string): bodyContent.BodyContent {
+  openReader (target: string): bodyReader.BodyReader {
     if (!this.isReplayable) throw new Error('the first part of the request body is no longer held')
-    const content = new bodyContent.BodyContent(target, ++this.attempts, this, (closed) => this.onContentClosed(closed))
-    this.openContents.add(content)
+    const reader = new bodyReader.BodyReader(target, ++this.attempts, this, (closed) => this.onReaderClosed(closed))
+    this.openReaders.add(reader)
     if (this.isSingleUse) this.stopHolding()
-    return content
+    return reader
   }
 
   async chunkAt (index: number): Promise<Buffer | undefined> {
@@ -186,8 +186,8 @@
   }
 
   /** Attempts that have not taken the whole body. */
-  private get readers (): readonly bodyContent.BodyContent[] {
-    return [...this.openContents].filter(({ isSent }) => !isSent)
+  private get readers (): readonly bodyReader.BodyReader[] {
+    return [...this.openReaders].filter(({ isSent }) => !isSent)
   }
 
   private stopHolding (): void {
@@ -202,10 +202,10 @@
     else this.chunks.dropBefore(Math.max(...readers.map(({ nextChunk }) => nextChunk)))
   }
 
-  private onContentClosed (content: bodyContent.BodyContent): void {
-    this.openContents.delete(content)
+  private onReaderClosed (reader: bodyReader.BodyReader): void {
+    this.openReaders.delete(reader)
     if (!this.isHeld && this.readers.length === 0) this.chunks.dropAll()
-    const { target, attempt, sentBytes } = content
+    const { target, attempt, sentBytes } = reader
     if (this.hasEnded && this.received === 0) return
     this.onTransfer({ target, attempt, framing: this.declaredBytes === undefined ? 'chunks' : 'length', receivedBytes: this.received, isReceived: this.hasEnded, sentBytes })
   }
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -8,7 +8,7 @@
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as transport from '@rosemaryrack/routing/common/transport.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
-import type * as bodyContent from './bodyContent.js'
+import type * as bodyReader from './bodyReader.js'
 import type * as callerBody from './callerBody.js'
 import * as headerRules from '../common/headerRules.js'
 import * as responseHeadScanner from '../common/responseHeadScanner.js'
@@ -141,7 +141,7 @@
   private hasSentRequest = false
   private sentAt = 0
   private isKeptAlive = true
-  private content: bodyContent.BodyContent | undefined
+  private reqBody: bodyReader.BodyReader | undefined
   private finalConnectionState: checkedSocket.ConnectionState = 'open'
 
   constructor (
@@ -161,7 +161,7 @@
 
   /** True once the whole request body has been handed over to the connection. */
   get hasSentBody (): boolean {
-    return this.content?.isSent === true
+    return this.reqBody?.isSent === true
   }
 
   /** State of the connection; when the response has ended, how the target ended it. */
@@ -246,9 +246,9 @@
     const { headerNames } = this.req
     const remainingMs = Math.max(0, Math.round(this.req.deadlineAt - performance.now()))
     const expectedEndpointHeader = headerNames.expectedEndpoint === undefined ? [] : [headerNames.expectedEndpoint, this.target.endpoint]
-    this.content = this.req.body.openContent(this.address)
-    const body = this.content.take()
-    const lengthHeader = body === null || this.content.length === undefined ? [] : ['content-length', String(this.content.length)]
+    this.reqBody = this.req.body.openReader(this.address)
+    const body = this.reqBody.take()
+    const lengthHeader = body === null || this.reqBody.length === undefined ? [] : ['content-length', String(this.reqBody.length)]
     return {
       path: this.req.requestTarget,
       method: this.req.method as undici.Dispatcher.HttpMethod,
@@ -373,7 +373,7 @@
 
   private markEnded (): void {
     this.hasEnded = true
-    this.content?.close()
+    this.reqBody?.close()
   }
 
   /** Records that the connection was lost before a response, unless the caller's own body has failed. */
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -3,7 +3,7 @@
 import type * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
-import * as bodyContent from '../node/bodyContent.js'
+import * as bodyReader from '../node/bodyReader.js'
 import * as byteBudget from '../node/byteBudget.js'
 import * as callerBody from '../node/callerBody.js'
 import type * as heldChunks from '../node/heldChunks.js'
@@ -47,17 +47,17 @@
 }
 
 /** Reads like an HTTP client, chunk by chunk. */
-class Reader {
+class Client {
   bytes = 0
   private readonly chunks: Buffer[] = []
   private readonly iterator: AsyncIterator<Buffer>
 
-  constructor (readonly content: bodyContent.BodyContent) {
-    this.iterator = toChunks(content)[Symbol.asyncIterator]()
+  constructor (readonly reader: bodyReader.BodyReader) {
+    this.iterator = toChunks(reader)[Symbol.asyncIterator]()
   }
 
-  static open (body: callerBody.CallerBody): Reader {
-    return new Reader(body.openContent('t'))
+  static open (body: callerBody.CallerBody): Client {
+    return new Client(body.openReader('t'))
   }
 
   /** Reads the next chunk; returns false at the end. */
@@ -81,13 +81,13 @@
     } catch (err) {
       return `error: ${(err as Error).message}`
     } finally {
-      this.content.close()
+      this.reader.close()
     }
   }
 }
 
-async function * toChunks (content: bodyContent.BodyContent): AsyncGenerator<Buffer> {
-  const data = content.take()
+async function * toChunks (reader: bodyReader.BodyReader): AsyncGenerator<Buffer> {
+  const data = reader.take()
   if (Buffer.isBuffer(data)) yield data
   else if (data !== null) yield * data
 }
@@ -102,8 +102,8 @@
       const text = longBodies.createText(size)
       upload.caller.end(text)
       const body = await upload.open(budget)
-      const texts = await Promise.all([Reader.open(body).readAll(), Reader.open(body).readAll()])
-      texts.push(await Reader.open(body).readAll())
+      const texts = await Promise.all([Client.open(body).readAll(), Client.open(body).readAll()])
+      texts.push(await Client.open(body).readAll())
       for (const read of texts) t.ok(read === text, `${read.length} of ${size} bytes`)
       t.same(upload.transfers.sort(), [1, 2, 3].map((attempt) => `${attempt}: ${size} of ${size}`))
       body.release()
@@ -117,11 +117,11 @@
     const text = longBodies.createText(longBytes)
     upload.caller.write(text.slice(0, longBytes / 2))
     const body = await upload.open(budget)
-    const first = Reader.open(body)
+    const first = Client.open(body)
     await first.readTo(longBytes / 2)
     const rest = first.readAll()
-    first.content.close()
-    const second = Reader.open(body).readAll()
+    first.reader.close()
+    const second = Client.open(body).readAll()
     upload.caller.end(text.slice(longBytes / 2))
     t.equal(await rest, 'error: the attempt has ended')
     t.ok(await second === text)
@@ -136,11 +136,11 @@
     const text = longBodies.createText(longBytes)
     upload.caller.write(text.slice(0, longBytes / 2))
     const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
-    const first = Reader.open(body)
+    const first = Client.open(body)
     await first.readTo(longBytes / 2)
     const rest = first.readAll()
-    first.content.close()
-    const second = Reader.open(body)
+    first.reader.close()
+    const second = Client.open(body)
     await second.next()
     body.release()
     upload.caller.end(text.slice(longBytes / 2))
@@ -156,14 +156,14 @@
     const text = longBodies.createText(longBytes)
     upload.caller.end(text)
     const body = await upload.open(budget)
-    const [first, second] = [Reader.open(body), Reader.open(body)]
+    const [first, second] = [Client.open(body), Client.open(body)]
     await first.readTo(Infinity)
     await second.next()
     body.release()
     const read = await second.readAll()
     t.ok(read === text, read.slice(0, 60))
     t.equal(budget.takenBytes, 0)
-    first.content.close()
+    first.reader.close()
   })
 
   // The faster one of two readers dropped the chunk that the other one reads next, which looked like the end of the body.
@@ -172,7 +172,7 @@
     const text = longBodies.createText(longBytes)
     upload.caller.write(text.slice(0, longBytes / 2))
     const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
-    const [first, second] = [Reader.open(body), Reader.open(body)]
+    const [first, second] = [Client.open(body), Client.open(body)]
     await Promise.all([first.readTo(longBytes / 2), second.readTo(longBytes / 2)])
     body.release()
     upload.caller.write(text.slice(longBytes / 2, longBytes / 2 + 1))
@@ -190,10 +190,10 @@
     upload.caller.end(text)
     const body = await upload.open(budget)
     t.ok(body.isReplayable)
-    const read = await Reader.open(body).readAll()
+    const read = await Client.open(body).readAll()
     t.ok(read === text)
     t.notOk(body.isReplayable)
-    t.throws(() => body.openContent('t'), { message: 'the first part of the request body is no longer held' })
+    t.throws(() => body.openReader('t'), { message: 'the first part of the request body is no longer held' })
     t.equal(budget.takenBytes, 0)
   })
 
@@ -203,11 +203,11 @@
     const text = longBodies.createText(longBytes)
     upload.caller.end(text)
     const body = await upload.open(budget)
-    const [fast, slow] = [Reader.open(body), Reader.open(body)]
+    const [fast, slow] = [Client.open(body), Client.open(body)]
     await slow.next()
     t.ok(await fast.readAll() === text)
     t.equal(await slow.readAll(), 'error: a part of the request body is no longer held')
-    t.notOk(slow.content.isSent)
+    t.notOk(slow.reader.isSent)
     t.equal(budget.takenBytes, 0)
   })
 
@@ -217,11 +217,11 @@
     await using upload = await Upload.start(createHeaders(longBytes))
     upload.caller.end(longBodies.createText(longBytes))
     const body = await upload.open(budget)
-    await Reader.open(body).readAll()
-    const [second, third] = [Reader.open(body), Reader.open(body)]
+    await Client.open(body).readAll()
+    const [second, third] = [Client.open(body), Client.open(body)]
     await second.readTo(longBytes / 4)
     await third.readTo(longBytes / 2)
-    second.content.close()
+    second.reader.close()
     body.release()
     const taken = budget.takenBytes
     t.ok(taken >= longBytes - third.bytes && taken < longBytes - third.bytes / 2, `${taken} bytes for ${longBytes - third.bytes}`)
@@ -234,12 +234,12 @@
     await using upload = await Upload.start(createHeaders(longBytes))
     upload.caller.write(longBodies.createText(longBytes / 2))
     const body = await upload.open(budget)
-    const [first, second] = [Reader.open(body), Reader.open(body)]
+    const [first, second] = [Client.open(body), Client.open(body)]
     await Promise.all([first.readTo(longBytes / 2), second.readTo(longBytes / 4)])
     const ends = Promise.all([first.readAll(), second.readAll()])
     upload.caller.destroy()
     t.same(await ends, Array(2).fill('error: the request body is incomplete'))
-    t.same([first.content.isSent, second.content.isSent, body.isReplayable, body.fault?.kind], [false, false, false, 'bad-request'])
+    t.same([first.reader.isSent, second.reader.isSent, body.isReplayable, body.fault?.kind], [false, false, false, 'bad-request'])
     body.release()
     t.equal(budget.takenBytes, 0)
   })
@@ -249,7 +249,7 @@
     await using upload = await Upload.start(createHeaders(longBytes))
     upload.caller.write(longBodies.createText(longBytes / 2))
     const body = await upload.open(budget, stallTimeoutMs)
-    const ends = await Promise.all([Reader.open(body).readAll(), Reader.open(body).readAll()])
+    const ends = await Promise.all([Client.open(body).readAll(), Client.open(body).readAll()])
     t.same(ends, Array(2).fill('error: the caller sent no data of the body in time'))
     t.notOk(body.isReplayable)
     body.release()
@@ -262,14 +262,14 @@
     const text = longBodies.createText(longBytes)
     upload.caller.write(text.slice(0, longBytes / 2))
     const body = await upload.open(budget)
-    const reader = Reader.open(body)
-    await reader.readTo(longBytes / 4)
-    reader.content.close()
+    const client = Client.open(body)
+    await client.readTo(longBytes / 4)
+    client.reader.close()
     body.release()
     upload.caller.end(text.slice(longBytes / 2))
     await body.discardRest()
     t.same([body.isReceived, body.receivedBytes, budget.takenBytes, countHeldChunks(body)], [true, longBytes, 0, 0])
-    t.equal(await reader.readAll(), 'error: the attempt has ended')
+    t.equal(await client.readAll(), 'error: the attempt has ended')
   })
 
   // A read of an ended attempt could use up the limit on held bytes while the next attempt is being prepared.
@@ -277,11 +277,11 @@
     await using upload = await Upload.start(createHeaders(longBytes))
     upload.caller.end(longBodies.createText(longBytes))
     const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
-    const reader = Reader.open(body)
-    await reader.readTo(longBytes / 4)
+    const client = Client.open(body)
+    await client.readTo(longBytes / 4)
     const { receivedBytes } = body
-    reader.content.close()
-    t.equal(await reader.readAll(), 'error: the attempt has ended')
+    client.reader.close()
+    t.equal(await client.readAll(), 'error: the attempt has ended')
     t.equal(body.receivedBytes, receivedBytes)
   })
 }
@@ -321,10 +321,10 @@
   await using upload = await Upload.start({ 'content-length': 4 * longBytes })
   upload.caller.end(longBodies.createText(4 * longBytes))
   const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes))
-  const reader = Reader.open(body)
-  await reader.readTo(longBytes)
+  const client = Client.open(body)
+  await client.readTo(longBytes)
   t.ok(body.receivedBytes < 2 * longBytes, `${body.receivedBytes} bytes received`)
-  await reader.readAll()
+  await client.readAll()
 })
 
 tap.t.test('a stall that no reader waits for rejects no promise unnoticed, and ends later readers', async (t) => {
@@ -335,13 +335,13 @@
   await using upload = await Upload.start({ 'transfer-encoding': 'chunked' })
   upload.caller.write(longBodies.createText(longBytes / 2))
   const body = await upload.open(new byteBudget.ByteBudget(processLimitBytes), stallTimeoutMs)
-  const reader = Reader.open(body)
-  await reader.readTo(longBytes / 2)
-  const rest = reader.next().catch(() => false)
-  reader.content.close()
+  const client = Client.open(body)
+  await client.readTo(longBytes / 2)
+  const rest = client.next().catch(() => false)
+  client.reader.close()
   t.ok(await entries.waitUntil(() => body.fault !== undefined, eventTimeoutMs))
   await rest
-  t.throws(() => body.openContent('t'))
+  t.throws(() => body.openReader('t'))
   await timers.setTimeout(0)
   t.same(unhandled, [])
 })
@@ -354,10 +354,10 @@
 ] as const) {
   tap.t.test(`a body with ${name} is broken off, not ended`, async (t) => {
     const chunks = [Buffer.from('abc'), Buffer.from('def')]
-    const streamed = new bodyContent.BodyContent('t', 1, { ...source, shortBody: undefined, chunkAt: async (index) => chunks[index] }, () => {})
-    await t.rejects(new Reader(streamed).readTo(Infinity), { message })
+    const streamed = new bodyReader.BodyReader('t', 1, { ...source, shortBody: undefined, chunkAt: async (index) => chunks[index] }, () => {})
+    await t.rejects(new Client(streamed).readTo(Infinity), { message })
     t.notOk(streamed.isSent)
-    const short = new bodyContent.BodyContent('t', 1, { ...source, shortBody: Buffer.concat(chunks), chunkAt: async () => undefined }, () => {})
+    const short = new bodyReader.BodyReader('t', 1, { ...source, shortBody: Buffer.concat(chunks), chunkAt: async () => undefined }, () => {})
     t.throws(() => short.take(), { message })
     t.notOk(short.isSent)
   })
--- a/packages/entry/src/test/callerBodyOrders.test.ts
+++ b/packages/entry/src/test/callerBodyOrders.test.ts
@@ -2,7 +2,7 @@
 import type * as http from 'node:http'
 import * as fc from 'fast-check'
 import * as tap from 'tap'
-import type * as bodyContent from '../node/bodyContent.js'
+import type * as bodyReader from '../node/bodyReader.js'
 import * as byteBudget from '../node/byteBudget.js'
 import * as callerBody from '../node/callerBody.js'
 
@@ -46,7 +46,7 @@
 }
 
 /** An attempt that reads one chunk at a time. */
-class Reader {
+class Client {
   readonly chunks: Buffer[] = []
   hasEnded = false
   failure: string | undefined
@@ -54,8 +54,8 @@
   private isReading = false
   private readonly iterator: AsyncIterator<Buffer>
 
-  constructor (private readonly content: bodyContent.BodyContent) {
-    const data = content.take()
+  constructor (private readonly reader: bodyReader.BodyReader) {
+    const data = reader.take()
     this.iterator = toChunks(data)
   }
 
@@ -74,11 +74,11 @@
 
   close (): void {
     this.isClosed = true
-    this.content.close()
+    this.reader.close()
   }
 }
 
-async function * toChunks (data: ReturnType<bodyContent.BodyContent['take']>): AsyncGenerator<Buffer> {
+async function * toChunks (data: ReturnType<bodyReader.BodyReader['take']>): AsyncGenerator<Buffer> {
   if (Buffer.isBuffer(data)) yield data
   else if (data !== null) yield * data
 }
@@ -108,14 +108,14 @@
     const budget = new byteBudget.ByteBudget(limit)
     let body: callerBody.CallerBody | undefined
     callerBody.CallerBody.open(caller.req, limits, () => {}, budget).then((opened) => { body = opened })
-    const readers: Reader[] = []
-    let survivor: Reader | undefined
+    const readers: Client[] = []
+    let survivor: Client | undefined
     let isReleased = false
     for (const next of steps) {
       if (next.kind === 'send') caller.send(next.bytes)
       else if (next.kind === 'read') readers[next.reader]?.read()
       else if (next.kind === 'close') readers[next.reader]?.close()
-      else if (next.kind === 'start' && body?.isReplayable === true) readers.push(new Reader(body.openContent('t')))
+      else if (next.kind === 'start' && body?.isReplayable === true) readers.push(new Client(body.openReader('t')))
       else if (next.kind === 'release' && !isReleased && body !== undefined) {
         isReleased = true
         survivor = readers.find(({ isClosed }) => !isClosed)
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -67,7 +67,7 @@
       method: 'GET',
       requestTarget: '/',
       headers: [],
-      body: { openContent: () => ({ take: () => null, close: () => {}, length: undefined, isSent: this.isBodySent }) } as unknown as httpAttempt.TargetReq['body'],
+      body: { openReader: () => ({ take: () => null, close: () => {}, length: undefined, isSent: this.isBodySent }) } as unknown as httpAttempt.TargetReq['body'],
       deadlineAt: Infinity,
       idempotent: true,
       requestId,
