Entry: a held chunk counts what it takes besides its bytes

A trial on x86-64: a chunk of one byte takes 456 bytes of resident memory and counted 257, so that bodies in tiny chunks could hold 1.8 times the limit of the process. It counts 513 now. callerBody.test and heldBodies.test pass.

--- a/packages/entry/src/node/heldChunks.ts
+++ b/packages/entry/src/node/heldChunks.ts
@@ -2,7 +2,7 @@
 import type * as byteBudget from './byteBudget.js'
 
 /** Memory of a chunk besides its bytes. */
-const chunkOverheadBytes = 256
+const chunkOverheadBytes = 512
 
 interface HeldChunk {
   readonly data: Buffer
