Entry: a request that is refused while its body arrives gets its response

A connection that ends without a response promises nothing, so that a non-idempotent request isn't sent again though it has not run.

Cause: the rest of the body was meant to be read and discarded for 500 ms, but Node.js destroys the connection of a response with 'Connection: close' once it is written; the next byte of the body then resets it, before the caller has read the response.

Change: only the sending direction is ended; the connection is destroyed after the 500 ms as intended, or when the caller ends it.

Evidence: earlyRefusals.test fails 2 of 2 cases before ('write EPIPE'), and passes now.

--- a/packages/entry/src/node/faultResponse.ts
+++ b/packages/entry/src/node/faultResponse.ts
@@ -57,6 +57,8 @@
  * read the response.
  */
 function closeAfterResponse (socket: net.Socket): void {
+  // Node.js would destroy the connection with the response, so that a further byte of the body resets it.
+  socket.destroySoon = () => { socket.end() }
   socket.resume()
   setTimeout(() => socket.destroy(), lingerMs).unref()
 }
