--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -150,13 +150,15 @@
     const { lane } = namedLane
     const limits = { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs }
     const context = { requestId: this.requestId, lane: namedLane.name }
+    const couldStart = this.server.canStartRequests
     const body = await callerBody.CallerBody.open(this.req, limits, (transfer) => this.deps.bodyTransfers.record(context, transfer))
     this.body = body
     if (this.isAnswered) {
       body.release()
       return
     }
-    if (!this.server.canStartRequests) throw new errors.RackError(stoppingFault)
+    // A request that was read late as a whole, after a pause of the process, is started all the same.
+    if (couldStart && !this.server.canStartRequests) throw new errors.RackError(stoppingFault)
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.firstPart)
     this.refuseQuarantined(identity)
     this.claim = await this.claimKey(namedLane)
