--- a/packages/entry/src/node/bodyContent.ts
+++ b/packages/entry/src/node/bodyContent.ts
@@ -20,6 +20,7 @@
 export class BodyContent {
   private position = 0
   private takenBytes = 0
+  private isWaiting = false
   private isWhole = false
   private isClosed = false
 
@@ -49,6 +50,11 @@
     return this.position
   }
 
+  /** True while the HTTP client waits for a chunk. */
+  get awaitsChunk (): boolean {
+    return this.isWaiting
+  }
+
   /** Bytes that the HTTP client has taken. */
   get sentBytes (): number {
     return this.takenBytes
@@ -68,7 +74,10 @@
 
   private async * read (): AsyncGenerator<Buffer> {
     for (;;) {
+      if (this.isClosed) throw new Error('the attempt has ended')
+      this.isWaiting = true
       const chunk = await this.source.chunkAt(this.position)
+      this.isWaiting = false
       if (this.isClosed) throw new Error('the attempt has ended')
       if (chunk === undefined) break
       this.position++
@@ -80,7 +89,8 @@
 
   /** Throws if the bytes taken aren't the whole body: the HTTP client would mark the end of the request all the same. */
   private finish (): void {
-    const { receivedBytes, declaredBytes = receivedBytes } = this.source
+    const { isReceived, receivedBytes, declaredBytes = receivedBytes } = this.source
+    if (!isReceived) throw new Error(`${this.takenBytes} bytes of the body were taken, and it is still being received`)
     if (this.takenBytes !== receivedBytes || this.takenBytes !== declaredBytes) throw new Error(`${this.takenBytes} bytes of the body were taken, ${receivedBytes} received, ${declaredBytes} declared`)
     this.isWhole = true
   }
