Control: log and count the delay of the event loop and the work for subscribers

Heartbeats of the log that get no response within 400 ms could not be told from a slow network or disk: nothing showed that a replica's own event loop was blocked, nor how many streams it serves and how often it encodes the same endpoint for them.

Each replica now logs `event-loop` when its loop was blocked for longer than half an election timeout, once, and once when it no longer is; metrics show the longest delay, open streams, updates, and encoded endpoints. monitorEventLoopDelay of Node.js was tried first and dropped: it doesn't measure the first interval after a reset, so a test that blocks the loop right after one saw 0.1 ms of 400.

--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -111,6 +111,11 @@
     return this.options.announceEveryMs * leaseAnnounceIntervals
   }
 
+  /** Work for subscribers so far. */
+  get load (): peerMesh.ServingLoad {
+    return this.mesh.load
+  }
+
   /** Registers the handlers for subscribers. */
   registerRpc (router: connect.ConnectRouter): void {
     this.mesh.registerRpc(router)
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -6,6 +6,7 @@
 import type * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as loopDelay from '@rosemaryrack/telemetry/node/loopDelay.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as announcementHub from './announcementHub.js'
 import * as configFeed from './configFeed.js'
@@ -16,6 +17,7 @@
 import * as diskTiming from './diskTiming.js'
 import * as election from './election.js'
 import * as fileSystem from './fileSystem.js'
+import * as hubMetrics from './hubMetrics.js'
 import * as joiner from './joiner.js'
 import * as replica from './replica.js'
 import * as replicaLinks from './replicaLinks.js'
@@ -25,6 +27,8 @@
 const maxDiscoveredReplicas = 9
 const voterCheckIntervalMs = 500
 const monitorIntervalMs = 1000
+/** Delay of the event loop that is logged, as a share of the election timeout, within which heartbeats must be answered. */
+const loggedDelayShare = 0.5
 
 /** A control replica within this process. */
 export class ControlRole implements lifecycle.IDisposable {
@@ -36,6 +40,7 @@
   /** Receives announcements, if targets announce themselves to control replicas. */
   readonly hub: announcementHub.AnnouncementHub | undefined
   private readonly feed: configFeed.ConfigFeed
+  private readonly loopDelay: loopDelay.LoopDelay
 
   /** @param onDiskFailure called when the disk fails; the process must exit then. */
   constructor (
@@ -55,6 +60,8 @@
     controlMetrics.registerControlMetrics(processMetrics, this.replica, storage, this.disk)
     this.feed = this.disposables.add(new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex()))
     if (control.announceEveryMs > 0) this.hub = this.disposables.add(new announcementHub.AnnouncementHub(this.hubOptions(), identity, this.service, this.feed, decisions))
+    this.loopDelay = this.disposables.add(new loopDelay.LoopDelay(decisions, control.electionTimeoutMs * loggedDelayShare))
+    hubMetrics.registerHubMetrics(processMetrics, this.loopDelay, this.feed, this.hub)
   }
 
   /** Registers the handlers of the inner protocol. */
@@ -102,6 +109,7 @@
   private checkState (): void {
     this.replica.monitor.check()
     this.disk.check()
+    this.loopDelay.check()
   }
 
   /** Inner addresses of the replicas in the settings, or of the seeds if the settings list no replicas. */
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -78,6 +78,14 @@
   readonly cutOff: boolean
 }
 
+/** Work that a process has done for its subscribers. */
+export interface ServingLoad {
+  readonly openStreams: number
+  readonly sentUpdates: number
+  /** Endpoints and renewals that were encoded for updates. */
+  readonly encodedEndpoints: number
+}
+
 type MeshLink = peerLink.PeerLink<typeof inner.EntryPeer>
 
 /** Subscribes to the other members, as far as the role requires it, and serves their subscriptions. */
@@ -90,6 +98,8 @@
   private readonly streams: failureLog.FailureLog
   private readonly updates: failureLog.FailureLog
   private hasStarted = false
+  private sentUpdates = 0
+  private encodedEndpoints = 0
   private forwarding: ForwardingState = { forwardAddress: undefined, cutOff: false }
 
   constructor (
@@ -125,6 +135,10 @@
     for (const address of [...this.seeds, ...this.hubAddresses]) this.subscribeTo(address)
   }
 
+  get load (): ServingLoad {
+    return { openStreams: this.outboxes.size, sentUpdates: this.sentUpdates, encodedEndpoints: this.encodedEndpoints }
+  }
+
   /** Subscribes to further addresses. */
   addSeeds (addresses: readonly string[]): void {
     for (const address of addresses) this.subscribeTo(address)
@@ -247,6 +261,7 @@
     const update = this.createBaseUpdate(startedAt, true)
     update.announcements = this.tables.endpoints.all().map((endpoint) => fleetCodec.encodeEndpoint(endpoint, now))
     update.suspects = this.tables.suspects.all().map((suspect) => encodeSuspect(suspect, now))
+    this.encodedEndpoints += update.announcements.length
     return update
   }
 
@@ -265,6 +280,7 @@
       const suspect = this.tables.suspects.get(fingerprint)
       if (suspect !== undefined) update.suspects.push(encodeSuspect(suspect, now))
     }
+    this.encodedEndpoints += update.announcements.length + update.renewals.length
     return update
   }
 
@@ -273,6 +289,7 @@
    * is newer than the stream: an older one may predate a version that was accepted before the subscriber started.
    */
   private createBaseUpdate (startedAt: number, includeMembers: boolean): inner.PeerUpdate {
+    this.sentUpdates++
     const now = performance.now()
     const { configs, members } = this.tables
     const confirmedAgeMs = configs.confirmedAgeMs
