Fleet: streams that get the same endpoints share one encoding

Callers saw a configuration that was confirmed and not in force in time, and a fleet that served nothing, on a deployment of 313 entry instances. Cause of the part mended here: a hub encoded each endpoint and each renewal once for each stream, so that the event loop which also answers the log's heartbeats was blocked for longer than the election timeout when many subscribe at once.

Evidence: the test failed before with 12520 encodings of 40 endpoints for 313 subscribers (now 40), and as many for 40 renewals (now 160).

Why it works: the encoded fields are kept for 50 ms and copied into the update of each stream that has the same endpoints in the same state, by identity of the table's immutable entries. The bytes on the wire are those of before, so older builds understand them.

--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -19,6 +19,7 @@
 import type * as forwardingPeers from '../common/forwardingPeers.js'
 import type * as memberTable from '../common/memberTable.js'
 import type * as suspectTable from '../common/suspectTable.js'
+import * as endpointEncoder from './endpointEncoder.js'
 import * as forwardingFeed from './forwardingFeed.js'
 import * as peerOutbox from './peerOutbox.js'
 import * as streamWatchdog from './streamWatchdog.js'
@@ -99,7 +100,7 @@
   private readonly updates: failureLog.FailureLog
   private hasStarted = false
   private sentUpdates = 0
-  private encodedEndpoints = 0
+  private readonly encoder = new endpointEncoder.EndpointEncoder()
   private forwarding: ForwardingState = { forwardAddress: undefined, cutOff: false }
 
   constructor (
@@ -136,7 +137,7 @@
   }
 
   get load (): ServingLoad {
-    return { openStreams: this.outboxes.size, sentUpdates: this.sentUpdates, encodedEndpoints: this.encodedEndpoints }
+    return { openStreams: this.outboxes.size, sentUpdates: this.sentUpdates, encodedEndpoints: this.encoder.encodedCount }
   }
 
   /** Subscribes to further addresses. */
@@ -259,28 +260,21 @@
   private createFullUpdate (startedAt: number): inner.PeerUpdate {
     const now = performance.now()
     const update = this.createBaseUpdate(startedAt, true)
-    update.announcements = this.tables.endpoints.all().map((endpoint) => fleetCodec.encodeEndpoint(endpoint, now))
+    this.encoder.addTo(update, { announcements: this.tables.endpoints.all(), renewals: [] }, now)
     update.suspects = this.tables.suspects.all().map((suspect) => encodeSuspect(suspect, now))
-    this.encodedEndpoints += update.announcements.length
     return update
   }
 
   private createDeltaUpdate (batch: peerOutbox.OutboxBatch, startedAt: number, includeMembers: boolean): inner.PeerUpdate {
     const now = performance.now()
     const update = this.createBaseUpdate(startedAt, includeMembers)
-    for (const id of batch.endpoints) {
-      const endpoint = this.tables.endpoints.get(id)
-      if (endpoint !== undefined) update.announcements.push(fleetCodec.encodeEndpoint(endpoint, now))
-    }
-    for (const id of batch.renewals) {
-      const endpoint = this.tables.endpoints.get(id)
-      if (endpoint !== undefined && !batch.endpoints.has(id)) update.renewals.push(fleetCodec.encodeRenewal(endpoint, now))
-    }
+    const announcements = [...batch.endpoints].flatMap((id) => this.tables.endpoints.get(id) ?? [])
+    const renewals = [...batch.renewals].flatMap((id) => batch.endpoints.has(id) ? [] : this.tables.endpoints.get(id) ?? [])
+    this.encoder.addTo(update, { announcements, renewals }, now)
     for (const fingerprint of batch.suspects) {
       const suspect = this.tables.suspects.get(fingerprint)
       if (suspect !== undefined) update.suspects.push(encodeSuspect(suspect, now))
     }
-    this.encodedEndpoints += update.announcements.length + update.renewals.length
     return update
   }
 
