Fleet: updates for many subscribers leave turns of the event loop to the log

Callers saw a confirmed configuration that was not in force in time. Cause of the part mended here: the updates of all streams with the same interval, and those after a change, were created in one turn of the event loop, so that heartbeats, reads and votes of the log waited until the last of 313 was done. New subscriptions got their full states and were subscribed to in the same way.

Why it works: streams pass a limiter that starts 16 tasks in a turn, in order, and polls for input between two turns. A batch is taken after the wait, so it holds what has changed meanwhile. A subscription that is stopped while it waits no longer starts.

--- a/packages/base/src/common/turnLimiter.ts
+++ b/packages/base/src/common/turnLimiter.ts
@@ -6,11 +6,6 @@
   /** @param maxPerTurn number of tasks that start in one turn. */
   constructor (private readonly maxPerTurn: number) {}
 
-  /** Whether tasks wait for a later turn. */
-  get isBusy (): boolean {
-    return this.waiting.length > 0
-  }
-
   /** Resolves when the task may start, in the order of the calls. */
   async enter (): Promise<void> {
     if (this.startedInTurn >= this.maxPerTurn) {
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -9,6 +9,7 @@
 import type * as pauseDetector from '@rosemaryrack/base/common/pauseDetector.js'
 import type * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as turnLimiter from '@rosemaryrack/base/common/turnLimiter.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
@@ -30,6 +31,8 @@
 const fetchTimeoutMs = 3000
 const sweepIntervalMs = 5000
 const memberListIntervalMs = 10_000
+/** Updates that are created, and subscriptions that are started, in one turn of the event loop. */
+const maxUpdatesPerTurn = 16
 /** Delay between a spoke's first configuration and its subscriptions to the other hubs, whose connections would slow down the first requests. */
 const otherHubsDelayMs = 400
 
@@ -95,6 +98,7 @@
   private readonly stopped = new AbortController()
   private readonly outboxes = new Set<peerOutbox.PeerOutbox>()
   private readonly subscriptions = new Map<string, AbortController>()
+  private readonly turns = new turnLimiter.TurnLimiter(maxUpdatesPerTurn)
   private readonly watchdogs = new Set<streamWatchdog.StreamWatchdog>()
   private readonly streams: failureLog.FailureLog
   private readonly updates: failureLog.FailureLog
@@ -169,12 +173,13 @@
   }
 
   /**
-   * Resolves once all updates that are due now have been written to the streams of the subscribed peers: an update is
-   * created in the first turn of the event loop, and HTTP/2 writes it in the next. Does not wait for peers to acknowledge.
+   * Resolves once all updates that are due now have been written to the streams of the subscribed peers: updates are
+   * created in the first turns of the event loop, and HTTP/2 writes them in the next. Does not wait for peers to acknowledge.
    */
   async waitForWrites (): Promise<void> {
     if (this.outboxes.size === 0) return
     await async.nextTurn()
+    await this.turns.enter()
     await async.nextTurn()
   }
 
@@ -228,11 +233,12 @@
   /** Streams updates to one peer: the full state first, then changes and heartbeats. */
   private async * serveSubscription (req: inner.SubscribeReq, signal: AbortSignal): AsyncGenerator<inner.PeerUpdate> {
     const startedAt = performance.now()
-    const outbox = new peerOutbox.PeerOutbox(this.timingFor(req.from))
+    const outbox = new peerOutbox.PeerOutbox(this.timingFor(req.from), this.turns)
     this.outboxes.add(outbox)
     if (req.from !== undefined) this.tables.members.apply(fleetCodec.decodeMember(req.from), 0)
     const feed = this.createForwardingFeed(req.from, outbox)
     try {
+      await this.turns.enter()
       yield addForwardingPeers(this.createFullUpdate(startedAt), feed)
       let membersSentAt = startedAt
       while (!signal.aborted && !this.stopped.signal.aborted) {
@@ -323,6 +329,8 @@
     const link = new peerLink.PeerLink(inner.EntryPeer, address, this.identity)
     let retryMs = minRetryMs
     while (!stop.aborted) {
+      await this.turns.enter()
+      if (stop.aborted) break
       const updateCount = await this.subscribeOnce(link, stop)
       retryMs = updateCount > 0 ? minRetryMs : Math.min(maxRetryMs, retryMs * 2)
       await async.sleep(retryMs, stop)
--- a/packages/fleet/src/node/peerOutbox.ts
+++ b/packages/fleet/src/node/peerOutbox.ts
@@ -1,5 +1,6 @@
 /** Queue of the changes that are still to be sent to one subscribed peer. */
 import * as async from '@rosemaryrack/base/common/async.js'
+import type * as turnLimiter from '@rosemaryrack/base/common/turnLimiter.js'
 
 const changeDelayMs = 100
 
@@ -43,7 +44,8 @@
   private dueAt = Infinity
   private readonly dueChanged = new async.Signal()
 
-  constructor (private readonly timing: OutboxTiming = peerTiming) {}
+  /** @param turns limits the batches that all outboxes of a process return in one turn of the event loop. */
+  constructor (private readonly timing: OutboxTiming = peerTiming, private readonly turns?: turnLimiter.TurnLimiter) {}
 
   /** @param isUrgent whether the change is due immediately, because other instances send too many requests until they know it. */
   addEndpoint (id: string, isUrgent: boolean): void {
@@ -80,6 +82,7 @@
       if (waitMs <= 0) break
       await this.dueChanged.wait(waitMs)
     }
+    await this.turns?.enter()
     const batch = { endpoints: this.endpoints, renewals: this.renewals, suspects: this.suspects }
     this.endpoints = new Set()
     this.renewals = new Set()
