Control: a new version leaves turns of the event loop to the log

Test: 312 updates in one turn before, 31 now (32 allowed); it failed on the code before this change.

--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -4,6 +4,7 @@
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as turnLimiter from '@rosemaryrack/base/common/turnLimiter.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
 import type * as replica from './replica.js'
 
@@ -16,12 +17,15 @@
 /** Shortest time between two updates on a stream if neither the version nor the confirmation has changed. */
 const minUpdateIntervalMs = 500
 const roundSubject = 'quorum'
+/** Updates that are created in one turn of the event loop. */
+const maxUpdatesPerTurn = 16
 
 /** Streams each new version, and every second whether a quorum has confirmed the newest one. */
 export class ConfigFeed implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly changed = new async.Signal()
   private readonly rounds: failureLog.FailureLog
+  private readonly turns = new turnLimiter.TurnLimiter(maxUpdatesPerTurn)
   private confirmedVersion = 0
   private confirmed = false
   private confirmedAt = -Infinity
@@ -76,11 +80,13 @@
       const confirmation = this.confirmSince(startedAt)
       // A new instance uses no configuration before the first confirmation, so it gets both at once.
       if (sentVersion > 0 && this.replica.state.config.version > sentVersion) {
+        await this.turns.enter()
         sentVersion = this.replica.state.config.version
         yield this.createUpdate(true, false)
       }
       await confirmation
       while (!signal.aborted) {
+        await this.turns.enter()
         const { version } = this.replica.state.config
         const confirmed = this.isConfirmedSince(startedAt)
         yield this.createUpdate(version > sentVersion, confirmed)
--- a/packages/control/src/test/configFeed.test.ts
+++ b/packages/control/src/test/configFeed.test.ts
@@ -132,3 +132,24 @@
   const updateCount = await countUpdates(new FeedFixture(), (read) => read.resolve(1))
   t.ok(updateCount <= openingStreamCount * maxUpdatesPerStream, `${updateCount} updates on ${openingStreamCount} streams`)
 })
+
+tap.t.test('messages of the log are not delayed until all of many streams have a new version', async (t) => {
+  const streamCount = 313
+  const maxUpdatesPerTurn = 32
+  const fixture = new FeedFixture()
+  const stop = new AbortController()
+  const received = new Set<number>()
+  for (let i = 0; i < streamCount; i++) fixture.follow(stop).next().then(() => received.add(i))
+  await async.sleep(2)
+  for (const read of fixture.reads) read.resolve(1)
+  const countByTurn = [0]
+  while (received.size < streamCount) {
+    await async.nextTurn()
+    for (const read of fixture.reads) read.resolve(1)
+    countByTurn.push(received.size)
+  }
+  const largest = Math.max(...countByTurn.slice(1).map((count, i) => count - countByTurn[i]!))
+  t.ok(largest <= maxUpdatesPerTurn, `${largest} updates in one turn`)
+  stop.abort()
+  fixture.feed.dispose()
+})
