--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -33,6 +33,8 @@
 const memberListIntervalMs = 10_000
 /** Updates that are created, and subscriptions that are started, in one turn of the event loop. */
 const maxUpdatesPerTurn = 16
+/** Time for which a count of the live entry instances is sent again. */
+const entryCountMs = 100
 /** Delay between a spoke's first configuration and its subscriptions to the other hubs, whose connections would slow down the first requests. */
 const otherHubsDelayMs = 400
 
@@ -104,6 +106,7 @@
   private readonly updates: failureLog.FailureLog
   private hasStarted = false
   private sentUpdates = 0
+  private entryCount = { count: 0, countedAt: -Infinity }
   private readonly encoder = new endpointEncoder.EndpointEncoder()
   private forwarding: ForwardingState = { forwardAddress: undefined, cutOff: false }
 
@@ -291,19 +294,25 @@
   private createBaseUpdate (startedAt: number, includeMembers: boolean): inner.PeerUpdate {
     this.sentUpdates++
     const now = performance.now()
-    const { configs, members } = this.tables
+    const { configs } = this.tables
     const confirmedAgeMs = configs.confirmedAgeMs
     const confirmed = now - confirmedAgeMs >= startedAt
     return protobuf.create(inner.PeerUpdateSchema, {
       self: this.encodeSelf(),
       members: includeMembers ? this.advertisedMembers().map((member) => fleetCodec.encodeMember(member, now)) : [],
-      liveEntries: this.self.role === 'hub' ? members.liveEntryCount : 0,
+      liveEntries: this.self.role === 'hub' ? this.countLiveEntries(now) : 0,
       configVersion: configVersion.encode(configs.current.version),
       confirmed,
       confirmedAgeMs: confirmed ? Math.round(confirmedAgeMs) : 0
     })
   }
 
+  /** Returns the number of live entry instances, which are not counted again for each stream. */
+  private countLiveEntries (now: number): number {
+    if (now - this.entryCount.countedAt > entryCountMs) this.entryCount = { count: this.tables.members.liveEntryCount, countedAt: now }
+    return this.entryCount.count
+  }
+
   /** Returns the members to include in updates: all among peers, else only hubs. Hubs report entry instances only as a number. */
   private advertisedMembers (): readonly memberTable.Member[] {
     const all = this.tables.members.all()
--- a/packages/fleet/src/test/manySubscribers.test.ts
+++ b/packages/fleet/src/test/manySubscribers.test.ts
@@ -19,11 +19,23 @@
 const leaseMs = 60_000
 /** Encodings of each change that are allowed for all subscribers together: theirs that begin or end meanwhile see other states. */
 const maxEncodingsPerEndpoint = 20
+/** Countings of the members that are allowed for one update to each subscriber. */
+const maxCountings = 20
 /** Updates between two turns that leave time for the heartbeats of the log. */
 const maxUpdatesPerTurn = 32
 const address = '127.118.0.9:17470'
 const identity = { cluster: 'c', token: 'token-of-this-test', sourceHost: '127.0.0.1' }
 
+/** Counts how often the live entry instances, whose number grows with that of the subscribers, are counted. */
+class CountedMembers extends memberTable.MemberTable {
+  countings = 0
+
+  override get liveEntryCount (): number {
+    this.countings++
+    return super.liveEntryCount
+  }
+}
+
 /** A hub whose subscribers call it without a network. */
 class HubFixture implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
@@ -33,10 +45,10 @@
   private readonly received: Array<inner.PeerUpdate[]> = []
   private readonly arrived = new async.Signal()
   private sequence = 1
+  readonly members = this.disposables.add(new CountedMembers(new clock.SystemClock(), 'hub', true))
   readonly mesh: peerMesh.PeerMesh
 
   constructor () {
-    const systemClock = new clock.SystemClock()
     const configs = {
       current: configDocument.emptyConfig,
       currentJson: '{}',
@@ -45,8 +57,8 @@
       waitForFirstStream: async () => true,
       handlePeerVersion: () => {}
     }
-    const members = this.disposables.add(new memberTable.MemberTable(systemClock, 'hub', true))
-    const suspects = this.disposables.add(new suspectTable.SuspectTable(systemClock))
+    const { members } = this
+    const suspects = this.disposables.add(new suspectTable.SuspectTable(new clock.SystemClock()))
     const self = { instance: 'hub', address, failureDomain: 'a', incarnation: 1, role: 'hub' } as const
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [], identity, { members, endpoints: this.endpoints, suspects, configs }, this.disposables.add(new pauseDetector.PauseDetector()), new decisionLog.NullDecisionLog()))
     for (let i = 0; i < endpointCount; i++) this.announce(i)
@@ -130,6 +142,13 @@
   t.ok(encoded <= endpointCount * maxEncodingsPerEndpoint, `${encoded} encodings of ${endpointCount} renewals for ${subscriberCount} subscribers`)
 })
 
+tap.t.test('the live entry instances are not counted again for each of many subscribers', async (t) => {
+  const hub = new HubFixture()
+  t.teardown(() => hub.dispose())
+  await hub.subscribe(subscriberCount)
+  t.ok(hub.members.countings <= maxCountings, `${hub.members.countings} countings for ${subscriberCount} updates`)
+})
+
 tap.t.test('messages of the log are not delayed until all of many subscribers have their updates', async (t) => {
   const hub = new HubFixture()
   t.teardown(() => hub.dispose())
