Fleet: entry instances do not send a hub the endpoints that it knows

Callers saw a configuration in force late, since replicas were busy after a pause or a restart. The same cause elsewhere: an entry instance answered each subscription of a hub with its whole table, though hubs have it first. A hub of 313 that was paused or restarted decoded 313 times 336 endpoints.

A hub now states that it has endpoints; an entry instance then sends only those whose leaving or limit it knows from responses. Builds without the field send and get all, as before, and so does a hub that has lost its disk.

What creates updates is moved out of PeerMesh, unchanged otherwise, into UpdateFactory; the tables it reads into meshTables.

--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -12,6 +12,7 @@
 import * as fleetCodec from '@rosemaryrack/fleet/common/fleetCodec.js'
 import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
+import type * as meshTables from '@rosemaryrack/fleet/node/meshTables.js'
 import * as peerMesh from '@rosemaryrack/fleet/node/peerMesh.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
@@ -36,7 +37,7 @@
 }
 
 /** Offers the replica's configuration to the subscribers of the peer mesh. */
-class ReplicaConfigSource implements peerMesh.IMeshConfigs, lifecycle.IDisposable {
+class ReplicaConfigSource implements meshTables.IMeshConfigs, lifecycle.IDisposable {
   private readonly changedEmitter = new event.Emitter<configDocument.VersionedConfig>()
   readonly onChanged = this.changedEmitter.event
   private readonly subscription: lifecycle.IDisposable
--- a/packages/fleet/src/common/endpointTable.ts
+++ b/packages/fleet/src/common/endpointTable.ts
@@ -166,6 +166,10 @@
     return holder !== undefined && this.endpoints.get(holder)?.state !== 'left'
   }
 
+  get size (): number {
+    return this.endpoints.size
+  }
+
   all (): readonly Endpoint[] {
     return [...this.endpoints.values()]
   }
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -1,5 +1,4 @@
 /** Update streams between the processes of a cluster: members, endpoints, suspects and configuration versions. */
-import * as protobuf from '@bufbuild/protobuf'
 import type * as connect from '@connectrpc/connect'
 import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
@@ -7,23 +6,21 @@
 import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
 import * as async from '@rosemaryrack/base/common/async.js'
 import type * as pauseDetector from '@rosemaryrack/base/common/pauseDetector.js'
-import type * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as turnLimiter from '@rosemaryrack/base/common/turnLimiter.js'
-import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
 import type * as announcement from '../common/announcement.js'
 import type * as endpointLimit from '../common/endpointLimit.js'
 import * as endpointTable from '../common/endpointTable.js'
 import * as fleetCodec from '../common/fleetCodec.js'
-import type * as forwardingPeers from '../common/forwardingPeers.js'
 import type * as memberTable from '../common/memberTable.js'
 import type * as suspectTable from '../common/suspectTable.js'
-import * as endpointEncoder from './endpointEncoder.js'
 import * as forwardingFeed from './forwardingFeed.js'
+import type * as meshTables from './meshTables.js'
 import * as peerOutbox from './peerOutbox.js'
 import * as streamWatchdog from './streamWatchdog.js'
+import * as updateFactory from './updateFactory.js'
 
 const random = { next: Math.random }
 const minRetryMs = 50
@@ -33,47 +30,16 @@
 const memberListIntervalMs = 10_000
 /** Updates that are created, and subscriptions that are started, in one turn of the event loop. */
 const maxUpdatesPerTurn = 16
-/** Time for which a count of the live entry instances is sent again. */
-const entryCountMs = 100
 /** Delay between a spoke's first configuration and its subscriptions to the other hubs, whose connections would slow down the first requests. */
 const otherHubsDelayMs = 400
 
-/** The current configuration of a process. */
-export interface IMeshConfigs {
-  readonly current: configDocument.VersionedConfig
-  readonly currentJson: string
-  /** Milliseconds since a quorum last confirmed the current version; infinite before the first confirmation. */
-  readonly confirmedAgeMs: number
-  readonly onChanged: event.Event<unknown>
-  /** Waits for a limited time until the first configuration stream reports or fails; returns whether the configuration is confirmed. */
-  waitForFirstStream(): Promise<boolean>
-  /** Handles the configuration version that a peer reports; `fetch` requests the configuration from that peer, whose address is `source`. */
-  handlePeerVersion(version: number, confirmed: boolean, ageMs: number, fetch: () => Promise<inner.ConfigVersion>, source: string): void
-}
-
-/** Tables that the mesh replicates between all processes. */
-export interface MeshTables {
-  readonly members: memberTable.MemberTable
-  readonly endpoints: endpointTable.EndpointTable
-  readonly suspects: suspectTable.SuspectTable
-  readonly configs: IMeshConfigs
-  /** Receives the peers that hubs name; undefined for a process that forwards no requests. */
-  readonly forwardingPeers?: forwardingPeers.ForwardingPeers
-}
-
-/**
- * Role of a process in the mesh. Without hubs, all processes are peers and subscribe to each other. With hubs, the hubs
- * subscribe to every process, and the other processes, the spokes, subscribe only to hubs.
- */
-export type MeshRole = 'peer' | 'hub' | 'spoke'
-
 /** Description of this process that it sends to its peers. */
 export interface MeshSelf {
   readonly instance: string
   readonly address: string
   readonly failureDomain: string
   readonly incarnation: number
-  readonly role: MeshRole
+  readonly role: meshTables.MeshRole
 }
 
 /** What an entry instance tells others about the forwarding of requests. */
@@ -105,22 +71,21 @@
   private readonly streams: failureLog.FailureLog
   private readonly updates: failureLog.FailureLog
   private hasStarted = false
-  private sentUpdates = 0
-  private entryCount = { count: 0, countedAt: -Infinity }
-  private readonly encoder = new endpointEncoder.EndpointEncoder()
+  private readonly factory: updateFactory.UpdateFactory
   private forwarding: ForwardingState = { forwardAddress: undefined, cutOff: false }
 
   constructor (
     private readonly self: MeshSelf,
     private readonly seeds: readonly string[],
     private readonly identity: innerListener.LinkIdentity,
-    private readonly tables: MeshTables,
+    private readonly tables: meshTables.MeshTables,
     private readonly pauses: pauseDetector.PauseDetector,
     private readonly decisions: decisionLog.IDecisionLog
   ) {
     const { members, endpoints, suspects, configs } = tables
     this.streams = new failureLog.FailureLog(decisions, 'peer-stream')
     this.updates = new failureLog.FailureLog(decisions, 'peer-update')
+    this.factory = new updateFactory.UpdateFactory(self.role, tables, () => this.encodeSelf())
     // A spoke receives its endpoints from the hubs, so it has no changes to send to them.
     if (self.role !== 'spoke') this.disposables.add(endpoints.onChanged((endpoint) => this.addToOutboxes(endpoint)))
     if (self.role === 'hub') this.disposables.add(configs.onChanged(() => this.forEachOutbox((outbox) => outbox.scheduleImmediately())))
@@ -144,7 +109,7 @@
   }
 
   get load (): ServingLoad {
-    return { openStreams: this.outboxes.size, sentUpdates: this.sentUpdates, encodedEndpoints: this.encoder.encodedCount }
+    return { openStreams: this.outboxes.size, sentUpdates: this.factory.createdCount, encodedEndpoints: this.factory.encodedEndpointCount }
   }
 
   /** Subscribes to further addresses. */
@@ -242,13 +207,13 @@
     const feed = this.createForwardingFeed(req.from, outbox)
     try {
       await this.turns.enter()
-      yield addForwardingPeers(this.createFullUpdate(startedAt), feed)
+      yield addForwardingPeers(this.factory.createFull(startedAt, req.knowsEndpoints), feed)
       let membersSentAt = startedAt
       while (!signal.aborted && !this.stopped.signal.aborted) {
         const batch = await outbox.nextBatch(signal)
         const includeMembers = performance.now() - membersSentAt >= memberListIntervalMs
         if (includeMembers) membersSentAt = performance.now()
-        yield addForwardingPeers(this.createDeltaUpdate(batch, startedAt, includeMembers), feed)
+        yield addForwardingPeers(this.factory.createDelta(batch, startedAt, includeMembers), feed)
       }
     } finally {
       feed?.dispose()
@@ -266,59 +231,6 @@
     return this.self.role === 'hub' && peer?.hub !== true ? peerOutbox.hubToSpokeTiming : peerOutbox.peerTiming
   }
 
-  private createFullUpdate (startedAt: number): inner.PeerUpdate {
-    const now = performance.now()
-    const update = this.createBaseUpdate(startedAt, true)
-    this.encoder.addTo(update, { announcements: this.tables.endpoints.all(), renewals: [] }, now)
-    update.suspects = this.tables.suspects.all().map((suspect) => encodeSuspect(suspect, now))
-    return update
-  }
-
-  private createDeltaUpdate (batch: peerOutbox.OutboxBatch, startedAt: number, includeMembers: boolean): inner.PeerUpdate {
-    const now = performance.now()
-    const update = this.createBaseUpdate(startedAt, includeMembers)
-    const announcements = [...batch.endpoints].flatMap((id) => this.tables.endpoints.get(id) ?? [])
-    const renewals = [...batch.renewals].flatMap((id) => batch.endpoints.has(id) ? [] : this.tables.endpoints.get(id) ?? [])
-    this.encoder.addTo(update, { announcements, renewals }, now)
-    for (const fingerprint of batch.suspects) {
-      const suspect = this.tables.suspects.get(fingerprint)
-      if (suspect !== undefined) update.suspects.push(encodeSuspect(suspect, now))
-    }
-    return update
-  }
-
-  /**
-   * Creates an update without endpoints and suspects. It reports the configuration as confirmed only if the confirmation
-   * is newer than the stream: an older one may predate a version that was accepted before the subscriber started.
-   */
-  private createBaseUpdate (startedAt: number, includeMembers: boolean): inner.PeerUpdate {
-    this.sentUpdates++
-    const now = performance.now()
-    const { configs } = this.tables
-    const confirmedAgeMs = configs.confirmedAgeMs
-    const confirmed = now - confirmedAgeMs >= startedAt
-    return protobuf.create(inner.PeerUpdateSchema, {
-      self: this.encodeSelf(),
-      members: includeMembers ? this.advertisedMembers().map((member) => fleetCodec.encodeMember(member, now)) : [],
-      liveEntries: this.self.role === 'hub' ? this.countLiveEntries(now) : 0,
-      configVersion: configVersion.encode(configs.current.version),
-      confirmed,
-      confirmedAgeMs: confirmed ? Math.round(confirmedAgeMs) : 0
-    })
-  }
-
-  /** Returns the number of live entry instances, which are not counted again for each stream. */
-  private countLiveEntries (now: number): number {
-    if (now - this.entryCount.countedAt > entryCountMs) this.entryCount = { count: this.tables.members.liveEntryCount, countedAt: now }
-    return this.entryCount.count
-  }
-
-  /** Returns the members to include in updates: all among peers, else only hubs. Hubs report entry instances only as a number. */
-  private advertisedMembers (): readonly memberTable.Member[] {
-    const all = this.tables.members.all()
-    return this.self.role === 'peer' ? all : all.filter(({ hub }) => hub)
-  }
-
   private encodeSelf (): inner.Member {
     const { role, ...rest } = this.self
     return fleetCodec.encodeMember({ ...rest, ...this.forwarding, hub: role === 'hub', lastSeenAt: 0 }, 0)
@@ -353,7 +265,7 @@
     this.watchdogs.add(watchdog)
     let updateCount = 0
     try {
-      const stream = link.client.subscribe({ from: this.encodeSelf() }, { signal: watchdog.signal })
+      const stream = link.client.subscribe({ from: this.encodeSelf(), knowsEndpoints: this.self.role === 'hub' && this.tables.endpoints.size > 0 }, { signal: watchdog.signal })
       for await (const update of stream) {
         if (this.pauses.mayInputBeStale()) {
           link.reset()
@@ -423,15 +335,6 @@
   return update
 }
 
-function encodeSuspect (suspect: suspectTable.Suspect, now: number): inner.Suspect {
-  return protobuf.create(inner.SuspectSchema, {
-    fingerprint: suspect.fingerprint,
-    deaths: [...suspect.deaths],
-    clearedDeaths: [...suspect.clearedDeaths],
-    ageMs: fleetCodec.ageMs(suspect.lastReportedAt, now)
-  })
-}
-
 function decodeSuspect (wire: inner.Suspect): suspectTable.Suspect {
   return {
     fingerprint: wire.fingerprint,
--- a/packages/fleet/src/test/forwardingPeers.test.ts
+++ b/packages/fleet/src/test/forwardingPeers.test.ts
@@ -16,6 +16,7 @@
 import * as memberTable from '../common/memberTable.js'
 import * as suspectTable from '../common/suspectTable.js'
 import * as forwardingFeed from '../node/forwardingFeed.js'
+import type * as meshTables from '../node/meshTables.js'
 import * as peerMesh from '../node/peerMesh.js'
 
 const random = { next: Math.random }
@@ -157,12 +158,12 @@
   readonly mesh: peerMesh.PeerMesh
   private readonly listener: innerListener.InnerListener
 
-  constructor (readonly name: string, readonly address: string, role: peerMesh.MeshRole, seeds: readonly string[]) {
+  constructor (readonly name: string, readonly address: string, role: meshTables.MeshRole, seeds: readonly string[]) {
     const time = new clock.SystemClock()
     this.members = this.disposables.add(new memberTable.MemberTable(time, name, role === 'hub'))
     this.peers = new forwardingPeers.ForwardingPeers(this.members, 'a', random, time)
     const configs = {
-      current: { version: 1, document: { lanes: {} } } as unknown as peerMesh.IMeshConfigs['current'],
+      current: { version: 1, document: { lanes: {} } } as unknown as meshTables.IMeshConfigs['current'],
       currentJson: '{}',
       confirmedAgeMs: 0,
       onChanged: new event.Emitter<unknown>().event,
