--- a/packages/fleet/src/node/updateFactory.ts
+++ b/packages/fleet/src/node/updateFactory.ts
@@ -12,6 +12,8 @@
 
 /** Time for which a count of the live entry instances is sent again. */
 const entryCountMs = 100
+/** Ages in full updates refer to the next multiple of this time, so that those of streams opened at about the same time are equal and compressed once. */
+const fullUpdateMs = 50
 
 /** Creates full updates for new streams, and updates with what has changed. */
 export class UpdateFactory {
@@ -38,8 +40,8 @@
    * @param isSubscriberInformed whether the subscriber is a hub that has endpoints already.
    */
   createFull (startedAt: number, isSubscriberInformed: boolean): inner.PeerUpdate {
-    const now = performance.now()
-    const update = this.createBase(startedAt, true)
+    const now = Math.ceil(performance.now() / fullUpdateMs) * fullUpdateMs
+    const update = this.createBase(startedAt, true, now)
     this.encoder.addTo(update, { announcements: this.firstEndpoints(isSubscriberInformed), renewals: [] }, now)
     update.suspects = this.tables.suspects.all().map((suspect) => encodeSuspect(suspect, now))
     return update
@@ -48,7 +50,7 @@
   /** Creates an update with what has changed. */
   createDelta (batch: peerOutbox.OutboxBatch, startedAt: number, includeMembers: boolean): inner.PeerUpdate {
     const now = performance.now()
-    const update = this.createBase(startedAt, includeMembers)
+    const update = this.createBase(startedAt, includeMembers, now)
     const announcements = [...batch.endpoints].flatMap((id) => this.tables.endpoints.get(id) ?? [])
     const renewals = [...batch.renewals].flatMap((id) => batch.endpoints.has(id) ? [] : this.tables.endpoints.get(id) ?? [])
     this.encoder.addTo(update, { announcements, renewals }, now)
@@ -68,20 +70,20 @@
   /**
    * Creates an update without endpoints and suspects. It reports the configuration as confirmed only if the confirmation
    * is newer than the stream: an older one may predate a version that was accepted before the subscriber started.
+   * @param now time to which the ages in it refer.
    */
-  private createBase (startedAt: number, includeMembers: boolean): inner.PeerUpdate {
+  private createBase (startedAt: number, includeMembers: boolean, now: number): inner.PeerUpdate {
     this.created++
-    const now = performance.now()
     const { configs } = this.tables
-    const confirmedAgeMs = configs.confirmedAgeMs
-    const confirmed = now - confirmedAgeMs >= startedAt
+    const confirmedAt = performance.now() - configs.confirmedAgeMs
+    const confirmed = confirmedAt >= startedAt
     return protobuf.create(inner.PeerUpdateSchema, {
       self: this.encodeSelf(),
       members: includeMembers ? this.advertisedMembers().map((member) => fleetCodec.encodeMember(member, now)) : [],
       liveEntries: this.role === 'hub' ? this.countLiveEntries(now) : 0,
       configVersion: configVersion.encode(configs.current.version),
       confirmed,
-      confirmedAgeMs: confirmed ? Math.round(confirmedAgeMs) : 0
+      confirmedAgeMs: confirmed ? Math.round(now - confirmedAt) : 0
     })
   }
 
