Control: a heartbeat on a new connection is not given up before a busy replica can answer it

What callers saw: no request is served, since the first configuration is never acknowledged. Cause: a heartbeat without a response within an election timeout closed its connection, and the next one opened another, at the start and after a pause as well. A busy replica needs several turns of its event loop to accept a connection, to begin the HTTP/2 session and to answer; where these take longer than the timeout, each attempt discards what the one before it had done and adds work.

Why it works: a stream that has had no response yet is kept for five election timeouts. A request that was given up stays sent; the next call awaits its response, which counts with its own request and the time at which that was sent, so no read or lease rests on a later time. A connection that has had responses is replaced after one timeout as before, so silent connections are noticed as soon.

--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -16,6 +16,8 @@
 /** Timeout of an append or a whole snapshot, whose response waits for the peer's disk. Heartbeats detect a dead connection earlier. */
 const writeTimeoutMs = 30_000
 const idleCheckMs = 1000
+/** Time for the first heartbeat on a new connection, in election timeouts, before another connection is tried. */
+const firstResponseTimeoutFactor = 5
 
 /** The parts of the leading replica that replication uses. */
 export interface IReplicationHost {
@@ -59,7 +61,7 @@
 
   constructor (private readonly host: IReplicationHost, private readonly leadership: IReplicatingLeadership, readonly replica: inner.Replica, now: number) {
     this.link = host.links.linkTo(replica.address)
-    this.heartbeats = new appendChannel.AppendChannel(host.links.linkTo(replica.address, 'heartbeats'))
+    this.heartbeats = new appendChannel.AppendChannel(host.links.linkTo(replica.address, 'heartbeats'), host.electionTimeoutMs * firstResponseTimeoutFactor)
     this.appends = new appendChannel.AppendChannel(this.link)
     this.parts = new partSender.PartSender(this.link, { term: leadership.term, leaderId: host.replicaId, toReplicaId: replica.id }, () => { this.pendingSince = performance.now() })
     this.nextIndex = host.log.last.index + 1
@@ -105,10 +107,12 @@
   private async keepAlive (): Promise<void> {
     let failedAt = -Infinity
     while (!this.stopped.signal.aborted) {
-      const sentAt = performance.now()
-      const { commitIndex } = this.host
+      let sentAt: number
+      let commitIndex: number
       try {
-        const res = await this.heartbeats.append(this.createHeartbeat(commitIndex), this.host.electionTimeoutMs)
+        const { res, ...answered } = await this.heartbeats.append(this.createHeartbeat(this.host.commitIndex), this.host.electionTimeoutMs)
+        sentAt = answered.sentAt
+        commitIndex = Number(answered.req.commitIndex)
         if (this.handleResponse('heartbeat', res.term, sentAt) && !res.success) this.handleLostEntries(Number(res.lastIndex))
         this.resetIfStalled(sentAt, failedAt)
       } catch (err) {
@@ -185,7 +189,7 @@
 
   private async sendAppend (req: inner.AppendReq): Promise<inner.AppendRes> {
     const [first] = req.entries
-    const sendWhole = async (): Promise<inner.AppendRes> => await this.appends.append(req, writeTimeoutMs)
+    const sendWhole = async (): Promise<inner.AppendRes> => (await this.appends.append(req, writeTimeoutMs)).res
     const isLarge = first !== undefined && logEntry.sizeOf(logEntry.decodeEntry(first)) > partSender.maxWholeMessageBytes
     return isLarge ? await this.parts.sendAppend(`entry ${first.index}`, req, sendWhole) : await sendWhole()
   }
