Control: connections between replicas don't wait to be accepted behind those of entry instances

What callers saw: no request is served, since the first configuration is never acknowledged; a configuration in force late after a pause. Cause: a process accepts one connection in each turn of its event loop, in the order of their arrival (Node.js 20, libuv 1.46: 100 waiting connections took 100 turns). 313 entry instances open two connections each at a start, after a pause or after a silence; one of the log waits behind all of them, and goes to the end of the queue again whenever it is replaced.

The event loops of the replicas are blocked for 200 to 320 ms at a time, and yet heartbeats and pings on connections to them are unanswered for seconds.

Replicas now accept each other's connections at a listener of their own, on the inner address; its port is a setting and the same on all. Where a peer refuses it, as an earlier build does, links use the inner port, and try the other one again with the next connection after a second. Test: preferredPort.test (the option is new).

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -69,6 +69,11 @@
     tolerateLostDisks: zod.number().int().min(0).max(3).default(0),
     /** Interval at which targets announce themselves to control replicas; 0 if they announce themselves to entry instances. */
     announceEveryMs: zod.number().int().min(0).max(600_000).default(0),
+    /**
+     * Port of a listener for the other control replicas, on the inner address and the same on all of them. A process accepts one connection
+     * in each turn of its event loop, so on the inner port those of replicas wait behind those of entry instances.
+     */
+    replicationPort: zod.number().int().min(1).max(65_535).optional(),
     /** Additional protocol on the operator listener. */
     adapter: zod.enum(['platform']).optional(),
     electionTimeoutMs: zod.number().int().min(200).max(60_000).default(1500),
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -51,7 +51,7 @@
     onDiskFailure: (err: Error) => void
   ) {
     const identity = innerListener.createLinkIdentity(cfg.cluster, cfg.inner)
-    const links = this.disposables.add(new replicaLinks.ReplicaLinks(identity))
+    const links = this.disposables.add(new replicaLinks.ReplicaLinks(identity, control.replicationPort))
     // A write that outlasts the election timeout delays votes and commits.
     this.disk = new diskTiming.DiskTiming(decisions, control.electionTimeoutMs)
     const storage = new replicaStorage.ReplicaStorage(control.dataFolder, cfg.cluster, onDiskFailure, fileSystem.machineFileSystem, this.disk)
@@ -75,6 +75,16 @@
     controlRoutes.addControlRoutes(routes, this.service, this.disk)
   }
 
+  /** Listens for the other replicas, if the settings name a port for them. */
+  async listenForReplicas (): Promise<void> {
+    const { control: { replicationPort }, cfg: { cluster, inner } } = this
+    if (replicationPort === undefined) return
+    const listener = this.disposables.add(new innerListener.InnerListener({ cluster, token: inner.token }, (router) => {
+      controlRpc.registerControlRpc(router, this.service, this.feed, this.loaded.promise)
+    }))
+    await listener.listen(`${inner.listen.slice(0, inner.listen.lastIndexOf(':'))}:${replicationPort}`)
+  }
+
   /** Loads the data folder and starts the tasks; call once the inner address is bound. */
   async start (): Promise<void> {
     await this.replica.load()
--- a/packages/control/src/node/replicaLinks.ts
+++ b/packages/control/src/node/replicaLinks.ts
@@ -17,14 +17,15 @@
 export class ReplicaLinks implements lifecycle.IDisposable {
   private readonly links = new Map<string, ReplicaLink>()
 
-  constructor (private readonly identity: innerListener.LinkIdentity) {}
+  /** @param replicationPort port at which replicas accept each other's connections; undefined if they have no listener for them alone. */
+  constructor (private readonly identity: innerListener.LinkIdentity, private readonly replicationPort?: number) {}
 
   /** Returns the link to an address. */
   linkTo (address: string, purpose: LinkPurpose = 'calls'): ReplicaLink {
     const key = `${purpose} ${address}`
     let link = this.links.get(key)
     if (link === undefined) {
-      link = new peerLink.PeerLink(inner.ControlReplica, address, this.identity)
+      link = new peerLink.PeerLink(inner.ControlReplica, address, this.identity, { preferredPort: this.replicationPort })
       this.links.set(key, link)
     }
     return link
--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -20,6 +20,9 @@
 const pingTimeoutMs = 1500
 const idleConnectionTimeoutMs = 600_000
 
+/** Time after a refused connection in which the preferred port isn't tried again. */
+const refusedPortMs = 1000
+
 /** Time for the response to a ping after a call has timed out. */
 const verifyTimeoutMs = 500
 
@@ -33,17 +36,24 @@
   }
 }
 
+/** Options of a link. */
+export interface LinkOptions {
+  /** Port of another listener with the same service, which is connected to unless it refuses. */
+  readonly preferredPort?: number | undefined
+}
+
 /** Calls one service of a peer; a call that times out also closes the connection, unless it only verifies it. */
 export class PeerLink<S extends protobuf.DescService> implements lifecycle.IDisposable {
   readonly client: connect.Client<S>
   private readonly sessions: peerSessionManager.PeerSessionManager
   private socket: net.Socket | undefined
+  private preferredRefusedAt = -Infinity
 
-  constructor (service: S, readonly address: string, identity: innerListener.LinkIdentity) {
+  constructor (service: S, readonly address: string, identity: innerListener.LinkIdentity, private readonly options: LinkOptions = {}) {
     const baseUrl = `http://${address}`
     this.sessions = new peerSessionManager.PeerSessionManager(baseUrl, { pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs }, {
       createConnection: (authority) => {
-        this.socket = connectWithTimeout(connectTimeoutMs, authority, identity)
+        this.socket = this.connect(authority, identity)
         return this.socket
       }
     })
@@ -75,6 +85,18 @@
     }
   }
 
+  private connect (authority: URL, identity: innerListener.LinkIdentity): net.Socket {
+    const { preferredPort } = this.options
+    const isPreferred = preferredPort !== undefined && performance.now() - this.preferredRefusedAt > refusedPortMs
+    const socket = connectWithTimeout(connectTimeoutMs, authority.hostname, isPreferred ? preferredPort : Number(authority.port), identity)
+    if (isPreferred) {
+      socket.once('error', (err: NodeJS.ErrnoException) => {
+        if (err.code === 'ECONNREFUSED') this.preferredRefusedAt = performance.now()
+      })
+    }
+    return socket
+  }
+
   private handleTimeout (timeoutMs: number, onTimeout: TimeoutAction): void {
     if (onTimeout === 'keep') return
     if (onTimeout === 'reset') return this.reset()
@@ -92,8 +114,8 @@
   }
 }
 
-function connectWithTimeout (timeoutMs: number, { hostname, port }: URL, identity: innerListener.LinkIdentity): net.Socket {
-  const socket = net.connect({ host: hostname, port: Number(port), localAddress: identity.sourceHost, noDelay: true })
+function connectWithTimeout (timeoutMs: number, host: string, port: number, identity: innerListener.LinkIdentity): net.Socket {
+  const socket = net.connect({ host, port, localAddress: identity.sourceHost, noDelay: true })
   const timer = setTimeout(async () => {
     // After a pause of the process timers run before a completed connect is noticed.
     await async.nextTurn()
--- /dev/null
+++ b/packages/protocol/src/test/preferredPort.test.ts
@@ -0,0 +1,40 @@
+/** Tests which listener of a peer a link with a preferred port connects to. */
+import * as tap from 'tap'
+import * as inner from '../gen/rosemaryrack/inner/v1/inner_pb.js'
+import * as innerListener from '../node/innerListener.js'
+import * as peerLink from '../node/peerLink.js'
+
+const identity = { cluster: 'c', token: 'a-token-of-the-tests', sourceHost: '127.0.0.1' }
+const host = '127.118.0.12'
+const port = 17_500
+const preferredPort = 17_501
+const callTimeoutMs = 20_000
+
+/** Listens at a port of the peer; the responses name it. */
+async function listen (at: number): Promise<innerListener.InnerListener> {
+  const listener = new innerListener.InnerListener(identity, (router) => {
+    router.service(inner.ControlReplica, { describe: () => ({ replicaId: String(at) }) })
+  })
+  await listener.listen(`${host}:${at}`)
+  return listener
+}
+
+async function describe (link: peerLink.PeerLink<typeof inner.ControlReplica>): Promise<string> {
+  const { replicaId } = await link.call(async (client, options) => await client.describe({}, options), callTimeoutMs)
+  return replicaId
+}
+
+tap.t.test('replicas reach each other at the port for replicas, and at the other one where an earlier build refuses it', async (t) => {
+  const listeners = [await listen(port)]
+  const link = new peerLink.PeerLink(inner.ControlReplica, `${host}:${port}`, identity, { preferredPort })
+  t.teardown(() => {
+    link.dispose()
+    for (const listener of listeners) listener.dispose()
+  })
+  await t.rejects(describe(link), 'refused once')
+  t.equal(await describe(link), String(port))
+  listeners.push(await listen(preferredPort))
+  const second = new peerLink.PeerLink(inner.ControlReplica, `${host}:${port}`, identity, { preferredPort })
+  t.equal(await describe(second), String(preferredPort))
+  second.dispose()
+})
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -92,9 +92,10 @@
 
 /** Starts listeners and roles. The inner address is bound first: a second process with the same settings fails there, before it opens the same data folder. */
 async function startAll (cfg: settings.Settings, roles: Roles, operatorListener: httpListener.HttpListener, innerServer: innerListener.InnerListener): Promise<void> {
-  await bind('inner', cfg.inner.listen, async (address) => await innerServer.listen(address))
+  await bind('inner.listen', cfg.inner.listen, async (address) => await innerServer.listen(address))
+  await bind('control.replicationPort', cfg.inner.listen, async () => await roles.control?.listenForReplicas())
   await roles.control?.start()
-  await bind('operator', cfg.operator.listen, async (address) => await operatorListener.listen(address))
+  await bind('operator.listen', cfg.operator.listen, async (address) => await operatorListener.listen(address))
   await roles.entry?.start()
 }
 
@@ -102,7 +103,7 @@
   try {
     await listen(address)
   } catch (err) {
-    throw new errors.RackError({ kind: 'invalid-settings', message: `${name}.listen: cannot bind ${address}: ${errors.messageOf(err)}` })
+    throw new errors.RackError({ kind: 'invalid-settings', message: `${name}: cannot bind ${address}: ${errors.messageOf(err)}` })
   }
 }
 
