--- a/packages/protocol/src/test/preferredPort.test.ts
+++ b/packages/protocol/src/test/preferredPort.test.ts
@@ -1,4 +1,5 @@
 /** Tests which listener of a peer a link with a preferred port connects to. */
+import * as net from 'node:net'
 import * as tap from 'tap'
 import * as inner from '../gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as innerListener from '../node/innerListener.js'
@@ -9,6 +10,9 @@
 const port = 17_500
 const preferredPort = 17_501
 const callTimeoutMs = 20_000
+const waitingCount = 300
+/** Turns in which a connection is accepted and a call on it answered. */
+const maxTurns = 50
 
 /** Listens at a port of the peer; the responses name it. */
 async function listen (at: number): Promise<innerListener.InnerListener> {
@@ -38,3 +42,21 @@
   t.equal(await describe(second), String(preferredPort))
   second.dispose()
 })
+
+tap.t.test('a connection of a replica does not wait until hundreds of others have been accepted', async (t) => {
+  const busy = net.createServer()
+  const accepted = { count: 0 }
+  busy.on('connection', () => { accepted.count++ })
+  await new Promise<void>((resolve) => { busy.listen(port, host, resolve) })
+  const listener = await listen(preferredPort)
+  const link = new peerLink.PeerLink(inner.ControlReplica, `${host}:${port}`, identity, { preferredPort })
+  const waiting = Array.from({ length: waitingCount }, () => net.connect(port, host))
+  t.teardown(() => {
+    link.dispose()
+    listener.dispose()
+    for (const socket of waiting) socket.destroy()
+    busy.close()
+  })
+  t.equal(await describe(link), String(preferredPort))
+  t.ok(accepted.count <= maxTurns, `${accepted.count} of ${waitingCount} others accepted before`)
+})
