Protocol: a link prefers the port for replicas again once both ports were refused

A peer that is started again refuses both ports until it listens, so a link that had met it down went on with the inner port for a second, where connections of entry instances wait as well. Test: it failed before with the inner port in place of the preferred one (the address was remembered for a second).

--- a/packages/protocol/src/node/peerLink.ts
+++ b/packages/protocol/src/node/peerLink.ts
@@ -89,11 +89,10 @@
     const { preferredPort } = this.options
     const isPreferred = preferredPort !== undefined && performance.now() - this.preferredRefusedAt > refusedPortMs
     const socket = connectWithTimeout(connectTimeoutMs, authority.hostname, isPreferred ? preferredPort : Number(authority.port), identity)
-    if (isPreferred) {
-      socket.once('error', (err: NodeJS.ErrnoException) => {
-        if (err.code === 'ECONNREFUSED') this.preferredRefusedAt = performance.now()
-      })
-    }
+    socket.once('error', (err: NodeJS.ErrnoException) => {
+      // A peer that refuses both isn't running; it may listen at both ports when it does.
+      if (err.code === 'ECONNREFUSED') this.preferredRefusedAt = isPreferred ? performance.now() : -Infinity
+    })
     return socket
   }
 
--- a/packages/protocol/src/test/preferredPort.test.ts
+++ b/packages/protocol/src/test/preferredPort.test.ts
@@ -43,6 +43,18 @@
   second.dispose()
 })
 
+tap.t.test('a replica that was down is reached at the port for replicas', async (t) => {
+  const link = new peerLink.PeerLink(inner.ControlReplica, `${host}:${port}`, identity, { preferredPort })
+  await t.rejects(describe(link), 'the preferred port refuses')
+  await t.rejects(describe(link), 'and so does the other one')
+  const listeners = [await listen(port), await listen(preferredPort)]
+  t.teardown(() => {
+    link.dispose()
+    for (const listener of listeners) listener.dispose()
+  })
+  t.equal(await describe(link), String(preferredPort))
+})
+
 tap.t.test('a connection of a replica does not wait until hundreds of others have been accepted', async (t) => {
   const busy = net.createServer()
   const accepted = { count: 0 }
