Entry: a cancelled attempt no longer ends the process

Cause: run() took an idle connection, waited for one microtask and discarded this.connection if the attempt had ended. A cancel within that microtask had already discarded the connection and cleared the field, so discard() got undefined; the rejection was unhandled and ended the process. The count of open connections was wrong by one as well.

Change: the connection belongs to run() until the request is sent. What ends the attempt meanwhile finds no connection, and run() discards it once.

Measured: httpAttempt.test, cancel and abandon right after start: 2 TypeErrors and a connection count of -1 before, none and 0 after.

--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -172,8 +172,9 @@
   /** Takes an idle connection or opens one, then sends the request. */
   async run (isNewConnection: boolean): Promise<void> {
     const idle = isNewConnection ? undefined : this.connections.takeIdle(this.address, !this.req.idempotent)
+    let connection: targetConnection.TargetConnection
     try {
-      this.connection = idle ?? await this.connections.open(this.address)
+      connection = idle ?? await this.connections.open(this.address)
     } catch (err) {
       const isRefused = (err as NodeJS.ErrnoException).code === refusedCode
       this.fail(isRefused ? 'refused' : 'not-written', errors.messageOf(err))
@@ -181,9 +182,13 @@
     }
     // Lets `start` return the attempt before its first event, on an idle connection too.
     if (idle !== undefined) await Promise.resolve()
-    if (this.hasEnded) this.connections.discard(this.connection)
-    else if (this.target.canSend()) this.send(this.connection)
-    else this.skipSend(this.connection)
+    if (this.hasEnded) {
+      this.connections.discard(connection)
+      return
+    }
+    this.connection = connection
+    if (this.target.canSend()) this.send(connection)
+    else this.skipSend(connection)
   }
 
   cancel (): void {
--- a/packages/entry/src/test/exchange.ts
+++ b/packages/entry/src/test/exchange.ts
@@ -63,6 +63,11 @@
   /** Sends the request; a second one goes over an idle connection where there is one. */
   async send (requestId = '7', headerNames = defaultHeaderNames): Promise<httpAttempt.HttpAttempt> {
     if (!this.server.listening) await this.listen()
+    return this.start(requestId, headerNames)
+  }
+
+  /** Starts an attempt without waiting; the target must listen already. */
+  start (requestId = '7', headerNames = defaultHeaderNames): httpAttempt.HttpAttempt {
     const transport = new httpAttempt.HttpTransport({
       method: 'GET',
       requestTarget: '/',
--- a/packages/entry/src/test/httpAttempt.test.ts
+++ b/packages/entry/src/test/httpAttempt.test.ts
@@ -154,6 +154,23 @@
   })
 }
 
+// Guards against an unhandled rejection, which ends the process, when a call is cancelled in the same turn in which its attempt takes an idle connection.
+tap.t.test('an attempt that is cancelled as soon as it has taken an idle connection ends without an error', async (t) => {
+  const rejections: string[] = []
+  const onRejection = (err: unknown): void => { rejections.push(String(err)) }
+  process.on('unhandledRejection', onRejection)
+  t.teardown(() => process.off('unhandledRejection', onRejection))
+  for (const end of ['cancel', 'abandon'] as const) {
+    await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n'))
+    await current.send()
+    t.ok(await current.waitForEvent(['end'], eventTimeoutMs))
+    await timers.setTimeout(settleMs)
+    current.start()[end]()
+    await timers.setTimeout(settleMs)
+    t.same([rejections, current.events, current.connections.count], [[], ['end'], 0])
+  }
+})
+
 tap.t.test('a connection on which a body has not been sent whole is not reused', async (t) => {
   for (const isBodySent of [true, false]) {
     await using current = new exchange.Exchange((socket) => socket.write('HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n'))
