Config: workspaces, public lanes and limits of cold endpoints in the document

Cause: new deployments configure API keys, quotas and requests per second of cold endpoints; the document had no place for them, and builds before this one refuse a document with keys that they don't know.

Change: schema and checks (a key held by two workspaces is refused without being named), the platform's codec, settings for revocation, header names and failure domains, and messages for evacuations, quotas and confirmations. Later keys travel and are stored apart from the part that earlier builds read (documentEncoding). Nothing uses them yet.

Measured: documents without new keys are encoded to the same bytes as before (documentEncoding.test). Tests of config, control, fleet and platform pass.

--- a/packages/config/src/common/configDocument.ts
+++ b/packages/config/src/common/configDocument.ts
@@ -79,6 +79,8 @@
   hedgeAfterMs: zod.number().int().min(0).max(maxDurationMs).default(0),
   /** Time after its start in which an endpoint serves bulk lanes only, while most other endpoints of the service are warm. */
   coldStartMs: zod.number().int().min(0).max(maxDurationMs).default(2000),
+  /** True if callers need no API key, though the configuration has workspaces. */
+  public: zod.boolean().optional(),
   /** Response statuses by which the service's targets state that they did not execute the request. */
   shedStatuses: zod.array(zod.number().int().min(400).max(599)).default([]),
   budgets: budgetsSchema.prefault({}),
@@ -89,7 +91,25 @@
   /** Path, which a query may follow, at which endpoints respond to health checks. */
   healthPath: zod.string().regex(/^\/[^\s#]*$/, 'an absolute path').optional(),
   /** Maximum connections to one endpoint, over all entry instances. */
-  connectionLimit: positiveNumber.optional()
+  connectionLimit: positiveNumber.optional(),
+  /** What an endpoint bears while it is cold; without it, cold endpoints have no limit. */
+  cold: zod.strictObject({
+    /** Requests per second to one cold endpoint, from all entry instances together. */
+    perSecond: zod.number().positive(),
+    /** How long an endpoint is cold after its start, in milliseconds. */
+    durationMs: zod.number().min(0)
+  }).optional()
+})
+
+const workspaceSchema = zod.strictObject({
+  /** API keys of the workspace's callers. */
+  apiKeys: zod.array(zod.string().min(1)),
+  /** Rank of the workspace's calls, 0 being served first; takes precedence over the priority of lanes. */
+  priority: wholeNumber.min(0).optional(),
+  /** Requests per second over all entry instances; without it, the workspace has no quota. */
+  ratePerSecond: zod.number().positive().optional(),
+  /** Requests beyond the rate that may accumulate. */
+  burst: zod.number().min(0).optional()
 })
 
 /** Limits for callers; a missing one defaults to the listener's own limit. */
@@ -124,11 +144,15 @@
   lanes: mapOf(laneSchema).default({}),
   /** When present, lanes may only use the services listed here. */
   services: mapOf(serviceSchema).optional(),
-  callerLimits: callerLimitsSchema.optional()
+  callerLimits: callerLimitsSchema.optional(),
+  /** Workspaces by name. When present, requests need the API key of a workspace, except on public lanes. */
+  workspaces: mapOf(workspaceSchema).optional()
 })
 
 /** A lane, a class of requests, as operators configured it. */
 export type Lane = deepReadonly.DeepReadonly<zod.infer<typeof laneSchema>>
+/** A workspace, the callers of one customer, as operators configured it. */
+export type Workspace = deepReadonly.DeepReadonly<zod.infer<typeof workspaceSchema>>
 export type LaneWeights = Lane['weights']
 export type LanePriority = Lane['priority']
 
@@ -157,7 +181,7 @@
 export function checkDocument (raw: unknown): DocumentCheck {
   const result = documentSchema.safeParse(raw)
   if (!result.success) return { ok: false, problems: result.error.issues.map(describeIssue) }
-  const problems = [findDuplicateMatch(result.data), ...Object.entries(result.data.lanes).map(([laneName, lane]) => findLaneProblem(laneName, lane, result.data))]
+  const problems = [findDuplicateMatch(result.data), findSharedKey(result.data), ...Object.entries(result.data.lanes).map(([laneName, lane]) => findLaneProblem(laneName, lane, result.data))]
     .filter((problem) => problem !== undefined)
   return problems.length === 0 ? { ok: true, document: result.data } : { ok: false, problems }
 }
@@ -212,6 +236,19 @@
   return undefined
 }
 
+/** Reports an API key that two workspaces hold, without the key itself. */
+function findSharedKey ({ workspaces = {} }: ConfigDocument): string | undefined {
+  const holders = new Map<string, string>()
+  for (const [workspaceName, { apiKeys }] of Object.entries(workspaces)) {
+    for (const [i, key] of apiKeys.entries()) {
+      const holder = holders.get(key)
+      if (holder !== undefined && holder !== workspaceName) return `workspaces.${workspaceName}.apiKeys.${i}: expected a key that no other workspace holds; workspaces.${holder} holds it`
+      holders.set(key, workspaceName)
+    }
+  }
+  return undefined
+}
+
 /** Checks what the schema of a lane cannot express: references to services, and the latency target against the deadline. */
 function findLaneProblem (laneName: string, lane: Lane, document: ConfigDocument): string | undefined {
   const { service, split, deadlineMs, targetLatencyMs } = lane
--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -36,6 +36,10 @@
   targetLeaving: zod.array(headerName).max(4).optional(),
   /** Headers by any of which a target names the requests per second that it takes from all entry instances together. */
   targetLimit: zod.array(headerName).max(4).optional(),
+  /** Carries the name of the caller's workspace to targets; always set by this process where the configuration has workspaces. */
+  workspace: headerName.optional(),
+  /** In responses to health checks, milliseconds for which the endpoint stays cold. */
+  coldLeft: headerName.optional(),
   /** In a 503, seconds during which this process sends the target no requests at all. A 503 without it concerns that request only. */
   targetAway: headerName.optional()
 })
@@ -65,6 +69,8 @@
     seeds: seeds.default([]),
     /** Founds the cluster if the data folder is empty and this process is the first of the seeds. */
     bootstrap: zod.boolean().default(false),
+    /** Names of the failure domains that can be evacuated; without it, any name is accepted. */
+    failureDomains: zod.array(failureDomain).optional(),
     /** Number of lost disks that an accepted write survives. */
     tolerateLostDisks: zod.number().int().min(0).max(3).default(0),
     /** Interval at which targets announce themselves to control replicas; 0 if they announce themselves to entry instances. */
@@ -113,6 +119,11 @@
       extra: zod.number().min(0).max(1_000_000),
       windowS: zod.number().min(1).max(3600)
     }).optional(),
+    /**
+     * Time after which an API key that a configuration removes must not be used on any instance, also on one that is cut off. An instance that
+     * has not confirmed its configuration for this long refuses requests with keys. Without it, keys are used while no newer configuration is known.
+     */
+    revokeWithinMs: zod.number().int().min(1000).max(600_000).optional(),
     /** Probes endpoints for their load before a call is sent; requires `headers.slotLoad` and the service's health path. */
     probing: zod.strictObject({
       /** Number of endpoints probed for one call. */
--- a/packages/control/src/common/logEntry.ts
+++ b/packages/control/src/common/logEntry.ts
@@ -56,12 +56,12 @@
 /** Returns the approximate size of an entry in bytes: that of its texts, which make up nearly all of a large one. */
 export function sizeOf ({ command }: LogEntry): number {
   switch (command.case) {
-    case 'put': return entryOverheadBytes + command.value.documentJson.length + command.value.source.length
+    case 'put': return entryOverheadBytes + command.value.documentJson.length + command.value.extensionsJson.length + command.value.source.length
     case 'patch': return entryOverheadBytes + command.value.mergePatchJson.length
     case 'claims':
     case 'releases': return entryOverheadBytes + totalLength(command.value.keys) + totalLength(command.value.owners)
     case 'membership': return entryOverheadBytes * (1 + command.value.replicas.length)
-    case 'departures': return entryOverheadBytes * (1 + command.value.announcements.length)
+    case 'departures': return entryOverheadBytes * (1 + command.value.announcements.length + command.value.evacuations.length)
     default: return entryOverheadBytes
   }
 }
--- a/packages/control/src/common/replicatedState.ts
+++ b/packages/control/src/common/replicatedState.ts
@@ -4,6 +4,7 @@
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as logEntry from './logEntry.js'
@@ -34,7 +35,7 @@
 /** Applies log entries deterministically, so that equal logs give equal states on all replicas. */
 export class ReplicatedState {
   private currentConfig: configDocument.VersionedConfig = configDocument.emptyConfig
-  private documentJson = JSON.stringify(configDocument.emptyConfig.document)
+  private encoded = documentEncoding.encodeDocument(configDocument.emptyConfig.document)
   private sourceText = ''
   /** The document of the last put that `canRead` has read. */
   private lastRead: { readonly put: inner.PutConfig, readonly document: configDocument.ConfigDocument } | undefined
@@ -53,9 +54,14 @@
     return this.currentConfig
   }
 
-  /** The document as JSON, serialized once per version. */
-  get configJson (): string {
-    return this.documentJson
+  /** The document as it is sent and stored, encoded once per version. */
+  get encodedConfig (): documentEncoding.EncodedDocument {
+    return this.encoded
+  }
+
+  /** Size of the document as it is stored, in characters. */
+  get configLength (): number {
+    return this.encoded.documentJson.length + this.encoded.extensionsJson.length + this.sourceText.length
   }
 
   /** The document as the operator wrote it; empty when the version was made by a patch. */
@@ -96,7 +102,7 @@
   /** Returns whether this build can read the document of a put, and keeps the document for `apply`. */
   canRead (put: inner.PutConfig): boolean {
     try {
-      this.lastRead = { put, document: parseDocument(put.documentJson, `put of version ${put.version}`) }
+      this.lastRead = { put, document: parseDocument(put, `put of version ${put.version}`) }
       return true
     } catch {
       // `apply` throws the same error when it comes to this put.
@@ -136,7 +142,7 @@
     this.skippedVersion = 0
     const version = configVersion.decode(put.version)
     if (version <= this.currentConfig.version) return this.currentConfig.version
-    const document = this.lastRead?.put === put ? this.lastRead.document : parseDocument(put.documentJson, `put of version ${version}`)
+    const document = this.lastRead?.put === put ? this.lastRead.document : parseDocument(put, `put of version ${version}`)
     this.lastRead = undefined
     this.setConfig(version, document, put.source)
     return this.currentConfig.version
@@ -190,7 +196,7 @@
   private setConfig (version: number, document: configDocument.ConfigDocument, source: string): void {
     this.sourceText = source
     this.currentConfig = { version, document }
-    this.documentJson = JSON.stringify(document)
+    this.encoded = documentEncoding.encodeDocument(document)
   }
 
   /** Returns a snapshot of the state as of a log entry. */
@@ -200,7 +206,7 @@
       term,
       membership,
       version: configVersion.encode(this.currentConfig.version),
-      documentJson: this.documentJson,
+      ...this.encoded,
       patches: [...this.patches.values()],
       claims: [...this.claims.values()],
       source: this.sourceText,
@@ -210,7 +216,7 @@
 
   /** Replaces the state by a snapshot; throws `corrupt-record` when its document violates the schema. */
   restore (snapshot: inner.Snapshot): void {
-    this.setConfig(configVersion.decode(snapshot.version), parseDocument(snapshot.documentJson, 'snapshot'), snapshot.source)
+    this.setConfig(configVersion.decode(snapshot.version), parseDocument(snapshot, 'snapshot'), snapshot.source)
     this.patches.clear()
     this.claims.clear()
     for (const record of snapshot.patches) this.patches.set(record.patchId, record)
@@ -221,8 +227,8 @@
 }
 
 /** Parses a document of the log or a snapshot. Documents are validated before they are proposed, so an invalid one means that the stored data is corrupt. */
-function parseDocument (json: string, origin: string): configDocument.ConfigDocument {
-  const check = configDocument.checkDocument(JSON.parse(json))
+function parseDocument (encoded: documentEncoding.EncodedDocument, origin: string): configDocument.ConfigDocument {
+  const check = configDocument.checkDocument(documentEncoding.decodeDocument(encoded))
   if (check.ok) return check.document
   throw new errors.RackError({ kind: 'corrupt-record', message: `invalid document in the ${origin}: ${check.problems.join('; ')}` })
 }
--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -7,6 +7,7 @@
 import * as pauseDetector from '@rosemaryrack/base/common/pauseDetector.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import type * as announcement from '@rosemaryrack/fleet/common/announcement.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as fleetCodec from '@rosemaryrack/fleet/common/fleetCodec.js'
@@ -51,8 +52,8 @@
     return this.service.replica.state.config
   }
 
-  get currentJson (): string {
-    return this.service.replica.state.configJson
+  get currentEncoded (): documentEncoding.EncodedDocument {
+    return this.service.replica.state.encodedConfig
   }
 
   get confirmedAgeMs (): number {
--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -175,6 +175,6 @@
 function createConfigVersion (source: replica.Replica): inner.ConfigVersion {
   return protobuf.create(inner.ConfigVersionSchema, {
     version: configVersion.encode(source.state.config.version),
-    documentJson: source.state.configJson
+    ...source.state.encodedConfig
   })
 }
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -7,6 +7,7 @@
 import * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
@@ -125,7 +126,7 @@
   }
 
   private async putNewer (req: PutReq): Promise<number> {
-    const value = protobuf.create(inner.PutConfigSchema, { version: configVersion.encode(req.version), documentJson: JSON.stringify(req.document), source: req.source })
+    const value = protobuf.create(inner.PutConfigSchema, { version: configVersion.encode(req.version), ...documentEncoding.encodeDocument(req.document), source: req.source })
     const ownLeadership = this.replica.leadership
     return await this.refusals.run('write', async () => ownLeadership === undefined
       ? await this.forwardPut(value)
@@ -138,7 +139,7 @@
     // Checked before the log has it, since applying it must not fail.
     if (configVersion.decode(put.version) <= ownVersion) return ownVersion
     this.requireDiskLossTolerance()
-    const check = configDocument.checkDocument(JSON.parse(put.documentJson))
+    const check = configDocument.checkDocument(documentEncoding.decodeDocument(put))
     if (!check.ok) throw new errors.RackError({ kind: 'invalid-config', message: check.problems.join('; ') })
     const result = await ownLeadership.propose({ case: 'put', value: put })
     if (result.kind === 'put') return result.heldVersion
@@ -238,8 +239,8 @@
   /** Returns the configuration to a replica that lags. */
   async readConfigAsLeader (ownLeadership: leadership.Leadership): Promise<inner.ReadConfigRes> {
     await this.replica.waitUntilApplied(await ownLeadership.readIndex())
-    const { config, configJson, configSource } = this.replica.state
-    return protobuf.create(inner.ReadConfigResSchema, { version: configVersion.encode(config.version), documentJson: configJson, source: configSource })
+    const { config, encodedConfig, configSource } = this.replica.state
+    return protobuf.create(inner.ReadConfigResSchema, { version: configVersion.encode(config.version), ...encodedConfig, source: configSource })
   }
 
   /** Asks all given replicas, of which only the leader answers; throws `no-quorum` if none does. */
@@ -253,7 +254,7 @@
       this.answeringLeaderAddress = address
       this.forwardedReads.noteSuccess(subject)
       // The group has accepted the document, so it isn't checked again.
-      return { version: configVersion.decode(res.version), document: JSON.parse(res.documentJson) as configDocument.ConfigDocument, source: res.source }
+      return { version: configVersion.decode(res.version), document: documentEncoding.decodeDocument(res) as configDocument.ConfigDocument, source: res.source }
     } catch (err) {
       const message = `no leader answered the read: ${describeFailures(err)}`
       this.forwardedReads.noteFailure(subject, message)
--- a/packages/control/src/node/logCompactor.ts
+++ b/packages/control/src/node/logCompactor.ts
@@ -51,8 +51,7 @@
   /** False while applied entries are not on this disk yet: a snapshot would only wait behind them. */
   private get isDue (): boolean {
     const { appliedIndex, state } = this.applier
-    const configBytes = state.configJson.length + state.configSource.length
-    const isLarge = appliedIndex - this.log.snapshotIndex >= this.snapshotEvery || this.uncompactedBytes >= Math.max(maxUncompactedBytes, configBytes)
+    const isLarge = appliedIndex - this.log.snapshotIndex >= this.snapshotEvery || this.uncompactedBytes >= Math.max(maxUncompactedBytes, state.configLength)
     return isLarge && this.log.durableIndex >= appliedIndex
   }
 
--- a/packages/control/src/node/peerReplication.ts
+++ b/packages/control/src/node/peerReplication.ts
@@ -209,7 +209,7 @@
     })
     const sendWhole = async (): Promise<inner.InstallSnapshotRes> =>
       await this.link.call(async (client, options) => await client.installSnapshot(req, options), writeTimeoutMs)
-    this.status.recordSent(this.replica.id, 'snapshot', snapshot.documentJson.length + snapshot.source.length)
+    this.status.recordSent(this.replica.id, 'snapshot', snapshot.documentJson.length + snapshot.extensionsJson.length + snapshot.source.length)
     const res = await this.parts.sendSnapshot(`snapshot ${snapshot.index}`, req, sendWhole)
     this.snapshotInTransfer = undefined
     if (this.handleResponse('snapshot', res.term, sentAt)) this.setMatchIndex(Number(snapshot.index))
--- a/packages/control/src/test/configFeed.test.ts
+++ b/packages/control/src/test/configFeed.test.ts
@@ -20,7 +20,7 @@
       onApplied: new event.Emitter<number>().event,
       waitUntilApplied: async () => {},
       decisions: { record: (decision: decisionLog.Decision) => this.decisions.push(decision) },
-      state: { config: { version: 7 }, configJson: '{}' }
+      state: { config: { version: 7 }, encodedConfig: { documentJson: '{}', extensionsJson: '' } }
     }
     this.feed = new configFeed.ConfigFeed(source as unknown as replica.Replica, async () => {
       const read = new async.Deferred<number>()
--- a/packages/control/src/test/logApplier.test.ts
+++ b/packages/control/src/test/logApplier.test.ts
@@ -38,7 +38,7 @@
 
 /** What operators see of a state, without the ids of the entries. */
 function contentOf (state: replicatedState.ReplicatedState): object {
-  return { config: state.config, json: state.configJson, source: state.configSource, history: state.history() }
+  return { config: state.config, json: state.encodedConfig.documentJson, source: state.configSource, history: state.history() }
 }
 
 tap.t.test('puts and patches that are applied together give the state and results of those applied one by one', async (t) => {
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -9,6 +9,7 @@
 import * as event from '@rosemaryrack/base/common/event.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
 import * as peerConfigFetch from './peerConfigFetch.js'
@@ -48,7 +49,7 @@
   /** The links with a stream, whose watchdog notices a silent connection. */
   private readonly followedLinks = new Set<ControlLink>()
   private config = configDocument.emptyConfig
-  private configJson = JSON.stringify(configDocument.emptyConfig.document)
+  private encoded = documentEncoding.encodeDocument(configDocument.emptyConfig.document)
   private confirmedAt = -Infinity
   private readonly firstConfirmation = new async.Deferred<void>()
   private readonly firstStreamReported = new async.Deferred<void>()
@@ -78,8 +79,8 @@
     return this.config
   }
 
-  get currentJson (): string {
-    return this.configJson
+  get currentEncoded (): documentEncoding.EncodedDocument {
+    return this.encoded
   }
 
   /** Milliseconds since a quorum last confirmed the current version; infinite before the first confirmation. */
@@ -241,14 +242,14 @@
   private applyConfig (config: inner.ConfigVersion, source: string): void {
     const version = configVersion.decode(config.version)
     if (!this.needs(version)) return
-    const check = configDocument.checkDocument(JSON.parse(config.documentJson))
+    const check = configDocument.checkDocument(documentEncoding.decodeDocument(config))
     if (!check.ok) {
       this.refusedVersion = version
       this.decisions.record({ event: 'config-refused', choice: String(version), why: check.problems.join('; ') })
       return
     }
     this.config = { version, document: check.document }
-    this.configJson = config.documentJson
+    this.encoded = { documentJson: config.documentJson, extensionsJson: config.extensionsJson }
     this.decisions.record({ event: 'config-in-force', choice: String(version), why: `received from ${source}` })
     this.changedEmitter.fire(this.config)
   }
--- a/packages/fleet/src/node/meshTables.ts
+++ b/packages/fleet/src/node/meshTables.ts
@@ -1,6 +1,7 @@
 /** What a process of the mesh replicates with others. */
 import type * as event from '@rosemaryrack/base/common/event.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import type * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as endpointTable from '../common/endpointTable.js'
 import type * as forwardingPeers from '../common/forwardingPeers.js'
@@ -10,7 +11,7 @@
 /** The current configuration of a process. */
 export interface IMeshConfigs {
   readonly current: configDocument.VersionedConfig
-  readonly currentJson: string
+  readonly currentEncoded: documentEncoding.EncodedDocument
   /** Milliseconds since a quorum last confirmed the current version; infinite before the first confirmation. */
   readonly confirmedAgeMs: number
   readonly onChanged: event.Event<unknown>
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -155,7 +155,7 @@
     const { configs } = this.tables
     router.service(inner.EntryPeer, {
       subscribe: (req, context) => this.serveSubscription(req, context.signal),
-      fetchConfig: () => ({ version: configVersion.encode(configs.current.version), documentJson: configs.currentJson })
+      fetchConfig: () => ({ version: configVersion.encode(configs.current.version), ...configs.currentEncoded })
     })
   }
 
--- a/packages/fleet/src/test/configDelivery.test.ts
+++ b/packages/fleet/src/test/configDelivery.test.ts
@@ -41,7 +41,7 @@
 }
 
 function configVersion (version: number, documentJson = '{"lanes":{}}'): inner.ConfigVersion {
-  return { version: BigInt(version), documentJson } as unknown as inner.ConfigVersion
+  return { version: BigInt(version), documentJson, extensionsJson: '' } as unknown as inner.ConfigVersion
 }
 
 async function neverResponds (): Promise<inner.ConfigVersion> {
@@ -216,7 +216,7 @@
   constructor (hub: HangingHub, handleVersion: (fetch: () => Promise<inner.ConfigVersion>) => void) {
     const configs = {
       current: { version: 1, document: { lanes: {} } },
-      currentJson: '{}',
+      currentEncoded: { documentJson: '{}', extensionsJson: '' },
       confirmedAgeMs: Infinity,
       onChanged: new event.Emitter<unknown>().event,
       waitForFirstStream: async () => false,
--- a/packages/fleet/src/test/forwardingPeers.test.ts
+++ b/packages/fleet/src/test/forwardingPeers.test.ts
@@ -164,7 +164,7 @@
     this.peers = new forwardingPeers.ForwardingPeers(this.members, 'a', random, time)
     const configs = {
       current: { version: 1, document: { lanes: {} } } as unknown as meshTables.IMeshConfigs['current'],
-      currentJson: '{}',
+      currentEncoded: { documentJson: '{}', extensionsJson: '' },
       confirmedAgeMs: 0,
       onChanged: new event.Emitter<unknown>().event,
       waitForFirstStream: async () => true,
--- a/packages/fleet/src/test/manySubscribers.test.ts
+++ b/packages/fleet/src/test/manySubscribers.test.ts
@@ -51,7 +51,7 @@
   constructor () {
     const configs = {
       current: configDocument.emptyConfig,
-      currentJson: '{}',
+      currentEncoded: { documentJson: '{}', extensionsJson: '' },
       confirmedAgeMs: 0,
       onChanged: this.configChanged.event,
       waitForFirstStream: async () => true,
--- a/packages/testbed/src/test/platformValues.test.ts
+++ b/packages/testbed/src/test/platformValues.test.ts
@@ -80,7 +80,7 @@
   const snapshot = protobuf.fromBinary(inner.SnapshotSchema, protobuf.toBinary(inner.SnapshotSchema, leader.toSnapshot(1, term, noMembers)))
   const follower = new replicatedState.ReplicatedState()
   follower.restore(snapshot)
-  const sent = protobuf.create(inner.ConfigVersionSchema, { version: BigInt(follower.config.version), documentJson: follower.configJson })
+  const sent = protobuf.create(inner.ConfigVersionSchema, { version: BigInt(follower.config.version), ...follower.encodedConfig })
   const received = protobuf.fromBinary(inner.ConfigVersionSchema, protobuf.toBinary(inner.ConfigVersionSchema, sent))
   const check = configDocument.checkDocument(JSON.parse(received.documentJson))
   if (!check.ok) throw new Error(check.problems.join('; '))
--- a/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
+++ b/tap-snapshots/platform/dist/test/codecs.test.js.test.cjs
@@ -52,6 +52,7 @@
         "maxWaitMs": 800,
         "priority": 2,
         "progressTimeoutMs": 10000,
+        "public": undefined,
         "service": "huvo11a",
         "shedStatuses": Array [],
         "split": Array [
@@ -94,6 +95,7 @@
         "maxWaitMs": 1000,
         "priority": 1,
         "progressTimeoutMs": 10000,
+        "public": undefined,
         "service": "wuno96b",
         "shedStatuses": Array [],
         "split": undefined,
@@ -109,23 +111,79 @@
     },
     "services": Object {
       "huvo11a": Object {
+        "cold": undefined,
         "connectionLimit": 240,
         "healthPath": "/healthz",
       },
       "kafi81c": Object {
+        "cold": undefined,
         "connectionLimit": 240,
         "healthPath": "/healthz",
       },
       "wuno96b": Object {
+        "cold": undefined,
         "connectionLimit": 240,
         "healthPath": "/healthz",
       },
     },
+    "workspaces": undefined,
   },
   "version": 7,
 }
 `
 
+exports[`platform/dist/test/codecs.test.js > TAP > decodes tenants, public routes and limits of cold endpoints > must match snapshot 1`] = `
+Object {
+  "public": Array [
+    true,
+    undefined,
+  ],
+  "services": Object {
+    "huvo11a": Object {
+      "cold": Object {
+        "durationMs": 3000,
+        "perSecond": 5.8,
+      },
+      "connectionLimit": 240,
+      "healthPath": "/healthz",
+    },
+    "kafi81c": Object {
+      "cold": Object {
+        "durationMs": 3000,
+        "perSecond": 5.8,
+      },
+      "connectionLimit": 240,
+      "healthPath": "/healthz",
+    },
+    "wuno96b": Object {
+      "cold": Object {
+        "durationMs": 3000,
+        "perSecond": 5.8,
+      },
+      "connectionLimit": 240,
+      "healthPath": "/healthz",
+    },
+  },
+  "workspaces": Object {
+    "unlimited": Object {
+      "apiKeys": Array [],
+      "burst": undefined,
+      "priority": undefined,
+      "ratePerSecond": undefined,
+    },
+    "yefi830": Object {
+      "apiKeys": Array [
+        "jy5rcpihhacruddedev3",
+        "nax7u27gxprymh2rryta",
+      ],
+      "burst": 209,
+      "priority": 0,
+      "ratePerSecond": 209,
+    },
+  },
+}
+`
+
 exports[`platform/dist/test/codecs.test.js > TAP > invalid body: another media type > must match snapshot 1`] = `
 Object {
   "kind": "bad-request",
