--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -5,6 +5,7 @@
 import type * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import type * as namedWorkspace from '@rosemaryrack/config/common/namedWorkspace.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
@@ -53,6 +54,7 @@
 /** Describes a request to run. */
 export interface RunSpec {
   readonly namedLane: laneMatcher.NamedLane
+  readonly workspace?: namedWorkspace.NamedWorkspace | undefined
   readonly service: string
   readonly laneState: laneRegistry.LaneState
   readonly budgets: budget.LaneBudgets
@@ -143,6 +145,7 @@
       requestId: spec.req.requestId,
       laneName: spec.namedLane.name,
       lane: spec.namedLane.lane,
+      workspace: spec.workspace,
       arrivedAt: spec.arrivedAt,
       deadlineAt: spec.req.deadlineAt,
       identity: spec.identity,
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -2,6 +2,7 @@
 import type * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
+import type * as namedWorkspace from '@rosemaryrack/config/common/namedWorkspace.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
@@ -30,6 +31,8 @@
   readonly requestId: string
   readonly laneName: string
   readonly lane: configDocument.Lane
+  /** Undefined where the configuration has no workspaces, and for requests without a known key on public lanes. */
+  readonly workspace?: namedWorkspace.NamedWorkspace | undefined
   /** Time on the clock at which the caller's request arrived. */
   readonly arrivedAt: number
   readonly deadlineAt: number
--- a/packages/routing/src/common/slotAssignment.ts
+++ b/packages/routing/src/common/slotAssignment.ts
@@ -8,6 +8,8 @@
 export interface SlotRequest {
   readonly lane: configDocument.Lane
   readonly priority: configDocument.LanePriority
+  /** Calls of the same flow share its part of the slots when calls wait; undefined for a call that is a flow of its own. */
+  readonly flow?: string | undefined
   readonly deadlineAt: number
   /** Time on the clock until which a response is within the target latency of the lane; undefined if the lane has none. */
   readonly targetAt?: number | undefined
