Routing: endpoints that were there from the start don't count as new

Cause: an endpoint gets calls for its first 10 s although no connection to it is open. The statistics of all endpoints begin with the first call of a service, so after its start an instance spread its calls over all of them, and opened a connection for nearly each. Instances with a few calls per second never got to reuse connections.

Change: only endpoints that are first seen more than 0.5 s after the others of their service count as new.

--- a/packages/routing/src/common/adaptivePolicy.ts
+++ b/packages/routing/src/common/adaptivePolicy.ts
@@ -8,7 +8,7 @@
  * makes an instance with few calls reuse the connections to a few endpoints.
  */
 const newConnectionFactor = 1.2
-/** Time during which the score of a new endpoint is not increased for a missing connection, so that it gets its first calls. */
+/** Time during which the score of an endpoint that has joined is not increased for a missing connection, so that it gets its first calls. */
 const newEndpointMs = 10_000
 
 /** The default policy. It uses what this instance has observed, so it sends no requests of its own to measure endpoints. */
@@ -33,7 +33,7 @@
     const { stats } = candidate
     const { weights, now, typicalLatencyMs, remoteFactor } = context
     const relativeLatency = stats.estimateLatency(now, typicalLatencyMs) / typicalLatencyMs
-    const isNewEndpoint = now - stats.firstSeenAt < newEndpointMs
+    const isNewEndpoint = stats.hasJoined && now - stats.firstSeenAt < newEndpointMs
     const connectionFactor = candidate.connected || isNewEndpoint ? 1 : newConnectionFactor
     const domainFactor = candidate.failureDomain === context.ownFailureDomain ? 1 : remoteFactor
     return (stats.inFlight + 1) *
--- a/packages/routing/src/common/endpointStats.ts
+++ b/packages/routing/src/common/endpointStats.ts
@@ -29,8 +29,11 @@
   /** Number of suspect requests in flight. */
   suspectCount = 0
 
-  /** @param warmUpStartedAt time on the clock at which this instance first saw the endpoint ready. */
-  constructor (private warmUpStartedAt: number) {}
+  /**
+   * @param warmUpStartedAt time on the clock at which this instance first saw the endpoint ready.
+   * @param hasJoined whether it was first seen after the other endpoints of its service.
+   */
+  constructor (private warmUpStartedAt: number, readonly hasJoined = true) {}
 
   /** Time on the clock since which the endpoint counts as new. */
   get firstSeenAt (): number {
--- a/packages/routing/src/common/endpointStatsTable.ts
+++ b/packages/routing/src/common/endpointStatsTable.ts
@@ -2,6 +2,9 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as endpointStats from './endpointStats.js'
 
+/** Time from the first endpoint until those that were there before this process are known too. */
+const firstAnnouncementsMs = 500
+
 interface IncarnationStats {
   readonly incarnation: number
   readonly stats: endpointStats.EndpointStats
@@ -11,6 +14,7 @@
 export class EndpointStatsTable {
   private readonly statsById = new Map<string, IncarnationStats>()
   private newestSeenAt = -Infinity
+  private oldestSeenAt = Infinity
 
   /** Time on the clock at which the newest endpoint was first seen, or last restarted its warm-up. */
   get newestEndpointSeenAt (): number {
@@ -27,7 +31,10 @@
   statsFor (endpoint: endpointTable.Endpoint, now: number): endpointStats.EndpointStats {
     const known = this.statsById.get(endpoint.endpoint)
     if (known !== undefined && known.incarnation === endpoint.incarnation) return known.stats
-    const stats = new endpointStats.EndpointStats(now)
+    this.oldestSeenAt = Math.min(this.oldestSeenAt, now)
+    // Endpoints that are known from the start, or soon after it, have not joined since.
+    const hasJoined = now - this.oldestSeenAt > firstAnnouncementsMs
+    const stats = new endpointStats.EndpointStats(now, hasJoined)
     this.newestSeenAt = now
     this.statsById.set(endpoint.endpoint, { incarnation: endpoint.incarnation, stats })
     return stats
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -208,6 +208,21 @@
   }
 })
 
+// Guards against an instance with few calls that opens a connection for each of its first calls, one to each endpoint in turn.
+tap.t.test('an instance with few calls keeps to the endpoints that it has connections to, from its start on', async (t) => {
+  const generator = xoroshiro.xoroshiro128plus(1)
+  const random = (): number => float.uniformFloat64(generator)
+  const connected = new Set<string>()
+  const ids = Array.from({ length: 50 }, (_, i) => `d-${i}`)
+  const service = new TestService(ids, { isConnected: ({ endpoint }) => connected.has(endpoint) }, 4, random)
+  for (let i = 0; i < 30; i++, service.now += 250) {
+    const placement = service.place('urgent')!
+    placement.release()
+    connected.add(placement.endpoint.endpoint)
+  }
+  t.ok(connected.size < 5, `${connected.size} connections for 30 calls`)
+})
+
 tap.t.test('a queued call is placed once when the call before it releases another slot while it is placed', async (t) => {
   const service = new TestService(['d-1', 'd-2'])
   const [first, second] = [service.place('urgent')!, service.place('urgent')!]
