Evacuation of failure domains: orders in the replicated log, kept by every entry instance

Cause: operators had no way to keep all requests off a failure domain; a drain concerns single endpoints and can't be withdrawn.

Replicas send them on configuration streams and hubs on update streams, in the first update and at once on each change; entries take the higher revision, before they take a confirmation. Evacuated endpoints are not routable, requests placed on them before are not written, load probes are not sent, and queued calls without another endpoint are refused. Routes of the platform, PUT, DELETE and GET /evacuations, rackctl evacuate, log lines and gauges.

--- a/packages/control/src/common/replicatedState.ts
+++ b/packages/control/src/common/replicatedState.ts
@@ -1,4 +1,4 @@
-/** The state machine of the replicated log: configuration, patch ids, claims of idempotency keys, departures of endpoints. */
+/** The state machine of the replicated log: configuration, patch ids, claims of idempotency keys, departures of endpoints, evacuations. */
 import * as protobuf from '@bufbuild/protobuf'
 import * as configVersion from '@rosemaryrack/protocol/common/configVersion.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
@@ -7,6 +7,7 @@
 import * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import * as configPatch from '@rosemaryrack/config/common/configPatch.js'
 import * as event from '@rosemaryrack/base/common/event.js'
+import * as evacuationState from './evacuationState.js'
 import type * as logEntry from './logEntry.js'
 
 /** Outcome of a patch; invalid patches are refused before they reach the log. */
@@ -47,6 +48,8 @@
   readonly onDeparted = this.departedEmitter.event
   private readonly patches = new Map<string, inner.PatchRecord>()
   private readonly claims = new Map<string, inner.ClaimRecord>()
+  /** Not evicted: an evacuation lasts until it is withdrawn. */
+  readonly evacuations = new evacuationState.EvacuationState()
 
   constructor (private readonly retainedCount = retainedEntryCount) {}
 
@@ -157,6 +160,7 @@
     for (const announcement of command.announcements) {
       this.recordDeparture(protobuf.create(inner.DepartureRecordSchema, { announcement, logIndex: BigInt(index) }))
     }
+    this.evacuations.apply(command.evacuations, index)
     return { kind: 'none' }
   }
 
@@ -210,7 +214,8 @@
       patches: [...this.patches.values()],
       claims: [...this.claims.values()],
       source: this.sourceText,
-      departures: [...this.departures.values()]
+      departures: [...this.departures.values()],
+      evacuations: this.evacuations.toMessage()
     })
   }
 
@@ -223,6 +228,7 @@
     for (const record of snapshot.claims) this.claims.set(record.key, record)
     this.departures.clear()
     for (const record of snapshot.departures) this.recordDeparture(record)
+    this.evacuations.restore(snapshot.evacuations)
   }
 }
 
--- a/packages/control/src/node/announcementHub.ts
+++ b/packages/control/src/node/announcementHub.ts
@@ -10,6 +10,7 @@
 import type * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import type * as announcement from '@rosemaryrack/fleet/common/announcement.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as evacuationTable from '@rosemaryrack/fleet/common/evacuationTable.js'
 import * as fleetCodec from '@rosemaryrack/fleet/common/fleetCodec.js'
 import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
@@ -86,6 +87,8 @@
   private readonly clock = new clock.SystemClock()
   private readonly pauses = this.disposables.add(new pauseDetector.PauseDetector())
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
+  /** What this hub tells its subscribers; it may learn of an evacuation from another hub before its own log has the order. */
+  private readonly evacuations = this.disposables.add(new evacuationTable.EvacuationTable(this.clock))
   private readonly mesh: peerMesh.PeerMesh
   private readonly store: endpointStore.EndpointStore
 
@@ -100,11 +103,12 @@
     const members = this.disposables.add(new memberTable.MemberTable(this.clock, options.self.instance, true))
     const suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
     const configs = this.disposables.add(new ReplicaConfigSource(service, feed))
-    const tables = { members, endpoints: this.endpoints, suspects, configs }
+    const tables = { members, endpoints: this.endpoints, suspects, configs, evacuations: this.evacuations }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(options.self, options.seeds, identity, tables, this.pauses, decisions))
     this.disposables.add(feed.keepConfirming())
     this.disposables.add(replica.onApplied(() => this.subscribeToMembers()))
     this.store = this.disposables.add(new endpointStore.EndpointStore(options.dataFolder, this.endpoints, decisions))
+    this.disposables.add(replica.state.evacuations.onChanged(() => this.evacuations.apply(replica.state.evacuations.toMessage())))
     this.disposables.add(replica.state.onDeparted((wire) => this.endpoints.applyDeparture(fleetCodec.decodeAnnouncement(wire))))
   }
 
--- a/packages/control/src/node/configFeed.ts
+++ b/packages/control/src/node/configFeed.ts
@@ -6,6 +6,7 @@
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as turnLimiter from '@rosemaryrack/base/common/turnLimiter.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
+import type * as evacuationState from '../common/evacuationState.js'
 import type * as replica from './replica.js'
 
 const confirmIntervalMs = 1000
@@ -75,6 +76,7 @@
   async * follow (req: inner.FollowReq, signal: AbortSignal): AsyncGenerator<inner.FollowRes> {
     const startedAt = performance.now()
     let sentVersion = configVersion.decode(req.knownVersion)
+    let sentRevision: number | undefined
     this.openStreamCount++
     try {
       const confirmation = this.confirmSince(startedAt)
@@ -82,16 +84,21 @@
       if (sentVersion > 0 && this.replica.state.config.version > sentVersion) {
         await this.turns.enter()
         sentVersion = this.replica.state.config.version
-        yield this.createUpdate(true, false)
+        sentRevision = this.evacuations.revision
+        yield this.createUpdate(true, false, true)
       }
       await confirmation
       while (!signal.aborted) {
         await this.turns.enter()
         const { version } = this.replica.state.config
         const confirmed = this.isConfirmedSince(startedAt)
-        yield this.createUpdate(version > sentVersion, confirmed)
+        const { revision } = this.evacuations
+        const withEvacuations = revision !== sentRevision
+        const withConfig = version > sentVersion
+        sentRevision = revision
         sentVersion = Math.max(sentVersion, version)
-        await this.waitForNextUpdate(() => this.replica.state.config.version > sentVersion || this.isConfirmedSince(startedAt) !== confirmed)
+        yield this.createUpdate(withConfig, confirmed, withEvacuations)
+        await this.waitForNextUpdate(() => this.replica.state.config.version > sentVersion || this.evacuations.revision !== sentRevision || this.isConfirmedSince(startedAt) !== confirmed)
       }
     } finally {
       this.openStreamCount--
@@ -115,9 +122,14 @@
     return this.confirmed && this.confirmedAt >= streamStartedAt
   }
 
-  private createUpdate (withConfig: boolean, confirmed: boolean): inner.FollowRes {
+  private get evacuations (): evacuationState.EvacuationState {
+    return this.replica.state.evacuations
+  }
+
+  private createUpdate (withConfig: boolean, confirmed: boolean, withEvacuations: boolean): inner.FollowRes {
     const res = protobuf.create(inner.FollowResSchema, { confirmedVersion: configVersion.encode(this.confirmedVersion), confirmed })
     if (withConfig) res.config = createConfigVersion(this.replica)
+    if (withEvacuations) res.evacuations = this.evacuations.toMessage()
     return res
   }
 
--- a/packages/control/src/node/controlMetrics.ts
+++ b/packages/control/src/node/controlMetrics.ts
@@ -35,6 +35,7 @@
     sample('commit_index', member.commitIndex),
     sample('last_index', log.last.index),
     sample('config_version', member.state.config.version),
+    sample('evacuated_failure_domains', member.state.evacuations.toMessage().failureDomains.length),
     sample('voters', quorum.votersOf(log.membership).length),
     sample('learners', log.membership.replicas.length - quorum.votersOf(log.membership).length),
     sample('disk_losses_tolerated', quorum.toleratedDiskLosses(log.membership)),
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -16,6 +16,8 @@
 import * as controlService from './controlService.js'
 import * as diskTiming from './diskTiming.js'
 import * as election from './election.js'
+import * as evacuationService from './evacuationService.js'
+import * as evacuationRoutes from './evacuationRoutes.js'
 import * as fileSystem from './fileSystem.js'
 import * as hubMetrics from './hubMetrics.js'
 import * as joiner from './joiner.js'
@@ -37,6 +39,7 @@
   private readonly replica: replica.Replica
   private readonly disk: diskTiming.DiskTiming
   readonly service: controlService.ControlService
+  readonly evacuations: evacuationService.EvacuationService
   /** Receives announcements, if targets announce themselves to control replicas. */
   readonly hub: announcementHub.AnnouncementHub | undefined
   private readonly feed: configFeed.ConfigFeed
@@ -57,6 +60,7 @@
     const storage = new replicaStorage.ReplicaStorage(control.dataFolder, cfg.cluster, onDiskFailure, fileSystem.machineFileSystem, this.disk)
     this.replica = this.disposables.add(new replica.Replica(this.replicaOptions(), storage, links, decisions))
     this.service = new controlService.ControlService(this.replica, this.serviceOptions(), decisions)
+    this.evacuations = new evacuationService.EvacuationService(this.service, control.failureDomains, decisions)
     controlMetrics.registerControlMetrics(processMetrics, this.replica, storage, this.disk)
     this.feed = this.disposables.add(new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex()))
     if (control.announceEveryMs > 0) this.hub = this.disposables.add(new announcementHub.AnnouncementHub(this.hubOptions(), identity, this.service, this.feed, decisions))
@@ -73,6 +77,7 @@
   /** Adds the operator routes. */
   addRoutes (routes: httpListener.IRoutes): void {
     controlRoutes.addControlRoutes(routes, this.service, this.disk)
+    evacuationRoutes.addEvacuationRoutes(routes, this.evacuations)
   }
 
   /** Listens for the other replicas, if the settings name a port for them. */
--- a/packages/control/src/node/controlService.ts
+++ b/packages/control/src/node/controlService.ts
@@ -146,11 +146,11 @@
     throw new errors.RackError({ kind: 'internal', message: `applying a put returned a result of kind ${result.kind}` })
   }
 
-  /** Commits to the log that endpoints are draining or have left, so that every instance is informed even if a replica fails. */
-  async depart (departures: inner.Departures): Promise<void> {
+  /** Commits departures of endpoints and evacuations to the log, so that every instance is informed even if a replica fails. */
+  async depart (departures: inner.Departures, timeoutMs = forwardTimeoutMs): Promise<void> {
     const ownLeadership = this.replica.leadership
     if (ownLeadership === undefined) {
-      await this.callLeader(async (client, options) => await client.depart(departures, options))
+      await this.callLeader(async (client, options) => await client.depart(departures, options), timeoutMs)
       return
     }
     await this.departAsLeader(ownLeadership, departures)
@@ -271,10 +271,15 @@
 
   /** Returns the accepted patches, confirmed by a quorum. */
   async readHistory (): Promise<readonly replicatedState.PatchHistoryItem[]> {
-    await this.refusals.run('read', async () => await this.replica.waitUntilApplied(await this.confirmReadIndex()))
+    await this.waitForRead()
     return this.replica.state.history()
   }
 
+  /** Waits until this replica has applied what a quorum confirms. */
+  async waitForRead (): Promise<void> {
+    await this.refusals.run('read', async () => await this.replica.waitUntilApplied(await this.confirmReadIndex()))
+  }
+
   /** Claims an idempotency key; resolves with true for its first owner, also when that owner claims it again. */
   async claim (key: string, owner: string): Promise<boolean> {
     const ownLeadership = this.replica.leadership
--- a/packages/control/src/test/configFeed.test.ts
+++ b/packages/control/src/test/configFeed.test.ts
@@ -4,6 +4,7 @@
 import * as event from '@rosemaryrack/base/common/event.js'
 import type * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as evacuationState from '../common/evacuationState.js'
 import * as configFeed from '../node/configFeed.js'
 import type * as replica from '../node/replica.js'
 
@@ -14,13 +15,15 @@
   readonly reads: Array<async.Deferred<number>> = []
   readonly decisions: decisionLog.Decision[] = []
   readonly feed: configFeed.ConfigFeed
+  readonly applied = new event.Emitter<number>()
+  readonly evacuations = new evacuationState.EvacuationState()
 
   constructor () {
     const source = {
-      onApplied: new event.Emitter<number>().event,
+      onApplied: this.applied.event,
       waitUntilApplied: async () => {},
       decisions: { record: (decision: decisionLog.Decision) => this.decisions.push(decision) },
-      state: { config: { version: 7 }, encodedConfig: { documentJson: '{}', extensionsJson: '' } }
+      state: { config: { version: 7 }, encodedConfig: { documentJson: '{}', extensionsJson: '' }, evacuations: this.evacuations }
     }
     this.feed = new configFeed.ConfigFeed(source as unknown as replica.Replica, async () => {
       const read = new async.Deferred<number>()
@@ -153,3 +156,23 @@
   stop.abort()
   fixture.feed.dispose()
 })
+
+tap.t.test('a stream carries the evacuations in its first update, so that an instance has them with its first confirmation, and at once after a change', async (t) => {
+  const fixture = new FeedFixture()
+  const stop = new AbortController()
+  fixture.evacuations.apply([{ failureDomain: 'a', active: true }] as inner.Evacuation[], 12)
+  const stream = fixture.follow(stop)
+  const first = stream.next()
+  await async.sleep(2)
+  fixture.reads[0]!.resolve(1)
+  t.match((await first).value, { confirmed: true, evacuations: { revision: 12n, failureDomains: ['a'] } })
+  const second = stream.next()
+  await async.sleep(2)
+  fixture.evacuations.apply([{ failureDomain: 'b', active: true }] as inner.Evacuation[], 15)
+  fixture.applied.fire(15)
+  t.ok(await async.settlesWithin(second, earlyUpdateLimitMs))
+  t.match((await second).value, { config: undefined, evacuations: { revision: 15n, failureDomains: ['a', 'b'] } })
+  t.match((await stream.next()).value, { evacuations: undefined }, 'sent once')
+  stop.abort()
+  fixture.feed.dispose()
+})
--- a/packages/control/src/test/simulatedGroup.ts
+++ b/packages/control/src/test/simulatedGroup.ts
@@ -7,6 +7,7 @@
 import * as controlService from '../node/controlService.js'
 import * as diskTiming from '../node/diskTiming.js'
 import * as election from '../node/election.js'
+import * as evacuationService from '../node/evacuationService.js'
 import * as joiner from '../node/joiner.js'
 import * as replica from '../node/replica.js'
 import type * as peerLink from '@rosemaryrack/protocol/node/peerLink.js'
@@ -56,6 +57,7 @@
   readonly whenEnded = new async.Deferred<never>()
   readonly replica: replica.Replica
   readonly service: controlService.ControlService
+  readonly evacuations: evacuationService.EvacuationService
   readonly feed: configFeed.ConfigFeed
   readonly storage: replicaStorage.ReplicaStorage
   readonly disk: diskTiming.DiskTiming
@@ -71,6 +73,7 @@
     const options = { address: machine.address, operatorAddress: '', failureDomain: 'a', electionTimeoutMs, heartbeatMs: 100, snapshotEvery: group.options.snapshotEvery }
     this.replica = new replica.Replica(options, this.storage, group.linksOf(this), decisions)
     this.service = new controlService.ControlService(this.replica, { groupAddresses: [], seedAddresses: group.seedAddresses, maxReplicas, tolerateLostDisks }, decisions)
+    this.evacuations = new evacuationService.EvacuationService(this.service, undefined, decisions)
     this.feed = new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex())
   }
 
@@ -297,6 +300,11 @@
         if (leadership === undefined) throw notLeader()
         return protobuf.create(inner.PutResSchema, { heldVersion: BigInt(await service.putAsLeader(leadership, req)) })
       }),
+      depart: async (req: inner.Departures, { signal }: CallOptions = {}) => await send(inner.DeparturesSchema, req, signal, inner.DepartResSchema, async ({ service, replica: { leadership } }) => {
+        if (leadership === undefined) throw notLeader()
+        await service.departAsLeader(leadership, req)
+        return protobuf.create(inner.DepartResSchema)
+      }),
       readIndex: async (_req: unknown, { signal }: CallOptions = {}) => await send(inner.ReadIndexReqSchema, protobuf.create(inner.ReadIndexReqSchema), signal, inner.ReadIndexResSchema, async ({ replica: { leadership } }) => {
         if (leadership === undefined) throw notLeader()
         return protobuf.create(inner.ReadIndexResSchema, { index: BigInt(await leadership.readIndex()) })
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -6,6 +6,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as settings from '@rosemaryrack/config/common/settings.js'
 import * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as evacuationTable from '@rosemaryrack/fleet/common/evacuationTable.js'
 import * as forwardingPeers from '@rosemaryrack/fleet/common/forwardingPeers.js'
 import * as memberTable from '@rosemaryrack/fleet/common/memberTable.js'
 import * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
@@ -46,7 +47,8 @@
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly clock = new clock.SystemClock()
   private readonly pauses = this.disposables.add(new pauseDetector.PauseDetector())
-  private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
+  private readonly evacuations = this.disposables.add(new evacuationTable.EvacuationTable(this.clock))
+  private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock, this.evacuations))
   private readonly suspects = this.disposables.add(new suspectTable.SuspectTable(this.clock))
   private readonly contacts = this.disposables.add(new targetContacts.TargetContacts(this.clock))
   private readonly connections: targetConnections.TargetConnections
@@ -89,7 +91,7 @@
       role: entry.seeds.length > 0 ? 'spoke' : 'peer'
     } as const
     this.forwardingPeers = new forwardingPeers.ForwardingPeers(members, cfg.failureDomain, random, this.clock)
-    const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs, forwardingPeers: this.forwardingPeers }
+    const tables = { members, endpoints: this.endpoints, suspects: this.suspects, configs, evacuations: this.evacuations, forwardingPeers: this.forwardingPeers }
     this.mesh = this.disposables.add(new peerMesh.PeerMesh(self, [...entry.peers, ...seeds], identity, tables, this.pauses, decisions))
     this.notices = this.disposables.add(new endpointNotices.EndpointNotices({
       onLeaving: (endpoint) => this.noteLeaving(endpoint),
@@ -126,6 +128,7 @@
     this.forwards = entry.forwarding === undefined ? undefined : this.createForwardListener(entry.forwarding, identity, callerDeps)
     this.publishForwarding()
     this.disposables.add(this.reachability.onChanged(() => this.publishForwarding()))
+    this.disposables.add(this.evacuations.onChanged((change) => this.logEvacuations(change)))
     this.disposables.add(this.suspects.onChanged((suspect) => this.logSuspect(suspect)))
   }
 
@@ -192,7 +195,7 @@
 
   private createFleetTables (cfg: settings.Settings, identity: innerListener.LinkIdentity, seeds: readonly string[]): { readonly members: memberTable.MemberTable, readonly configs: configFollower.ConfigFollower } {
     const members = this.disposables.add(new memberTable.MemberTable(this.clock, cfg.instance))
-    const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, [...this.entry.control, ...seeds.map((address) => ({ address }))], identity, this.decisions))
+    const configs = this.disposables.add(new configFollower.ConfigFollower(cfg.instance, [...this.entry.control, ...seeds.map((address) => ({ address }))], identity, this.decisions, this.evacuations))
     // The seeds may all have been replaced by others.
     this.disposables.add(members.onJoined(({ hub, address }) => { if (hub) configs.addReplica(address) }))
     this.disposables.add(members.onLeft(({ hub, address }) => { if (hub) configs.removeReplica(address) }))
@@ -285,7 +288,13 @@
     })
   }
 
+  private logEvacuations ({ revision, started, withdrawn }: evacuationTable.EvacuationChange): void {
+    this.decisions.record({ event: 'evacuation', choice: this.evacuations.all.join(' '), revision, started: started.join(' '), withdrawn: withdrawn.join(' '), why: 'endpoints of these failure domains get no requests' })
+  }
+
   private addGauges (): void {
+    this.metrics.registerGauge('rosemaryrack_evacuated_failure_domains', {}, () => this.evacuations.all.length)
+    this.metrics.registerGauge('rosemaryrack_evacuation_revision', {}, () => this.evacuations.revision)
     this.metrics.registerGauge('rosemaryrack_config_version', {}, () => this.configs.current.version)
     this.metrics.registerGauge('rosemaryrack_endpoints_live', {}, () => this.endpoints.liveCount)
     this.metrics.registerGauge('rosemaryrack_endpoints_limited', {}, () => this.endpoints.all().filter(endpointTable.isLimited).length)
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -234,7 +234,7 @@
   private skipSend (connection: targetConnection.TargetConnection): void {
     this.connections.release(this.address, connection)
     this.connection = undefined
-    this.fail('not-written', 'the endpoint asked for a pause in requests')
+    this.fail('not-written', 'the endpoint asked for a pause in requests, named a limit, or is evacuated')
   }
 
   private send (connection: targetConnection.TargetConnection): void {
--- a/packages/entry/src/node/httpProber.ts
+++ b/packages/entry/src/node/httpProber.ts
@@ -66,8 +66,12 @@
       this.settle(isRefused ? { kind: 'refused' } : { kind: 'none', message: errors.messageOf(err) })
       return
     }
-    if (this.isSettled) connections.release(address, connection)
-    else this.send(connection)
+    if (!this.isSettled && this.deps.notices.canSend(this.endpoint)) {
+      this.send(connection)
+      return
+    }
+    connections.release(address, connection)
+    this.settle({ kind: 'none', message: 'the endpoint must get no requests now' })
   }
 
   private send (connection: targetConnection.TargetConnection): void {
--- a/packages/fleet/src/common/endpointTable.ts
+++ b/packages/fleet/src/common/endpointTable.ts
@@ -4,6 +4,7 @@
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as announcement from './announcement.js'
 import * as endpointLimit from './endpointLimit.js'
+import type * as evacuationTable from './evacuationTable.js'
 
 const removeAfterExpiryMs = 120_000
 const massExpiryShare = 0.8
@@ -38,6 +39,8 @@
   /** Returns the endpoints of a service that accept new requests. */
   routable(service: string): readonly Endpoint[]
   readonly onChanged: event.Event<Endpoint>
+  /** Fires when other endpoints have become routable without a change of an endpoint. */
+  readonly onRoutableChanged?: event.Event<void>
 }
 
 /** Endpoints known to one process. */
@@ -49,10 +52,20 @@
   private readonly changedEmitter = new event.Emitter<Endpoint>()
   /** Fires on each change except renewals and load reports. */
   readonly onChanged = this.changedEmitter.event
+  private readonly routableEmitter = new event.Emitter<void>()
+  /** Fires when the evacuated failure domains have changed. */
+  readonly onRoutableChanged = this.routableEmitter.event
+  private readonly subscription: lifecycle.IDisposable | undefined
 
   private resumedAt = -Infinity
 
-  constructor (private readonly clock: clock.IClock) {}
+  /** @param evacuations failure domains whose endpoints are not routable; without it, there are none. */
+  constructor (private readonly clock: clock.IClock, private readonly evacuations?: Pick<evacuationTable.EvacuationTable, 'has' | 'onChanged'>) {
+    this.subscription = evacuations?.onChanged(() => {
+      this.readyByService.clear()
+      this.routableEmitter.fire()
+    })
+  }
 
   /** Records that this process was paused. Until peers have had time to refresh the leases, only endpoints with a live lease are routable. */
   noteProcessPause (): void {
@@ -60,6 +73,8 @@
   }
 
   dispose (): void {
+    this.subscription?.dispose()
+    this.routableEmitter.dispose()
     this.changedEmitter.dispose()
   }
 
@@ -180,6 +195,11 @@
     return this.all().filter((endpoint) => endpoint.state !== 'left' && !hasExpired(endpoint, now)).length
   }
 
+  /** Returns whether the endpoint must get no requests because its failure domain is evacuated. */
+  isEvacuated ({ failureDomain }: Pick<Endpoint, 'failureDomain'>): boolean {
+    return this.evacuations?.has(failureDomain) === true
+  }
+
   routable (service: string): readonly Endpoint[] {
     const now = this.clock.now()
     const ready = this.readyEndpoints(service)
@@ -211,7 +231,7 @@
   private readyEndpoints (service: string): readonly Endpoint[] {
     let ready = this.readyByService.get(service)
     if (ready === undefined) {
-      ready = this.all().filter((endpoint) => endpoint.service === service && endpoint.state === 'ready' && endpoint.leaving !== true)
+      ready = this.all().filter((endpoint) => endpoint.service === service && endpoint.state === 'ready' && endpoint.leaving !== true && !this.isEvacuated(endpoint))
       this.readyByService.set(service, ready)
     }
     return ready
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -12,6 +12,7 @@
 import * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as failureLog from '@rosemaryrack/telemetry/common/failureLog.js'
+import type * as evacuationTable from '../common/evacuationTable.js'
 import * as peerConfigFetch from './peerConfigFetch.js'
 import * as streamWatchdog from './streamWatchdog.js'
 
@@ -65,7 +66,8 @@
     private readonly instance: string,
     private readonly replicas: readonly ControlAddress[],
     private readonly identity: innerListener.LinkIdentity,
-    private readonly decisions: decisionLog.IDecisionLog
+    private readonly decisions: decisionLog.IDecisionLog,
+    private readonly evacuations?: Pick<evacuationTable.EvacuationTable, 'apply'>
   ) {
     this.streams = new failureLog.FailureLog(decisions, 'config-stream')
     this.peerFetch = new peerConfigFetch.PeerConfigFetch({
@@ -209,6 +211,8 @@
       const stream = link.client.follow({ instance: this.instance, knownVersion: configVersion.encode(this.config.version) }, { signal: watchdog.signal })
       for await (const res of stream) {
         watchdog.noteActivity()
+        // Before the first confirmation, after which this instance serves requests.
+        if (res.evacuations !== undefined) this.evacuations?.apply(res.evacuations)
         if (res.config !== undefined) this.applyConfig(res.config, link.address)
         if (res.confirmed) {
           lastConfirmedAt = performance.now()
--- a/packages/fleet/src/node/meshTables.ts
+++ b/packages/fleet/src/node/meshTables.ts
@@ -4,6 +4,7 @@
 import type * as documentEncoding from '@rosemaryrack/config/common/documentEncoding.js'
 import type * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as endpointTable from '../common/endpointTable.js'
+import type * as evacuationTable from '../common/evacuationTable.js'
 import type * as forwardingPeers from '../common/forwardingPeers.js'
 import type * as memberTable from '../common/memberTable.js'
 import type * as suspectTable from '../common/suspectTable.js'
@@ -27,6 +28,8 @@
   readonly endpoints: endpointTable.EndpointTable
   readonly suspects: suspectTable.SuspectTable
   readonly configs: IMeshConfigs
+  /** Evacuated failure domains, which all but spokes pass on; undefined for a process that knows nothing of them. */
+  readonly evacuations?: evacuationTable.EvacuationTable
   /** Receives the peers that hubs name; undefined for a process that forwards no requests. */
   readonly forwardingPeers?: forwardingPeers.ForwardingPeers
 }
--- a/packages/fleet/src/node/peerMesh.ts
+++ b/packages/fleet/src/node/peerMesh.ts
@@ -16,6 +16,7 @@
 import * as fleetCodec from '../common/fleetCodec.js'
 import type * as memberTable from '../common/memberTable.js'
 import type * as suspectTable from '../common/suspectTable.js'
+import * as evacuationFeed from './evacuationFeed.js'
 import * as forwardingFeed from './forwardingFeed.js'
 import type * as meshTables from './meshTables.js'
 import * as peerOutbox from './peerOutbox.js'
@@ -82,12 +83,13 @@
     private readonly pauses: pauseDetector.PauseDetector,
     private readonly decisions: decisionLog.IDecisionLog
   ) {
-    const { members, endpoints, suspects, configs } = tables
+    const { members, endpoints, suspects, configs, evacuations } = tables
     this.streams = new failureLog.FailureLog(decisions, 'peer-stream')
     this.updates = new failureLog.FailureLog(decisions, 'peer-update')
     this.factory = new updateFactory.UpdateFactory(self.role, tables, () => this.encodeSelf())
     // A spoke receives its endpoints from the hubs, so it has no changes to send to them.
     if (self.role !== 'spoke') this.disposables.add(endpoints.onChanged((endpoint) => this.addToOutboxes(endpoint)))
+    if (self.role !== 'spoke' && evacuations !== undefined) this.disposables.add(evacuations.onChanged(() => this.forEachOutbox((outbox) => outbox.scheduleImmediately())))
     if (self.role === 'hub') this.disposables.add(configs.onChanged(() => this.forEachOutbox((outbox) => outbox.scheduleImmediately())))
     this.disposables.add(suspects.onChanged((suspect) => this.forEachOutbox((outbox) => outbox.addSuspect(suspect.fingerprint))))
     this.disposables.add(members.onJoined((member) => this.handleMemberJoined(member)))
@@ -205,15 +207,16 @@
     this.outboxes.add(outbox)
     if (req.from !== undefined) this.tables.members.apply(fleetCodec.decodeMember(req.from), 0)
     const feed = this.createForwardingFeed(req.from, outbox)
+    const evacuations = new evacuationFeed.EvacuationFeed(this.self.role === 'spoke' ? undefined : this.tables.evacuations)
     try {
       await this.turns.enter()
-      yield addForwardingPeers(this.factory.createFull(startedAt, req.knowsEndpoints), feed)
+      yield evacuations.addTo(addForwardingPeers(this.factory.createFull(startedAt, req.knowsEndpoints), feed))
       let membersSentAt = startedAt
       while (!signal.aborted && !this.stopped.signal.aborted) {
         const batch = await outbox.nextBatch(signal)
         const includeMembers = performance.now() - membersSentAt >= memberListIntervalMs
         if (includeMembers) membersSentAt = performance.now()
-        yield addForwardingPeers(this.factory.createDelta(batch, startedAt, includeMembers), feed)
+        yield evacuations.addTo(addForwardingPeers(this.factory.createDelta(batch, startedAt, includeMembers), feed))
       }
     } finally {
       feed?.dispose()
@@ -316,7 +319,9 @@
   }
 
   private applyTables (update: inner.PeerUpdate): void {
-    const { members, endpoints, suspects } = this.tables
+    const { members, endpoints, suspects, evacuations } = this.tables
+    // Before the confirmation of the configuration, after which an instance serves requests.
+    if (update.evacuations !== undefined) evacuations?.apply(update.evacuations)
     if (update.self !== undefined) members.apply(fleetCodec.decodeMember(update.self), 0)
     if (update.forwardingPeers !== undefined && update.self !== undefined) {
       this.tables.forwardingPeers?.applyList(update.self.instance, fleetCodec.decodeForwardingPeers(update.forwardingPeers))
--- a/packages/fleet/src/test/endpointTable.test.ts
+++ b/packages/fleet/src/test/endpointTable.test.ts
@@ -3,6 +3,7 @@
 import type * as announcement from '../common/announcement.js'
 import * as fleetCodec from '../common/fleetCodec.js'
 import * as endpointTable from '../common/endpointTable.js'
+import * as evacuationTable from '../common/evacuationTable.js'
 
 class ManualClock {
   time = 0
@@ -228,3 +229,36 @@
   if (items.length === 0) return [[]]
   return items.flatMap((item, i) => permutations([...items.slice(0, i), ...items.slice(i + 1)]).map((rest) => [item, ...rest]))
 }
+
+tap.t.test('endpoints of evacuated failure domains are not routable, also those that announce themselves meanwhile, until the withdrawal', async (t) => {
+  const clock = new ManualClock()
+  const evacuations = new evacuationTable.EvacuationTable(clock)
+  const table = new endpointTable.EndpointTable(clock, evacuations)
+  const routable = (): string => table.routable('diary').map(({ endpoint }) => endpoint).join(' ')
+  let changes = 0
+  table.onRoutableChanged(() => changes++)
+  table.apply(createAnnouncement('a'), 0)
+  table.apply(createAnnouncement('b', { failureDomain: 'b' }), 0)
+  t.equal(routable(), 'a b')
+  evacuations.apply({ revision: 7n, failureDomains: ['b'] })
+  table.apply(createAnnouncement('c', { failureDomain: 'b' }), 0)
+  table.apply(createAnnouncement('b', { failureDomain: 'b', incarnation: 2 }), 0)
+  t.equal(routable(), 'a')
+  evacuations.apply({ revision: 9n, failureDomains: [] })
+  t.equal(routable().split(' ').sort().join(' '), 'a b c')
+  t.equal(changes, 2)
+})
+
+tap.t.test('evacuations never go back to an earlier revision, from whichever stream it comes', async (t) => {
+  const evacuations = new evacuationTable.EvacuationTable(new ManualClock())
+  const changes: evacuationTable.EvacuationChange[] = []
+  evacuations.onChanged((change) => changes.push(change))
+  evacuations.apply({ revision: 0n, failureDomains: [] })
+  evacuations.apply({ revision: 7n, failureDomains: ['b'] })
+  evacuations.apply({ revision: 5n, failureDomains: ['a'] })
+  evacuations.apply({ revision: 7n, failureDomains: [] })
+  evacuations.apply({ revision: 0n, failureDomains: [] })
+  t.same(evacuations.all, ['b'])
+  evacuations.apply({ revision: 9n, failureDomains: ['a'] })
+  t.same(changes, [{ revision: 7, started: ['b'], withdrawn: [] }, { revision: 9, started: ['a'], withdrawn: ['b'] }])
+})
--- a/packages/rackctl/src/node/commands.ts
+++ b/packages/rackctl/src/node/commands.ts
@@ -122,3 +122,15 @@
   const res = await client.sendUntilSuccess({ method: 'DELETE', path: `/control/replicas/${encodeURIComponent(replicaId)}` })
   return { json: res, lines: [`removed ${replicaId}; start its replacement with an empty data folder`] }
 }
+
+/** Starts or finishes the evacuation of a failure domain. A repeated order changes nothing, so it is sent until one replica acknowledges it. */
+export async function orderEvacuation (client: operatorClient.OperatorClient, failureDomain: string, active: boolean): Promise<Output> {
+  const res = await client.sendUntilSuccess({ method: active ? 'PUT' : 'DELETE', path: `/evacuations/${encodeURIComponent(failureDomain)}` })
+  return { json: res, lines: [active ? `${failureDomain} is evacuated` : `the evacuation of ${failureDomain} is withdrawn`] }
+}
+
+/** Returns the evacuated failure domains. */
+export async function listEvacuations (client: operatorClient.OperatorClient): Promise<Output> {
+  const res = await client.sendUntilSuccess({ method: 'GET', path: '/evacuations' }) as { readonly failureDomains: readonly string[] }
+  return { json: res, lines: res.failureDomains }
+}
--- a/packages/rackctl/src/node/main.ts
+++ b/packages/rackctl/src/node/main.ts
@@ -63,6 +63,7 @@
   add('targets', 'Show the endpoints known to the entry instances', async (_args, options) => await commands.getFromAll(createEntryClient(options), '/entry/targets'))
   add('lanes', 'Show the lanes and budgets in force', async (_args, options) => await commands.getFromAll(createEntryClient(options), '/entry/lanes'))
   add('explain <request>', 'Show the decisions made on a request, and their reasons', async ([id], options) => await commands.explain(createEntryClient(options), id!))
+  add('evacuate <verb> [failureDomain]', 'evacuate start | finish FAILURE_DOMAIN, evacuate list: send no requests to the endpoints of a failure domain', evacuateAction)
   add('control <verb> [replica]', 'control found | replace REPLICA', controlAction)
 }
 
@@ -84,6 +85,12 @@
   return { json: outputs.flatMap(({ json }) => json), lines: outputs.flatMap(({ lines }) => lines) }
 }
 
+async function evacuateAction ([verb, failureDomain]: readonly string[], options: Options): Promise<commands.Output> {
+  if (verb === 'list') return await commands.listEvacuations(createControlClient(options))
+  if ((verb !== 'start' && verb !== 'finish') || failureDomain === undefined) throw usageError('usage: evacuate start | finish FAILURE_DOMAIN, or evacuate list')
+  return await commands.orderEvacuation(createControlClient(options), String(failureDomain), verb === 'start')
+}
+
 async function controlAction ([verb, replica]: readonly string[], options: Options): Promise<commands.Output> {
   if (verb === 'found') return await commands.foundControl(createControlClient(options))
   if (verb === 'replace' && replica !== undefined) return await commands.removeReplica(createControlClient(options), replica)
--- a/packages/rackctl/src/node/operatorClient.ts
+++ b/packages/rackctl/src/node/operatorClient.ts
@@ -7,7 +7,7 @@
 
 /** A request to an operator listener. */
 export interface OperatorReq {
-  readonly method: 'GET' | 'POST' | 'PATCH' | 'DELETE'
+  readonly method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE'
   readonly path: string
   readonly headers?: Readonly<Record<string, string>>
   readonly body?: string
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -126,7 +126,7 @@
 async function addAdapter (cfg: settings.Settings, { control }: Roles, routes: httpListener.IRoutes): Promise<void> {
   if (cfg.control?.adapter === undefined || control?.hub === undefined) return
   const platform = await import('@rosemaryrack/platform/node/platformRoutes.js')
-  platform.addPlatformRoutes(routes, control.service, control.hub)
+  platform.addPlatformRoutes(routes, control.service, control.hub, control.evacuations)
 }
 
 function readCpuSeconds (): number {
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -77,9 +77,10 @@
   ) {
     this.limits = new endpointLimits.EndpointLimits(options.permits, policy)
     this.disposables.add(endpoints.onChanged((endpoint) => this.onEndpointChanged(endpoint)))
+    if (endpoints.onRoutableChanged !== undefined) this.disposables.add(endpoints.onRoutableChanged(() => this.serveOrReject(true)))
     if (options.notices !== undefined) this.disposables.add(options.notices.onAway((endpoint) => this.onEndpointAway(endpoint)))
     if (options.reachability !== undefined) this.disposables.add(options.reachability.onChanged((isCutOff) => this.withdrawFailures(isCutOff)))
-    if (options.permits !== undefined) this.disposables.add(options.permits.onChanged(() => this.onPermitsChanged()))
+    if (options.permits !== undefined) this.disposables.add(options.permits.onChanged(() => this.serveOrReject(false)))
   }
 
   dispose (): void {
@@ -393,15 +394,19 @@
     if (this.queue.length > 0) this.serveQueue()
   }
 
-  /** Serves the queue, and rejects the calls that cannot be served in time within the limits of the endpoints. */
-  private onPermitsChanged (): void {
+  /**
+   * Serves the queue, and rejects the calls that cannot be served in time within the limits of the endpoints.
+   * @param isEndpointGone whether calls may have no endpoint left; they are rejected too.
+   */
+  private serveOrReject (isEndpointGone: boolean): void {
     if (this.queue.length === 0) return
     this.serveQueue()
     const now = this.clock.now()
     const limited = this.findLimitedEndpoints(now)
     let position = 0
     for (const waiter of this.queue.waiting()) {
-      const fault = this.limits.findFault(waiter.request, position, limited, now, waiter.queuedAt)
+      const noEndpointLeftFault = isEndpointGone && !this.isStarting(now) ? this.findNoEndpointLeftFault(waiter.request, now) : undefined
+      const fault = noEndpointLeftFault ?? this.limits.findFault(waiter.request, position, limited, now, waiter.queuedAt)
       if (fault === undefined) {
         position++
         continue
--- a/packages/routing/src/common/endpointNotices.ts
+++ b/packages/routing/src/common/endpointNotices.ts
@@ -39,7 +39,7 @@
   recordNotice(endpoint: endpointTable.Endpoint, notice: Notice, requestedAt: number): void
   /**
    * Returns whether a request may still be sent to the endpoint on which it was placed. It may not once the grace time after an away
-   * notice is over, until the away period ends, nor if the endpoint has named a limit since.
+   * notice is over, until the away period ends, nor if the endpoint has named a limit since or its failure domain is evacuated.
    */
   canSend(endpoint: endpointTable.Endpoint): boolean
 }
@@ -67,7 +67,7 @@
 
   constructor (
     private readonly handler: INoticeHandler,
-    private readonly endpoints: Pick<endpointTable.EndpointTable, 'get'>,
+    private readonly endpoints: Pick<endpointTable.EndpointTable, 'get' | 'isEvacuated'>,
     private readonly clock: clock.IClock,
     private readonly decisions: decisionLog.IDecisionLog
   ) {}
@@ -88,7 +88,7 @@
   }
 
   canSend (endpoint: endpointTable.Endpoint): boolean {
-    if (this.hasNewLimit(endpoint)) return false
+    if (this.endpoints.isEvacuated(endpoint) || this.hasNewLimit(endpoint)) return false
     const away = this.findAwayPeriod(endpoint)
     const now = this.clock.now()
     return away === undefined || now >= away.until || now - away.since <= placedAttemptGraceMs
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -23,8 +23,12 @@
 const heartbeatMs = 1500
 const pollMs = 50
 const callTimeoutMs = 3000
+/** Failure domains of the endpoints; processes are in the first one. */
+const failureDomains = ['a', 'b']
 const callersHost = 'jepu9.example'
 const callerDeadlineMs = 1500
+/** A part that is rendered once for each entry of a table, with `{{@}}` as its key and `{{,}}` between two. */
+const section = /\{\{#([A-Za-z.0-9]+)\}\}(.*?)\{\{\/\1\}\}/g
 const placeholder = /\{\{([A-Za-z.0-9]+)(\|json)?\}\}/g
 
 /** Response to an HTTP request; the status is 0 when none arrived. */
@@ -92,7 +96,7 @@
   private readonly cuts = new Map<string, CutKind>()
   private sequence = 0
 
-  constructor (readonly id: string, readonly host: string, readonly service: string, readonly born: number) {}
+  constructor (readonly id: string, readonly host: string, readonly service: string, readonly born: number, readonly failureDomain = 'a') {}
 
   get address (): string {
     return `${this.host}:${endpointPort}`
@@ -105,7 +109,7 @@
 
   /** Sends a heartbeat with its state to a control replica; returns the status of the response. */
   async sendHeartbeat (control: string, state: 'ready' | 'draining', sequence = ++this.sequence): Promise<number> {
-    const body = { Service: this.service, Addr: this.address, Zone: 'a', Version: 'v1', Slots: this.slots, State: state, ColdLeftMs: 0, Seq: sequence, born: this.born }
+    const body = { Service: this.service, Addr: this.address, Zone: this.failureDomain, Version: 'v1', Slots: this.slots, State: state, ColdLeftMs: 0, Seq: sequence, born: this.born }
     return (await sendRequest('POST', `http://${control}/rosemaryrack/Instances.Heartbeat/${this.id}`, { 'content-type': 'application/json' }, JSON.stringify(body))).status
   }
 
@@ -296,6 +300,7 @@
     return {
       Node: `node-${octet}`,
       Zone: 'a',
+      Zones: Object.fromEntries(failureDomains.map((name) => [name, {}])),
       Ip: this.ipAddress(octet),
       'InternalPorts.0': innerPort,
       'InternalPorts.1': forwardPort,
@@ -312,7 +317,9 @@
 
   private startProcess (name: string, template: string, templateFields: Readonly<Record<string, unknown>>, addedEntrySettings = ''): void {
     const text = fs.readFileSync(path.join(repositoryRoot, 'deploy', `${template}.toml`), 'utf8')
-    const settings = text.replace(placeholder, (_all, field: string, json: string | undefined) => {
+    const rendered = text.replace(section, (_all, table: string, part: string) =>
+      Object.keys(templateFields[table] ?? {}).map((key) => part.replaceAll('{{@}}', key).replaceAll('{{,}}', '\0')).join('').replace(/\0$/, '').replaceAll('\0', ', '))
+    const settings = rendered.replace(placeholder, (_all, field: string, json: string | undefined) => {
       if (!Object.hasOwn(templateFields, field)) throw new Error(`${template}.toml uses the field ${field}, for which the testbed has no value`)
       return json === undefined ? String(templateFields[field]) : JSON.stringify(templateFields[field])
     })
