Entry: requests are authenticated by API keys of workspaces

Cause: with workspaces in the configuration, a request needs a key, and endpoints must get the name of its workspace, never the key. Change: WorkspaceAuth holds an index of keys by keyed digest and is asked once the lane is known, before the body is awaited. It answers with the headers to drop and to add, and a check that is repeated right before each sending to an endpoint. 401 only while the own version is confirmed as the newest; otherwise 503, or to a peer where this instance is cut off.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -232,3 +232,21 @@
 function newIncompleteError (message: string): errors.RackError {
   return new errors.RackError({ kind: 'bad-request', message })
 }
+
+/**
+ * Reads the rest of a request body that the target did not wait for, so that the next request of the connection can be read.
+ * @param onFailed called with the reason when the rest cannot be read though the connection is open.
+ */
+export async function discardRestOf (req: http.IncomingMessage, body: CallerBody, onFailed: (why: string) => void): Promise<void> {
+  // Node.js ends a request with its connection only until the response is complete.
+  const endWithConnection = (): void => { req.destroy() }
+  req.socket.once('close', endWithConnection)
+  try {
+    await body.discardRest()
+  } catch (err) {
+    if (!req.socket.destroyed) onFailed(errors.messageOf(err))
+    req.destroy()
+  } finally {
+    req.socket.off('close', endWithConnection)
+  }
+}
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -28,7 +28,9 @@
 import type * as requestOrigin from './requestOrigin.js'
 import * as requestRun from './requestRun.js'
 import type * as startup from './startup.js'
+import * as targetRequest from './targetRequest.js'
 import type * as unframedResponses from './unframedResponses.js'
+import type * as workspaceAuth from './workspaceAuth.js'
 
 const notReadyRetryAfterS = 1
 const msPerSecond = 1000
@@ -50,6 +52,7 @@
   readonly unframedResponses: Pick<unframedResponses.UnframedResponses, 'record'>
   readonly fractionalRetryAfter: boolean
   readonly startup: startup.Startup
+  readonly auth: workspaceAuth.WorkspaceAuth
   /** True during graceful shutdown: the last response on a connection asks the caller to close it. */
   readonly isStopping: () => boolean
 }
@@ -148,6 +151,8 @@
     const namedLane = this.limitAttempts(this.findLane(path))
     this.laneName = namedLane.name
     const { lane } = namedLane
+    const access = this.authenticate(lane)
+    // Checks of what the workspace may do, such as its quota, belong here: before the body is awaited or anything is queued.
     const limits = { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs }
     const context = { requestId: this.requestId, lane: namedLane.name }
     const couldStart = this.server.canStartRequests
@@ -163,13 +168,13 @@
     this.refuseQuarantined(identity)
     this.claim = await this.claimKey(namedLane)
     if (this.isAnswered) this.claim?.release()
-    else this.startClaimedRun(namedLane, identity, body)
+    else this.startClaimedRun(namedLane, access, identity, body)
   }
 
   /** Starts the run; releases the claim of its key when an exception prevents that. */
-  private startClaimedRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
+  private startClaimedRun (namedLane: laneRegistry.MatchedLane, access: workspaceAuth.RequestAccess, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
     try {
-      this.startRun(namedLane, identity, body)
+      this.startRun(namedLane, access, identity, body)
     } catch (err) {
       if (this.activeRun === undefined) this.claim?.release()
       throw err
@@ -197,6 +202,15 @@
     throw new errors.RackError({ kind: 'no-lane', message: `no lane matches ${this.req.method ?? ''} ${path}` })
   }
 
+  /** Finds the caller's workspace by its API key. A request that a peer can take may go on without a verdict on its key. */
+  private authenticate (lane: laneMatcher.NamedLane['lane']): workspaceAuth.RequestAccess {
+    const { auth, reachability, decisions } = this.deps
+    const access = auth.authenticate(this.req.rawHeaders, lane, this.origin.forwarded === undefined && reachability.isCutOff)
+    const { workspace } = access
+    if (workspace !== undefined) decisions.recordWithoutLogging({ event: 'workspace', requestId: this.requestId, lane: this.laneName, choice: workspace.name, why: 'the API key of the request belongs to it' })
+    return access
+  }
+
   /** Applies the limit on attempts that came with a forwarded request. */
   private limitAttempts (namedLane: laneRegistry.MatchedLane): laneRegistry.MatchedLane {
     const attemptsLeft = this.origin.forwarded?.attemptsLeft
@@ -224,31 +238,21 @@
     return Math.min(this.origin.arrivedAt + Math.min(deadlineMs, clock.maxTimerMs), this.origin.callerDeadlineAt ?? Infinity)
   }
 
-  private buildTargetReq ({ lane }: laneMatcher.NamedLane, body: callerBody.CallerBody, extraHeaders: readonly string[]): httpAttempt.TargetReq {
-    const { req } = this
-    const headerNames = this.deps.headers
-    const replaced = new Set([headerNames.requestId, headerNames.deadline, headerNames.expectedEndpoint ?? '', 'content-length', 'x-forwarded-for'])
-    const headers = headerRules.forwardableHeaders(req.rawHeaders, req.headers.connection, replaced)
-    headers.push(headerNames.requestId, this.requestId, 'x-forwarded-for', this.origin.forwardedFor)
-    return {
-      method: req.method ?? 'GET',
-      requestTarget: req.url ?? '/',
-      headers: [...headers, ...extraHeaders],
-      body,
-      deadlineAt: this.deadlineAt(lane),
-      idempotent: lane.idempotent,
-      requestId: this.requestId,
-      headerNames
-    }
+  private buildTargetReq ({ lane }: laneMatcher.NamedLane, access: workspaceAuth.RequestAccess, body: callerBody.CallerBody, extraHeaders: readonly string[]): httpAttempt.TargetReq {
+    const { requestId, origin: { forwardedFor } } = this
+    const options = { requestId, forwardedFor, deadlineAt: this.deadlineAt(lane), idempotent: lane.idempotent, headerNames: this.deps.headers }
+    return targetRequest.buildTargetReq(this.req, body, access, extraHeaders, options)
   }
 
-  private startRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
+  private startRun (namedLane: laneRegistry.MatchedLane, access: workspaceAuth.RequestAccess, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
     const { lanes } = this.deps
     const service = lanes.chooseService(namedLane)
     const { state } = namedLane
     const { arrivedAt, forwarded } = this.origin
     const spec = {
       namedLane,
+      workspace: access.workspace,
+      findRefusal: access.findRefusal,
       service,
       laneState: state,
       budgets: lanes.budgetsOf(state, service),
@@ -263,9 +267,9 @@
       this.activeRun.start()
     }
     const fetchRest: downloadResumer.RestFetcher = (headers, excludedEndpoints, listener) => {
-      run({ req: this.buildTargetReq(namedLane, body, headers), arrivedAt: performance.now(), excludedEndpoints }, listener)
+      run({ req: this.buildTargetReq(namedLane, access, body, headers), arrivedAt: performance.now(), excludedEndpoints }, listener)
     }
-    run({ req: this.buildTargetReq(namedLane, body, []), arrivedAt, excludedEndpoints: [] }, {
+    run({ req: this.buildTargetReq(namedLane, access, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
         body.release()
         if (response.outcome === 'quarantined') this.claim?.release()
@@ -311,7 +315,7 @@
       if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
-      if (end === 'complete' && !body.isReceived) this.discardRest(body)
+      if (end === 'complete' && !body.isReceived) callerBody.discardRestOf(this.req, body, (why) => this.deps.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why }))
     })
     if (this.endsWithConnection(head)) this.watchUnframed(stream)
     attempt.pipe(stream)
@@ -333,22 +337,6 @@
     if (why !== undefined) decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: source, why })
   }
 
-  /** Reads the rest of a request body that the target did not wait for, so that the next request of the connection can be read. */
-  private async discardRest (body: callerBody.CallerBody): Promise<void> {
-    const { req } = this
-    // Node.js ends a request with its connection only until the response is complete.
-    const endWithConnection = (): void => { req.destroy() }
-    req.socket.once('close', endWithConnection)
-    try {
-      await body.discardRest()
-    } catch (err) {
-      if (!req.socket.destroyed) this.deps.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why: errors.messageOf(err) })
-      req.destroy()
-    } finally {
-      req.socket.off('close', endWithConnection)
-    }
-  }
-
   private newResumer (canRunAgain: boolean, { head, source }: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
     const validator = downloadResumer.validatorOf(head)
     if (!canRunAgain || this.req.method !== 'GET' || validator === undefined) return undefined
@@ -398,7 +386,7 @@
     }
     const retryAfterS = errors.retryAfterSecondsOf(fault)
     const announcesEnd = faultResponse.sendFault(this.req, res, fault, {
-      headers: { [this.deps.headers.requestId]: this.requestId, ...this.forwardOutcome(fault) },
+      headers: { [this.deps.headers.requestId]: this.requestId, ...this.forwardOutcome(fault), ...faultResponse.challengeOf(fault) },
       retryAfter: retryAfterS === undefined ? undefined : this.formatRetryAfter(retryAfterS),
       close: this.endsWhileStopping,
       drainsBody: this.origin.forwarded !== undefined
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -36,6 +36,8 @@
 import * as targetChecker from './targetChecker.js'
 import * as targetConnections from './targetConnections.js'
 import * as unframedResponses from './unframedResponses.js'
+import * as versionFreshness from './versionFreshness.js'
+import * as workspaceAuth from './workspaceAuth.js'
 
 const msPerSecond = 1000
 const maxLoggedValueLength = 100
@@ -246,6 +248,7 @@
       fractionalRetryAfter: this.entry.fractionalRetryAfter,
       probing: this.entry.probing,
       startup: this.startup,
+      auth: this.disposables.add(new workspaceAuth.WorkspaceAuth({ configs: this.configs, freshness: new versionFreshness.VersionFreshness(this.configs), headers: this.entry.headers, metrics: this.metrics })),
       isStopping: () => this.isStopping
     }
   }
--- a/packages/entry/src/node/faultResponse.ts
+++ b/packages/entry/src/node/faultResponse.ts
@@ -21,6 +21,11 @@
   readonly drainsBody: boolean
 }
 
+/** Returns the header that a 401 must have (RFC 9110, section 11.6.1). */
+export function challengeOf ({ kind }: errors.Fault): Readonly<Record<string, string>> {
+  return kind === 'unauthorized' ? { 'WWW-Authenticate': 'Bearer' } : {}
+}
+
 /**
  * Sends the response. The connection of a request that was not read completely is closed after it, unless its body is drained.
  * Returns whether the response announces that the connection is closed.
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -27,12 +27,16 @@
   readonly requestTarget: string
   /** Flat list of names and values. */
   readonly headers: readonly string[]
+  /** Headers that go to peers only. */
+  readonly peerHeaders?: readonly string[]
   readonly body: callerBody.CallerBody
   /** When the response's head is due, on the process's monotonic clock. */
   readonly deadlineAt: number
   readonly idempotent: boolean
   readonly requestId: string
   readonly headerNames: settings.HeaderNames
+  /** Checked right before the request is sent to an endpoint; may cancel the attempt. */
+  readonly maySend?: () => boolean
 }
 
 /** Head of a response, with everything that is forwarded to the caller. */
@@ -159,6 +163,11 @@
     return this.hasSentRequest
   }
 
+  /** True once the attempt was cancelled, also by what it has just called. */
+  private get isCancelled (): boolean {
+    return this.hasEnded
+  }
+
   /** True once the whole request body has been handed over to the connection. */
   get hasSentBody (): boolean {
     return this.reqBody?.isSent === true
@@ -187,8 +196,11 @@
       return
     }
     this.connection = connection
-    if (this.target.canSend()) this.send(connection)
-    else this.skipSend(connection)
+    const maySend = this.req.maySend?.() ?? true
+    if (this.isCancelled) return
+    if (!maySend) this.skipSend(connection, 'the request must no longer be sent')
+    else if (this.target.canSend()) this.send(connection)
+    else this.skipSend(connection, 'the endpoint asked for a pause in requests')
   }
 
   cancel (): void {
@@ -231,10 +243,10 @@
   }
 
   /** Returns the unused connection to the pool and fails the attempt. */
-  private skipSend (connection: targetConnection.TargetConnection): void {
+  private skipSend (connection: targetConnection.TargetConnection, why: string): void {
     this.connections.release(this.address, connection)
     this.connection = undefined
-    this.fail('not-written', 'the endpoint asked for a pause in requests')
+    this.fail('not-written', why)
   }
 
   private send (connection: targetConnection.TargetConnection): void {
--- a/packages/entry/src/node/peerCall.ts
+++ b/packages/entry/src/node/peerCall.ts
@@ -192,7 +192,7 @@
     const ageMs = this.deps.clock.now() - arrivedAt
     const headers = this.deps.peers.headersFor({ ageMs, attemptsLeft, isCounted: count.isCounted, isClaimed: claim !== undefined, claim })
     const { requestId, deadline } = req.headerNames
-    return { ...req, headers: [...req.headers, ...headers], headerNames: { requestId, deadline, notRun: { name: forwardHeaders.outcomeHeader, value: notRunKind } } }
+    return { ...req, headers: [...req.headers, ...req.peerHeaders ?? [], ...headers], headerNames: { requestId, deadline, notRun: { name: forwardHeaders.outcomeHeader, value: notRunKind } } }
   }
 
   /** Gives up a silent peer in time for another one to run an idempotent request. */
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -20,6 +20,7 @@
 import type * as loadProbing from '@rosemaryrack/routing/common/loadProbing.js'
 import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as labelledLog from '@rosemaryrack/telemetry/common/labelledLog.js'
 import type * as claimId from '../common/claimId.js'
 import * as forwardHeaders from '../common/forwardHeaders.js'
 import type * as callerBody from './callerBody.js'
@@ -33,7 +34,7 @@
 import type * as targetConnections from './targetConnections.js'
 
 const cutOffRetryAfterS = 1
-const notStarted: callProgress.CallProgress = { mayHaveRun: false, sentAttempts: 0, firstStartedAt: Infinity }
+const notStarted: callProgress.CallProgress = { mayHaveRun: false, awaitsResponse: false, sentAttempts: 0, firstStartedAt: Infinity }
 
 /** Services that runs use. */
 export interface RunDeps {
@@ -55,6 +56,8 @@
 export interface RunSpec {
   readonly namedLane: laneMatcher.NamedLane
   readonly workspace?: namedWorkspace.NamedWorkspace | undefined
+  /** Returns why the request must not be sent to an endpoint now, though it was accepted; undefined if it may be. */
+  readonly findRefusal: () => string | undefined
   readonly service: string
   readonly laneState: laneRegistry.LaneState
   readonly budgets: budget.LaneBudgets
@@ -165,11 +168,12 @@
   }
 
   private buildCallDeps (): callSpec.CallDeps {
-    const { lanes, connections, notices, suspects, crashDetector, decisions, clock, random } = this.deps
-    const { service, laneState, budgets, req } = this.spec
+    const { lanes, connections, notices, suspects, crashDetector, clock, random } = this.deps
+    const { service, laneState, budgets, req, workspace } = this.spec
+    const decisions = workspace === undefined ? this.deps.decisions : new labelledLog.LabelledLog(this.deps.decisions, { workspace: workspace.name })
     return {
       dispatcher: lanes.dispatcherOf(service),
-      transport: new httpAttempt.HttpTransport(req, connections, notices),
+      transport: new httpAttempt.HttpTransport({ ...req, maySend: () => this.maySend() }, connections, notices),
       suspects,
       crashDetector,
       budgets,
@@ -182,6 +186,14 @@
     }
   }
 
+  /** Returns whether an attempt may be sent now; ends the run if not, unless an attempt that was sent before waits for its response. */
+  private maySend (): boolean {
+    const why = this.spec.findRefusal()
+    if (why === undefined) return true
+    if (this.direct?.progress.awaitsResponse === false) this.direct.giveUp(why)
+    return false
+  }
+
   private get probing (): callSpec.CallDeps['probing'] {
     const { lanes, connections, notices, probing, headers, clock } = this.deps
     const { service } = this.spec
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -23,6 +23,7 @@
 import * as startup from '../node/startup.js'
 import * as targetConnections from '../node/targetConnections.js'
 import * as unframedResponses from '../node/unframedResponses.js'
+import * as workspaceAuth from '../node/workspaceAuth.js'
 import * as exchange from './exchange.js'
 
 const requestLineEnd = ' HTTP/1.1\r\n'
@@ -162,6 +163,7 @@
       headers: exchange.defaultHeaderNames,
       fractionalRetryAfter: true,
       probing: undefined,
+      auth: this.disposables.add(new workspaceAuth.WorkspaceAuth({ configs: this.config, freshness: { canUseKeys: true, canRefuseKeys: true }, headers: exchange.defaultHeaderNames, metrics: this.metrics })),
       startup: new startup.Startup({ confirmedAgeMs: 0, waitForConfirmation: async () => true }, ownClock),
       isStopping: () => this.isStopping,
       reachability: reachable,
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -28,6 +28,7 @@
 import * as startup from '../node/startup.js'
 import * as targetConnections from '../node/targetConnections.js'
 import * as unframedResponses from '../node/unframedResponses.js'
+import * as workspaceAuth from '../node/workspaceAuth.js'
 
 const host = '127.0.0.1'
 const leaseMs = 600_000
@@ -74,6 +75,8 @@
   callersAddress = ''
   forwardAddress = ''
   isStopping = false
+  /** What this instance knows about the validity of API keys. */
+  readonly freshness = { canUseKeys: true, canRefuseKeys: true }
   /** Owners of the keys that this instance has claimed and released. */
   readonly claimOwners: string[] = []
   readonly releasedOwners: string[] = []
@@ -178,6 +181,7 @@
       headers: headerNames,
       fractionalRetryAfter: true,
       probing: undefined,
+      auth: disposables.add(new workspaceAuth.WorkspaceAuth({ configs, freshness: this.freshness, headers: headerNames, metrics: processMetrics })),
       startup: new startup.Startup({ confirmedAgeMs: 0, waitForConfirmation: async () => true }, clock),
       isStopping: () => this.isStopping,
       reachability: this.reachability,
--- a/packages/routing/src/common/callProgress.ts
+++ b/packages/routing/src/common/callProgress.ts
@@ -5,6 +5,8 @@
 export interface CallProgress {
   /** True if an endpoint may have run the call. */
   readonly mayHaveRun: boolean
+  /** True while an attempt that was sent waits for its response. */
+  readonly awaitsResponse: boolean
   /** Number of attempts that may have reached an endpoint. */
   readonly sentAttempts: number
   /** Time on the clock at which the first attempt was started; infinite without one. */
@@ -19,5 +21,6 @@
 export function computeProgress (hasUncertainEnd: boolean, attempts: number, firstStartedAt: number, running: Iterable<runningAttempt.RunningAttempt>): CallProgress {
   const handles = [...running].map(({ handle }) => handle)
   const unwritten = handles.filter((handle) => handle?.written === false).length
-  return { mayHaveRun: hasUncertainEnd || handles.length > unwritten, sentAttempts: attempts - unwritten, firstStartedAt }
+  const awaitsResponse = handles.length > unwritten
+  return { mayHaveRun: hasUncertainEnd || awaitsResponse, awaitsResponse, sentAttempts: attempts - unwritten, firstStartedAt }
 }
