Entry: tests of workspaces and API keys

Cause: WorkspaceAuth and the headers that follow from it had no tests. The fixture of entry instances can replace its configuration.

--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -38,7 +38,7 @@
 export const cluster = 'test'
 export const deadlineMs = 2000
 export const maxAttempts = 3
-const headerNames: settings.HeaderNames = { requestId: 'x-id', deadline: 'x-deadline', notRun: { name: 'x-not-run' }, targetStamp: 'x-stamp' }
+const headerNames: settings.HeaderNames = { requestId: 'x-id', deadline: 'x-deadline', notRun: { name: 'x-not-run' }, targetStamp: 'x-stamp', workspace: 'x-workspace' }
 
 /** Reachability that the test sets. */
 export class FakeReachability implements targetReachability.ITargetReachability {
@@ -64,6 +64,9 @@
   /** Delay of a hedge of idempotent requests; none without it. */
   readonly hedgeAfterMs?: number
   readonly shedStatuses?: readonly number[]
+  readonly workspaces?: object
+  /** True if the lane `read` needs no API key. */
+  readonly isPublic?: boolean
 }
 
 /** An entry instance with the lanes `read` (idempotent, GET and HEAD) and `pay` (POST) of one service. */
@@ -83,11 +86,14 @@
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly clock = new clock.SystemClock()
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
+  private readonly configChanged = this.disposables.add(new event.Emitter<configDocument.VersionedConfig>())
+  private config: configDocument.VersionedConfig
   private callers!: callerListener.CallerListener
   private forwards!: forwardListener.ForwardListener
 
   private constructor (readonly instance: string, private readonly options: EntryOptions) {
     this.reachability.isCutOff = options.isCutOff === true
+    this.config = { version: options.configVersion ?? 1, document: createDocument(options) }
   }
 
   /** Starts an instance that reaches the given endpoints. */
@@ -108,6 +114,12 @@
     return this.decisions.filter(({ event }) => event === kind)
   }
 
+  /** Puts a configuration with other workspaces in force. */
+  replaceWorkspaces (workspaces: object | undefined): void {
+    this.config = { version: this.config.version + 1, document: createDocument({ ...this.options, ...(workspaces === undefined ? {} : { workspaces }) }) }
+    this.configChanged.fire(this.config)
+  }
+
   /** Stops the listener for peers gracefully. */
   async stopForwards (): Promise<void> {
     this.isStopping = true
@@ -122,13 +134,13 @@
   }
 
   private async listen (): Promise<void> {
-    const { maxConcurrent = 100, configVersion = 1, token: ownToken = token } = this.options
-    const document = createDocument(this.options)
+    const { maxConcurrent = 100, token: ownToken = token } = this.options
+    const currentConfig = (): configDocument.VersionedConfig => this.config
     const identity = { cluster, token: ownToken, sourceHost: host }
-    const configs: configFollower.IConfigSource = { current: { version: configVersion, document }, onChanged: () => lifecycle.toDisposable(() => {}) }
+    const configs: configFollower.IConfigSource = { get current () { return currentConfig() }, onChanged: this.configChanged.event }
     const deps = this.createDeps(configs, identity)
     this.callers = new callerListener.CallerListener(graceS, configs, deps)
-    this.forwards = new forwardListener.ForwardListener({ graceS, maxConcurrent, identity, configVersion: () => configVersion }, deps)
+    this.forwards = new forwardListener.ForwardListener({ graceS, maxConcurrent, identity, configVersion: () => this.config.version }, deps)
     this.callersAddress = await findFreeAddress()
     await this.callers.listen(this.callersAddress)
     this.forwardAddress = await findFreeAddress()
@@ -200,13 +212,14 @@
   }
 }
 
-function createDocument ({ retryRatio = 0.05, maxAttempts: attempts = maxAttempts, deadlineMs: laneDeadlineMs = deadlineMs, hedgeAfterMs, shedStatuses = [] }: EntryOptions): configDocument.ConfigDocument {
+function createDocument ({ retryRatio = 0.05, maxAttempts: attempts = maxAttempts, deadlineMs: laneDeadlineMs = deadlineMs, hedgeAfterMs, shedStatuses = [], workspaces, isPublic = false }: EntryOptions): configDocument.ConfigDocument {
   const lane = { service: 'diary', deadlineMs: laneDeadlineMs, maxWaitMs: laneDeadlineMs, maxAttempts: attempts, budgets: { hedgeRatio: hedgeAfterMs === undefined ? 0 : 1, retryRatio }, hedgeAfterMs: hedgeAfterMs ?? 0, shedStatuses, progressTimeoutMs: 5000, maxBodyBytes: 1e9 }
   const check = configDocument.checkDocument({
     lanes: {
-      read: { ...lane, match: { methods: ['GET', 'HEAD'], pathPrefix: '/' }, idempotent: true },
+      read: { ...lane, match: { methods: ['GET', 'HEAD'], pathPrefix: '/' }, idempotent: true, public: isPublic },
       pay: { ...lane, match: { methods: ['POST'], pathPrefix: '/' }, idempotent: false }
-    }
+    },
+    workspaces
   })
   if (!check.ok) throw new Error(check.problems.join('; '))
   return check.document
