Routing: hedges within shares of the requests and of the slot time

Cause: hedges have a budget in repeats only. A small share of the requests may hold a large share of the slots, since the requests that are hedged are the slow ones, and the delay before a hedge does not follow a lane's spread.

Change: the settings section entry.hedging limits the hedges of an instance to shares of its requests and of its slot time in a sliding window, and sends a hedge once the first attempt is slower than a percentile of the lane's recent ones. The decision of a call moves to callHedge.ts, the limits are in hedging.ts. Metrics count hedges sent, won, lost, failed, stopped and denied. Without the section, hedges are as before.

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -119,6 +119,17 @@
       extra: zod.number().min(0).max(1_000_000),
       windowS: zod.number().min(1).max(3600)
     }).optional(),
+    /** Limits on the hedges of this instance, over all its services; without it hedges have only the budgets of repeats and lanes. */
+    hedging: zod.strictObject({
+      /** Hedges as a share of the requests in a window. */
+      requestShare: zod.number().min(0).max(1),
+      /** Time in which calls hold a second slot, as a share of the slot time of all attempts in a window. */
+      slotShare: zod.number().min(0).max(1),
+      /** A hedge is sent when an attempt is slower than this percentile of the recent responses of its lane. */
+      percentile: zod.number().min(50).max(99),
+      /** Seconds of the sliding window in which the shares hold. */
+      windowS: zod.number().min(1).max(3600).default(10)
+    }).optional(),
     /**
      * Time after which an API key that a configuration removes must not be used on any instance, also on one that is cut off. An instance that
      * has not confirmed its configuration for this long refuses requests with keys. Without it, keys are used while no newer configuration is known.
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -27,6 +27,7 @@
 import type * as callerTask from './callerTask.js'
 import * as entryRoutes from './entryRoutes.js'
 import * as forwardListener from './forwardListener.js'
+import * as hedgingMetrics from './hedgingMetrics.js'
 import * as idempotencyClaims from './idempotencyClaims.js'
 import * as laneRegistry from './laneRegistry.js'
 import * as peerForwarder from './peerForwarder.js'
@@ -105,6 +106,7 @@
       notices: this.notices,
       isConnected: ({ address }) => this.connections.hasIdle(address),
       repeats: entry.repeats === undefined ? undefined : { ...entry.repeats, windowMs: entry.repeats.windowS * msPerSecond },
+      hedging: entry.hedging === undefined ? undefined : { ...entry.hedging, windowMs: entry.hedging.windowS * msPerSecond },
       startingUntil: this.startup.holdEndsAt,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0,
       reachability: this.reachability,
@@ -295,6 +297,7 @@
     this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.inFlightCount)
     this.metrics.registerGauge('rosemaryrack_forwarded_in_flight', {}, () => this.forwards?.inFlightCount ?? 0)
     this.metrics.registerGauge('rosemaryrack_held_request_body_bytes', {}, () => callerBody.heldBytes())
+    hedgingMetrics.registerHedgingMetrics(this.metrics, this.lanes.hedging)
     this.metrics.registerGauge('rosemaryrack_suspects', {}, () => this.suspects.size)
   }
 }
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -9,6 +9,7 @@
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
 import * as domainPreference from '@rosemaryrack/routing/common/domainPreference.js'
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
+import * as hedging from '@rosemaryrack/routing/common/hedging.js'
 import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as servicePermits from '@rosemaryrack/routing/common/servicePermits.js'
@@ -30,6 +31,8 @@
   readonly split: trafficSplit.TrafficSplit
   readonly latency: laneLatency.LaneLatency
   readonly domainPreference: domainPreference.DomainPreference
+  /** Undefined where the settings have no limits for hedges. */
+  readonly hedging: hedging.LaneHedging | undefined
 }
 
 /** The lane of a request with its state. Both last as long as the request, whatever the configuration does meanwhile. */
@@ -57,6 +60,8 @@
   readonly reachability: targetReachability.ITargetReachability
   /** Time on the clock until which some endpoints may not be known yet after the start of this instance. */
   readonly startingUntil: number
+  /** Limits on the hedges of this instance; without it only the budgets apply. */
+  readonly hedging?: hedging.HedgingOptions | undefined
 }
 
 /** Finds lanes and keeps their state, following changes of the configuration. */
@@ -66,6 +71,8 @@
   private readonly probeBudgets = new Map<string, budget.RateBudget>()
   private readonly repeatBudgets = new Map<string, budget.RepeatBudget>()
   private readonly dispatchers = new Map<string, dispatcher.Dispatcher>()
+  /** Hedges of this instance; undefined where the settings have no limits for them. */
+  readonly hedging: hedging.Hedging | undefined
   private matcher: laneMatcher.LaneMatcher
   private lanes: configDocument.ConfigDocument['lanes']
   private services: configDocument.ConfigDocument['services']
@@ -76,6 +83,7 @@
     private readonly options: RegistryOptions,
     private readonly clock: clock.IClock
   ) {
+    this.hedging = options.hedging === undefined ? undefined : new hedging.Hedging(options.hedging, clock)
     this.lanes = configs.current.document.lanes
     this.services = configs.current.document.services
     this.matcher = new laneMatcher.LaneMatcher(configs.current.document)
@@ -132,6 +140,7 @@
     state.retries.deposit()
     state.hedges.deposit()
     this.repeatBudgetOf(service)?.recordCall()
+    this.hedging?.recordRequest()
   }
 
   /** Returns the budgets for the health checks, retries and hedges of requests for a service. */
@@ -188,7 +197,8 @@
       healthChecks: new budget.RateBudget(perSecond, this.clock),
       split: new trafficSplit.TrafficSplit(this.options.random),
       latency: new laneLatency.LaneLatency(),
-      domainPreference: new domainPreference.DomainPreference()
+      domainPreference: new domainPreference.DomainPreference(),
+      hedging: this.hedging === undefined ? undefined : new hedging.LaneHedging(this.hedging)
     }
   }
 
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -175,6 +175,7 @@
       budgets,
       latency: laneState.latency,
       domainPreference: laneState.domainPreference,
+      hedging: laneState.hedging,
       probing: this.probing,
       decisions,
       clock,
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -3,6 +3,7 @@
 import type * as suspectTable from '@rosemaryrack/fleet/common/suspectTable.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as callFault from './callFault.js'
+import * as callHedge from './callHedge.js'
 import * as callProgress from './callProgress.js'
 import type * as callSpec from './callSpec.js'
 import * as lateCalls from './lateCalls.js'
@@ -23,7 +24,7 @@
 const attemptTimeoutShare = 0.5
 /** Interval at which an attempt that has timed out checks whether a choice of an endpoint has ended, in milliseconds. */
 const choiceRecheckMs = 20
-/** Shortest time after which a hedge or a time-out is checked again while an attempt waits for the caller to send more of the body, in milliseconds. */
+/** Shortest time after which a time-out is checked again while an attempt waits for the caller to send more of the body, in milliseconds. */
 const minBodyRecheckMs = 20
 const retryableStatuses: readonly number[] = [500, 502, 503, 504]
 
@@ -33,7 +34,6 @@
   private readonly triedEndpoints = new Set<string>()
   private readonly isSuspect: boolean
   private cancelDeadline = (): void => {}
-  private cancelHedge = (): void => {}
   private cancelSlotRequest = (): void => {}
   private selection: loadProbing.EndpointSelection | undefined
   private attempts = 0
@@ -51,10 +51,16 @@
   /** True while a retry has been taken from the budget but not started yet. */
   private hasReservedRetry = false
   private isSettled = false
+  private readonly hedge: callHedge.CallHedge
 
   constructor (private readonly spec: callSpec.CallSpec, private readonly deps: callSpec.CallDeps, private readonly listener: callSpec.ICallListener) {
     for (const endpoint of spec.excludedEndpoints ?? []) this.triedEndpoints.add(endpoint)
     this.isSuspect = this.suspectStatus !== 'clear'
+    this.hedge = new callHedge.CallHedge(spec, deps, {
+      state: () => ({ hasOneAttempt: !this.isSettled && this.runningAttempts.size === 1 && !this.isChoosingEndpoint, canRunAgain: this.canRunAgain, slotRequest: this.slotRequest }),
+      start: (placement) => this.probeAndStart('hedge', placement),
+      stop: (attempt) => this.stopHedge(attempt)
+    })
   }
 
   start (): void {
@@ -122,6 +128,7 @@
     this.selection = new loadProbing.EndpointSelection(probing.deps, this.timeLimits, (choice) => {
       this.isChoosingEndpoint = false
       this.selection = undefined
+      if (event === 'hedge' && this.runningAttempts.size > 0 && this.hedge.mustGiveWay(choice)) return
       if (choice.kind === 'no-free-slot') this.handleNoFreeSlot(event)
       else if (choice.kind === 'placed') this.startAttempt(event, { ...choice.placement, why: `${placement.why}; ${choice.why}` })
       else this.endWithFault(callFault.overloadedFault(choice))
@@ -138,7 +145,8 @@
     this.requestSlotAfter(event === 'route' ? event : 'retry', lateCalls.slotRequestDelayMs(this.laneTypicalLatencyMs, this.deps.random))
   }
 
-  private startAttempt (event: 'route' | 'retry' | 'hedge', placement: slotAssignment.Placement): void {
+  private startAttempt (event: 'route' | 'retry' | 'hedge', chosen: slotAssignment.Placement): void {
+    const placement = this.hedge.trackSlot(chosen)
     const { endpoint, considered, candidates, why, waitedMs } = placement
     if (event === 'retry') {
       this.hasReservedRetry = false
@@ -150,6 +158,7 @@
     this.deps.dispatcher.recordSend(placement)
     const attempt: runningAttempt.RunningAttempt = { placement, startedAt: this.deps.clock.now(), handle: undefined, cancelTimeout: () => {} }
     this.firstStartedAt = Math.min(this.firstStartedAt, attempt.startedAt)
+    this.hedge.recordStart(event, attempt, this.runningAttempts.size > 0)
     this.runningAttempts.add(attempt)
     attempt.handle = this.deps.transport.start(endpoint, {
       onHead: (head) => this.onHead(attempt, head),
@@ -158,7 +167,7 @@
       onBodyEnd: () => placement.release()
     }, this.timedOutAttempt !== undefined || event === 'hedge')
     this.scheduleAttemptTimeout(attempt)
-    if (event === 'route') this.scheduleHedge()
+    if (event === 'route' && !this.isSuspect) this.hedge.schedule()
   }
 
   /** Limits an attempt of an idempotent call to a part of the remaining time, so that a retry can follow. */
@@ -192,6 +201,7 @@
     if (attempt === undefined || !this.runningAttempts.has(attempt)) return
     const written = attempt.handle?.written !== false
     attempt.handle?.abandon()
+    this.hedge.recordFirstAttempt(attempt)
     this.removeAttempt(attempt)
     this.recordFailure(attempt, written ? 'silent' : 'not-written')
     attempt.placement.release()
@@ -204,7 +214,7 @@
   private onHead (attempt: runningAttempt.RunningAttempt, received: transport.ResponseHead): void {
     const shed = this.spec.lane.shedStatuses.includes(received.status)
     const head = shed ? { ...received, notRun: true } : received
-    this.removeAttempt(attempt)
+    this.removeAttempt(attempt, head)
     responseStats.recordHead(attempt, head, this.spec, this.deps, this.laneTypicalLatencyMs)
     if (this.isSettled) return
     if (head.notRun) {
@@ -227,12 +237,13 @@
     if (this.isSettled || isReplaceable || attempt === this.timedOutAttempt) return false
     attempt.respondedAt = this.deps.clock.now()
     attempt.cancelTimeout()
-    this.cancelHedge()
+    this.hedge.cancelSchedule()
     return true
   }
 
-  private removeAttempt (attempt: runningAttempt.RunningAttempt): void {
+  private removeAttempt (attempt: runningAttempt.RunningAttempt, head?: transport.ResponseHead): void {
     attempt.cancelTimeout()
+    this.hedge.recordEnd(attempt, head)
     this.runningAttempts.delete(attempt)
   }
 
@@ -262,7 +273,7 @@
   }
 
   private deliverResponse (attempt: runningAttempt.RunningAttempt, head: transport.ResponseHead): void {
-    this.settle()
+    this.settle(attempt)
     this.deps.decisions.recordWithoutLogging({
       requestId: this.spec.requestId,
       lane: this.spec.laneName,
@@ -406,10 +417,10 @@
   }
 
   /** Cancels timers, pending choices and all attempts that are still in flight. */
-  private settle (): void {
+  private settle (responded?: runningAttempt.RunningAttempt): void {
     this.isSettled = true
+    this.hedge.settle(responded, this.runningAttempts)
     this.cancelDeadline()
-    this.cancelHedge()
     this.cancelSlotRequest()
     this.selection?.cancel()
     for (const attempt of this.runningAttempts) {
@@ -420,27 +431,14 @@
     this.runningAttempts.clear()
   }
 
-  // ---- Hedging ----
-
-  private scheduleHedge (minMs = 0): void {
-    if (!this.spec.lane.idempotent || this.isSuspect) return
-    const delayMs = Math.max(minMs, this.deps.latency.hedgeDelayMs(this.spec.lane, this.deps.dispatcher.typicalLatencyMs))
-    this.cancelHedge = this.deps.clock.after(delayMs, () => this.startHedge())
-  }
-
-  private startHedge (): void {
-    if (this.isSettled || this.runningAttempts.size !== 1 || this.isChoosingEndpoint || !this.canRunAgain) return
-    const { body } = this.spec
-    if (!body.isReplayable || this.suspectStatus !== 'clear') return
-    // The target has not got the whole request.
-    if (body.awaitsCaller) return this.scheduleHedge(minBodyRecheckMs)
-    const placement = this.deps.dispatcher.acquireForHedge(this.slotRequest)
-    if (placement === undefined) return
-    if (!this.deps.budgets.hedges.take()) {
-      placement.release()
-      return
-    }
-    this.probeAndStart('hedge', placement)
+  /** Cancels a hedge whose slot time is used up. It is not held against its endpoint, which may be no slower than usual. */
+  private stopHedge (attempt: runningAttempt.RunningAttempt): void {
+    if (attempt.handle?.written !== false) this.uncertainAttempts++
+    else this.unsentAttempts++
+    attempt.handle?.cancel()
+    this.removeAttempt(attempt)
+    this.record({ event: 'failed', choice: attempt.placement.endpoint.endpoint, attempts: this.attempts, why: 'the slot time of hedges is used up; the first attempt goes on' })
+    attempt.placement.release()
   }
 
   private record (decision: Omit<decisionLog.Decision, 'requestId' | 'lane'> & { readonly event: string, readonly why: string }): void {
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -11,6 +11,7 @@
 import type * as crashDetection from './crashDetection.js'
 import type * as dispatcher from './dispatcher.js'
 import type * as domainPreference from './domainPreference.js'
+import type * as hedging from './hedging.js'
 import type * as laneLatency from './laneLatency.js'
 import type * as loadProbing from './loadProbing.js'
 import type * as requestIdentity from './requestIdentity.js'
@@ -52,6 +53,8 @@
   readonly crashDetector: crashDetection.ICrashDetector
   readonly budgets: budget.LaneBudgets
   readonly latency: laneLatency.LaneLatency
+  /** Limits on hedges that operators set; without them hedges have the budgets of the lane only. */
+  readonly hedging?: hedging.LaneHedging | undefined
   readonly domainPreference: domainPreference.DomainPreference
   readonly decisions: decisionLog.IDecisionLog
   readonly clock: clock.IClock
