Routing: tests of hedges within shares; rule and operation

Cause: the limits on hedges had no test, and operators no description of them.

Change: a load in virtual time with endpoints that are slow for a while, with and without hedges, at moderate load and in overload; the shares in every window for each instance and the sum of 6 and of 140; the budget of repeats; calls that get no hedge. Over real connections, the endpoint of a loser sees its connection closed. A percentile of a lane takes 2,494 bytes, two histograms 24,491 (1,000 of each, after a garbage collection).

--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -15,6 +15,7 @@
 import * as adaptivePolicy from '@rosemaryrack/routing/common/adaptivePolicy.js'
 import * as crashDetection from '@rosemaryrack/routing/common/crashDetection.js'
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
+import type * as hedging from '@rosemaryrack/routing/common/hedging.js'
 import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
@@ -22,6 +23,7 @@
 import * as callerListener from '../node/callerListener.js'
 import type * as callerTask from '../node/callerTask.js'
 import * as forwardListener from '../node/forwardListener.js'
+import * as hedgingMetrics from '../node/hedgingMetrics.js'
 import * as idempotencyClaims from '../node/idempotencyClaims.js'
 import * as laneRegistry from '../node/laneRegistry.js'
 import * as peerForwarder from '../node/peerForwarder.js'
@@ -63,6 +65,7 @@
   /** Delay of a hedge of idempotent requests; none without it. */
   readonly hedgeAfterMs?: number
   readonly shedStatuses?: readonly number[]
+  readonly hedging?: hedging.HedgingOptions
 }
 
 /** An entry instance with the lanes `read` (idempotent, GET and HEAD) and `pay` (POST) of one service. */
@@ -77,6 +80,7 @@
   /** Owners of the keys that this instance has claimed and released. */
   readonly claimOwners: string[] = []
   readonly releasedOwners: string[] = []
+  readonly metrics = new metrics.Metrics(() => ({ count: 0, record: () => {}, valueAtQuantile: () => 0 }))
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly clock = new clock.SystemClock()
   private readonly endpoints = this.disposables.add(new endpointTable.EndpointTable(this.clock))
@@ -137,7 +141,7 @@
     // Always the first of the choices.
     const random = { next: () => 0 }
     const decisions = { record: (decision: decisionLog.Decision) => { this.decisions.push(decision) }, recordWithoutLogging: () => {}, explain: () => [] }
-    const processMetrics = new metrics.Metrics(() => ({ count: 0, record: () => {}, valueAtQuantile: () => 0 }))
+    const processMetrics = this.metrics
     const suspects = disposables.add(new suspectTable.SuspectTable(clock))
     const notices = disposables.add(new endpointNotices.EndpointNotices({ onLeaving: () => {}, onLimit: () => {} }, endpoints, clock, decisions))
     const connections = disposables.add(new targetConnections.TargetConnections())
@@ -148,20 +152,23 @@
       },
       release: async (_keyHash: string, owner: string) => { this.releasedOwners.push(owner) }
     }
+    const lanes = disposables.add(new laneRegistry.LaneRegistry(configs, endpoints, {
+      ownFailureDomain: 'a',
+      liveEntries: () => 1,
+      newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
+      random,
+      notices,
+      isConnected: () => true,
+      repeats: undefined,
+      hedging: this.options.hedging,
+      startingUntil: 0,
+      probesPerEndpointAndSecond: 0,
+      permitSource: { request: (_req, done) => done(undefined) },
+      reachability: this.reachability
+    }, clock))
+    hedgingMetrics.registerHedgingMetrics(processMetrics, lanes.hedging)
     return {
-      lanes: disposables.add(new laneRegistry.LaneRegistry(configs, endpoints, {
-        ownFailureDomain: 'a',
-        liveEntries: () => 1,
-        newPolicy: () => new adaptivePolicy.AdaptivePolicy(random),
-        random,
-        notices,
-        isConnected: () => true,
-        repeats: undefined,
-        startingUntil: 0,
-        probesPerEndpointAndSecond: 0,
-        permitSource: { request: (_req, done) => done(undefined) },
-        reachability: this.reachability
-      }, clock)),
+      lanes,
       connections,
       notices,
       endpoints,
--- a/packages/routing/src/common/recentLatencies.ts
+++ b/packages/routing/src/common/recentLatencies.ts
@@ -1,6 +1,6 @@
 /** Percentiles of the recent latencies of one lane. */
 
-/** Number of latencies kept: 1 KB a lane. A histogram of hdr-histogram-js takes 12 KB, too much where a process has thousands of lanes. */
+/** Number of latencies kept: 2.5 KB a lane. Two histograms of hdr-histogram-js take 24 KB, too much where a process has thousands of lanes. */
 const capacity = 128
 /** A percentile of fewer latencies says little about the next one. */
 const minCount = 20
