Entry: a status outside 200 to 599 is no response of a target

Cause: responses with a status from 600 to 999 were passed on to callers, as the rest of a download too, counted as a reachable endpoint in health checks, and passed through peers. Statuses 000, 099 and 101 were refused only by assertions in the parser of undici, with a message that says nothing, and those in health checks counted.

Change: TargetConnection.dispatch refuses the head of such a response, for attempts, load probes, reachability checks, peers and continued downloads. The attempt fails as lost, its connection is closed, and the usual rules decide. Load probes and checks skip interim responses.

--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -12,11 +12,11 @@
 import type * as callerBody from './callerBody.js'
 import * as headerRules from '../common/headerRules.js'
 import * as responseHeadScanner from '../common/responseHeadScanner.js'
+import * as responseStatus from '../common/responseStatus.js'
 import * as heldResponse from './heldResponse.js'
 import type * as targetConnection from './targetConnection.js'
 import type * as targetConnections from './targetConnections.js'
 
-const firstFinalStatus = 200
 const refusedCode = 'ECONNREFUSED'
 /** Delay of the second check of a target: a process that is ending may accept one more connection. */
 const secondCheckDelayMs = 40
@@ -270,7 +270,7 @@
       },
       onResponseStart: (controller, status, headers) => {
         if (this.connection !== undefined) this.connections.recordResponse(this.address, this.connection)
-        if (status < firstFinalStatus || this.hasEnded) return
+        if (responseStatus.isInterim(status) || this.hasEnded) return
         // Without an id, it can be a late duplicate of the response to a health check.
         const mustHaveId = this.connection?.hasHealthCheck === true
         const mismatch = headerRules.findMismatch(this.req.headerNames, this.req.requestId, status, headers, mustHaveId)
--- a/packages/entry/src/node/httpProber.ts
+++ b/packages/entry/src/node/httpProber.ts
@@ -5,6 +5,7 @@
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as loadProbing from '@rosemaryrack/routing/common/loadProbing.js'
 import * as headerRules from '../common/headerRules.js'
+import * as responseStatus from '../common/responseStatus.js'
 import * as slotLoad from '../common/slotLoad.js'
 import type * as targetConnection from './targetConnection.js'
 import type * as targetConnections from './targetConnections.js'
@@ -80,6 +81,7 @@
     connection.dispatchHealthCheck(healthPath, {
       onRequestStart: () => {},
       onResponseStart: (_controller, status, headers) => {
+        if (responseStatus.isInterim(status)) return
         endWatch()
         connections.recordResponse(address, connection)
         isKeptAlive = headers['connection'] !== 'close'
--- a/packages/entry/src/node/targetChecker.ts
+++ b/packages/entry/src/node/targetChecker.ts
@@ -4,6 +4,7 @@
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import type * as targetCheck from '@rosemaryrack/routing/common/targetCheck.js'
 import * as headerRules from '../common/headerRules.js'
+import * as responseStatus from '../common/responseStatus.js'
 import type * as targetConnection from './targetConnection.js'
 import type * as targetConnections from './targetConnections.js'
 
@@ -90,6 +91,7 @@
     connection.dispatchHealthCheck(healthPath, {
       onRequestStart: () => {},
       onResponseStart: (_controller, status, headers) => {
+        if (responseStatus.isInterim(status)) return
         isKeptAlive = headers['connection'] !== 'close'
         connection.applyKeepAlive(headers['keep-alive'])
         connections.recordResponse(address, connection)
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -3,6 +3,7 @@
 import * as address from '@rosemaryrack/base/common/address.js'
 import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 import * as connectionEnd from '@rosemaryrack/base/node/connectionEnd.js'
+import * as responseStatus from '../common/responseStatus.js'
 
 /** Default of `ConnectOptions.timeoutMs`. */
 const defaultConnectTimeoutMs = 1000
@@ -196,11 +197,18 @@
     this.idleSince = performance.now()
   }
 
+  /** Sends a request. A response whose status is none is reported as an error, and its connection is closed. */
   dispatch (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler): void {
     this.socket.resetProgress()
     this.client.dispatch(options, {
       ...handler,
       onResponseStart: (controller, status, headers, statusMessage) => {
+        const problem = responseStatus.findStatusProblem(status)
+        if (problem !== undefined) {
+          // Closes the connection and reports the error to the handler. undici itself accepts any status from 200.
+          controller.abort(new Error(problem))
+          return
+        }
         this.onResponse()
         handler.onResponseStart?.(controller, status, headers, statusMessage)
       },
