Rackctl: config check FILE

Cause: errors of a configuration show when it is applied, and what is valid but useless (lanes that never match, a wait above the deadline, a burst without a rate, services that no lane uses) does not show at all.

--- a/packages/rackctl/src/node/commands.ts
+++ b/packages/rackctl/src/node/commands.ts
@@ -11,6 +11,8 @@
 export interface Output {
   readonly json: unknown
   readonly lines: readonly string[]
+  /** Exit code of a command that has succeeded, if it is not 0. */
+  readonly exitCode?: number
 }
 
 interface VersionedDocument {
--- a/packages/rackctl/src/node/main.ts
+++ b/packages/rackctl/src/node/main.ts
@@ -3,6 +3,7 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as settingsFile from '@rosemaryrack/config/node/settingsFile.js'
 import * as commands from './commands.js'
+import * as configCheck from './configCheck.js'
 import * as operatorClient from './operatorClient.js'
 
 const programVersion = '0.1.0'
@@ -13,7 +14,8 @@
 Give the addresses of operator listeners, separated by commas, by --control or ${controlVariable}, --entry or ${entryVariable}.
 The token is read from ${tokenVariable}, or from the file given by --settings.
 Exit codes: 0 success, 1 internal error, 2 invalid input, 3 not authorized or wrong cluster, 4 not found,
-5 conflict, 6 no replica available (nothing changed), 7 outcome unknown (resend with the same id), 9 disk failure`
+5 conflict, 6 no replica available (nothing changed), 7 outcome unknown (resend with the same id), 9 disk failure.
+config check: 0 no findings, 1 findings, 2 the file or the version in force can't be read`
 
 interface Options {
   readonly control?: string
@@ -56,7 +58,7 @@
     if (verb !== 'check') throw usageError('usage: settings check FILE')
     return commands.checkSettings(file!)
   })
-  add('config <verb> [file]', 'config get | history | patch --amends N FILE', configAction)
+  add('config <verb> [file]', 'config get | history | check FILE | patch --amends N FILE', configAction)
     .option('--amends <version>', 'Version that the patch amends')
     .option('--id <id>', 'Patch id; resend with the same one when the outcome was unknown')
   add('status', 'Show the state of control replicas and entry instances', statusAction)
@@ -67,10 +69,11 @@
 }
 
 async function configAction ([verb, file]: readonly string[], options: Options): Promise<commands.Output> {
+  if (verb === 'check' && file !== undefined) return await configCheck.checkConfig(file, hasControlAddresses(options) ? createControlClient(options) : undefined)
   const client = createControlClient(options)
   if (verb === 'get') return await commands.getConfig(client)
   if (verb === 'history') return await commands.getHistory(client)
-  if (verb !== 'patch' || file === undefined) throw usageError('usage: config get | history | patch --amends N FILE')
+  if (verb !== 'patch' || file === undefined) throw usageError('usage: config get | history | check FILE | patch --amends N FILE')
   const amends = Number(options.amends)
   if (!Number.isSafeInteger(amends) || amends < 0) throw usageError('--amends N is required, where N is the version that the patch amends')
   return await commands.patchConfig(client, file, amends, options.id === undefined ? undefined : String(options.id))
@@ -121,6 +124,7 @@
 function print (output: commands.Output, options: Options): void {
   const text = options.json === true ? JSON.stringify(output.json) : output.lines.join('\n')
   process.stdout.write(text + '\n')
+  if (output.exitCode !== undefined) process.exitCode = output.exitCode
 }
 
 /** Prints an error and sets the exit code. Invalid arguments arrive as errors of the argument parser. */
