--- a/tap-snapshots/packages/config/dist/test/settingsFile.test.js.test.cjs
+++ b/tap-snapshots/packages/config/dist/test/settingsFile.test.js.test.cjs
@@ -43,6 +43,10 @@
 FOLDER/settings.toml: operator.listen: expected an IP address and port, such as "127.0.0.1:7000", found "localhost:2"
 `
 
+exports[`packages/config/dist/test/settingsFile.test.js > TAP > limits for hedges without a share > must match snapshot 1`] = `
+FOLDER/settings.toml: entry.hedging.slotShare: expected number, found nothing
+`
+
 exports[`packages/config/dist/test/settingsFile.test.js > TAP > no role > must match snapshot 1`] = `
 FOLDER/settings.toml: (root): expected at least one of the sections control and entry, found a table with the keys cluster, instance, failureDomain, inner, operator
 `
@@ -58,6 +62,10 @@
 FOLDER/settings.toml: not TOML: Invalid TOML document: invalid value
 `
 
+exports[`packages/config/dist/test/settingsFile.test.js > TAP > percentile that no recent latencies can show > must match snapshot 1`] = `
+FOLDER/settings.toml: entry.hedging.percentile: expected at most 99, found 99.9
+`
+
 exports[`packages/config/dist/test/settingsFile.test.js > TAP > port out of range > must match snapshot 1`] = `
 FOLDER/settings.toml: operator.listen: expected an IP address and port, such as "127.0.0.1:7000", found "127.0.0.1:70000"
 `
