Testbed: API keys in a fleet of real processes

Cause: the lease was only tested with fake clocks and replicas, and the template of settings has a section that the testbed did not render. The testbed and the review's fleet render sections. A timed out Confirm verifies the connection instead of closing it, since claims and permits share it.

--- a/packages/entry/src/common/leaseRenewal.ts
+++ b/packages/entry/src/common/leaseRenewal.ts
@@ -59,10 +59,11 @@
   private last: LastCall = { kind: 'unreachable' }
   private outstanding = 0
   private turn = 0
-  private couldUseKeys = true
+  private couldUseKeys: boolean
   private readonly failures: failureLog.FailureLog
 
   constructor (private readonly deps: RenewalDeps) {
+    this.couldUseKeys = deps.lease.canUseKeys
     this.failures = new failureLog.FailureLog(deps.decisions, 'key-confirmation')
   }
 
--- a/packages/entry/src/test/keyLease.test.ts
+++ b/packages/entry/src/test/keyLease.test.ts
@@ -229,7 +229,7 @@
     fixture.setAll(fixture.healthy)
     await fixture.pass(450)
     t.equal(fixture.lease.canUseKeys, true)
-    t.match(fixture.decisions.filter(({ event }) => event === 'key-lease').map(({ choice }) => choice), ['lost', 'held'])
+    t.strictSame(fixture.decisions.filter(({ event }) => event === 'key-lease').map(({ choice }) => choice), ['held', 'lost', 'held'])
   }
 })
 
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -174,7 +174,8 @@
     const links = [...this.links.filter((link) => this.followedLinks.has(link)), ...this.links.filter((link) => !this.followedLinks.has(link))]
     const link = links[turn % links.length]!
     const { instance } = this
-    const res = await link.call(async (client, options) => await client.confirm({ instance }, options), confirmTimeoutMs, this.followedLinks.has(link) ? 'keep' : 'reset')
+    // Other calls, which may take longer, use the same connections.
+    const res = await link.call(async (client, options) => await client.confirm({ instance }, options), confirmTimeoutMs, this.followedLinks.has(link) ? 'keep' : 'verify')
     return { version: configVersion.decode(res.version), ageMs: res.ageMs }
   }
 
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -25,6 +25,8 @@
 const callTimeoutMs = 3000
 const callersHost = 'jepu9.example'
 const callerDeadlineMs = 1500
+/** A part of a template that is rendered if its field is present and not false. */
+const section = /\{\{#([A-Za-z.0-9]+)\}\}([^]*?)\{\{\/\1\}\}/g
 const placeholder = /\{\{([A-Za-z.0-9]+)(\|json)?\}\}/g
 
 /** Response to an HTTP request; the status is 0 when none arrived. */
@@ -76,6 +78,8 @@
   readonly servedRequestIds: string[] = []
   /** Times at which the served requests arrived, in their order. */
   readonly servedAt: number[] = []
+  /** Headers of the last served request. */
+  lastHeaders: http.IncomingHttpHeaders = {}
   readonly refusedRequestIds: string[] = []
   /** Whether each response carries the header `Server-Leaving`. */
   isLeaving = false
@@ -167,6 +171,7 @@
     }
     this.servedRequestIds.push(id)
     this.servedAt.push(performance.now())
+    this.lastHeaders = req.headers
     if (this.isSilent) return
     const body = this.createBody(req.url)
     if (this.workMs > 0) setTimeout(() => this.respond(id, req, res, body), this.workMs)
@@ -191,6 +196,8 @@
 export interface FleetOptions {
   /** Entries connect to endpoints from their own IP address, so that the endpoints can tell them apart. */
   readonly hasTargetSource?: boolean
+  /** Limit on the use of removed API keys, in milliseconds; none without it. */
+  readonly revokeMs?: number
 }
 
 /** Starts control replicas and entry instances, numbered from 1, and sends requests to them. */
@@ -306,13 +313,16 @@
       'Bounds.BudgetRatio': 0.2,
       'Bounds.BudgetExtra': 60,
       'Bounds.BudgetWindowS': 10,
-      'Bounds.ProbesPerS': 60
+      'Bounds.ProbesPerS': 60,
+      'Bounds.StrictRevoke': this.options.revokeMs !== undefined,
+      'Bounds.RevokeMs': this.options.revokeMs
     }
   }
 
   private startProcess (name: string, template: string, templateFields: Readonly<Record<string, unknown>>, addedEntrySettings = ''): void {
     const text = fs.readFileSync(path.join(repositoryRoot, 'deploy', `${template}.toml`), 'utf8')
-    const settings = text.replace(placeholder, (_all, field: string, json: string | undefined) => {
+    const selected = text.replace(section, (_all, field: string, content: string) => Object.hasOwn(templateFields, field) && templateFields[field] !== false ? content : '')
+    const settings = selected.replace(placeholder, (_all, field: string, json: string | undefined) => {
       if (!Object.hasOwn(templateFields, field)) throw new Error(`${template}.toml uses the field ${field}, for which the testbed has no value`)
       return json === undefined ? String(templateFields[field]) : JSON.stringify(templateFields[field])
     })
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -11,6 +11,7 @@
 const root = url.fileURLToPath(new URL('../../', import.meta.url))
 const deployed = toml.parse(fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8'))
 const settingsPath = '/etc/rosemaryrack/local.toml'
+const section = /\{\{#([A-Za-z.0-9]+)\}\}([^]*?)\{\{\/\1\}\}/g
 const placeholder = /\{\{([A-Za-z.0-9]+)(\|json)?\}\}/g
 const seedCount = 3
 const restartDelayMs = 200
@@ -169,7 +170,8 @@
 
   run (name, role, fields) {
     const template = fs.readFileSync(path.join(root, deployed.roles[role].template), 'utf8')
-    const settings = template.replace(placeholder, (_all, field, json) => {
+    const selected = template.replace(section, (_all, field, content) => Object.hasOwn(fields, field) && fields[field] !== false ? content : '')
+    const settings = selected.replace(placeholder, (_all, field, json) => {
       if (!Object.hasOwn(fields, field)) throw new Error(`no value for the field ${field} of the template`)
       return json === undefined ? String(fields[field]) : JSON.stringify(fields[field])
     })
