--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -303,7 +303,7 @@
 
   private addGauges (): void {
     this.metrics.registerGauge('rosemaryrack_config_version', {}, () => this.configs.current.version)
-    this.metrics.registerGauge('rosemaryrack_key_confirmation_age_seconds', {}, () => this.lease.ageMs / msPerSecond)
+    this.metrics.registerGauge('rosemaryrack_key_confirmation_age_seconds', {}, () => this.needsLease ? this.lease.ageMs / msPerSecond : 0)
     this.metrics.registerGauge('rosemaryrack_endpoints_live', {}, () => this.endpoints.liveCount)
     this.metrics.registerGauge('rosemaryrack_endpoints_limited', {}, () => this.endpoints.all().filter(endpointTable.isLimited).length)
     this.metrics.registerGauge('rosemaryrack_entries_live', {}, () => this.members.liveEntryCount)
