--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -27,8 +27,8 @@
 const failureDomains = ['a', 'b']
 const callersHost = 'jepu9.example'
 const callerDeadlineMs = 1500
-/** A part that is rendered once for each entry of a table, with `{{@}}` as its key and `{{,}}` between two. */
-const section = /\{\{#([A-Za-z.0-9]+)\}\}(.*?)\{\{\/\1\}\}/g
+/** A part of a template that is rendered once for each entry of a table, with `{{@}}` as its key and `{{,}}` between two, or once for a value that is present and not false. */
+const section = /\{\{#([A-Za-z.0-9]+)\}\}([^]*?)\{\{\/\1\}\}/g
 const placeholder = /\{\{([A-Za-z.0-9]+)(\|json)?\}\}/g
 
 /** Response to an HTTP request; the status is 0 when none arrived. */
@@ -80,6 +80,8 @@
   readonly servedRequestIds: string[] = []
   /** Times at which the served requests arrived, in their order. */
   readonly servedAt: number[] = []
+  /** Headers of the last served request. */
+  lastHeaders: http.IncomingHttpHeaders = {}
   readonly refusedRequestIds: string[] = []
   /** Whether each response carries the header `Server-Leaving`. */
   isLeaving = false
@@ -171,6 +173,7 @@
     }
     this.servedRequestIds.push(id)
     this.servedAt.push(performance.now())
+    this.lastHeaders = req.headers
     if (this.isSilent) return
     const body = this.createBody(req.url)
     if (this.workMs > 0) setTimeout(() => this.respond(id, req, res, body), this.workMs)
@@ -195,6 +198,8 @@
 export interface FleetOptions {
   /** Entries connect to endpoints from their own IP address, so that the endpoints can tell them apart. */
   readonly hasTargetSource?: boolean
+  /** Limit on the use of removed API keys, in milliseconds; none without it. */
+  readonly revokeMs?: number
 }
 
 /** Starts control replicas and entry instances, numbered from 1, and sends requests to them. */
@@ -311,15 +316,16 @@
       'Bounds.BudgetRatio': 0.2,
       'Bounds.BudgetExtra': 60,
       'Bounds.BudgetWindowS': 10,
-      'Bounds.ProbesPerS': 60
+      'Bounds.ProbesPerS': 60,
+      'Bounds.StrictRevoke': this.options.revokeMs !== undefined,
+      'Bounds.RevokeMs': this.options.revokeMs
     }
   }
 
   private startProcess (name: string, template: string, templateFields: Readonly<Record<string, unknown>>, addedEntrySettings = ''): void {
     const text = fs.readFileSync(path.join(repositoryRoot, 'deploy', `${template}.toml`), 'utf8')
-    const rendered = text.replace(section, (_all, table: string, part: string) =>
-      Object.keys(templateFields[table] ?? {}).map((key) => part.replaceAll('{{@}}', key).replaceAll('{{,}}', '\0')).join('').replace(/\0$/, '').replaceAll('\0', ', '))
-    const settings = rendered.replace(placeholder, (_all, field: string, json: string | undefined) => {
+    const selected = text.replace(section, (_all, field: string, content: string) => renderSection(templateFields[field], content))
+    const settings = selected.replace(placeholder, (_all, field: string, json: string | undefined) => {
       if (!Object.hasOwn(templateFields, field)) throw new Error(`${template}.toml uses the field ${field}, for which the testbed has no value`)
       return json === undefined ? String(templateFields[field]) : JSON.stringify(templateFields[field])
     })
@@ -328,3 +334,11 @@
     this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`)))
   }
 }
+
+/** Renders a section for the value of its field. */
+function renderSection (value: unknown, content: string): string {
+  if (value === undefined || value === false) return ''
+  if (typeof value !== 'object' || value === null) return content
+  const keys = Object.keys(value)
+  return keys.map((key, i) => content.replaceAll('{{@}}', key).replaceAll('{{,}}', i < keys.length - 1 ? ', ' : '')).join('')
+}
