--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -7,6 +7,8 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as quarantine from '@rosemaryrack/routing/common/quarantine.js'
+import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as labelledLog from '@rosemaryrack/telemetry/common/labelledLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as forwardHeaders from '../common/forwardHeaders.js'
 import * as headerRules from '../common/headerRules.js'
@@ -70,6 +72,8 @@
   private activeRun: requestRun.RequestRun | undefined
   private claim: idempotencyClaims.Claim | undefined
   private laneName = 'none'
+  /** Names the workspace once the request is authenticated. */
+  private decisions: decisionLog.IDecisionLog
   private body: callerBody.CallerBody | undefined
   /** The response, if its caller learns where the body ends only from the end of the connection. */
   private unframedStream: responseStream.ResponseStream | undefined
@@ -77,6 +81,7 @@
   constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps) {
     const suppliedId = req.headers[deps.headers.requestId]
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
+    this.decisions = deps.decisions
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
   }
 
@@ -112,12 +117,12 @@
   private recordIncompleteClose (): void {
     const { res } = this
     if (!res.headersSent || res.writableFinished) return
-    this.deps.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, ended: res.writableEnded, why: 'the connection of the caller ended before the response was complete' })
+    this.decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, ended: res.writableEnded, why: 'the connection of the caller ended before the response was complete' })
   }
 
   /** Logs that the response is not complete and what it waits for. */
   recordIncomplete (): void {
-    this.deps.decisions.record({ event: 'incomplete', requestId: this.requestId, lane: this.laneName, choice: this.pendingStep, ageMs: Math.round(performance.now() - this.origin.arrivedAt), why: 'the shutdown ends soon' })
+    this.decisions.record({ event: 'incomplete', requestId: this.requestId, lane: this.laneName, choice: this.pendingStep, ageMs: Math.round(performance.now() - this.origin.arrivedAt), why: 'the shutdown ends soon' })
   }
 
   /** Ends a request whose response has not begun with a final fault, because the process is about to be killed. */
@@ -207,7 +212,9 @@
     const { auth, reachability, decisions } = this.deps
     const access = auth.authenticate(this.req.rawHeaders, lane, this.origin.forwarded === undefined && reachability.isCutOff)
     const { workspace } = access
-    if (workspace !== undefined) decisions.recordWithoutLogging({ event: 'workspace', requestId: this.requestId, lane: this.laneName, choice: workspace.name, why: 'the API key of the request belongs to it' })
+    if (workspace === undefined) return access
+    decisions.recordWithoutLogging({ event: 'workspace', requestId: this.requestId, lane: this.laneName, choice: workspace.name, why: 'the API key of the request belongs to it' })
+    this.decisions = new labelledLog.LabelledLog(decisions, { workspace: workspace.name })
     return access
   }
 
@@ -288,7 +295,7 @@
       send()
     } catch (err) {
       const message = `the response could not be passed on: ${errors.messageOf(err)}`
-      this.deps.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: response.source, why: message })
+      this.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: response.source, why: message })
       response.attempt.cancel()
       this.refuseAfterSuspectWrites(identity, { kind: 'unknown', message, timedOut: false })
     }
@@ -315,7 +322,7 @@
       if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
-      if (end === 'complete' && !body.isReceived) callerBody.discardRestOf(this.req, body, (why) => this.deps.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why }))
+      if (end === 'complete' && !body.isReceived) callerBody.discardRestOf(this.req, body, (why) => this.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why }))
     })
     if (this.endsWithConnection(head)) this.watchUnframed(stream)
     attempt.pipe(stream)
@@ -330,7 +337,7 @@
   }
 
   private recordCut (reason: responseStream.CutReason, source: string): void {
-    const { decisions, metrics } = this.deps
+    const { decisions, deps: { metrics } } = this
     // The peer counts a forwarded request as its caller's.
     if (this.origin.forwarded === undefined) metrics.count('rosemaryrack_cut_responses_total', { lane: this.laneName, reason })
     const why = responseStream.cutMessages[reason]
@@ -411,7 +418,7 @@
   /** Records a refusal before a run was started; a run records its own. */
   private recordRefusal (fault: errors.Fault): void {
     if (this.activeRun !== undefined) return
-    this.deps.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: fault.kind, why: fault.message })
+    this.decisions.record({ event: 'refuse', requestId: this.requestId, lane: this.laneName, choice: fault.kind, why: fault.message })
   }
 
   private countOutcome (outcome: string): void {
