Entry: tests of keys during the start and without a lane

Cause: the order of waiting for the first configuration, of the 404 and of the authentication had no test. Change: three tests in workspaceRequests.test; the fixture takes a confirmation.

--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -67,6 +67,8 @@
   readonly workspaces?: object
   /** True if the lane `read` needs no API key. */
   readonly isPublic?: boolean
+  /** Confirmation of the first configuration; without it, that is confirmed from the start. */
+  readonly confirmation?: startup.IConfirmation
 }
 
 /** An entry instance with the lanes `read` (idempotent, GET and HEAD) and `pay` (POST) of one service. */
@@ -194,7 +196,7 @@
       fractionalRetryAfter: true,
       probing: undefined,
       auth: disposables.add(new workspaceAuth.WorkspaceAuth({ configs, freshness: this.freshness, headers: headerNames, metrics: processMetrics })),
-      startup: new startup.Startup({ confirmedAgeMs: 0, waitForConfirmation: async () => true }, clock),
+      startup: new startup.Startup(this.options.confirmation ?? { confirmedAgeMs: 0, waitForConfirmation: async () => true }, clock),
       isStopping: () => this.isStopping,
       reachability: this.reachability,
       forwarder: disposables.add(new peerForwarder.PeerForwarder({
--- a/packages/entry/src/test/workspaceRequests.test.ts
+++ b/packages/entry/src/test/workspaceRequests.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as tap from 'tap'
+import * as async from '@rosemaryrack/base/common/async.js'
 import * as entries from './forwardingEntry.js'
 
 const eventTimeoutMs = 20_000
@@ -70,6 +71,34 @@
   t.equal(endpoint.requests.length, 0)
 })
 
+tap.t.test('a request without a lane gets 404, with or without a key', async (t) => {
+  await using entry = await entries.TestEntry.start('entry', [], { workspaces })
+  for (const headers of [{}, withKey]) t.match(await entries.send(entry.callersAddress, 'PUT', headers), { status: 404 })
+})
+
+// Guards against requests that run without a key because they arrived before the configuration that requires it.
+tap.t.test('requests that wait for the first configuration are authenticated by it', async (t) => {
+  const confirmed = new async.Deferred<boolean>()
+  const confirmation = { confirmedAgeMs: Infinity, waitForConfirmation: async () => await confirmed.promise }
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using entry = await entries.TestEntry.start('entry', [endpoint], { configVersion: 0, confirmation })
+  const known = entries.send(entry.callersAddress, 'GET', withKey)
+  const unknown = entries.send(entry.callersAddress, 'GET', { authorization: 'Bearer secret-of-nobody' })
+  await timers.setTimeout(settleMs)
+  entry.replaceWorkspaces(workspaces)
+  confirmed.resolve(true)
+  t.match(await known, { status: 200 })
+  t.match(await unknown, { status: 401 })
+  checkSecrecy(t, [endpoint], [entry])
+})
+
+// Guards against a refusal whose cause is not found, because its line does not name the workspace.
+tap.t.test('a refusal after the authentication names the workspace', async (t) => {
+  await using entry = await entries.TestEntry.start('entry', [], { workspaces })
+  t.match(await entries.send(entry.callersAddress, 'GET', withKey), { status: 503 })
+  t.match(entry.eventsOf('refuse'), [{ workspace: 'red' }])
+})
+
 tap.t.test('a retry has the same headers as the first attempt', async (t) => {
   const fail: http.RequestListener = (req, res) => { res.writeHead(500, entries.stamp(req)).end() }
   await using first = await entries.startEndpoint('e-1', fail)
