--- a/packages/config/src/node/settingsFile.ts
+++ b/packages/config/src/node/settingsFile.ts
@@ -4,10 +4,14 @@
 import type * as zod from 'zod'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as settings from '../common/settings.js'
+import * as settingsEnvironment from '../common/settingsEnvironment.js'
 
-/** Reads a TOML settings file; throws `invalid-settings` with file, key, expected and found value of each problem. */
-export function loadSettings (file: string): settings.Settings {
-  const raw = parseToml(file)
+/**
+ * Reads a TOML settings file, to which environment variables add; throws `invalid-settings` with file, key, expected and found value of each
+ * problem.
+ */
+export function loadSettings (file: string, environment: Readonly<Record<string, string | undefined>> = process.env): settings.Settings {
+  const raw = settingsEnvironment.addEnvironment(parseToml(file), environment)
   const result = settings.schema.safeParse(raw, { reportInput: true })
   if (result.success) return result.data
   const lines = result.error.issues.map((issue) => `${file}: ${describeIssue(issue, raw)}`)
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -27,8 +27,6 @@
 const failureDomains = ['a', 'b']
 const callersHost = 'jepu9.example'
 const callerDeadlineMs = 1500
-/** A part of a template that is rendered once for each entry of a table, with `{{@}}` as its key and `{{,}}` between two, or once for a value that is present and not false. */
-const section = /\{\{#([A-Za-z.0-9]+)\}\}([^]*?)\{\{\/\1\}\}/g
 const placeholder = /\{\{([A-Za-z.0-9]+)(\|json)?\}\}/g
 
 /** Response to an HTTP request; the status is 0 when none arrived. */
@@ -305,7 +303,6 @@
     return {
       Node: `node-${octet}`,
       Zone: 'a',
-      Zones: Object.fromEntries(failureDomains.map((name) => [name, {}])),
       Ip: this.ipAddress(octet),
       'InternalPorts.0': innerPort,
       'InternalPorts.1': forwardPort,
@@ -316,29 +313,27 @@
       'Bounds.BudgetRatio': 0.2,
       'Bounds.BudgetExtra': 60,
       'Bounds.BudgetWindowS': 10,
-      'Bounds.ProbesPerS': 60,
-      'Bounds.StrictRevoke': this.options.revokeMs !== undefined,
-      'Bounds.RevokeMs': this.options.revokeMs
+      'Bounds.ProbesPerS': 60
+    }
+  }
+
+  /** Settings that the deploy file passes in environment variables. */
+  private get environment (): Readonly<Record<string, string>> {
+    const { revokeMs } = this.options
+    return {
+      RACK_FAILURE_DOMAINS: JSON.stringify(Object.fromEntries(failureDomains.map((name) => [name, 'region']))),
+      ...(revokeMs === undefined ? {} : { RACK_STRICT_REVOKE: 'true', RACK_REVOKE_WITHIN_MS: String(revokeMs) })
     }
   }
 
   private startProcess (name: string, template: string, templateFields: Readonly<Record<string, unknown>>, addedEntrySettings = ''): void {
     const text = fs.readFileSync(path.join(repositoryRoot, 'deploy', `${template}.toml`), 'utf8')
-    const selected = text.replace(section, (_all, field: string, content: string) => renderSection(templateFields[field], content))
-    const settings = selected.replace(placeholder, (_all, field: string, json: string | undefined) => {
+    const settings = text.replace(placeholder, (_all, field: string, json: string | undefined) => {
       if (!Object.hasOwn(templateFields, field)) throw new Error(`${template}.toml uses the field ${field}, for which the testbed has no value`)
       return json === undefined ? String(templateFields[field]) : JSON.stringify(templateFields[field])
     })
     const file = path.join(this.folder, `${name}.toml`)
     fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${addedEntrySettings}`))
-    this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`)))
+    this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`), undefined, this.environment))
   }
 }
-
-/** Renders a section for the value of its field. */
-function renderSection (value: unknown, content: string): string {
-  if (value === undefined || value === false) return ''
-  if (typeof value !== 'object' || value === null) return content
-  const keys = Object.keys(value)
-  return keys.map((key, i) => content.replaceAll('{{@}}', key).replaceAll('{{,}}', i < keys.length - 1 ? ', ' : '')).join('')
-}
--- a/packages/testbed/src/node/managedProcess.ts
+++ b/packages/testbed/src/node/managedProcess.ts
@@ -16,8 +16,11 @@
   private hasExited = false
   private isExitExpected = false
 
-  /** @param maxFileBytes limit on the size of each file that the process writes, which simulates a full disk. */
-  constructor (readonly name: string, script: string, args: readonly string[], private readonly logFile: string, maxFileBytes?: number) {
+  /**
+   * @param maxFileBytes limit on the size of each file that the process writes, which simulates a full disk.
+   * @param environment variables beside those of this process.
+   */
+  constructor (readonly name: string, script: string, args: readonly string[], private readonly logFile: string, maxFileBytes?: number, private readonly environment: Readonly<Record<string, string>> = {}) {
     this.child = maxFileBytes === undefined ? this.spawn(script, args) : this.spawnWithFileLimit(script, args, maxFileBytes)
     this.exited = new Promise((resolve) => {
       this.child.once('exit', (code) => {
@@ -29,7 +32,7 @@
 
   private spawn (script: string, args: readonly string[]): childProcess.ChildProcess {
     const logFd = fs.openSync(this.logFile, 'a')
-    const child = childProcess.spawn(process.execPath, [script, ...args], { stdio: ['ignore', logFd, logFd] })
+    const child = childProcess.spawn(process.execPath, [script, ...args], { stdio: ['ignore', logFd, logFd], env: { ...process.env, ...this.environment } })
     fs.closeSync(logFd)
     return child
   }
