--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -44,6 +44,30 @@
   targetAway: headerName.optional()
 })
 
+/** Limits on what callers use of an instance. Together, the defaults need less than 250 MB and 4,100 file descriptors. */
+const callersSchema = zod.strictObject({
+  listen: hostPort,
+  /** Requests of one connection that are served at a time; further ones stay unread. */
+  requestsPerConnection: zod.number().int().min(1).max(10_000).default(16),
+  /** Requests of all connections that are served at a time. */
+  requests: zod.number().int().min(1).max(1_000_000).default(1024),
+  /** Share of `requests` that is left for connections with a single request. */
+  reservedShare: zod.number().min(0).max(1).default(0.25),
+  /** Connections of callers. */
+  connections: zod.number().int().min(1).max(1_000_000).default(1900),
+  /** Bytes of responses of one connection, and of all, that wait for callers to read them. */
+  unsentBytesPerConnection: zod.number().int().min(65_536).default(4_194_304),
+  unsentBytes: zod.number().int().min(65_536).default(33_554_432),
+  /** Connections to endpoints, including those that are being opened. */
+  targetConnections: zod.number().int().min(1).max(1_000_000).default(1600),
+  /** Connections to endpoints that are being opened for requests and load probes. */
+  targetConnects: zod.number().int().min(1).max(1_000_000).default(800),
+  /** Idempotency keys that are being claimed at a time; a request beyond that is refused. */
+  claims: zod.number().int().min(1).max(100_000).default(128),
+  /** Log lines per second on single requests; other lines are not limited. */
+  logLinesPerSecond: zod.number().int().min(1).max(1_000_000).default(2000)
+})
+
 const settingsSchema = zod.strictObject({
   cluster: name,
   instance: identifier,
@@ -88,7 +112,7 @@
     snapshotEvery: zod.number().int().min(10).max(1_000_000).default(1000)
   }).optional(),
   entry: zod.strictObject({
-    callers: zod.strictObject({ listen: hostPort }),
+    callers: callersSchema,
     /** Takes requests that peers forward because they cannot reach targets. */
     forwarding: zod.strictObject({
       listen: hostPort,
@@ -151,6 +175,8 @@
 /** Validated settings of one process. */
 export type Settings = deepReadonly.DeepReadonly<zod.infer<typeof settingsSchema>>
 export type ControlSettings = NonNullable<Settings['control']>
+/** Limits on what callers use, with the address of their listener. */
+export type CallerSettings = EntrySettings['callers']
 export type HeaderNames = EntrySettings['headers']
 export type EntrySettings = NonNullable<Settings['entry']>
 
--- a/packages/entry/src/common/requestGuard.ts
+++ b/packages/entry/src/common/requestGuard.ts
@@ -2,6 +2,8 @@
 import * as errors from '@rosemaryrack/base/common/errors.js'
 
 const maxRequestTargetLength = 8192
+/** Longest part of a path that a fault names. */
+const maxNamedPathLength = 200
 const requestIdPattern = /^[A-Za-z0-9._:-]{1,128}$/
 const dotSegmentPattern = /^(?:\.|%2e){1,2}$/i
 // A request target must not contain control characters, spaces, quotes, backslashes and the like.
@@ -48,3 +50,8 @@
 function newBadRequestError (message: string): errors.RackError {
   return new errors.RackError({ kind: 'bad-request', message })
 }
+
+/** Returns the beginning of a path, for faults: the log keeps many of them. */
+export function abbreviate (path: string): string {
+  return path.length <= maxNamedPathLength ? path : `${path.slice(0, maxNamedPathLength)}...`
+}
--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -2,11 +2,18 @@
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import type * as callerLimiter from './callerLimiter.js'
+import * as connectionRequests from './connectionRequests.js'
+import * as unsentResponses from './unsentResponses.js'
 
 /** Time without further bytes after which a request whose headers are incomplete no longer keeps its connection open, in milliseconds. */
 const stalledRequestMs = 500
+/** Time between two counts of the bytes that wait for callers; the requests that are served at a time limit what is added meanwhile. */
+const unsentCheckIntervalMs = 250
 
 interface ConnectionState {
+  /** Undefined on a listener without limits. */
+  readonly requests: connectionRequests.ConnectionRequests | undefined
   /** Responses whose last byte has not been passed to the kernel. */
   readonly pendingResponses: Set<http.ServerResponse>
   /** True once a response has announced that the connection ends with it. */
@@ -32,9 +39,18 @@
  */
 export class CallerConnections implements IConnectionEnds {
   private readonly states = new Map<net.Socket, ConnectionState>()
-
-  /** @param serve called with each request of a connection that does not end. */
-  constructor (server: http.Server, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: http.RequestListener) {
+  private unsentTimer: NodeJS.Timeout | undefined
+  private isReading = true
+
+  /**
+   * @param serve called with each request of a connection that does not end.
+   * @param limiter undefined for a listener without limits.
+   */
+  constructor (server: http.Server, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: connectionRequests.RequestHandler, private readonly limiter?: callerLimiter.CallerLimiter) {
+    if (limiter !== undefined) {
+      server.maxConnections = limiter.limits.connections
+      server.on('drop', (dropped?: net.DropArgument) => limiter.recordClose('connections', dropped?.remoteAddress))
+    }
     server.on('connection', (socket: net.Socket) => this.add(socket))
     // Replaces the closing of idle connections by Node.js.
     server.on('timeout', (socket: net.Socket) => this.closeAfterPoll(socket))
@@ -48,7 +64,8 @@
 
   canEndAfter (res: http.ServerResponse): boolean {
     // The head of a response that is queued behind another one is sent later, and further requests may arrive until then.
-    return (this.states.get(res.req.socket)?.pendingResponses.size ?? 0) <= 1
+    const state = this.states.get(res.req.socket)
+    return state === undefined || (state.pendingResponses.size <= 1 && (state.requests?.unparsedBytes ?? 0) === 0)
   }
 
   endAfter (res: http.ServerResponse): void {
@@ -63,6 +80,13 @@
     }
   }
 
+  /** Reads no further requests: only those that are parsed get a response. */
+  stopReading (): void {
+    if (!this.isReading) return
+    this.isReading = false
+    for (const { requests } of this.states.values()) requests?.discard()
+  }
+
   /** Closes a connection without a pending response unless bytes arrive on it: the timers of a process that was busy or paused run before it reads. */
   private closeAfterPoll (socket: net.Socket): void {
     const { bytesRead } = socket
@@ -72,25 +96,30 @@
   }
 
   private add (socket: net.Socket): void {
-    const state = { pendingResponses: new Set<http.ServerResponse>(), isEnding: false, processedBytes: 0, seenBytes: 0, unchangedSince: performance.now() }
+    const requests = this.limiter === undefined ? undefined : new connectionRequests.ConnectionRequests(socket, this.limiter, this.serve)
+    const state = { requests, pendingResponses: new Set<http.ServerResponse>(), isEnding: false, processedBytes: 0, seenBytes: 0, unchangedSince: performance.now() }
     this.states.set(socket, state)
     socket.once('close', () => {
       this.states.delete(socket)
+      requests?.discard()
       for (const res of state.pendingResponses) closeQueued(res)
     })
   }
 
   private accept (req: http.IncomingMessage, res: http.ServerResponse): void {
     const state = this.states.get(req.socket)
+    state?.requests?.noteRequest(req)
     if (state?.isEnding === true) {
       this.decisions.record({ event: 'close', why: 'a request came after the response that announced the end of its connection; it was not run' })
       // Unread input would reset the connection when it is closed.
       req.resume()
       return
     }
-    if (state !== undefined) this.trackResponse(req.socket, state, res)
+    const request = { req, res, isServing: false }
+    if (state !== undefined) this.trackResponse(req.socket, state, request)
     if (req.headers.upgrade !== undefined) this.endWithUpgrade(res)
-    this.serve(req, res)
+    if (state?.requests === undefined) this.serve(req, res, undefined)
+    else state.requests.admit(request)
   }
 
   /** Node.js skips what it has read behind a request that asks for an upgrade, so that the next bytes may be a part of a skipped request. */
@@ -99,13 +128,37 @@
     this.endAfter(res)
   }
 
-  private trackResponse (socket: net.Socket, state: ConnectionState, res: http.ServerResponse): void {
+  private trackResponse (socket: net.Socket, state: ConnectionState, request: connectionRequests.AdmittedRequest): void {
+    const { res } = request
     state.pendingResponses.add(res)
+    if (this.limiter !== undefined) this.unsentTimer ??= setTimeout(() => this.checkUnsent(), unsentCheckIntervalMs).unref()
     res.once('close', () => {
       state.pendingResponses.delete(res)
-      state.processedBytes = socket.bytesRead
+      state.processedBytes = socket.bytesRead - (state.requests?.unparsedBytes ?? 0)
+      state.requests?.complete(request)
     })
   }
+
+  /** Closes the connections that exceed the limits on bytes that wait for callers to read them. */
+  private checkUnsent (): void {
+    const limiter = this.limiter!
+    const unsentBytes = new Map<net.Socket, number>()
+    let isAnyPending = false
+    limiter.unsentBytes = 0
+    for (const [socket, { pendingResponses }] of this.states) {
+      if (pendingResponses.size === 0) continue
+      isAnyPending = true
+      const bytes = unsentResponses.countUnsent(socket, pendingResponses)
+      limiter.unsentBytes += bytes
+      if (bytes > 0) unsentBytes.set(socket, bytes)
+    }
+    for (const socket of unsentResponses.findExcess(unsentBytes, limiter.limits)) {
+      limiter.recordClose(unsentBytes.get(socket)! > limiter.limits.unsentBytesPerConnection ? 'unsentBytesPerConnection' : 'unsentBytes', socket.remoteAddress)
+      // After a reset, a response without a length does not look complete.
+      socket.resetAndDestroy()
+    }
+    this.unsentTimer = isAnyPending ? setTimeout(() => this.checkUnsent(), unsentCheckIntervalMs).unref() : undefined
+  }
 }
 
 function isIdle ({ bytesRead }: net.Socket, state: ConnectionState): boolean {
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -60,7 +60,7 @@
   readonly canStartRequests: boolean
 }
 
-/** Handles one request. */
+/** Handles one request; refuses it at once if it was given a fault. */
 export class CallerTask implements gracefulServer.IRequestTask {
   private readonly requestId: string
   private readonly done = new async.Deferred<void>()
@@ -71,7 +71,7 @@
   /** The response, if its caller learns where the body ends only from the end of the connection. */
   private unframedStream: responseStream.ResponseStream | undefined
 
-  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps) {
+  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps, private readonly refusal?: errors.Fault) {
     const suppliedId = req.headers[deps.headers.requestId]
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
@@ -86,7 +86,7 @@
       this.done.resolve()
     })
     try {
-      await this.handle()
+      await (this.refusal === undefined ? this.handle() : faultResponse.throwAfterParsing(this.refusal))
     } catch (err) {
       this.refuse(errors.faultOf(err))
     }
@@ -194,7 +194,7 @@
     const host = this.req.headers.host?.replace(/:\d+$/, '')
     const namedLane = this.deps.lanes.find(this.req.method ?? '', host, path)
     if (namedLane !== undefined) return namedLane
-    throw new errors.RackError({ kind: 'no-lane', message: `no lane matches ${this.req.method ?? ''} ${path}` })
+    throw new errors.RackError({ kind: 'no-lane', message: `no lane matches ${this.req.method ?? ''} ${requestGuard.abbreviate(path)}` })
   }
 
   /** Applies the limit on attempts that came with a forwarded request. */
@@ -259,7 +259,7 @@
       claim: this.claim?.id
     }
     const run = (target: Pick<requestRun.RunSpec, 'req' | 'arrivedAt' | 'excludedEndpoints'>, listener: requestRun.IRunListener): void => {
-      this.activeRun = new requestRun.RequestRun({ ...spec, ...target }, this.deps, listener)
+      this.activeRun = new requestRun.RequestRun({ ...spec, ...target, connection: this.origin.connection }, this.deps, listener)
       this.activeRun.start()
     }
     const fetchRest: downloadResumer.RestFetcher = (headers, excludedEndpoints, listener) => {
--- a/packages/entry/src/node/claimReleases.ts
+++ b/packages/entry/src/node/claimReleases.ts
@@ -9,6 +9,8 @@
 const maxRetryMs = 4000
 /** Limits the memory for releases that wait while the control group does not respond. */
 const maxWaiting = 20_000
+/** Releases that are under way at a time; further ones wait, and are then made one after the other. */
+const maxCalls = 32
 const subject = 'control group'
 
 /** Source of claims: the control group. */
@@ -27,6 +29,7 @@
   private cancelRetry: (() => void) | undefined
   private retryMs = minRetryMs
   private isRetrying = false
+  private calls = 0
   private isDisposed = false
 
   constructor (private readonly source: IClaimSource, private readonly clock: clock.IClock, private readonly decisions: decisionLog.IDecisionLog) {
@@ -40,14 +43,17 @@
 
   /** Releases a claim now, or after the earlier ones while releases fail. */
   add (id: claimId.ClaimId): void {
-    if (this.waiting.length === 0) this.releaseNow(id)
+    if (this.waiting.length === 0 && this.calls < maxCalls) this.releaseNow(id)
     else this.postpone(id)
   }
 
   private async releaseNow (id: claimId.ClaimId): Promise<void> {
-    if (await this.tryRelease(id)) return
-    this.postpone(id)
-    this.scheduleRetry()
+    if (!await this.tryRelease(id)) {
+      this.postpone(id)
+      this.scheduleRetry()
+    } else if (this.waiting.length > 0 && !this.isRetrying && this.cancelRetry === undefined && !this.isDisposed) {
+      this.retry()
+    }
   }
 
   private postpone (id: claimId.ClaimId): void {
@@ -58,6 +64,7 @@
   }
 
   private async tryRelease ({ keyHash, owner }: claimId.ClaimId): Promise<boolean> {
+    this.calls++
     try {
       await this.source.release(keyHash, owner)
       this.failures.noteSuccess(subject)
@@ -65,6 +72,8 @@
     } catch (err) {
       this.failures.noteFailure(subject, err)
       return false
+    } finally {
+      this.calls--
     }
   }
 
--- /dev/null
+++ b/packages/entry/src/node/connectionRequests.ts
@@ -0,0 +1,112 @@
+/** Requests of one caller's connection: those that are served, and those that wait for them. */
+import type * as http from 'node:http'
+import type * as net from 'node:net'
+import type * as errors from '@rosemaryrack/base/common/errors.js'
+import * as callerLimiter from './callerLimiter.js'
+import * as requestFeed from './requestFeed.js'
+
+const refusedStatus = 503
+
+/** Serves a request, or refuses it with the given fault. */
+export type RequestHandler = (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Fault | undefined) => void
+
+/** A request that is served, refused or waits. */
+export interface AdmittedRequest {
+  readonly req: http.IncomingMessage
+  readonly res: http.ServerResponse
+  isServing: boolean
+}
+
+/** Serves requests in their order, a limited number at a time. */
+export class ConnectionRequests {
+  private readonly feed: requestFeed.RequestFeed
+  /** Requests that were parsed together with the last one that can be served now. */
+  private readonly waiting: AdmittedRequest[] = []
+  private serving = 0
+  private unanswered = 0
+  /** True once the connection has had as many requests as are served at a time, and once one was refused, since its last pause. */
+  private hasReachedLimit = false
+  private hasRefusal = false
+  private endPause: (() => void) | undefined
+
+  constructor (socket: net.Socket, private readonly limiter: callerLimiter.CallerLimiter, private readonly serve: RequestHandler) {
+    this.feed = new requestFeed.RequestFeed(socket, () => this.endPause === undefined && this.unanswered < this.limiter.limits.requestsPerConnection)
+  }
+
+  /** Bytes received that are not parsed yet. */
+  get unparsedBytes (): number {
+    return this.feed.unparsedBytes
+  }
+
+  /** Must be called with each request of the connection. */
+  noteRequest (req: http.IncomingMessage): void {
+    this.feed.noteRequest(req)
+    this.unanswered++
+    if (this.unanswered < this.limiter.limits.requestsPerConnection) return
+    this.hasReachedLimit = true
+    this.limiter.count('requestsPerConnection')
+  }
+
+  /** Serves a request, at once or once others of the connection are complete; refuses it if the instance has no slot for it. */
+  admit (request: AdmittedRequest): void {
+    this.waiting.push(request)
+    this.startWaiting()
+  }
+
+  /** Must be called when the response to an admitted request is complete or its connection has ended. */
+  complete ({ res, isServing }: AdmittedRequest): void {
+    this.unanswered--
+    if (isServing) this.release()
+    if (res.statusCode === refusedStatus) this.hasRefusal = true
+    this.pauseAfterRefusal()
+    this.startWaiting()
+    this.feed.continue()
+  }
+
+  /** Reads and serves no further requests. */
+  discard (): void {
+    this.waiting.length = 0
+    this.endPause?.()
+    this.endPause = undefined
+    this.feed.discard()
+  }
+
+  /** Pauses a connection that sends more than is served at a time although requests of it were refused. */
+  private pauseAfterRefusal (): void {
+    if (!this.hasReachedLimit || !this.hasRefusal || this.endPause !== undefined) return
+    this.hasReachedLimit = false
+    this.hasRefusal = false
+    this.endPause = this.limiter.pacing.pause(() => {
+      this.endPause = undefined
+      this.feed.continue()
+    })
+  }
+
+  /** Starts what waits, at most as many as there is room for. */
+  private startWaiting (): void {
+    while (this.waiting.length > 0 && this.serving < this.limiter.limits.requestsPerConnection) {
+      const isStarted = this.limiter.slots.tryTake(this.serving === 0)
+      // The next completion on this connection starts it.
+      if (!isStarted && this.serving > 0) return
+      const request = this.waiting.shift()!
+      if (isStarted) this.start(request)
+      else this.refuse(request)
+    }
+  }
+
+  private start (request: AdmittedRequest): void {
+    this.serving++
+    request.isServing = true
+    this.serve(request.req, request.res, undefined)
+  }
+
+  private refuse ({ req, res }: AdmittedRequest): void {
+    this.limiter.count('requests')
+    this.serve(req, res, callerLimiter.noSlotFault)
+  }
+
+  private release (): void {
+    this.serving--
+    this.limiter.slots.release()
+  }
+}
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -73,7 +73,7 @@
     private readonly decisions: decisionLog.IDecisionLog,
     private readonly metrics: metrics.Metrics
   ) {
-    this.connections = this.disposables.add(new targetConnections.TargetConnections(this.contacts, { sourceHost: entry.targetSourceHost }))
+    this.connections = this.disposables.add(new targetConnections.TargetConnections(this.contacts, { sourceHost: entry.targetSourceHost }, entry.callers, (limit) => metrics.count('rosemaryrack_caller_limits_total', { limit })))
     const identity = innerListener.createLinkIdentity(cfg.cluster, cfg.inner)
     const seeds = rotateRandomly(settings.seedInnerAddresses(cfg, entry.seeds))
     const { members, configs } = this.createFleetTables(cfg, identity, seeds)
@@ -122,7 +122,7 @@
       random
     }))
     const callerDeps = this.createCallerDeps()
-    this.callers = new callerListener.CallerListener(entry.graceS, configs, callerDeps)
+    this.callers = new callerListener.CallerListener(entry.graceS, entry.callers, configs, callerDeps)
     this.forwards = entry.forwarding === undefined ? undefined : this.createForwardListener(entry.forwarding, identity, callerDeps)
     this.publishForwarding()
     this.disposables.add(this.reachability.onChanged(() => this.publishForwarding()))
@@ -234,7 +234,7 @@
       endpoints: this.endpoints,
       suspects: this.suspects,
       crashDetector: this.crashDetector,
-      claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.configs, this.clock, this.decisions)),
+      claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.configs, this.clock, this.decisions, this.entry.callers.claims, () => this.metrics.count('rosemaryrack_caller_limits_total', { limit: 'claims' }))),
       waitForSuspectWrites: async () => await this.mesh.waitForWrites(),
       decisions: this.decisions,
       metrics: this.metrics,
@@ -292,6 +292,10 @@
     this.metrics.registerGauge('rosemaryrack_entries_live', {}, () => this.members.liveEntryCount)
     this.metrics.registerGauge('rosemaryrack_cut_off', {}, () => this.reachability.isCutOff ? 1 : 0)
     this.metrics.registerGauge('rosemaryrack_target_connections', {}, () => this.connections.count)
+    this.metrics.registerGauge('rosemaryrack_caller_connections', {}, () => this.callers.connectionCount)
+    this.metrics.registerGauge('rosemaryrack_caller_connections_paused', {}, () => this.callers.pausedConnectionCount)
+    this.metrics.registerGauge('rosemaryrack_unsent_response_bytes', {}, () => this.callers.unsentBytes)
+    this.metrics.registerGauge('rosemaryrack_target_connects', {}, () => this.connections.connectingCount)
     this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.inFlightCount)
     this.metrics.registerGauge('rosemaryrack_forwarded_in_flight', {}, () => this.forwards?.inFlightCount ?? 0)
     this.metrics.registerGauge('rosemaryrack_held_request_body_bytes', {}, () => callerBody.heldBytes())
--- a/packages/entry/src/node/faultResponse.ts
+++ b/packages/entry/src/node/faultResponse.ts
@@ -1,6 +1,7 @@
 /** Sends the response to a request that this process refuses. */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as headerRules from '../common/headerRules.js'
 
@@ -45,6 +46,12 @@
   return announcesEnd
 }
 
+/** Throws the fault of a request that is refused as soon as it is received: the parser reports the end of one without a body only after the event of its head. */
+export async function throwAfterParsing (fault: errors.Fault): Promise<never> {
+  await async.nextTurn()
+  throw new errors.RackError(fault)
+}
+
 function drainBody (req: http.IncomingMessage): void {
   const { socket } = req
   const timer = setTimeout(() => socket.destroy(), lingerMs).unref()
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -5,8 +5,10 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
+import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as callerConnections from './callerConnections.js'
+import type * as callerLimiter from './callerLimiter.js'
 import * as responseAbort from './responseAbort.js'
 
 const noRequestTimeout = 0
@@ -65,9 +67,10 @@
 
   /**
    * @param graceS seconds from the start of the shutdown until the process is killed.
-   * @param serve resolves when the response has ended; rejects when an internal error left it open.
+   * @param serve resolves when the response has ended; rejects when an internal error left it open. It gets the fault of a request that must be refused.
+   * @param limiter limits on callers; without it there are none.
    */
-  constructor (limits: ServerLimits, private readonly graceS: number, private readonly clock: clock.IClock, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>) {
+  constructor (limits: ServerLimits, private readonly graceS: number, private readonly clock: clock.IClock, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Fault | undefined) => Promise<void>, limiter?: callerLimiter.CallerLimiter) {
     this.server = http.createServer({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: limits.headersTimeoutMs,
@@ -76,7 +79,7 @@
       keepAliveTimeout: limits.keepAliveTimeoutMs,
       noDelay: true
     })
-    this.connections = new callerConnections.CallerConnections(this.server, decisions, (req, res) => { this.handleRequest(req, res) })
+    this.connections = new callerConnections.CallerConnections(this.server, decisions, (req, res, refusal) => { this.handleRequest(req, res, refusal) }, limiter)
     this.server.on('clientError', httpListener.respondToClientError)
   }
 
@@ -123,7 +126,10 @@
     this.connections.closeIdle()
     await async.nextTurn()
     while (this.inFlight > 0) {
-      if (this.clock.now() >= finalResponsesAt) await this.endUnanswered()
+      if (this.clock.now() >= finalResponsesAt) {
+        this.connections.stopReading()
+        await this.endUnanswered()
+      }
       this.connections.closeIdle()
       await this.waitForPoll()
     }
@@ -166,10 +172,10 @@
     }
   }
 
-  private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Fault | undefined): Promise<void> {
     this.inFlight++
     try {
-      await this.serve(req, res)
+      await this.serve(req, res, refusal)
     } catch (err) {
       this.decisions.record({ event: 'internal-error', why: err instanceof Error ? err.stack ?? err.message : String(err) })
       responseAbort.abortResponse(res)
--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -129,6 +129,7 @@
 /** Sends the request on one connection and passes on the response. */
 export class HttpAttempt implements transport.IAttempt {
   private connection: targetConnection.TargetConnection | undefined
+  private opening: targetConnections.OpeningConnection | undefined
   private sink: IBodySink | undefined
   /** A response that is not reported yet. */
   private held: heldResponse.HeldResponse | undefined
@@ -174,7 +175,7 @@
     const idle = isNewConnection ? undefined : this.connections.takeIdle(this.address, !this.req.idempotent)
     let connection: targetConnection.TargetConnection
     try {
-      connection = idle ?? await this.connections.open(this.address)
+      connection = idle ?? await this.open()
     } catch (err) {
       const isRefused = (err as NodeJS.ErrnoException).code === refusedCode
       this.fail(isRefused ? 'refused' : 'not-written', errors.messageOf(err))
@@ -191,9 +192,19 @@
     else this.skipSend(connection)
   }
 
+  private async open (): Promise<targetConnection.TargetConnection> {
+    this.opening = this.connections.openWithinLimits(this.address)
+    try {
+      return await this.opening.connection
+    } finally {
+      this.opening = undefined
+    }
+  }
+
   cancel (): void {
     if (this.hasEnded) return
     this.markEnded()
+    this.opening?.cancel()
     this.dropHeld()
     this.discardConnection()
     if (this.hasHead) this.events.onBodyEnd()
--- a/packages/entry/src/node/httpProber.ts
+++ b/packages/entry/src/node/httpProber.ts
@@ -40,6 +40,7 @@
 class Probe {
   private isSettled = false
   private connection: targetConnection.TargetConnection | undefined
+  private opening: targetConnections.OpeningConnection | undefined
   private outcome: loadProbing.ProbeOutcome = { kind: 'none', message: 'no response' }
   private bodyBytes = 0
   private lateResponseTimer: NodeJS.Timeout | undefined
@@ -52,6 +53,7 @@
 
   cancel (): void {
     this.isSettled = true
+    this.opening?.cancel()
     if (this.connection !== undefined) this.lateResponseTimer = setTimeout(() => this.discardConnection(), lateResponseTimeoutMs)
   }
 
@@ -60,7 +62,7 @@
     const { address } = this.endpoint
     let connection: targetConnection.TargetConnection
     try {
-      connection = connections.takeIdle(address, false) ?? await connections.open(address)
+      connection = connections.takeIdle(address, false) ?? await this.open(address)
     } catch (err) {
       const isRefused = (err as NodeJS.ErrnoException).code === refusedCode
       this.settle(isRefused ? { kind: 'refused' } : { kind: 'none', message: errors.messageOf(err) })
@@ -70,6 +72,15 @@
     else this.send(connection)
   }
 
+  private async open (address: string): Promise<targetConnection.TargetConnection> {
+    this.opening = this.deps.connections.openWithinLimits(address)
+    try {
+      return await this.opening.connection
+    } finally {
+      this.opening = undefined
+    }
+  }
+
   private send (connection: targetConnection.TargetConnection): void {
     const { healthPath, names, notices, connections } = this.deps
     this.connection = connection
--- a/packages/entry/src/node/idempotencyClaims.ts
+++ b/packages/entry/src/node/idempotencyClaims.ts
@@ -9,6 +9,7 @@
 import * as claimReleases from './claimReleases.js'
 
 const claimRetryAfterS = 1
+const tooManyClaims = { kind: 'not-run', message: 'too many idempotency keys are being claimed', retryAfterS: claimRetryAfterS } as const
 /** Time after which a call that has failed no longer makes a claim: longer than the calls between the replicas take. */
 const lateClaimMs = 10_000
 const maxKeyLength = 256
@@ -24,9 +25,14 @@
 export class IdempotencyClaims implements lifecycle.IDisposable {
   private readonly releases: claimReleases.ClaimReleases
   private readonly cancelLateReleases = new Set<() => void>()
+  private calls = 0
 
-  /** @param source the connection to the control group. */
-  constructor (private readonly source: claimReleases.IClaimSource, private readonly clock: clock.IClock, decisions: decisionLog.IDecisionLog) {
+  /**
+   * @param source the connection to the control group.
+   * @param maxCalls limit on the calls that are under way at a time: one that the control group does not answer outlasts its request.
+   * @param onLimit called for each request that is refused because of the limit.
+   */
+  constructor (private readonly source: claimReleases.IClaimSource, private readonly clock: clock.IClock, decisions: decisionLog.IDecisionLog, private readonly maxCalls = Infinity, private readonly onLimit: () => void = () => {}) {
     this.releases = new claimReleases.ClaimReleases(source, clock, decisions)
   }
 
@@ -38,8 +44,12 @@
   /** Claims a key. Throws `duplicate` when it is taken, `not-run` when it cannot be claimed with certainty by the deadline. */
   async claim (lane: string, key: string, deadlineAt: number): Promise<Claim> {
     if (key.length > maxKeyLength) throw new errors.RackError({ kind: 'bad-request', message: `the idempotency key exceeds ${maxKeyLength} characters` })
+    if (this.calls >= this.maxCalls) {
+      this.onLimit()
+      throw new errors.RackError(tooManyClaims)
+    }
     const id = { keyHash: crypto.createHash('sha256').update(`${lane}\n${key}`).digest('base64url'), owner: crypto.randomUUID() }
-    const call = this.source.claim(id.keyHash, id.owner)
+    const call = this.call(id)
     let granted: boolean
     try {
       granted = await async.withTimeout(call, deadlineAt - performance.now(), newClaimTimeoutError)
@@ -57,6 +67,15 @@
     return { id, release: () => this.releases.add(id) }
   }
 
+  private async call ({ keyHash, owner }: claimId.ClaimId): Promise<boolean> {
+    this.calls++
+    try {
+      return await this.source.claim(keyHash, owner)
+    } finally {
+      this.calls--
+    }
+  }
+
   /** Releases a claim that may still be made after its request was refused. */
   private async releaseAfter (call: Promise<boolean>, id: claimId.ClaimId): Promise<void> {
     try {
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -97,6 +97,11 @@
     return this.configs.current.document.callerLimits?.maxHeaderBytes
   }
 
+  /** Whether callers are told apart by workspace. */
+  get hasWorkspaces (): boolean {
+    return this.configs.current.document.workspaces !== undefined
+  }
+
   /** False until the first configuration has been received. */
   get hasConfig (): boolean {
     return this.configs.current.version > 0
--- /dev/null
+++ b/packages/entry/src/node/requestFeed.ts
@@ -0,0 +1,154 @@
+/**
+ * Passes what a caller sends to the HTTP parser of Node.js in small parts, and stops while the connection has as many requests as are
+ * served at a time. By itself, Node.js would parse all requests of a read of 64 KiB, some 2,000 short ones, before it pauses.
+ */
+import type * as http from 'node:http'
+import type * as net from 'node:net'
+
+/** Bytes that are parsed at a time: ordinary requests fit into one part, and few short ones do. */
+const partBytes = 1024
+/** Bytes that are parsed at a time while a body in chunks is received, whose length is not known. */
+const chunkedPartBytes = 4096
+
+/** Properties of a server's connection that Node.js does not declare. */
+interface ServerSocket extends net.Socket {
+  /** True while the parser must not get any data. */
+  _paused?: boolean
+}
+
+type Listener = (...args: unknown[]) => void
+
+/** Feeds the parser of one connection. */
+export class RequestFeed {
+  private readonly socket: ServerSocket
+  private readonly parse: Listener
+  private readonly finishParsing: Listener
+  /** Received, and not parsed yet. */
+  private rest: Buffer | undefined
+  private isFeeding = false
+  /** True while reading is paused until further requests can be served. */
+  private isHolding = false
+  private hasEnded = false
+  private partLength = 0
+  /** Bytes that belong to the body of the current request for certain. */
+  private knownBodyBytes = 0
+  private isBodyChunked = false
+  private lastReq: http.IncomingMessage | undefined
+  private readonly onData = (chunk: Buffer): void => this.receive(chunk)
+
+  /**
+   * Takes over from the listeners of Node.js; to be called when the server reports the connection.
+   * @param canServeMore whether another request of the connection can be served.
+   */
+  constructor (socket: net.Socket, private readonly canServeMore: () => boolean) {
+    this.socket = socket
+    this.parse = takeListener(socket, 'data')
+    this.finishParsing = takeListener(socket, 'end')
+    // Node.js stops reading the connection natively once it has a listener for data.
+    socket.on('data', this.onData)
+    socket.on('end', () => this.handleEnd())
+    socket.on('resume', () => this.handleResume())
+  }
+
+  /** Bytes received that are not parsed yet. */
+  get unparsedBytes (): number {
+    return this.rest?.length ?? 0
+  }
+
+  /** Must be called with each request that is parsed. */
+  noteRequest (req: http.IncomingMessage): void {
+    this.lastReq = req
+    this.isBodyChunked = req.headers['transfer-encoding'] !== undefined
+    // The part that completed the head holds at most its own length of the body.
+    this.knownBodyBytes = Math.max(0, Number(req.headers['content-length'] ?? 0) - this.partLength)
+  }
+
+  /** Continues once further requests can be served. */
+  continue (): void {
+    if (this.isHolding) this.feed()
+  }
+
+  /** Drops what was received and is not parsed yet, and all that follows. */
+  discard (): void {
+    this.socket.off('data', this.onData)
+    this.socket.on('data', () => {})
+    this.feed()
+  }
+
+  private receive (chunk: Buffer): void {
+    this.rest = this.rest === undefined ? chunk : Buffer.concat([this.rest, chunk])
+    this.feed()
+  }
+
+  private feed (): void {
+    // The parser calls back while it is fed.
+    if (this.isFeeding) return
+    this.isFeeding = true
+    try {
+      while (this.rest !== undefined && this.isAttached && this.canParse) this.parseNext(this.rest)
+    } finally {
+      this.isFeeding = false
+    }
+    if (!this.isAttached) this.rest = undefined
+    this.updateReading()
+    if (this.hasEnded && this.rest === undefined) this.finish()
+  }
+
+  private parseNext (rest: Buffer): void {
+    const length = Math.min(rest.length, Math.max(this.knownBodyBytes, this.isBodyChunked && this.lastReq?.complete === false ? chunkedPartBytes : partBytes))
+    this.rest = length === rest.length ? undefined : rest.subarray(length)
+    this.partLength = length
+    this.knownBodyBytes = Math.max(0, this.knownBodyBytes - length)
+    this.parse.call(this.socket, this.rest === undefined ? rest : rest.subarray(0, length))
+  }
+
+  private get canParse (): boolean {
+    // An incomplete request is received whole; further ones have to wait.
+    return this.socket._paused !== true && !this.socket.destroyed && (this.lastReq?.complete === false || this.canServeMore())
+  }
+
+  /** False once the input of the connection is discarded, such as after a parser error. */
+  private get isAttached (): boolean {
+    return this.socket.listeners('data').includes(this.onData)
+  }
+
+  private updateReading (): void {
+    const mustHold = this.isAttached && !this.canParse
+    if (mustHold) {
+      this.isHolding = true
+      this.socket.pause()
+    } else if (this.isHolding) {
+      this.isHolding = false
+      // A body whose reader is behind resumes the connection itself.
+      if (!this.isBodyBehind) this.socket.resume()
+    }
+  }
+
+  private get isBodyBehind (): boolean {
+    const req = this.lastReq
+    return req?.complete === false && req.readableLength >= req.readableHighWaterMark
+  }
+
+  /** Node.js resumes the connection when a response has drained or a body is read. */
+  private handleResume (): void {
+    if (this.isHolding || this.rest !== undefined) this.feed()
+  }
+
+  private handleEnd (): void {
+    this.hasEnded = true
+    if (this.rest === undefined) this.finish()
+  }
+
+  private finish (): void {
+    this.hasEnded = false
+    this.finishParsing.call(this.socket)
+  }
+}
+
+/** Removes the listener of Node.js. */
+function takeListener (socket: net.Socket, event: 'data' | 'end'): Listener {
+  // The connection itself has a listener for its end too, which was added before the server's.
+  const listener = socket.listeners(event).at(-1) as Listener
+  socket.removeListener(event, listener)
+  return listener
+}
--- a/packages/entry/src/node/requestOrigin.ts
+++ b/packages/entry/src/node/requestOrigin.ts
@@ -13,6 +13,8 @@
   readonly callerDeadlineAt: number | undefined
   /** Value of `X-Forwarded-For` towards targets. */
   readonly forwardedFor: string
+  /** Tells the connections of callers apart; undefined for a request that a peer forwards. */
+  readonly connection: string | undefined
   /** Undefined for a request directly from its caller. */
   readonly forwarded: forwardHeaders.ForwardInfo | undefined
 }
@@ -26,6 +28,7 @@
     arrivedAt: now,
     callerDeadlineAt: deadlineAt(req, names, now),
     forwardedFor: typeof received === 'string' ? `${received}, ${callerAddress}` : callerAddress,
+    connection: `${callerAddress}:${req.socket.remotePort}`,
     forwarded: undefined
   }
 }
@@ -39,6 +42,7 @@
     // A remaining time of 0 is a deadline too, unlike that of a caller.
     callerDeadlineAt: deadlineAt(req, names, now) ?? now,
     forwardedFor: typeof received === 'string' ? received : 'unknown',
+    connection: undefined,
     forwarded: info
   }
 }
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -62,6 +62,8 @@
   readonly identity: requestIdentity.RequestIdentity
   readonly body: callerBody.CallerBody
   readonly req: httpAttempt.TargetReq
+  /** Tells the connections of callers apart; undefined for a request that a peer forwards. */
+  readonly connection: string | undefined
   /** Time on the clock at which the caller's request arrived. */
   readonly arrivedAt: number
   readonly excludedEndpoints: readonly string[]
@@ -146,6 +148,7 @@
       laneName: spec.namedLane.name,
       lane: spec.namedLane.lane,
       workspace: spec.workspace,
+      connection: this.deps.lanes.hasWorkspaces ? undefined : spec.connection,
       arrivedAt: spec.arrivedAt,
       deadlineAt: spec.req.deadlineAt,
       identity: spec.identity,
--- a/packages/entry/src/node/targetConnection.ts
+++ b/packages/entry/src/node/targetConnection.ts
@@ -113,10 +113,15 @@
   }
 
   /** Connects; rejects when the target does not accept in time. */
-  static open (targetAddress: string, { timeoutMs = defaultConnectTimeoutMs, sourceHost }: ConnectOptions, events: ConnectionEvents): Promise<TargetConnection> {
+  static open (targetAddress: string, options: ConnectOptions, events: ConnectionEvents): Promise<TargetConnection> {
+    return TargetConnection.startOpening(targetAddress, options, events).connection
+  }
+
+  /** Connects as `open` does; `cancel` ends the attempt at once. */
+  static startOpening (targetAddress: string, { timeoutMs = defaultConnectTimeoutMs, sourceHost }: ConnectOptions, events: ConnectionEvents): { readonly connection: Promise<TargetConnection>, cancel(): void } {
     const { host, port } = address.parseAddress(targetAddress)
-    return new Promise((resolve, reject) => {
-      const socket = new TargetSocket().setNoDelay(true).connect({ host, port, ...(sourceHost === undefined ? {} : { localAddress: sourceHost }) })
+    const socket = new TargetSocket().setNoDelay(true).connect({ host, port, ...(sourceHost === undefined ? {} : { localAddress: sourceHost }) })
+    const connection = new Promise<TargetConnection>((resolve, reject) => {
       const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)), timeoutMs)
       socket.once('error', (err) => {
         clearTimeout(timer)
@@ -127,6 +132,7 @@
         resolve(new TargetConnection(socket, targetAddress, events))
       })
     })
+    return { connection, cancel: () => { if (socket.connecting) socket.destroy(new Error('the connection is no longer needed')) } }
   }
 
   get isOpen (): boolean {
--- a/packages/entry/src/node/targetConnections.ts
+++ b/packages/entry/src/node/targetConnections.ts
@@ -13,17 +13,43 @@
   reusableSince: number
 }
 
+/** Limits on the connections to all targets. */
+export interface TargetConnectionLimits {
+  /** Open connections and those that are being opened. */
+  readonly targetConnections: number
+  /** Connections that are being opened for requests and load probes. */
+  readonly targetConnects: number
+}
+
+/** A connection that is being opened. */
+export interface OpeningConnection {
+  readonly connection: Promise<targetConnection.TargetConnection>
+  /**
+   * Ends the attempt to connect; the promise rejects. One cancelled attempt for each target goes on: that it hangs may be the only sign
+   * that the target cannot be reached.
+   */
+  cancel(): void
+}
+
+const noLimits: TargetConnectionLimits = { targetConnections: Infinity, targetConnects: Infinity }
+
 /** Opens connections and keeps a pool of idle ones for each target address. */
 export class TargetConnections implements lifecycle.IDisposable {
   private readonly pools = new Map<string, TargetPool>()
   private readonly timer = setInterval(() => this.sweep(), sweepIntervalMs)
   private openCount = 0
+  private openingCount = 0
+  /** Addresses with a cancelled attempt to connect that goes on. */
+  private readonly keptOpenings = new Set<string>()
   private newestResponseAt = -Infinity
 
   /** @param contacts receives the outcomes of contacts with targets. */
   constructor (
     private readonly contacts: targetContacts.ITargetContacts = new targetContacts.NullTargetContacts(),
-    private readonly options: targetConnection.ConnectOptions = {}
+    private readonly options: targetConnection.ConnectOptions = {},
+    private readonly limits: TargetConnectionLimits = noLimits,
+    /** Called with the name of a limit that has prevented a connection. */
+    private readonly onLimit: (limit: keyof TargetConnectionLimits) => void = () => {}
   ) {}
 
   dispose (): void {
@@ -61,20 +87,81 @@
     return this.pools.get(address)?.idle.some(({ isReusable }) => isReusable) === true
   }
 
+  /** Number of connections that are being opened. */
+  get connectingCount (): number {
+    return this.openingCount
+  }
+
+  /** Opens a connection regardless of the limits, for a check of the target. */
   async open (address: string): Promise<targetConnection.TargetConnection> {
+    return await this.startOpening(address).connection
+  }
+
+  /** Opens a connection for a request or a load probe. The promise rejects if a limit does not allow that. */
+  openWithinLimits (address: string): OpeningConnection {
+    const limit = this.findReachedLimit()
+    if (limit === undefined) return this.startOpening(address)
+    this.onLimit(limit)
+    return { connection: Promise.reject(new Error(`this instance has too many connections to targets (${limit})`)), cancel: () => {} }
+  }
+
+  private findReachedLimit (): keyof TargetConnectionLimits | undefined {
+    if (this.openingCount >= this.limits.targetConnects) return 'targetConnects'
+    if (this.openCount + this.openingCount < this.limits.targetConnections || this.discardIdle()) return undefined
+    return 'targetConnections'
+  }
+
+  /** Closes an idle connection to make room; returns false if there is none. */
+  private discardIdle (): boolean {
+    for (const { idle } of this.pools.values()) {
+      const connection = idle.shift()
+      if (connection === undefined) continue
+      this.discard(connection)
+      return true
+    }
+    return false
+  }
+
+  private startOpening (address: string): OpeningConnection {
+    const { connection, cancel } = targetConnection.TargetConnection.startOpening(address, this.options, {
+      onLost: (lost) => this.recordNoResponse(address, lost, performance.now()),
+      onResponse: () => { this.newestResponseAt = performance.now() }
+    })
+    const state = { isOver: false, isCancelled: false }
+    return {
+      connection: this.finishOpening(address, connection, state),
+      cancel: () => {
+        if (state.isOver) return
+        if (!this.keptOpenings.has(address)) {
+          this.keepOpening(address, connection)
+          return
+        }
+        state.isCancelled = true
+        cancel()
+      }
+    }
+  }
+
+  private keepOpening (address: string, connection: Promise<unknown>): void {
+    const end = (): void => { this.keptOpenings.delete(address) }
+    this.keptOpenings.add(address)
+    connection.then(end, end)
+  }
+
+  private async finishOpening (address: string, opening: Promise<targetConnection.TargetConnection>, state: { isOver: boolean, readonly isCancelled: boolean }): Promise<targetConnection.TargetConnection> {
     const startedAt = performance.now()
     const endWatch = this.contacts.watch({ address, isNewConnection: true })
+    this.openingCount++
     try {
-      const connection = await targetConnection.TargetConnection.open(address, this.options, {
-        onLost: (lost) => this.recordNoResponse(address, lost, performance.now()),
-        onResponse: () => { this.newestResponseAt = performance.now() }
-      })
+      const connection = await opening
       this.openCount++
       return connection
     } catch (err) {
-      this.contacts.recordFailure({ address, isNewConnection: true }, performance.now() - startedAt)
+      if (!state.isCancelled) this.contacts.recordFailure({ address, isNewConnection: true }, performance.now() - startedAt)
       throw err
     } finally {
+      state.isOver = true
+      this.openingCount--
       endWatch()
     }
   }
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -17,6 +17,7 @@
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as bodyTransfers from '../node/bodyTransfers.js'
+import type * as callerLimiter from '../node/callerLimiter.js'
 import * as callerListener from '../node/callerListener.js'
 import * as idempotencyClaims from '../node/idempotencyClaims.js'
 import * as laneRegistry from '../node/laneRegistry.js'
@@ -122,7 +123,7 @@
   private port = 0
 
   /** @param respond called with the connection of each request at its head. */
-  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number, readonly clock?: clock.IClock } = {}) {
+  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number, readonly clock?: clock.IClock, readonly limits?: Partial<callerLimiter.CallerLimits> } = {}) {
     this.config = new FakeConfig({ lane: { ...defaultLane, ...lane } })
     const ownClock = options.clock ?? new clock.SystemClock()
     this.endpoints = this.disposables.add(new endpointTable.EndpointTable(ownClock))
@@ -144,7 +145,7 @@
       reachability: reachable,
       startingUntil: 0
     }, ownClock))
-    this.listener = new callerListener.CallerListener(options.graceS ?? 1, this.config, {
+    this.listener = new callerListener.CallerListener(options.graceS ?? 1, { ...defaultLimits, ...options.limits }, this.config, {
       lanes: this.lanes,
       connections,
       notices,
@@ -232,6 +233,20 @@
   }
 }
 
+/** The defaults of the settings. */
+export const defaultLimits: callerLimiter.CallerLimits = {
+  requestsPerConnection: 16,
+  requests: 1024,
+  reservedShare: 0.25,
+  connections: 1900,
+  unsentBytesPerConnection: 4_194_304,
+  unsentBytes: 33_554_432,
+  targetConnections: 1600,
+  targetConnects: 800,
+  claims: 128,
+  logLinesPerSecond: 2000
+}
+
 /** A lane whose calls have time to wait for a slot. */
 const defaultLane = { service: 'diary', match: { pathPrefix: '/' }, idempotent: true, deadlineMs: 5000, maxWaitMs: 5000, maxAttempts: 1, coldStartMs: 0 }
 
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -28,6 +28,7 @@
 import * as startup from '../node/startup.js'
 import * as targetConnections from '../node/targetConnections.js'
 import * as unframedResponses from '../node/unframedResponses.js'
+import * as callerFixture from './callerFixture.js'
 
 const host = '127.0.0.1'
 const leaseMs = 600_000
@@ -124,7 +125,7 @@
     const identity = { cluster, token: ownToken, sourceHost: host }
     const configs: configFollower.IConfigSource = { current: { version: configVersion, document }, onChanged: () => lifecycle.toDisposable(() => {}) }
     const deps = this.createDeps(configs, identity)
-    this.callers = new callerListener.CallerListener(graceS, configs, deps)
+    this.callers = new callerListener.CallerListener(graceS, callerFixture.defaultLimits, configs, deps)
     this.forwards = new forwardListener.ForwardListener({ graceS, maxConcurrent, identity, configVersion: () => configVersion }, deps)
     this.callersAddress = await findFreeAddress()
     await this.callers.listen(this.callersAddress)
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -30,7 +30,7 @@
   const disposables = new lifecycle.DisposableStore()
   disposables.add(new logOutput.LogOutput())
   const logger = logOutput.createLogger('rosemaryrack', cfg.instance)
-  const decisions = new decisionRing.DecisionRing(logger, cfg.logs.decisions, cfg.logs.remembered)
+  const decisions = new decisionRing.DecisionRing(logger, cfg.logs.decisions, cfg.logs.remembered, cfg.entry?.callers.logLinesPerSecond)
   const exit = (code: number): never => {
     disposables.dispose()
     process.exit(code)
@@ -40,6 +40,7 @@
     exit(errors.errorCodes.internal.exitCode)
   })
   const processMetrics = new metrics.Metrics(await createHistogramFactory(cfg))
+  processMetrics.registerGauge('rosemaryrack_log_lines_dropped_total', {}, () => decisions.droppedLines)
   const roles = await createRoles(cfg, decisions, processMetrics, (err) => {
     logger.fatal({ error: err.message }, 'the disk failed')
     exit(errors.errorCodes['disk-failure'].exitCode)
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -33,6 +33,8 @@
   readonly lane: configDocument.Lane
   /** Undefined where the configuration has no workspaces, and for requests without a known key on public lanes. */
   readonly workspace?: namedWorkspace.NamedWorkspace | undefined
+  /** The caller's connection, where the configuration has no workspaces; the calls of a connection share its part of the slots. */
+  readonly connection?: string | undefined
   /** Time on the clock at which the caller's request arrived. */
   readonly arrivedAt: number
   readonly deadlineAt: number
--- a/packages/telemetry/src/common/limitedLog.ts
+++ b/packages/telemetry/src/common/limitedLog.ts
@@ -9,9 +9,15 @@
   private secondEndsAt = -Infinity
   private loggedInSecond = 0
   private droppedCount = 0
+  private droppedInAll = 0
 
   constructor (private readonly decisions: Pick<decisionLog.IDecisionLog, 'record'>, private readonly clock: Pick<clock.IClock, 'now'>, private readonly maxPerSecond: number) {}
 
+  /** Number of decisions that were dropped since the start. */
+  get totalDropped (): number {
+    return this.droppedInAll
+  }
+
   record (decision: decisionLog.Decision): void {
     const now = this.clock.now()
     if (now >= this.secondEndsAt) {
@@ -20,6 +26,7 @@
     }
     if (this.loggedInSecond >= this.maxPerSecond) {
       this.droppedCount++
+      this.droppedInAll++
       return
     }
     this.loggedInSecond++
--- a/packages/telemetry/src/node/logOutput.ts
+++ b/packages/telemetry/src/node/logOutput.ts
@@ -5,6 +5,8 @@
 
 const flushIntervalMs = 20
 const maxPendingLines = 20_000
+/** Limit on the characters that wait to be written: a caller determines the length of some lines. */
+const maxPendingChars = 4_194_304
 const stdoutFd = 1
 
 declare global {
@@ -15,6 +17,7 @@
 /** Buffers lines and writes them in batches; drops lines beyond a limit when the reader of standard output stalls. */
 export class LogOutput implements lifecycle.IDisposable {
   private pendingLines: string[] = []
+  private pendingChars = 0
   private droppedCount = 0
   private isWriting = false
   private flushTimer: NodeJS.Timeout | undefined
@@ -24,11 +27,12 @@
   }
 
   private push (line: string): void {
-    if (this.pendingLines.length >= maxPendingLines) {
+    if (this.pendingLines.length >= maxPendingLines || this.pendingChars + line.length > maxPendingChars) {
       this.droppedCount++
       return
     }
     this.pendingLines.push(line)
+    this.pendingChars += line.length
     this.scheduleFlush()
   }
 
@@ -53,6 +57,7 @@
   private takePendingText (): string {
     const text = this.pendingLines.join('\n') + '\n'
     this.pendingLines = []
+    this.pendingChars = 0
     if (this.droppedCount === 0) return text
     const notice = JSON.stringify({ message: 'log lines dropped', context: { count: this.droppedCount } })
     this.droppedCount = 0
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -191,6 +191,8 @@
 export interface FleetOptions {
   /** Entries connect to endpoints from their own IP address, so that the endpoints can tell them apart. */
   readonly hasTargetSource?: boolean
+  /** Settings that are added to the section `entry.callers`. */
+  readonly callerSettings?: Readonly<Record<string, number>>
 }
 
 /** Starts control replicas and entry instances, numbered from 1, and sends requests to them. */
@@ -317,7 +319,8 @@
       return json === undefined ? String(templateFields[field]) : JSON.stringify(templateFields[field])
     })
     const file = path.join(this.folder, `${name}.toml`)
-    fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${addedEntrySettings}`))
+    const callerSettings = Object.entries(this.options.callerSettings ?? {}).map(([key, value]) => `${key} = ${value}\n`).join('')
+    fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${addedEntrySettings}`).replace('[entry.callers]\n', `[entry.callers]\n${callerSettings}`))
     this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`)))
   }
 }
--- a/packages/testbed/src/test/sendingAhead.test.ts
+++ b/packages/testbed/src/test/sendingAhead.test.ts
@@ -19,6 +19,8 @@
  * the clients are: 100 connections of callers, 200 to endpoints, and 100 for everything else.
  */
 const machine = { memoryMb: 250, descriptors: 400 } as const
+/** The limits of the settings that this machine needs; the other defaults suit its memory. */
+const callerSettings = { connections: 100, requests: 200, targetConnections: 200 } as const
 const clients = 50
 const requestsPerClient = 4000
 const durationMs = 10_000
@@ -40,7 +42,7 @@
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-ahead-'))
 const { subnet } = await loopbackSubnet.reserve()
-const fleet = new deployedFleet.DeployedFleet(folder, subnet, 3, kinds.length)
+const fleet = new deployedFleet.DeployedFleet(folder, subnet, 3, kinds.length, { callerSettings })
 const endpoints = ['diary', 'diary', 'till', 'till'].map((service, i) => new deployedFleet.StandInEndpoint(`i-${i + 1}`, fleet.endpointIp(i + 1), service, bornAt))
 const heartbeats = { stopped: false }
 
