Rosemaryrack: an exception in one request no longer ends an entry

Cause: any uncaught exception or unhandled rejection ended the process, and with it all other requests; a caller that finds such a request could end all entries.

Change: an entry goes on after at most five within a minute once it serves, logs each with its stack and counts it. A control replica ends at the first one, as before, and so does a process that has not started. endedProcess.test required the end at the first exception; now it requires that five end no response, that a request is still answered, that the sixth ends the process and resets its responses, and that a control replica ends at its first.

--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -1,4 +1,5 @@
 /** The daemon's process: starts the listeners and roles, reloads settings and shuts down gracefully. */
+import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
@@ -11,6 +12,7 @@
 import * as logOutput from '@rosemaryrack/telemetry/node/logOutput.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import type * as heldSignal from './heldSignal.js'
+import * as uncaughtErrors from './uncaughtErrors.js'
 
 const notReadyStatus = 503
 const processGauges = ['rss', 'heapUsed'] as const
@@ -35,12 +37,18 @@
     disposables.dispose()
     process.exit(code)
   }
+  const uncaught = new uncaughtErrors.UncaughtErrors(cfg.control === undefined, new clock.SystemClock())
   process.on('uncaughtException', (err) => {
+    if (uncaught.mayGoOn()) {
+      logger.error({ error: err.stack ?? err.message }, 'uncaught exception; the process goes on')
+      return
+    }
     logger.fatal({ error: err.stack ?? err.message }, 'uncaught exception')
     exit(errors.errorCodes.internal.exitCode)
   })
   const processMetrics = new metrics.Metrics(await createHistogramFactory(cfg))
   processMetrics.registerGauge('rosemaryrack_log_lines_dropped_total', {}, () => decisions.droppedLines)
+  processMetrics.registerGauge('rosemaryrack_uncaught_errors_total', {}, () => uncaught.count)
   const roles = await createRoles(cfg, decisions, processMetrics, (err) => {
     logger.fatal({ error: err.message }, 'the disk failed')
     exit(errors.errorCodes['disk-failure'].exitCode)
@@ -54,6 +62,7 @@
     roles.entry?.registerRpc(router)
   }))
   await startAll(cfg, roles, operatorListener, innerServer)
+  uncaught.start()
   logger.info({ inner: cfg.inner.listen, operator: cfg.operator.listen }, 'started')
   reloadOnSignal(reloadSignal, logger, roles, reload)
   stopOnSignal(async () => {
