Entry: limit on held input, and no time-out of a head that is not read

Cause: a read of 64 KiB waits for each connection that sends ahead, 120 MB with 1,900 of them. A part that ends within a head, on a connection that Node.js has paused, left the time for headers running: after it the connection was closed and the requests behind were lost, for callers inside the limits too.

Change: heldInputBytes (16 MiB) in all, above which the connection that adds is reset; the time-out of a head on a paused connection starts anew once it is read. A closed connection's parser is not finished a second time.

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -58,6 +58,8 @@
   /** Bytes of responses of one connection, and of all, that wait for callers to read them. */
   unsentBytesPerConnection: zod.number().int().min(65_536).default(4_194_304),
   unsentBytes: zod.number().int().min(65_536).default(33_554_432),
+  /** Bytes that are received and not parsed yet because their connections have sent ahead. */
+  heldInputBytes: zod.number().int().min(65_536).default(16_777_216),
   /** Connections to endpoints, including those that are being opened. */
   targetConnections: zod.number().int().min(1).max(1_000_000).default(1600),
   /** Connections to endpoints that are being opened for requests and load probes. */
--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -4,6 +4,7 @@
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as callerLimiter from './callerLimiter.js'
 import * as connectionRequests from './connectionRequests.js'
+import * as headTimeout from './headTimeout.js'
 import * as unsentResponses from './unsentResponses.js'
 
 /** Time without further bytes after which a request whose headers are incomplete no longer keeps its connection open, in milliseconds. */
@@ -80,6 +81,14 @@
     }
   }
 
+  /** Defers the timeout of a head that could not arrive because its connection is not read; returns false if that is not the reason. */
+  deferHeadTimeout (socket: net.Socket, ms: number, expire: () => void): boolean {
+    const requests = this.states.get(socket)?.requests
+    if (requests?.isPaused !== true) return false
+    headTimeout.startHeadTimeout(requests, ms, () => { if (this.states.has(socket)) expire() })
+    return true
+  }
+
   /** Reads no further requests: only those that are parsed get a response. */
   stopReading (): void {
     if (!this.isReading) return
--- a/packages/entry/src/node/callerLimiter.ts
+++ b/packages/entry/src/node/callerLimiter.ts
@@ -27,6 +27,8 @@
   private readonly log: limitedLog.LimitedLog
   /** Bytes of responses that waited for callers when they were last counted. */
   unsentBytes = 0
+  /** Bytes that wait to be parsed. */
+  heldInputBytes = 0
 
   constructor (readonly limits: CallerLimits, decisions: Pick<decisionLog.IDecisionLog, 'record'>, private readonly metrics: Pick<metrics.Metrics, 'count'>, clock: clock.IClock) {
     this.pacing = new refusalPacing.RefusalPacing(clock)
--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -57,6 +57,11 @@
     return this.limiter.unsentBytes
   }
 
+  /** Bytes that wait to be parsed, since their connections have sent ahead. */
+  get heldInputBytes (): number {
+    return this.limiter.heldInputBytes
+  }
+
   /** Breaks off the responses that would look complete once the process has ended. */
   breakOffUnframed (): void {
     this.server.breakOffUnframed()
--- a/packages/entry/src/node/connectionRequests.ts
+++ b/packages/entry/src/node/connectionRequests.ts
@@ -23,14 +23,15 @@
   /** Requests that were parsed together with the last one that can be served now. */
   private readonly waiting: AdmittedRequest[] = []
   private serving = 0
+  private parsed = 0
   private unanswered = 0
   /** True once the connection has had as many requests as are served at a time, and once one was refused, since its last pause. */
   private hasReachedLimit = false
   private hasRefusal = false
   private endPause: (() => void) | undefined
 
-  constructor (socket: net.Socket, private readonly limiter: callerLimiter.CallerLimiter, private readonly serve: RequestHandler) {
-    this.feed = new requestFeed.RequestFeed(socket, () => this.endPause === undefined && this.unanswered < this.limiter.limits.requestsPerConnection)
+  constructor (private readonly socket: net.Socket, private readonly limiter: callerLimiter.CallerLimiter, private readonly serve: RequestHandler) {
+    this.feed = new requestFeed.RequestFeed(socket, () => this.endPause === undefined && this.unanswered < this.limiter.limits.requestsPerConnection, (bytes) => this.hold(bytes))
   }
 
   /** Bytes received that are not parsed yet. */
@@ -38,10 +39,20 @@
     return this.feed.unparsedBytes
   }
 
+  get isPaused (): boolean {
+    return this.feed.isPaused
+  }
+
+  /** Number of requests whose head was complete. */
+  get requestCount (): number {
+    return this.parsed
+  }
+
   /** Must be called with each request of the connection. */
   noteRequest (req: http.IncomingMessage): void {
     this.feed.noteRequest(req)
     this.unanswered++
+    this.parsed++
     if (this.unanswered < this.limiter.limits.requestsPerConnection) return
     this.hasReachedLimit = true
     this.limiter.count('requestsPerConnection')
@@ -71,6 +82,15 @@
     this.feed.discard()
   }
 
+  /** Counts the input that waits in this process; closes the connection if that is too much in all. */
+  private hold (changedBytes: number): void {
+    const { limiter, socket } = this
+    limiter.heldInputBytes += changedBytes
+    if (changedBytes <= 0 || limiter.heldInputBytes <= limiter.limits.heldInputBytes || socket.destroyed) return
+    limiter.recordClose('heldInputBytes', socket.remoteAddress)
+    socket.resetAndDestroy()
+  }
+
   /** Pauses a connection that sends more than is served at a time although requests of it were refused. */
   private pauseAfterRefusal (): void {
     if (!this.hasReachedLimit || !this.hasRefusal || this.endPause !== undefined) return
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -294,6 +294,7 @@
     this.metrics.registerGauge('rosemaryrack_target_connections', {}, () => this.connections.count)
     this.metrics.registerGauge('rosemaryrack_caller_connections', {}, () => this.callers.connectionCount)
     this.metrics.registerGauge('rosemaryrack_caller_connections_paused', {}, () => this.callers.pausedConnectionCount)
+    this.metrics.registerGauge('rosemaryrack_held_input_bytes', {}, () => this.callers.heldInputBytes)
     this.metrics.registerGauge('rosemaryrack_unsent_response_bytes', {}, () => this.callers.unsentBytes)
     this.metrics.registerGauge('rosemaryrack_target_connects', {}, () => this.connections.connectingCount)
     this.metrics.registerGauge('rosemaryrack_requests_in_flight', {}, () => this.inFlightCount)
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -80,7 +80,7 @@
       noDelay: true
     })
     this.connections = new callerConnections.CallerConnections(this.server, decisions, (req, res, refusal) => { this.handleRequest(req, res, refusal) }, limiter)
-    this.server.on('clientError', httpListener.respondToClientError)
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => this.handleClientError(err, socket))
   }
 
   /** Changes the timeouts, for later requests. */
@@ -172,6 +172,11 @@
     }
   }
 
+  private handleClientError (err: NodeJS.ErrnoException, socket: net.Socket): void {
+    const respond = (): void => httpListener.respondToClientError(err, socket)
+    if (err.code !== httpListener.requestTimeoutCode || !this.connections.deferHeadTimeout(socket, this.server.headersTimeout, respond)) respond()
+  }
+
   private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Fault | undefined): Promise<void> {
     this.inFlight++
     try {
--- a/packages/entry/src/node/requestFeed.ts
+++ b/packages/entry/src/node/requestFeed.ts
@@ -34,13 +34,16 @@
   private knownBodyBytes = 0
   private isBodyChunked = false
   private lastReq: http.IncomingMessage | undefined
+  /** Memory of what waits, as it was reported last. */
+  private heldBytes = 0
   private readonly onData = (chunk: Buffer): void => this.receive(chunk)
 
   /**
    * Takes over from the listeners of Node.js; to be called when the server reports the connection.
    * @param canServeMore whether another request of the connection can be served.
+   * @param hold called with each change of the bytes that wait to be parsed.
    */
-  constructor (socket: net.Socket, private readonly canServeMore: () => boolean) {
+  constructor (socket: net.Socket, private readonly canServeMore: () => boolean, private readonly hold: (changedBytes: number) => void = () => {}) {
     this.socket = socket
     this.parse = takeListener(socket, 'data')
     this.finishParsing = takeListener(socket, 'end')
@@ -50,6 +53,11 @@
     socket.on('resume', () => this.handleResume())
   }
 
+  /** True while reading is paused, so that a request that has begun cannot go on. */
+  get isPaused (): boolean {
+    return this.isHolding
+  }
+
   /** Bytes received that are not parsed yet. */
   get unparsedBytes (): number {
     return this.rest?.length ?? 0
@@ -91,6 +99,7 @@
     }
     if (!this.isAttached) this.rest = undefined
     this.updateReading()
+    this.reportHeld()
     if (this.hasEnded && this.rest === undefined) this.finish()
   }
 
@@ -124,6 +133,15 @@
     }
   }
 
+  /** A part of a read keeps the memory of the whole. */
+  private reportHeld (): void {
+    const bytes = this.rest === undefined ? 0 : this.rest.buffer.byteLength + this.socket.readableLength
+    if (bytes === this.heldBytes) return
+    const changedBytes = bytes - this.heldBytes
+    this.heldBytes = bytes
+    this.hold(changedBytes)
+  }
+
   private get isBodyBehind (): boolean {
     const req = this.lastReq
     return req?.complete === false && req.readableLength >= req.readableHighWaterMark
@@ -141,7 +159,8 @@
 
   private finish (): void {
     this.hasEnded = false
-    this.finishParsing.call(this.socket)
+    // The parser of a closed connection may serve another one already.
+    if (!this.socket.destroyed) this.finishParsing.call(this.socket)
   }
 }
 
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -241,6 +241,7 @@
   connections: 1900,
   unsentBytesPerConnection: 4_194_304,
   unsentBytes: 33_554_432,
+  heldInputBytes: 16_777_216,
   targetConnections: 1600,
   targetConnects: 800,
   claims: 128,
--- a/packages/entry/src/test/pipelining.test.ts
+++ b/packages/entry/src/test/pipelining.test.ts
@@ -13,6 +13,8 @@
 const okResponse = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 const perConnection = 4
 const settleMs = 100
+/** Longer than Node.js takes to notice a head that is overdue, which it checks once per second. */
+const headCheckMs = 3000
 
 function get (number: number): string {
   return `GET /x?${number} HTTP/1.1\r\nHost: a\r\n\r\n`
@@ -83,6 +85,23 @@
   t.same(caller.statuses, repeat('200', 2 * perConnection))
 })
 
+tap.t.test('a head that is incomplete because the connection is not read does not time out', async (t) => {
+  const silent = new SilentFixture({ limits: { requestsPerConnection: perConnection } })
+  await using fixture = await silent.fixture.start()
+  fixture.config.replaceLanes({ lane: { service: 'diary', match: { pathPrefix: '/' }, idempotent: true, deadlineMs: 20_000, maxWaitMs: 5000, maxAttempts: 1, coldStartMs: 0, progressTimeoutMs: 20_000 } }, { headerTimeoutMs: 500 })
+  const count = 200
+  const caller = fixture.send(manyGets(count))
+  await async.sleep(headCheckMs)
+  t.same(caller.statuses, [])
+  t.notOk(caller.hasEnded)
+  silent.release()
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length === count))
+  t.same(caller.statuses, repeat('200', count))
+  caller.socket.write('GET /x HTTP/1.1\r\n')
+  t.ok(await callerFixture.waitUntil(() => caller.statuses.length > count), 'a head that the caller does not complete times out')
+  t.equal(caller.statuses.at(-1), '408')
+})
+
 tap.t.test('connections with a single request have slots of their own; a request without a slot is refused as not run', async (t) => {
   const silent = new SilentFixture({ limits: { requests: 2, reservedShare: 0.5 } })
   await using fixture = await silent.fixture.start()
@@ -111,6 +130,20 @@
   t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 0))
 })
 
+tap.t.test('connections that send ahead are reset once too much of their input waits', async (t) => {
+  const silent = new SilentFixture({ limits: { requestsPerConnection: perConnection, heldInputBytes: 100_000 } })
+  await using fixture = await silent.fixture.start()
+  const callers = Array.from({ length: 10 }, () => fixture.send(manyGets(5000)))
+  t.ok(await callerFixture.waitUntil(() => callers.some(({ isClosed }) => isClosed)))
+  await async.sleep(settleMs)
+  t.ok(callers.some(({ isClosed }) => !isClosed), 'only as many as needed')
+  t.ok(fixture.listener.heldInputBytes <= 100_000)
+  for (const { socket } of callers) socket.destroy()
+  silent.release()
+  t.ok(await callerFixture.waitUntil(() => fixture.listener.inFlightCount === 0 && fixture.listener.connectionCount === 0))
+  t.equal(fixture.listener.heldInputBytes, 0)
+})
+
 tap.t.test('connections beyond the limit are closed', async (t) => {
   const silent = new SilentFixture({ limits: { connections: 2 } })
   silent.release()
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -12,7 +12,8 @@
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
 const lingerMs = 500
-const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
+/** Code of the error of a request that did not arrive in time. */
+export const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const headerOverflowCode = 'HPE_HEADER_OVERFLOW'
 const headerOverflowStatus = 431
 
--- a/tap-snapshots/packages/config/dist/test/examples.test.js.test.cjs
+++ b/tap-snapshots/packages/config/dist/test/examples.test.js.test.cjs
@@ -88,6 +88,7 @@
     "callers": Object {
       "claims": 128,
       "connections": 1900,
+      "heldInputBytes": 16777216,
       "listen": "10.20.1.21:8080",
       "logLinesPerSecond": 2000,
       "requests": 1024,
@@ -159,6 +160,7 @@
     "callers": Object {
       "claims": 128,
       "connections": 1900,
+      "heldInputBytes": 16777216,
       "listen": "10.40.1.21:8080",
       "logLinesPerSecond": 2000,
       "requests": 1024,
