--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -31,6 +31,7 @@
 import * as targetConnections from '../node/targetConnections.js'
 import * as unframedResponses from '../node/unframedResponses.js'
 import * as workspaceAuth from '../node/workspaceAuth.js'
+import * as callerFixture from './callerFixture.js'
 
 const host = '127.0.0.1'
 const leaseMs = 600_000
@@ -145,7 +146,7 @@
     const identity = { cluster, token: ownToken, sourceHost: host }
     const configs: configFollower.IConfigSource = { get current () { return currentConfig() }, onChanged: this.configChanged.event }
     const deps = this.createDeps(configs, identity)
-    this.callers = new callerListener.CallerListener(graceS, configs, deps)
+    this.callers = new callerListener.CallerListener(graceS, callerFixture.defaultLimits, configs, deps)
     this.forwards = new forwardListener.ForwardListener({ graceS, maxConcurrent, identity, configVersion: () => this.config.version }, deps)
     this.callersAddress = await findFreeAddress()
     await this.callers.listen(this.callersAddress)
--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -198,6 +198,8 @@
   readonly hasTargetSource?: boolean
   /** Limit on the use of removed API keys, in milliseconds; none without it. */
   readonly revokeMs?: number
+  /** Settings that are added to the section `entry.callers`. */
+  readonly callerSettings?: Readonly<Record<string, number>>
 }
 
 /** Starts control replicas and entry instances, numbered from 1, and sends requests to them. */
@@ -333,7 +335,8 @@
       return json === undefined ? String(templateFields[field]) : JSON.stringify(templateFields[field])
     })
     const file = path.join(this.folder, `${name}.toml`)
-    fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${addedEntrySettings}`))
+    const callerSettings = Object.entries(this.options.callerSettings ?? {}).map(([key, value]) => `${key} = ${value}\n`).join('')
+    fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${addedEntrySettings}`).replace('[entry.callers]\n', `[entry.callers]\n${callerSettings}`))
     this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`), undefined, this.environment))
   }
 }
