Quotas of workspaces: a ledger on the leader and tokens at the entry instances

Change: QuotaLedger (control) grants tokens, rpc Quota, WorkspaceQuotas (routing) waits for them, reports what ran without one and uses a share without a leader; QuotaGate and RequestAdmission (entry) take the token before the claim. New error kind over-quota (429). Retry-After is spread by up to a quarter. QuotaUse.returned is new. A call reports repeats.

--- a/packages/base/src/common/errors.ts
+++ b/packages/base/src/common/errors.ts
@@ -16,6 +16,8 @@
   | { readonly kind: 'unknown', readonly message: string, readonly timedOut: boolean, readonly retryAfterS?: number }
   /** The request crashed targets before and was not run again. */
   | { readonly kind: 'quarantined', readonly message: string, readonly retryAfterS: number }
+  /** The workspace is over its quota. The request was certainly not run and will not be. */
+  | { readonly kind: 'over-quota', readonly message: string, readonly retryAfterS: number }
   /** The same request, or a newer announcement, was accepted before. */
   | { readonly kind: 'duplicate', readonly message: string }
   | { readonly kind: 'version-conflict', readonly message: string, readonly currentVersion: number }
@@ -54,6 +56,7 @@
   'not-run': { status: 503, exitCode: 8 },
   unknown: { status: 502, exitCode: 7 },
   quarantined: { status: 503, exitCode: 8 },
+  'over-quota': { status: 429, exitCode: 8 },
   duplicate: { status: 409, exitCode: 5 },
   'version-conflict': { status: 412, exitCode: 5 },
   'invalid-config': { status: 422, exitCode: 2 },
--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -19,6 +19,8 @@
 import * as fileSystem from './fileSystem.js'
 import * as hubMetrics from './hubMetrics.js'
 import * as joiner from './joiner.js'
+import * as permitService from './permitService.js'
+import * as quotaService from './quotaService.js'
 import * as replica from './replica.js'
 import * as replicaLinks from './replicaLinks.js'
 import * as replicaStorage from './replicaStorage.js'
@@ -40,6 +42,7 @@
   /** Receives announcements, if targets announce themselves to control replicas. */
   readonly hub: announcementHub.AnnouncementHub | undefined
   private readonly feed: configFeed.ConfigFeed
+  private readonly ledgers: controlRpc.LedgerServices
   private readonly loopDelay: loopDelay.LoopDelay
 
   /** @param onDiskFailure called when the disk fails; the process must exit then. */
@@ -57,6 +60,7 @@
     const storage = new replicaStorage.ReplicaStorage(control.dataFolder, cfg.cluster, onDiskFailure, fileSystem.machineFileSystem, this.disk)
     this.replica = this.disposables.add(new replica.Replica(this.replicaOptions(), storage, links, decisions))
     this.service = new controlService.ControlService(this.replica, this.serviceOptions(), decisions)
+    this.ledgers = { permits: new permitService.PermitService(this.service), quotas: new quotaService.QuotaService(this.service) }
     controlMetrics.registerControlMetrics(processMetrics, this.replica, storage, this.disk)
     this.feed = this.disposables.add(new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex()))
     if (control.announceEveryMs > 0) this.hub = this.disposables.add(new announcementHub.AnnouncementHub(this.hubOptions(), identity, this.service, this.feed, decisions))
@@ -66,7 +70,7 @@
 
   /** Registers the handlers of the inner protocol. */
   registerRpc (router: connect.ConnectRouter): void {
-    controlRpc.registerControlRpc(router, this.service, this.feed, this.loaded.promise)
+    controlRpc.registerControlRpc(router, this.service, this.feed, this.ledgers, this.loaded.promise)
     this.hub?.registerRpc(router)
   }
 
@@ -80,7 +84,7 @@
     const { control: { replicationPort }, cfg: { cluster, inner } } = this
     if (replicationPort === undefined) return
     const listener = this.disposables.add(new innerListener.InnerListener({ cluster, token: inner.token }, (router) => {
-      controlRpc.registerControlRpc(router, this.service, this.feed, this.loaded.promise)
+      controlRpc.registerControlRpc(router, this.service, this.feed, this.ledgers, this.loaded.promise)
     }))
     await listener.listen(`${inner.listen.slice(0, inner.listen.lastIndexOf(':'))}:${replicationPort}`)
   }
--- a/packages/control/src/node/controlRpc.ts
+++ b/packages/control/src/node/controlRpc.ts
@@ -7,17 +7,24 @@
 import type * as configFeed from './configFeed.js'
 import type * as controlService from './controlService.js'
 import type * as leadership from './leadership.js'
-import * as permitService from './permitService.js'
+import type * as permitService from './permitService.js'
+import type * as quotaService from './quotaService.js'
+
+/** Services with ledgers. A replica has one of each, whatever listener a request arrives at. */
+export interface LedgerServices {
+  readonly permits: permitService.PermitService
+  readonly quotas: quotaService.QuotaService
+}
 
 /** Registers the handlers; `loaded` resolves once the replica has loaded its data folder. */
 export function registerControlRpc (
   router: connect.ConnectRouter,
   service: controlService.ControlService,
   feed: configFeed.ConfigFeed,
+  { permits, quotas }: LedgerServices,
   loaded: Promise<void>
 ): void {
   const { replica } = service
-  const permits = new permitService.PermitService(service)
   router.service(inner.ControlReplica, {
     async vote (req) {
       await loaded
@@ -79,6 +86,10 @@
       await loaded
       return await permits.permit(req)
     },
+    async quota (req) {
+      await loaded
+      return await quotas.grant(req)
+    },
     async describe () {
       await loaded
       return { replicaId: replica.replicaId, founded: replica.founded, term: replica.term, leaderId: replica.leaderId }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -4,6 +4,7 @@
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as clock from '@rosemaryrack/base/common/clock.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as namedWorkspace from '@rosemaryrack/config/common/namedWorkspace.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as quarantine from '@rosemaryrack/routing/common/quarantine.js'
@@ -12,7 +13,9 @@
 import * as headerRules from '../common/headerRules.js'
 import * as orcaLoad from '../common/orcaLoad.js'
 import * as requestGuard from '../common/requestGuard.js'
+import * as retryAfter from '../common/retryAfter.js'
 import * as responseAbort from './responseAbort.js'
+import * as restOfBody from './restOfBody.js'
 import * as responseStream from './responseStream.js'
 import type * as bodyTransfers from './bodyTransfers.js'
 import * as callerBody from './callerBody.js'
@@ -23,6 +26,8 @@
 import * as httpAttempt from './httpAttempt.js'
 import type * as idempotencyClaims from './idempotencyClaims.js'
 import type * as laneRegistry from './laneRegistry.js'
+import type * as quotaGate from './quotaGate.js'
+import * as requestAdmission from './requestAdmission.js'
 import * as requestCount from './requestCount.js'
 import * as requestIdentity from './requestIdentity.js'
 import type * as requestOrigin from './requestOrigin.js'
@@ -31,13 +36,8 @@
 import type * as unframedResponses from './unframedResponses.js'
 
 const notReadyRetryAfterS = 1
-const msPerSecond = 1000
-/** Largest `Retry-After`, as a share of the caller's remaining time; callers do not follow longer ones, which leave too little time for a retry. */
-const maxRetryAfterShare = 1 / 3
-/** Shortest fractional `Retry-After`, in seconds. */
-const minRetryAfterS = 0.01
 /** Other instances can take the request at once. */
-const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: minRetryAfterS } as const
+const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: retryAfter.minRetryAfterS } as const
 
 /** Dependencies shared by all caller tasks. */
 export interface CallerDeps extends requestRun.RunDeps {
@@ -50,6 +50,7 @@
   readonly unframedResponses: Pick<unframedResponses.UnframedResponses, 'record'>
   readonly fractionalRetryAfter: boolean
   readonly startup: startup.Startup
+  readonly quotas: Pick<quotaGate.QuotaGate, 'admit'>
   /** True during graceful shutdown: the last response on a connection asks the caller to close it. */
   readonly isStopping: () => boolean
 }
@@ -65,7 +66,9 @@
   private readonly requestId: string
   private readonly done = new async.Deferred<void>()
   private activeRun: requestRun.RequestRun | undefined
-  private claim: idempotencyClaims.Claim | undefined
+  private readonly admission: requestAdmission.RequestAdmission
+  /** Set by authentication; undefined where the configuration has no workspaces. */
+  private workspace: namedWorkspace.NamedWorkspace | undefined
   private laneName = 'none'
   private body: callerBody.CallerBody | undefined
   /** The response, if its caller learns where the body ends only from the end of the connection. */
@@ -73,6 +76,7 @@
 
   constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps) {
     const suppliedId = req.headers[deps.headers.requestId]
+    this.admission = new requestAdmission.RequestAdmission(deps.quotas, () => this.isAnswered)
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
   }
@@ -98,9 +102,10 @@
    * only here: a peer that gets a response may send the request to another one.
    */
   private cancelRun (): void {
+    this.admission.cancel()
     const isUnrun = this.activeRun?.cancel() ?? true
     if (!isUnrun || this.res.headersSent) return
-    this.claim?.release()
+    this.admission.release()
     const peerClaim = this.origin.forwarded?.claim
     if (peerClaim !== undefined) this.deps.claims.adopt(peerClaim).release()
   }
@@ -161,17 +166,17 @@
     if (couldStart && !this.server.canStartRequests) throw new errors.RackError(stoppingFault)
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.firstPart)
     this.refuseQuarantined(identity)
-    this.claim = await this.claimKey(namedLane)
-    if (this.isAnswered) this.claim?.release()
-    else this.startClaimedRun(namedLane, identity, body)
+    const subject = { workspace: this.workspace, deadlineAt: this.deadlineAt(lane), canForward: this.origin.forwarded === undefined }
+    await this.admission.take(subject, async () => await this.claimKey(namedLane))
+    if (!this.isAnswered) this.startAdmittedRun(namedLane, identity, body)
   }
 
-  /** Starts the run; releases the claim of its key when an exception prevents that. */
-  private startClaimedRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
+  /** Starts the run; releases what it was admitted with when an exception prevents that. */
+  private startAdmittedRun (namedLane: laneRegistry.MatchedLane, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
     try {
       this.startRun(namedLane, identity, body)
     } catch (err) {
-      if (this.activeRun === undefined) this.claim?.release()
+      if (this.activeRun === undefined) this.admission.release()
       throw err
     }
   }
@@ -250,29 +255,33 @@
     const spec = {
       namedLane,
       service,
+      workspace: this.workspace,
+      token: this.admission.token,
       laneState: state,
       budgets: lanes.budgetsOf(state, service),
       count: new requestCount.RequestCount(lanes, state, service, forwarded?.isCounted === true),
       identity,
       body,
       canForward: forwarded === undefined,
-      claim: this.claim?.id
+      claim: this.admission.claimId
     }
     const run = (target: Pick<requestRun.RunSpec, 'req' | 'arrivedAt' | 'excludedEndpoints'>, listener: requestRun.IRunListener): void => {
       this.activeRun = new requestRun.RequestRun({ ...spec, ...target }, this.deps, listener)
       this.activeRun.start()
     }
     const fetchRest: downloadResumer.RestFetcher = (headers, excludedEndpoints, listener) => {
+      this.admission.token.recordRepeat()
       run({ req: this.buildTargetReq(namedLane, body, headers), arrivedAt: performance.now(), excludedEndpoints }, listener)
     }
     run({ req: this.buildTargetReq(namedLane, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
         body.release()
-        if (response.outcome === 'quarantined') this.claim?.release()
+        if (response.outcome === 'quarantined' || response.outcome === 'over-quota') this.admission.releaseClaim()
         this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest))
       },
       onFailed: (fault) => {
-        if (fault.kind === 'not-run' || fault.kind === 'quarantined') this.claim?.release()
+        if (fault.kind === 'not-run') this.admission.release()
+        if (fault.kind === 'quarantined') this.admission.releaseClaim()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
       }
     })
@@ -311,7 +320,7 @@
       if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
-      if (end === 'complete' && !body.isReceived) this.discardRest(body)
+      if (end === 'complete' && !body.isReceived) restOfBody.discardRest(this.req, body, (err) => this.deps.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why: errors.messageOf(err) }))
     })
     if (this.endsWithConnection(head)) this.watchUnframed(stream)
     attempt.pipe(stream)
@@ -333,22 +342,6 @@
     if (why !== undefined) decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: source, why })
   }
 
-  /** Reads the rest of a request body that the target did not wait for, so that the next request of the connection can be read. */
-  private async discardRest (body: callerBody.CallerBody): Promise<void> {
-    const { req } = this
-    // Node.js ends a request with its connection only until the response is complete.
-    const endWithConnection = (): void => { req.destroy() }
-    req.socket.once('close', endWithConnection)
-    try {
-      await body.discardRest()
-    } catch (err) {
-      if (!req.socket.destroyed) this.deps.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why: errors.messageOf(err) })
-      req.destroy()
-    } finally {
-      req.socket.off('close', endWithConnection)
-    }
-  }
-
   private newResumer (canRunAgain: boolean, { head, source }: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): downloadResumer.DownloadResumer | undefined {
     const validator = downloadResumer.validatorOf(head)
     if (!canRunAgain || this.req.method !== 'GET' || validator === undefined) return undefined
@@ -412,12 +405,10 @@
     return { [forwardHeaders.outcomeHeader]: kind, [forwardHeaders.attemptsHeader]: String(this.activeRun?.sentAttempts ?? 0) }
   }
 
-  /** Returns the value of `Retry-After`. If the caller sent a deadline, the value is limited so that a retry is still possible before it. */
   private formatRetryAfter (seconds: number): string {
     const { callerDeadlineAt } = this.origin
-    if (!this.deps.fractionalRetryAfter || callerDeadlineAt === undefined) return String(Math.ceil(seconds))
-    const remainingS = (callerDeadlineAt - performance.now()) / msPerSecond
-    return Math.max(minRetryAfterS, Math.min(seconds, remainingS * maxRetryAfterShare)).toFixed(3)
+    const remainingMs = callerDeadlineAt === undefined ? undefined : callerDeadlineAt - performance.now()
+    return retryAfter.formatRetryAfter(seconds, { fractional: this.deps.fractionalRetryAfter, remainingMs, random: this.deps.random.next() })
   }
 
   /** Records a refusal before a run was started; a run records its own. */
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -19,6 +19,7 @@
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
 import * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
+import * as workspaceQuotas from '@rosemaryrack/routing/common/workspaceQuotas.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as bodyTransfers from './bodyTransfers.js'
@@ -31,6 +32,8 @@
 import * as laneRegistry from './laneRegistry.js'
 import * as peerForwarder from './peerForwarder.js'
 import * as permitClient from './permitClient.js'
+import * as quotaClient from './quotaClient.js'
+import * as quotaGate from './quotaGate.js'
 import * as readiness from './readiness.js'
 import * as startup from './startup.js'
 import * as targetChecker from './targetChecker.js'
@@ -64,6 +67,8 @@
   /** Undefined where this instance takes no requests from peers. */
   private readonly forwards: forwardListener.ForwardListener | undefined
   private readonly startup: startup.Startup
+  private readonly quotas: workspaceQuotas.WorkspaceQuotas
+  private readonly quotaGate: quotaGate.QuotaGate
   private readonly invalidLimits = new Map<string, string>()
   private isStopping = false
 
@@ -97,6 +102,9 @@
     }, this.endpoints, this.clock, decisions))
     this.reachability = this.createReachability()
     this.crashDetector = this.disposables.add(new crashDetection.CrashDetector(this.endpoints, this.suspects, this.clock, this.reachability))
+    const source = new quotaClient.QuotaClient(self, configs, decisions, metrics)
+    this.quotas = new workspaceQuotas.WorkspaceQuotas(source, () => members.liveEntryCount, random, this.clock)
+    this.quotaGate = this.disposables.add(new quotaGate.QuotaGate(this.quotas, configs, this.reachability, metrics))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveEntryCount,
@@ -246,6 +254,7 @@
       fractionalRetryAfter: this.entry.fractionalRetryAfter,
       probing: this.entry.probing,
       startup: this.startup,
+      quotas: this.quotaGate,
       isStopping: () => this.isStopping
     }
   }
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -28,6 +28,7 @@
 import type * as laneRegistry from './laneRegistry.js'
 import type * as peerCall from './peerCall.js'
 import type * as peerForwarder from './peerForwarder.js'
+import type * as quotaGate from './quotaGate.js'
 import type * as requestCount from './requestCount.js'
 import type * as requestIdentity from './requestIdentity.js'
 import type * as targetConnections from './targetConnections.js'
@@ -55,6 +56,8 @@
 export interface RunSpec {
   readonly namedLane: laneMatcher.NamedLane
   readonly workspace?: namedWorkspace.NamedWorkspace | undefined
+  /** The request's token of its workspace's quota. */
+  readonly token?: quotaGate.QuotaToken | undefined
   readonly service: string
   readonly laneState: laneRegistry.LaneState
   readonly budgets: budget.LaneBudgets
@@ -150,7 +153,8 @@
       deadlineAt: spec.req.deadlineAt,
       identity: spec.identity,
       body: spec.body,
-      excludedEndpoints: spec.excludedEndpoints
+      excludedEndpoints: spec.excludedEndpoints,
+      onRepeat: () => spec.token?.recordRepeat()
     }, this.buildCallDeps(), {
       onResponse: ({ attempt, endpoint, head }) => this.respond({
         attempt: attempt as httpAttempt.HttpAttempt,
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -16,6 +16,7 @@
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as quotaGate from '../node/quotaGate.js'
 import * as bodyTransfers from '../node/bodyTransfers.js'
 import * as callerListener from '../node/callerListener.js'
 import * as idempotencyClaims from '../node/idempotencyClaims.js'
@@ -122,7 +123,7 @@
   private port = 0
 
   /** @param respond called with the connection of each request at its head. */
-  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number, readonly clock?: clock.IClock } = {}) {
+  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number, readonly clock?: clock.IClock, readonly quotas?: Pick<quotaGate.QuotaGate, 'admit'> } = {}) {
     this.config = new FakeConfig({ lane: { ...defaultLane, ...lane } })
     const ownClock = options.clock ?? new clock.SystemClock()
     this.endpoints = this.disposables.add(new endpointTable.EndpointTable(ownClock))
@@ -153,6 +154,7 @@
       crashDetector: this.disposables.add(new crashDetection.CrashDetector(this.endpoints, suspects, ownClock)),
       claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.config, ownClock, decisions)),
       waitForSuspectWrites: async () => {},
+      quotas: options.quotas ?? { admit: async () => quotaGate.noToken },
       decisions,
       metrics: this.metrics,
       bodyTransfers: new bodyTransfers.BodyTransfers(decisions, this.metrics, ownClock),
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -18,6 +18,7 @@
 import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as quotaGate from '../node/quotaGate.js'
 import * as bodyTransfers from '../node/bodyTransfers.js'
 import * as callerListener from '../node/callerListener.js'
 import type * as callerTask from '../node/callerTask.js'
@@ -169,6 +170,7 @@
       crashDetector: disposables.add(new crashDetection.CrashDetector(endpoints, suspects, clock)),
       claims: disposables.add(new idempotencyClaims.IdempotencyClaims(claimSource, clock, decisions)),
       waitForSuspectWrites: async () => {},
+      quotas: { admit: async () => quotaGate.noToken },
       decisions,
       metrics: processMetrics,
       bodyTransfers: new bodyTransfers.BodyTransfers(decisions, processMetrics, clock),
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -20,6 +20,8 @@
 /** Time without a confirmation, or without any message, after which a stream moves to the next replica. */
 const maxUnconfirmedMs = 2500
 const callTimeoutMs = 2500
+/** Requests of callers wait for tokens; longer than a replica waits for the leader. */
+const quotaTimeoutMs = 700
 /** Longest time for which the second stream is delayed until the first one reports. */
 const firstStreamReportTimeoutMs = 200
 /** Delay between the first confirmation and the second stream, whose connection would slow down the first requests. */
@@ -164,18 +166,23 @@
     return await this.callAny(async (client, options) => await client.permit(req, options))
   }
 
+  /** Reports requests of workspaces with a quota and asks for tokens; throws when no replica responds successfully. */
+  async requestQuota (req: inner.QuotaReq): Promise<inner.QuotaRes> {
+    return await this.callAny(async (client, options) => await client.quota(req, options), quotaTimeoutMs)
+  }
+
   /**
    * Calls the control replicas one after the other until one succeeds. A repeated command must have the effect of a single one, or
    * grant no more than it did.
    */
-  private async callAny<T> (run: (client: connect.Client<typeof inner.ControlReplica>, options: connect.CallOptions) => Promise<T>): Promise<T> {
+  private async callAny<T> (run: (client: connect.Client<typeof inner.ControlReplica>, options: connect.CallOptions) => Promise<T>, timeoutMs = callTimeoutMs): Promise<T> {
     let lastError: unknown
     const { links, preferredIndex } = this
     for (let attempt = 0; attempt < links.length; attempt++) {
       const index = (preferredIndex + attempt) % links.length
       const link = links[index]!
       try {
-        const res = await (this.followedLinks.has(link) ? link.call(run, callTimeoutMs, 'keep') : link.call(run, callTimeoutMs))
+        const res = await (this.followedLinks.has(link) ? link.call(run, timeoutMs, 'keep') : link.call(run, timeoutMs))
         this.preferredIndex = index
         return res
       } catch (err) {
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -146,6 +146,7 @@
     }
     this.record({ event, considered, candidates, choice: endpoint.endpoint, why, waitedMs: Math.round(waitedMs) })
     this.attempts++
+    if (this.mayHaveRun || this.runningAttempts.size > 0) this.spec.onRepeat?.()
     this.triedEndpoints.add(endpoint.endpoint)
     this.deps.dispatcher.recordSend(placement)
     const attempt: runningAttempt.RunningAttempt = { placement, startedAt: this.deps.clock.now(), handle: undefined, cancelTimeout: () => {} }
@@ -202,8 +203,7 @@
   // ---- Responses ----
 
   private onHead (attempt: runningAttempt.RunningAttempt, received: transport.ResponseHead): void {
-    const shed = this.spec.lane.shedStatuses.includes(received.status)
-    const head = shed ? { ...received, notRun: true } : received
+    const head = this.spec.lane.shedStatuses.includes(received.status) ? { ...received, notRun: true } : received
     this.removeAttempt(attempt)
     responseStats.recordHead(attempt, head, this.spec, this.deps, this.laneTypicalLatencyMs)
     if (this.isSettled) return
@@ -239,9 +239,12 @@
   /** Returns whether an error response is discarded, because another attempt is in flight or a retry starts instead. */
   private tryReplaceResponse (head: transport.ResponseHead): boolean {
     if (!this.spec.lane.idempotent || !retryableStatuses.includes(head.status)) return false
-    if (this.runningAttempts.size === 0 && !this.tryStartRetry(`status ${head.status}`)) return false
+    const hadDiscardedResponse = this.hasDiscardedResponse
+    // The retry may start at once, and counts as a repeat.
     this.hasDiscardedResponse = true
-    return true
+    if (this.runningAttempts.size > 0 || this.tryStartRetry(`status ${head.status}`)) return true
+    this.hasDiscardedResponse = hadDiscardedResponse
+    return false
   }
 
   /** Starts an attempt whose endpoint is being probed, or a retry if an endpoint has a slot for it now and the budget allows it. */
@@ -253,12 +256,10 @@
     if (this.isChoosingEndpoint || !this.canRetry) return false
     const placement = this.deps.dispatcher.acquireNow(this.slotRequest)
     if (placement === undefined) return false
-    if (this.takeRetry()) {
-      this.startAttempt('retry', placement)
-      return true
-    }
-    placement.release()
-    return false
+    const isAllowed = this.takeRetry()
+    if (isAllowed) this.startAttempt('retry', placement)
+    else placement.release()
+    return isAllowed
   }
 
   private deliverResponse (attempt: runningAttempt.RunningAttempt, head: transport.ResponseHead): void {
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -40,6 +40,8 @@
   readonly body: IRequestBody
   /** Ids of endpoints that must not be used. */
   readonly excludedEndpoints?: readonly string[]
+  /** Called for each attempt that starts though an earlier one may have run, for the quota of the workspace. */
+  readonly onRepeat?: () => void
 }
 
 /** Services and per-lane state that a call uses. */
--- a/packages/routing/src/test/callAttempts.test.ts
+++ b/packages/routing/src/test/callAttempts.test.ts
@@ -34,6 +34,8 @@
   readonly clock = new manualClock.ManualClock()
   readonly attempts: transport.IAttemptEvents[] = []
   readonly outcomes: string[] = []
+  /** Number of attempts that were counted beyond the first for the quota of the workspace. */
+  repeats = 0
   private readonly latency = new laneLatency.LaneLatency()
   private probes: Array<(outcome: loadProbing.ProbeOutcome) => void> = []
 
@@ -49,7 +51,7 @@
       }
     }
     const startedAttempt: transport.IAttempt = { written: true, cancel: () => {}, abandon: () => {}, deliverHeld: () => {} }
-    new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: lane.deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined } }, {
+    new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: lane.deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined }, onRepeat: () => { this.repeats++ } }, {
       probing: { deps: { dispatcher: callDispatcher, prober, budget: unlimitedBudget, clock: this.clock }, options: { candidates: 2, timeoutMs: 25, staggerMs: 8 } },
       dispatcher: callDispatcher,
       transport: {
@@ -160,3 +162,24 @@
   harness.attempts[0]!.onHead({ status: 200, notRun: false })
   t.ok(harness.latencyMs < attemptTimeoutMs / 10, `${harness.latencyMs} ms`)
 })
+
+for (const [name, first, expected] of [
+  ['a retry after a response that was discarded counts', { status: 500, notRun: false }, 1],
+  ['a retry after a refusal by an endpoint that ran nothing does not count', { status: 503, notRun: true }, 0]
+] as const) {
+  tap.t.test(`${name} for the quota of the workspace`, async (t) => {
+    const harness = new CallHarness()
+    harness.completeProbes()
+    harness.attempts[0]!.onHead(first)
+    harness.completeProbes()
+    t.same([harness.attempts.length, harness.repeats], [maxAttempts, expected])
+  })
+}
+
+tap.t.test('a hedge counts for the quota of the workspace', async (t) => {
+  const harness = new CallHarness()
+  harness.completeProbes()
+  harness.clock.advance(hedgeAfterMs)
+  harness.completeProbes()
+  t.same([harness.attempts.length, harness.repeats], [2, 1])
+})
