Fair queues: calls of workspaces take turns by weight, and give way by their load

Cause: the queue of a service was ordered by rank and deadline only, so that a workspace which asks much takes the slots of the others.

Change: start-time fair queueing within a rank (FlowSchedule, WaitingQueue), weights by ratePerSecond and loads of the quota ledger (WorkspaceFlows), calls that can no longer be served in time when others come first are refused at once (displacedCalls). A flow without outstanding calls is forgotten, so that the order of callers with one call at a time is unchanged (property test against the order without flows).

--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -19,6 +19,7 @@
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
 import * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
+import * as workspaceFlows from '@rosemaryrack/routing/common/workspaceFlows.js'
 import * as workspaceQuotas from '@rosemaryrack/routing/common/workspaceQuotas.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
@@ -105,6 +106,8 @@
     const source = new quotaClient.QuotaClient(self, configs, decisions, metrics)
     this.quotas = new workspaceQuotas.WorkspaceQuotas(source, () => members.liveEntryCount, random, this.clock)
     this.quotaGate = this.disposables.add(new quotaGate.QuotaGate(this.quotas, configs, this.reachability, metrics))
+    const flows = new workspaceFlows.WorkspaceFlows(this.quotas)
+    this.disposables.add(configs.onChanged(({ document }) => flows.applyDocument(document)))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveEntryCount,
@@ -116,6 +119,7 @@
       startingUntil: this.startup.holdEndsAt,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0,
       reachability: this.reachability,
+      flows,
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
     this.forwarder = this.disposables.add(new peerForwarder.PeerForwarder({
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -9,6 +9,7 @@
 import * as dispatcher from '@rosemaryrack/routing/common/dispatcher.js'
 import * as domainPreference from '@rosemaryrack/routing/common/domainPreference.js'
 import type * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
+import type * as flowSchedule from '@rosemaryrack/routing/common/flowSchedule.js'
 import * as laneLatency from '@rosemaryrack/routing/common/laneLatency.js'
 import * as laneMatcher from '@rosemaryrack/routing/common/laneMatcher.js'
 import * as servicePermits from '@rosemaryrack/routing/common/servicePermits.js'
@@ -53,6 +54,8 @@
   readonly notices: endpointNotices.EndpointNotices
   /** Grants permits for requests to endpoints that name a limit. */
   readonly permitSource: servicePermits.IPermitSource
+  /** Weights of the flows of queued calls; without them, all flows are equal. */
+  readonly flows?: flowSchedule.IFlowRules
   /** Whether this instance is cut off from all targets. */
   readonly reachability: targetReachability.ITargetReachability
   /** Time on the clock until which some endpoints may not be known yet after the start of this instance. */
@@ -170,10 +173,10 @@
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let serviceDispatcher = this.dispatchers.get(service)
     if (serviceDispatcher === undefined) {
-      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices, permitSource, random, reachability } = this.options
+      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices, permitSource, random, reachability, flows } = this.options
       const permits = this.disposables.add(new servicePermits.ServicePermits(permitSource, liveEntries, random, this.clock))
       const connectionLimit = (): number | undefined => configDocument.findByName(this.services, service)?.connectionLimit
-      serviceDispatcher = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, isConnected, notices, permits, reachability }, this.endpoints, newPolicy(), this.clock)
+      serviceDispatcher = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, startingUntil, isConnected, notices, permits, reachability, ...(flows === undefined ? {} : { flows }) }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, serviceDispatcher)
     }
     return serviceDispatcher
--- a/packages/routing/src/common/candidateLog.ts
+++ b/packages/routing/src/common/candidateLog.ts
@@ -16,3 +16,8 @@
   }
   return best.map(({ candidate, score }) => `${candidate.id}:${Math.round(score * scoreRoundingFactor) / scoreRoundingFactor}`).join(' ')
 }
+
+/** Describes how many endpoints get no requests for a while. */
+export function describeUnavailable (count: number): string {
+  return count === 0 ? '' : `, ${count} have asked to get no requests`
+}
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -2,16 +2,18 @@
 import type * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
-import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import type * as balancingPolicy from './balancingPolicy.js'
 import * as candidateLog from './candidateLog.js'
+import * as displacedCalls from './displacedCalls.js'
 import type * as endpointNotices from './endpointNotices.js'
 import * as endpointLimits from './endpointLimits.js'
 import type * as endpointStats from './endpointStats.js'
 import * as endpointStatsTable from './endpointStatsTable.js'
-import type * as slotAssignment from './slotAssignment.js'
+import type * as flowSchedule from './flowSchedule.js'
+import * as slotAssignment from './slotAssignment.js'
 import type * as servicePermits from './servicePermits.js'
+import * as slotShares from './slotShares.js'
 import * as targetReachability from './targetReachability.js'
 import * as waitingQueue from './waitingQueue.js'
 
@@ -27,13 +29,6 @@
 const msPerSecond = 1000
 const minRetryAfterS = 1
 
-interface Waiter extends waitingQueue.QueuedCall {
-  readonly request: slotAssignment.SlotRequest
-  readonly queuedAt: number
-  readonly done: (outcome: slotAssignment.SlotOutcome) => void
-  readonly cancelTimer: () => void
-}
-
 /** Options of a dispatcher. */
 export interface DispatcherOptions {
   readonly service: string
@@ -48,17 +43,19 @@
   readonly notices?: Pick<endpointNotices.EndpointNotices, 'awayUntil' | 'onAway'>
   /** Permits for requests to endpoints that name a limit; without them limits are not kept. */
   readonly permits?: servicePermits.ServicePermits
+  /** Weights of flows; without them, all flows are equal. */
+  readonly flows?: flowSchedule.IFlowRules
   /** Whether this instance is cut off from all targets; failures meanwhile do not count. */
   readonly reachability?: targetReachability.ITargetReachability
   /** Time until which endpoints may still be unknown because the process has just started; calls that find no endpoint wait until then. */
   readonly startingUntil?: number
 }
 
-/** Assigns free slots by the balancing policy, and queues calls by priority and deadline while there are none. */
+/** Assigns free slots by the balancing policy, and queues calls by priority, flow and deadline while there are none. */
 export class Dispatcher implements lifecycle.IDisposable {
   private readonly disposables = new lifecycle.DisposableStore()
   private readonly stats = new endpointStatsTable.EndpointStatsTable()
-  private readonly queue = new waitingQueue.WaitingQueue<Waiter>()
+  private readonly queue: waitingQueue.WaitingQueue<displacedCalls.Waiter>
   private typicalMs = initialTypicalLatencyMs
   /** Mean of the latencies relative to the typical latency of their lane; far from 1 while lanes still use initial estimates. */
   private meanRelativeLatency = 1
@@ -75,6 +72,7 @@
     private readonly policy: balancingPolicy.IBalancingPolicy,
     private readonly clock: clock.IClock
   ) {
+    this.queue = new waitingQueue.WaitingQueue(options.flows)
     this.limits = new endpointLimits.EndpointLimits(options.permits, policy)
     this.disposables.add(endpoints.onChanged((endpoint) => this.onEndpointChanged(endpoint)))
     if (options.notices !== undefined) this.disposables.add(options.notices.onAway((endpoint) => this.onEndpointAway(endpoint)))
@@ -121,14 +119,20 @@
       done({ placed: false, fault })
       return () => {}
     }
-    return this.enqueue(request, now, done)
+    const withdraw = this.enqueue(request, now, done)
+    if (request.flow !== undefined) this.refuseDisplaced(now)
+    return withdraw
+  }
+
+  /** Returns whether the calls of a request's flow come after equal ones of other flows. */
+  givesWay (flow: string | undefined): boolean {
+    return this.queue.givesWay(flow)
   }
 
   /** Returns whether an endpoint without a limit has a free slot for a call that is not the first of the queue. */
   private hasFreeSlot (request: slotAssignment.SlotRequest, now: number): boolean {
-    if (this.queue.position(request) === 0) return false
     const unlimited = this.findAvailable(now).available.filter((endpoint) => !this.limits.isLimited(endpoint))
-    return this.findCandidates(unlimited, request, now).length > 0
+    return this.queue.position(request) > 0 && this.findCandidates(unlimited, request, now).length > 0
   }
 
   /** Assigns a slot for a hedge, at an endpoint without a limit, if no call waits and the slots in use are below the lane's share for hedges. */
@@ -156,7 +160,9 @@
   /** Assigns a slot if one is free and no other call waits before this one. */
   acquireNow (request: slotAssignment.SlotRequest): slotAssignment.Placement | undefined {
     const now = this.clock.now()
-    return this.queue.position(request) === 0 ? this.tryPlace(request, now, now) : undefined
+    const placement = this.queue.position(request) === 0 ? this.tryPlace(request, now, now) : undefined
+    if (placement !== undefined) this.queue.serveDirectly(request)
+    return placement
   }
 
   /** Counts a request that is sent now; one with a permit is counted already. */
@@ -166,7 +172,7 @@
 
   /** Returns the factor on the cost of an endpoint for a call, by failure domain. */
   domainFactor (endpoint: endpointTable.Endpoint, request: slotAssignment.SlotRequest): number {
-    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : weightedFactor(request, request.remoteFactor)
+    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : slotAssignment.weightedFactor(request, request.remoteFactor)
   }
 
   /**
@@ -187,10 +193,11 @@
   private enqueue (request: slotAssignment.SlotRequest, now: number, done: (outcome: slotAssignment.SlotOutcome) => void): () => void {
     const isWaitingForFirstEndpoint = this.isStarting(now) && this.endpoints.routable(this.options.service).length === 0
     const expiresAt = Math.min(now + request.lane.maxWaitMs, request.deadlineAt, isWaitingForFirstEndpoint ? this.options.startingUntil! : Infinity)
-    const waiter: Waiter = {
+    const waiter: displacedCalls.Waiter = {
       request,
       priority: request.priority,
       deadlineAt: request.deadlineAt,
+      flow: request.flow,
       queuedAt: now,
       done,
       cancelTimer: this.clock.after(expiresAt - now, () => this.expire(waiter))
@@ -199,12 +206,12 @@
     return () => this.withdraw(waiter)
   }
 
-  private withdraw (waiter: Waiter): void {
+  private withdraw (waiter: displacedCalls.Waiter): void {
     waiter.cancelTimer()
     this.queue.remove(waiter)
   }
 
-  private expire (waiter: Waiter): void {
+  private expire (waiter: displacedCalls.Waiter): void {
     this.queue.remove(waiter)
     waiter.done({ placed: false, fault: this.notRunFault('no slot became free in time', this.estimateWaitMs(waiter)) })
   }
@@ -230,11 +237,22 @@
         if (this.isUnrestricted(waiter.request, now) || waiter.priority === 'bulk') return
         continue
       }
-      this.withdraw(waiter)
+      waiter.cancelTimer()
+      this.queue.serve(waiter)
       waiter.done({ placed: true, placement })
     }
   }
 
+  /** Rejects the queued calls that cannot be served in time since another one is served before them. */
+  private refuseDisplaced (now: number): void {
+    const { available } = this.findAvailable(now)
+    if (available.length === 0 || this.findLimitedEndpoints(now).length > 0) return
+    for (const { waiter, waitMs } of displacedCalls.findDisplaced(this.queue, this.meanHoldMs / Math.max(1, this.totalLimit(available)), now)) {
+      this.withdraw(waiter)
+      waiter.done({ placed: false, fault: this.notRunFault('other calls come first, and the wait is too long', waitMs) })
+    }
+  }
+
   private findRejection (request: slotAssignment.SlotRequest, now: number): errors.Fault | undefined {
     const endpoints = this.endpoints.routable(this.options.service)
     if (endpoints.length === 0 && this.isStarting(now)) return undefined
@@ -292,13 +310,13 @@
   private tryPlace (request: slotAssignment.SlotRequest, queuedAt: number, now: number, mayBeLimited = true): slotAssignment.Placement | undefined {
     const endpoints = this.endpoints.routable(this.options.service)
     const { available } = this.findAvailable(now)
-    if (request.priority === 'bulk' && this.bulkInFlight >= this.bulkLimit(available, request.lane)) return undefined
+    if (request.priority === 'bulk' && this.bulkInFlight >= Math.max(1, Math.floor(request.lane.budgets.bulkShare * this.totalLimit(available)))) return undefined
     const candidates = this.findCandidates(mayBeLimited ? available : available.filter((endpoint) => !this.limits.isLimited(endpoint)), request, now)
     const context = {
       now,
       ownFailureDomain: this.options.ownFailureDomain,
       typicalLatencyMs: this.typicalMs * this.meanRelativeLatency,
-      remoteFactor: weightedFactor(request, request.remoteCandidateFactor ?? request.remoteFactor),
+      remoteFactor: slotAssignment.weightedFactor(request, request.remoteCandidateFactor ?? request.remoteFactor),
       weights: request.lane.weights
     }
     const choice = this.limits.choose(candidates, context, endpoints, this.queue.length)
@@ -306,7 +324,7 @@
     return this.occupySlot(request, choice, {
       considered: candidates.length,
       candidates: candidateLog.describeBest(this.policy, candidates, context),
-      why: `${this.policy.name}: ${candidates.length} of ${endpoints.length} endpoints have a free slot${describeUnavailable(endpoints.length - available.length)}${choice.note}`,
+      why: `${this.policy.name}: ${candidates.length} of ${endpoints.length} endpoints have a free slot${candidateLog.describeUnavailable(endpoints.length - available.length)}${choice.note}`,
       waitedMs: now - queuedAt,
       isPermitted: choice.isPermitted
     })
@@ -320,10 +338,12 @@
     const suspectCount = request.isSuspect ? 1 : 0
     this.bulkInFlight += bulkCount
     stats.suspectCount += suspectCount
+    const releaseFlow = this.queue.hold(request)
     let released = false
     const release = (): void => {
       if (released) return
       released = true
+      releaseFlow()
       stats.endCall(handle)
       this.bulkInFlight -= bulkCount
       stats.suspectCount -= suspectCount
@@ -360,13 +380,8 @@
     return request.excludedEndpoints.size === 0 && !request.isSuspect && allWarm
   }
 
-  /** Returns this instance's share of the slots and connections of an endpoint; at least one, so that each can be used. */
   private slotLimit (endpoint: endpointTable.Endpoint): number {
-    const entries = this.options.liveEntries()
-    const slotShare = Math.max(1, Math.ceil(endpoint.slots / entries))
-    const configuredLimit = this.options.connectionLimit?.() ?? Infinity
-    const connectionShare = Math.max(1, Math.floor(Math.min(endpoint.connectionLimit, configuredLimit) / entries))
-    return Math.min(slotShare, connectionShare)
+    return slotShares.slotLimit(endpoint, this.options.liveEntries(), this.options.connectionLimit?.())
   }
 
   /** Returns the slots that this instance may use, without those of endpoints whose capacity is a limit on requests per second. */
@@ -374,10 +389,6 @@
     return endpoints.reduce((sum, endpoint) => this.limits.isLimited(endpoint) ? sum : sum + this.slotLimit(endpoint), 0)
   }
 
-  private bulkLimit (endpoints: readonly endpointTable.Endpoint[], lane: configDocument.Lane): number {
-    return Math.max(1, Math.floor(lane.budgets.bulkShare * this.totalLimit(endpoints)))
-  }
-
   /** Withdraws the failures that were due to a partition of this instance: at the verdict those just before, at its end those since. */
   private withdrawFailures (isCutOff: boolean): void {
     const now = this.clock.now()
@@ -426,15 +437,6 @@
   }
 }
 
-/** Returns the factor on the cost of endpoints in other failure domains, multiplied by the lane's weight. */
-function weightedFactor ({ lane }: slotAssignment.SlotRequest, factor: number): number {
-  return factor * lane.weights.remoteDomain
-}
-
-function describeUnavailable (count: number): string {
-  return count === 0 ? '' : `, ${count} have asked to get no requests`
-}
-
 /** Returns whether an endpoint is too cold for a call. Bulk calls warm endpoints up, since the first responses are slow. */
 function isTooCold (request: slotAssignment.SlotRequest, stats: endpointStats.EndpointStats, now: number): boolean {
   return request.priority !== 'bulk' && now - stats.firstSeenAt < request.lane.coldStartMs
--- a/packages/routing/src/common/slotAssignment.ts
+++ b/packages/routing/src/common/slotAssignment.ts
@@ -45,3 +45,8 @@
 export type SlotOutcome =
   | { readonly placed: true, readonly placement: Placement }
   | { readonly placed: false, readonly fault: errors.Fault }
+
+/** Returns the factor on the cost of endpoints in other failure domains, multiplied by the lane's weight. */
+export function weightedFactor ({ lane }: SlotRequest, factor: number): number {
+  return factor * lane.weights.remoteDomain
+}
--- a/packages/routing/src/common/workspaceQuotas.ts
+++ b/packages/routing/src/common/workspaceQuotas.ts
@@ -33,6 +33,11 @@
 /** Random part that is added to the time after which a refused caller may return, as a share of it. */
 const retrySpread = 1
 const silentRetryAfterS = 0.5
+/**
+ * Load relative to the mean of the others above which a workspace gives way. At 1, chance decides between workspaces that use equal parts,
+ * and those that usually use more of their quota than others lose too much (docs/design/fair-queue.md).
+ */
+const givingWayFactor = 1.5
 
 /** What the instance reports of one workspace, and the tokens that it wants. */
 export interface QuotaUse {
@@ -141,6 +146,14 @@
     return this.states.get(name)?.loadAt(this.clock.now())
   }
 
+  /** Returns whether a workspace uses far more of its quota than the others that this instance knows do on average. */
+  givesWay (name: string): boolean {
+    const load = this.loadOf(name)
+    if (load === undefined) return false
+    const others = [...this.states.keys()].flatMap((other) => other === name ? [] : this.loadOf(other) ?? [])
+    return others.length > 0 && load > givingWayFactor * others.reduce((sum, each) => sum + each, 0) / others.length
+  }
+
   /** Forgets the workspaces that are no longer configured; their waiting requests run, since their quota is no longer known. */
   retain (isConfigured: (name: string) => boolean): void {
     for (const [name, state] of this.states) {
