Quotas: no share before the first response of the ledger; Retry-After of refused calls is the expected wait

Cause: a process that has just started may know no other instance yet, and would use the share of all of them. Refusals named whole seconds, at least one, whatever the expected wait was.

Change: shares need one response of the ledger since the start. A token that is given back serves a request that waits.

--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -27,7 +27,9 @@
 /** Cold endpoints are not avoided while they are more than this share of the endpoints. */
 const maxColdShare = 0.25
 const msPerSecond = 1000
-const minRetryAfterS = 1
+/** `Retry-After` of a refusal without an estimate of the wait, and the shortest one with an estimate. */
+const noWaitRetryAfterS = 1
+const minWaitRetryAfterS = 0.1
 
 /** Options of a dispatcher. */
 export interface DispatcherOptions {
@@ -304,7 +306,7 @@
   }
 
   private notRunFault (message: string, waitMs: number): errors.Fault {
-    return { kind: 'not-run', message, retryAfterS: Math.max(minRetryAfterS, Math.ceil(waitMs / msPerSecond)) }
+    return { kind: 'not-run', message, retryAfterS: waitMs > 0 ? Math.max(minWaitRetryAfterS, waitMs / msPerSecond) : noWaitRetryAfterS }
   }
 
   private tryPlace (request: slotAssignment.SlotRequest, queuedAt: number, now: number, mayBeLimited = true): slotAssignment.Placement | undefined {
--- a/packages/routing/src/common/workspaceQuotas.ts
+++ b/packages/routing/src/common/workspaceQuotas.ts
@@ -79,8 +79,11 @@
   /** Time of the first request that had no response since the last one that had; undefined while the coordinator responds. */
   private silentSince: number | undefined
   private failedAt = -Infinity
-  /** Number of live entry instances when the coordinator last responded. An instance that is cut off soon knows few others. */
-  private coordinatedEntries = 1
+  /**
+   * Number of live entry instances when the coordinator last responded, since an instance that is cut off soon knows few others. Undefined
+   * before the first response: the instance uses no share then, as it may know no others yet.
+   */
+  private coordinatedEntries: number | undefined
   private scheduled: { readonly at: number, readonly cancel: () => void } | undefined
   private cancelShareTimer: (() => void) | undefined
 
@@ -137,7 +140,9 @@
   giveBack (name: string): void {
     const state = this.states.get(name)
     if (state === undefined) return
-    state.addTokens(1, this.clock.now())
+    const now = this.clock.now()
+    state.addTokens(1, now)
+    if (state.waiters.size > 0 && state.takeToken(now)) this.admitFirst(state)
     this.scheduleReport()
   }
 
@@ -180,7 +185,7 @@
       this.scheduleReport()
       return { admitted: true }
     }
-    if (this.isSilent(now) && state.takeShare(this.sharingEntries, now)) {
+    if (this.takeShare(state, now)) {
       this.scheduleReport()
       return { admitted: true }
     }
@@ -289,8 +294,10 @@
 
   // ---- Shares without a coordinator ----
 
-  private get sharingEntries (): number {
-    return Math.max(this.coordinatedEntries, this.liveEntries())
+  /** Takes a request from this instance's share, if the coordinator has responded once and is silent now. */
+  private takeShare (state: quotaState.QuotaState, now: number): boolean {
+    if (this.coordinatedEntries === undefined || !this.isSilent(now)) return false
+    return state.takeShare(Math.max(this.coordinatedEntries, this.liveEntries()), now)
   }
 
   private startShareTimer (): void {
@@ -305,7 +312,7 @@
     const now = this.clock.now()
     if (!this.isSilent(now)) return
     for (const state of this.states.values()) {
-      while (state.waiters.size > 0 && state.takeShare(this.sharingEntries, now)) this.admitFirst(state)
+      while (state.waiters.size > 0 && this.takeShare(state, now)) this.admitFirst(state)
     }
     this.scheduleNext()
   }
