Fair queues: workspaces give way only to others of their rank, and never to less urgent calls

Cause: the mean load was taken over all workspaces. In overload the less urgent ones get less, so that an urgent one would be above the mean and its calls refused earlier than less urgent ones.

Change: WorkspaceFlows compares workspaces of equal priority, and calls leave endpoints with queues only where no calls of the service are less urgent.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -93,7 +93,7 @@
   }
 
   private get timeLimits (): timeLimits.TimeLimits {
-    return timeLimits.computeTimeLimits(this.spec.lane, { ...this.spec, now: this.deps.clock.now(), givesWay: this.deps.dispatcher.givesWay(this.spec.workspace?.name) }, this.laneTypicalLatencyMs)
+    return timeLimits.computeTimeLimits(this.spec.lane, { ...this.spec, now: this.deps.clock.now(), givesWay: this.deps.dispatcher.givesWay(this.slotRequest) }, this.laneTypicalLatencyMs)
   }
 
   private requestSlotAfter (event: 'route' | 'retry', ms: number): void {
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -126,9 +126,9 @@
     return withdraw
   }
 
-  /** Returns whether the calls of a request's flow come after equal ones of other flows. */
-  givesWay (flow: string | undefined): boolean {
-    return this.queue.givesWay(flow)
+  /** Returns whether a call leaves endpoints with queues to calls of other flows. Calls never do so for less urgent ones. */
+  givesWay ({ flow, priority }: Pick<slotAssignment.SlotRequest, 'flow' | 'priority'>): boolean {
+    return this.queue.givesWay(flow) && this.options.flows?.isLeastUrgent(this.options.service, priority) === true
   }
 
   /** Returns whether an endpoint without a limit has a free slot for a call that is not the first of the queue. */
--- a/packages/routing/src/common/flowSchedule.ts
+++ b/packages/routing/src/common/flowSchedule.ts
@@ -1,4 +1,5 @@
 /** Virtual times of start-time fair queueing for the flows of one rank. */
+import type * as configDocument from '@rosemaryrack/config/common/configDocument.js'
 
 /** What the configuration and the other instances say of flows. */
 export interface IFlowRules {
@@ -6,10 +7,12 @@
   weightOf(flow: string): number
   /** Returns whether the calls of a flow come after equal ones of other flows. */
   givesWay(flow: string): boolean
+  /** Returns whether no calls of a service are less urgent than those of a priority. */
+  isLeastUrgent(service: string, priority: configDocument.LanePriority): boolean
 }
 
 /** Rules by which all flows are equal. */
-export const equalFlows: IFlowRules = { weightOf: () => 1, givesWay: () => false }
+export const equalFlows: IFlowRules = { weightOf: () => 1, givesWay: () => false, isLeastUrgent: () => true }
 
 interface FlowState {
   /** Number of calls that are queued or hold a slot. */
--- a/packages/routing/src/common/waitingQueue.ts
+++ b/packages/routing/src/common/waitingQueue.ts
@@ -5,7 +5,7 @@
 const namedRanks: { readonly [P in Extract<configDocument.LanePriority, string>]: number } = { urgent: 0, normal: 1, bulk: 2 }
 
 /** Returns the rank of a priority; the lowest rank is served first. */
-function rankOf (priority: configDocument.LanePriority): number {
+export function rankOf (priority: configDocument.LanePriority): number {
   return typeof priority === 'number' ? priority : namedRanks[priority]
 }
 
--- a/packages/routing/src/common/workspaceQuotas.ts
+++ b/packages/routing/src/common/workspaceQuotas.ts
@@ -151,11 +151,14 @@
     return this.states.get(name)?.loadAt(this.clock.now())
   }
 
-  /** Returns whether a workspace uses far more of its quota than the others that this instance knows do on average. */
-  givesWay (name: string): boolean {
+  /**
+   * Returns whether a workspace uses far more of its quota than the others that this instance knows do on average.
+   * @param isComparable returns whether another workspace counts.
+   */
+  givesWay (name: string, isComparable: (other: string) => boolean = () => true): boolean {
     const load = this.loadOf(name)
     if (load === undefined) return false
-    const others = [...this.states.keys()].flatMap((other) => other === name ? [] : this.loadOf(other) ?? [])
+    const others = [...this.states.keys()].flatMap((other) => other === name || !isComparable(other) ? [] : this.loadOf(other) ?? [])
     return others.length > 0 && load > givingWayFactor * others.reduce((sum, each) => sum + each, 0) / others.length
   }
 
--- a/packages/routing/src/test/fairQueue.test.ts
+++ b/packages/routing/src/test/fairQueue.test.ts
@@ -54,7 +54,7 @@
 })
 
 tap.t.test('calls of a flow with many come after the first calls of the others, and take turns by weight', async (t) => {
-  const rules: flowSchedule.IFlowRules = { weightOf: (flow) => flow === 'c' ? 2 : 1, givesWay: () => false }
+  const rules: flowSchedule.IFlowRules = { weightOf: (flow) => flow === 'c' ? 2 : 1, givesWay: () => false, isLeastUrgent: () => true }
   const queue = new waitingQueue.WaitingQueue<Named>(rules)
   for (const call of [...createCalls('a', 4), ...createCalls('b', 2, 100), ...createCalls('c', 4, 200)]) queue.add(call)
   t.same(names(queue), ['a0', 'b0', 'c0', 'c1', 'a1', 'b1', 'c2', 'c3', 'a2', 'a3'])
@@ -70,7 +70,7 @@
 })
 
 tap.t.test('a flow that gives way comes after equal calls of others, but before second calls of others', async (t) => {
-  const queue = new waitingQueue.WaitingQueue<Named>({ weightOf: () => 1, givesWay: (flow) => flow === 'a' })
+  const queue = new waitingQueue.WaitingQueue<Named>({ weightOf: () => 1, givesWay: (flow) => flow === 'a', isLeastUrgent: () => true })
   for (const call of [...createCalls('a', 1), ...createCalls('b', 2, 100), ...createCalls('c', 1, 200)]) queue.add(call)
   t.same(names(queue), ['b0', 'c0', 'a0', 'b1'])
 })
@@ -83,6 +83,30 @@
   t.same(['a', 'b', 'c', 'connection'].map((flow) => flows.weightOf(flow)), [0.5, 1.5, 1, 1])
 })
 
+// Guards against a rank that is served less often than a less urgent one, because one of its workspaces gives way.
+tap.t.test('a workspace is compared with those of its rank, and never leaves endpoints to less urgent calls', async (t) => {
+  const lane = { service: 's', idempotent: true, deadlineMs: 1, maxWaitMs: 1 }
+  const lanes = { first: { ...lane, priority: 'urgent', match: { pathPrefix: '/a' } }, second: { ...lane, priority: 'normal', match: { pathPrefix: '/b' } }, other: { ...lane, service: 'x', priority: 'bulk', match: { pathPrefix: '/c' } } }
+  const compared: string[] = []
+  const flows = new workspaceFlows.WorkspaceFlows({
+    givesWay: (_name, isComparable) => {
+      compared.push(...['a', 'b', 'c'].filter((other) => isComparable!(other)))
+      return true
+    }
+  })
+  const apply = (workspaces: object): void => {
+    const check = configDocument.checkDocument({ lanes, workspaces })
+    if (!check.ok) throw new Error(check.problems.join('; '))
+    flows.applyDocument(check.document)
+  }
+  apply({ a: { apiKeys: ['1'], priority: 0 }, b: { apiKeys: ['2'], priority: 4 }, c: { apiKeys: ['3'], priority: 4 } })
+  flows.givesWay('b')
+  t.same(compared, ['b', 'c'])
+  t.same([0, 4].map((priority) => flows.isLeastUrgent('s', priority)), [false, true])
+  apply({ a: { apiKeys: ['1'] }, b: { apiKeys: ['2'] } })
+  t.same((['urgent', 'normal'] as const).map((priority) => flows.isLeastUrgent('s', priority)), [false, true])
+})
+
 const flowCount = 10
 const slots = 8
 const workMs = 100
--- a/packages/testbed/src/test/fairFleet.ts
+++ b/packages/testbed/src/test/fairFleet.ts
@@ -138,7 +138,7 @@
     const refuse = (): void => instance.quotas.giveBack(flow)
     instance.dispatcher.acquire(request, (outcome) => {
       if (!outcome.placed) return refuse()
-      const limits = timeLimits.computeTimeLimits(lane, { ...times, now: this.clock.now(), givesWay: instance.dispatcher.givesWay(flow) }, workMs)
+      const limits = timeLimits.computeTimeLimits(lane, { ...times, now: this.clock.now(), givesWay: instance.dispatcher.givesWay(request) }, workMs)
       const prober: loadProbing.IProber = {
         probe: (endpoint, done) => {
           done({ kind: 'report', report: this.endpoints.get(endpoint.endpoint)!.report })
