--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -14,6 +14,7 @@
 import * as headerRules from '../common/headerRules.js'
 import * as orcaLoad from '../common/orcaLoad.js'
 import * as requestGuard from '../common/requestGuard.js'
+import * as retryAfter from '../common/retryAfter.js'
 import * as responseAbort from './responseAbort.js'
 import * as responseStream from './responseStream.js'
 import type * as bodyTransfers from './bodyTransfers.js'
@@ -25,6 +26,8 @@
 import * as httpAttempt from './httpAttempt.js'
 import type * as idempotencyClaims from './idempotencyClaims.js'
 import type * as laneRegistry from './laneRegistry.js'
+import type * as quotaGate from './quotaGate.js'
+import * as requestAdmission from './requestAdmission.js'
 import * as requestCount from './requestCount.js'
 import * as requestIdentity from './requestIdentity.js'
 import type * as requestOrigin from './requestOrigin.js'
@@ -35,13 +38,8 @@
 import type * as workspaceAuth from './workspaceAuth.js'
 
 const notReadyRetryAfterS = 1
-const msPerSecond = 1000
-/** Largest `Retry-After`, as a share of the caller's remaining time; callers do not follow longer ones, which leave too little time for a retry. */
-const maxRetryAfterShare = 1 / 3
-/** Shortest fractional `Retry-After`, in seconds. */
-const minRetryAfterS = 0.01
 /** Other instances can take the request at once. */
-const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: minRetryAfterS } as const
+const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: retryAfter.minRetryAfterS } as const
 
 /** Dependencies shared by all caller tasks. */
 export interface CallerDeps extends requestRun.RunDeps {
@@ -55,6 +53,7 @@
   readonly fractionalRetryAfter: boolean
   readonly startup: startup.Startup
   readonly auth: workspaceAuth.WorkspaceAuth
+  readonly quotas: Pick<quotaGate.QuotaGate, 'admit'>
   /** True during graceful shutdown: the last response on a connection asks the caller to close it. */
   readonly isStopping: () => boolean
 }
@@ -70,7 +69,7 @@
   private readonly requestId: string
   private readonly done = new async.Deferred<void>()
   private activeRun: requestRun.RequestRun | undefined
-  private claim: idempotencyClaims.Claim | undefined
+  private readonly admission: requestAdmission.RequestAdmission
   private laneName = 'none'
   /** Names the workspace once the request is authenticated. */
   private decisions: decisionLog.IDecisionLog
@@ -80,6 +79,7 @@
 
   constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps, private readonly refusal?: errors.Fault) {
     const suppliedId = req.headers[deps.headers.requestId]
+    this.admission = new requestAdmission.RequestAdmission(deps.quotas, () => this.isAnswered)
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
     this.decisions = deps.decisions
     this.requestId = isUsable ? suppliedId : crypto.randomUUID()
@@ -106,9 +106,10 @@
    * only here: a peer that gets a response may send the request to another one.
    */
   private cancelRun (): void {
+    this.admission.cancel()
     const isUnrun = this.activeRun?.cancel() ?? true
     if (!isUnrun || this.res.headersSent) return
-    this.claim?.release()
+    this.admission.release()
     const peerClaim = this.origin.forwarded?.claim
     if (peerClaim !== undefined) this.deps.claims.adopt(peerClaim).release()
   }
@@ -171,17 +172,17 @@
     if (couldStart && !this.server.canStartRequests) throw new errors.RackError(stoppingFault)
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.firstPart)
     this.refuseQuarantined(identity)
-    this.claim = await this.claimKey(namedLane)
-    if (this.isAnswered) this.claim?.release()
-    else this.startClaimedRun(namedLane, access, identity, body)
+    const subject = { workspace: access.workspace, deadlineAt: this.deadlineAt(lane), canForward: this.origin.forwarded === undefined }
+    await this.admission.take(subject, async () => await this.claimKey(namedLane))
+    if (!this.isAnswered) this.startAdmittedRun(namedLane, access, identity, body)
   }
 
-  /** Starts the run; releases the claim of its key when an exception prevents that. */
-  private startClaimedRun (namedLane: laneRegistry.MatchedLane, access: workspaceAuth.RequestAccess, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
+  /** Starts the run; releases what it was admitted with when an exception prevents that. */
+  private startAdmittedRun (namedLane: laneRegistry.MatchedLane, access: workspaceAuth.RequestAccess, identity: requestIdentity.RequestIdentity, body: callerBody.CallerBody): void {
     try {
       this.startRun(namedLane, access, identity, body)
     } catch (err) {
-      if (this.activeRun === undefined) this.claim?.release()
+      if (this.activeRun === undefined) this.admission.release()
       throw err
     }
   }
@@ -261,29 +262,32 @@
       workspace: access.workspace,
       findRefusal: access.findRefusal,
       service,
+      token: this.admission.token,
       laneState: state,
       budgets: lanes.budgetsOf(state, service),
       count: new requestCount.RequestCount(lanes, state, service, forwarded?.isCounted === true),
       identity,
       body,
       canForward: forwarded === undefined,
-      claim: this.claim?.id
+      claim: this.admission.claimId
     }
     const run = (target: Pick<requestRun.RunSpec, 'req' | 'arrivedAt' | 'excludedEndpoints'>, listener: requestRun.IRunListener): void => {
       this.activeRun = new requestRun.RequestRun({ ...spec, ...target, connection: this.origin.connection }, this.deps, listener)
       this.activeRun.start()
     }
     const fetchRest: downloadResumer.RestFetcher = (headers, excludedEndpoints, listener) => {
+      this.admission.token.recordRepeat()
       run({ req: this.buildTargetReq(namedLane, access, body, headers), arrivedAt: performance.now(), excludedEndpoints }, listener)
     }
     run({ req: this.buildTargetReq(namedLane, access, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
         body.release()
-        if (response.outcome === 'quarantined') this.claim?.release()
+        if (response.outcome === 'quarantined' || response.outcome === 'over-quota') this.admission.releaseClaim()
         this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest))
       },
       onFailed: (fault) => {
-        if (fault.kind === 'not-run' || fault.kind === 'quarantined') this.claim?.release()
+        if (fault.kind === 'not-run') this.admission.release()
+        if (fault.kind === 'quarantined') this.admission.releaseClaim()
         this.refuseAfterSuspectWrites(identity, body.fault ?? fault)
       }
     })
@@ -407,12 +411,10 @@
     return { [forwardHeaders.outcomeHeader]: kind, [forwardHeaders.attemptsHeader]: String(this.activeRun?.sentAttempts ?? 0) }
   }
 
-  /** Returns the value of `Retry-After`. If the caller sent a deadline, the value is limited so that a retry is still possible before it. */
   private formatRetryAfter (seconds: number): string {
     const { callerDeadlineAt } = this.origin
-    if (!this.deps.fractionalRetryAfter || callerDeadlineAt === undefined) return String(Math.ceil(seconds))
-    const remainingS = (callerDeadlineAt - performance.now()) / msPerSecond
-    return Math.max(minRetryAfterS, Math.min(seconds, remainingS * maxRetryAfterShare)).toFixed(3)
+    const remainingMs = callerDeadlineAt === undefined ? undefined : callerDeadlineAt - performance.now()
+    return retryAfter.formatRetryAfter(seconds, { fractional: this.deps.fractionalRetryAfter, remainingMs, random: this.deps.random.next() })
   }
 
   /** Records a refusal before a run was started; a run records its own. */
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -21,6 +21,8 @@
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import * as targetContacts from '@rosemaryrack/routing/common/targetContacts.js'
 import * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
+import * as workspaceFlows from '@rosemaryrack/routing/common/workspaceFlows.js'
+import * as workspaceQuotas from '@rosemaryrack/routing/common/workspaceQuotas.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as keyLease from '../common/keyLease.js'
@@ -36,6 +38,8 @@
 import * as laneRegistry from './laneRegistry.js'
 import * as peerForwarder from './peerForwarder.js'
 import * as permitClient from './permitClient.js'
+import * as quotaClient from './quotaClient.js'
+import * as quotaGate from './quotaGate.js'
 import * as readiness from './readiness.js'
 import * as startup from './startup.js'
 import * as targetChecker from './targetChecker.js'
@@ -73,6 +77,8 @@
   private readonly startup: startup.Startup
   private readonly lease: keyLease.KeyLease
   private readonly leaseRenewal: leaseRenewal.LeaseRenewal
+  private readonly quotas: workspaceQuotas.WorkspaceQuotas
+  private readonly quotaGate: quotaGate.QuotaGate
   private readonly invalidLimits = new Map<string, string>()
   private isStopping = false
 
@@ -109,6 +115,11 @@
     }, this.endpoints, this.clock, decisions))
     this.reachability = this.createReachability()
     this.crashDetector = this.disposables.add(new crashDetection.CrashDetector(this.endpoints, this.suspects, this.clock, this.reachability))
+    const source = new quotaClient.QuotaClient(self, configs, decisions, metrics)
+    this.quotas = new workspaceQuotas.WorkspaceQuotas(source, () => members.liveEntryCount, random, this.clock)
+    this.quotaGate = this.disposables.add(new quotaGate.QuotaGate(this.quotas, configs, this.reachability, metrics))
+    const flows = new workspaceFlows.WorkspaceFlows(this.quotas)
+    this.disposables.add(configs.onChanged(({ document }) => flows.applyDocument(document)))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
       ownFailureDomain: cfg.failureDomain,
       liveEntries: () => members.liveEntryCount,
@@ -121,6 +132,7 @@
       startingUntil: this.startup.holdEndsAt,
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0,
       reachability: this.reachability,
+      flows,
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
     this.forwarder = this.disposables.add(new peerForwarder.PeerForwarder({
@@ -267,6 +279,7 @@
       probing: this.entry.probing,
       startup: this.startup,
       auth: this.disposables.add(new workspaceAuth.WorkspaceAuth({ configs: this.configs, freshness: this.lease, headers: this.entry.headers, metrics: this.metrics })),
+      quotas: this.quotaGate,
       isStopping: () => this.isStopping
     }
   }
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -16,6 +16,7 @@
 import * as endpointNotices from '@rosemaryrack/routing/common/endpointNotices.js'
 import * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as quotaGate from '../node/quotaGate.js'
 import * as bodyTransfers from '../node/bodyTransfers.js'
 import type * as callerLimiter from '../node/callerLimiter.js'
 import * as callerListener from '../node/callerListener.js'
@@ -124,7 +125,7 @@
   private port = 0
 
   /** @param respond called with the connection of each request at its head. */
-  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number, readonly clock?: clock.IClock, readonly limits?: Partial<callerLimiter.CallerLimits> } = {}) {
+  constructor (lane: object, private readonly respond: (socket: net.Socket) => void, private readonly options: { readonly slots?: number, readonly graceS?: number, readonly clock?: clock.IClock, readonly limits?: Partial<callerLimiter.CallerLimits>, readonly quotas?: Pick<quotaGate.QuotaGate, 'admit'> } = {}) {
     this.config = new FakeConfig({ lane: { ...defaultLane, ...lane } })
     const ownClock = options.clock ?? new clock.SystemClock()
     this.endpoints = this.disposables.add(new endpointTable.EndpointTable(ownClock))
@@ -155,6 +156,7 @@
       crashDetector: this.disposables.add(new crashDetection.CrashDetector(this.endpoints, suspects, ownClock)),
       claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.config, ownClock, decisions)),
       waitForSuspectWrites: async () => {},
+      quotas: options.quotas ?? { admit: async () => quotaGate.noToken },
       decisions,
       metrics: this.metrics,
       bodyTransfers: new bodyTransfers.BodyTransfers(decisions, this.metrics, ownClock),
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -19,6 +19,7 @@
 import type * as targetReachability from '@rosemaryrack/routing/common/targetReachability.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as quotaGate from '../node/quotaGate.js'
 import * as bodyTransfers from '../node/bodyTransfers.js'
 import * as callerListener from '../node/callerListener.js'
 import type * as callerTask from '../node/callerTask.js'
@@ -194,6 +195,7 @@
       crashDetector: disposables.add(new crashDetection.CrashDetector(endpoints, suspects, clock)),
       claims: disposables.add(new idempotencyClaims.IdempotencyClaims(claimSource, clock, decisions)),
       waitForSuspectWrites: async () => {},
+      quotas: { admit: async () => quotaGate.noToken },
       decisions,
       metrics: processMetrics,
       bodyTransfers: new bodyTransfers.BodyTransfers(decisions, processMetrics, clock),
--- a/packages/fleet/src/node/configFollower.ts
+++ b/packages/fleet/src/node/configFollower.ts
@@ -23,6 +23,8 @@
 const callTimeoutMs = 2500
 /** A replica that is lost must not delay the confirmation by another one for long. */
 const confirmTimeoutMs = 400
+/** Requests of callers wait for tokens; longer than a replica waits for the leader. */
+const quotaTimeoutMs = 700
 /** Longest time for which the second stream is delayed until the first one reports. */
 const firstStreamReportTimeoutMs = 200
 /** Delay between the first confirmation and the second stream, whose connection would slow down the first requests. */
@@ -168,6 +170,11 @@
     return await this.callAny(async (client, options) => await client.permit(req, options))
   }
 
+  /** Reports requests of workspaces with a quota and asks for tokens; throws when no replica responds successfully. */
+  async requestQuota (req: inner.QuotaReq): Promise<inner.QuotaRes> {
+    return await this.callAny(async (client, options) => await client.quota(req, options), quotaTimeoutMs)
+  }
+
   /**
    * Asks one control replica for its last confirmation of the newest version, and how old that is.
    * @param turn chooses the replica; replicas with a stream come first, since their connections are open.
@@ -185,14 +192,14 @@
    * Calls the control replicas one after the other until one succeeds. A repeated command must have the effect of a single one, or
    * grant no more than it did.
    */
-  private async callAny<T> (run: (client: connect.Client<typeof inner.ControlReplica>, options: connect.CallOptions) => Promise<T>): Promise<T> {
+  private async callAny<T> (run: (client: connect.Client<typeof inner.ControlReplica>, options: connect.CallOptions) => Promise<T>, timeoutMs = callTimeoutMs): Promise<T> {
     let lastError: unknown
     const { links, preferredIndex } = this
     for (let attempt = 0; attempt < links.length; attempt++) {
       const index = (preferredIndex + attempt) % links.length
       const link = links[index]!
       try {
-        const res = await (this.followedLinks.has(link) ? link.call(run, callTimeoutMs, 'keep') : link.call(run, callTimeoutMs))
+        const res = await (this.followedLinks.has(link) ? link.call(run, timeoutMs, 'keep') : link.call(run, timeoutMs))
         this.preferredIndex = index
         return res
       } catch (err) {
