Entry: the lease on API keys no longer uses the uptime of the machine

Cause: os.uptime() reads /proc/uptime, which need not be that of the machine on which the process counts its time.

Change: elapsed time is the longer one of the monotonic clock and the time of day. A time of day that was set back by more than 100 ms ends the lease at once, since it may hide a suspension; the uptime covered that case before.

--- a/packages/base/src/common/timeline.ts
+++ b/packages/base/src/common/timeline.ts
@@ -6,8 +6,6 @@
   readonly monotonicMs: number
   /** Counts suspensions, but jumps when the clock is set. */
   readonly timeOfDayMs: number
-  /** Time since the start of the machine. Counts suspensions of the machine; has a resolution of 10 ms on Linux. */
-  readonly uptimeMs: number
 }
 
 /** Source of time marks. */
@@ -15,7 +13,15 @@
   mark(): TimeMark
 }
 
-/** Returns the time between two marks by the clock that counted most: at least the true time unless all clocks missed a part of it. */
+/** Difference of the clocks that adjustments of the time of day explain. */
+const maxAdjustmentMs = 100
+
+/**
+ * Returns the time between two marks by the clock that counted more, so at least the true time. Infinite if the time of day was set back, since
+ * that may hide a suspension. The uptime of the machine is not used: Node.js reads it from a file that may be that of another machine.
+ */
 export function elapsedMs (since: TimeMark, until: TimeMark): number {
-  return Math.max(0, until.monotonicMs - since.monotonicMs, until.timeOfDayMs - since.timeOfDayMs, until.uptimeMs - since.uptimeMs)
+  const monotonicMs = until.monotonicMs - since.monotonicMs
+  const timeOfDayMs = until.timeOfDayMs - since.timeOfDayMs
+  return timeOfDayMs < monotonicMs - maxAdjustmentMs ? Infinity : Math.max(0, monotonicMs, timeOfDayMs)
 }
--- a/packages/entry/src/common/keyLease.ts
+++ b/packages/entry/src/common/keyLease.ts
@@ -3,7 +3,7 @@
 
 /** Within this time of its acknowledgement a configuration is in force on all instances that are in touch (`ConfigApplyMs` of the platform). */
 const maxRefusalAgeMs = 2000
-/** The uptime of the machine has a resolution of 10 ms; the rest allows for rounding and for clocks of different speed. */
+/** Allows for rounding and for clocks of different speed. */
 const safetyMarginMs = 50
 
 /** How well this instance knows which keys are valid now. */
