Quotas: a request that a cut-off instance runs itself after all is reported

Cause: the token of a request that may be forwarded is left to the peer while the instance is cut off. If it can reach targets again before the run starts, the request ran without a token and was not counted.

Change: RequestRun reports the start of a direct run whose token was left to the peer.

Measured: quotaAdmission, movedRequests, forwarding, forwardedBodies, continuedDownloads and idempotencyClaims tests: 1,170 asserts passed.

--- a/packages/entry/src/node/quotaGate.ts
+++ b/packages/entry/src/node/quotaGate.ts
@@ -16,6 +16,8 @@
 
 /** The token of one request. */
 export interface QuotaToken {
+  /** Counts a request that this instance runs after all, though a peer was to take its token. */
+  recordStart(): void
   /** Counts a further run of the request at an endpoint. */
   recordRepeat(): void
   /** Gives the token back, because the request certainly did not run. */
@@ -33,7 +35,7 @@
 }
 
 /** Token of a request that needs none. */
-export const noToken: QuotaToken = { recordRepeat: () => {}, giveBack: () => {} }
+export const noToken: QuotaToken = { recordStart: () => {}, recordRepeat: () => {}, giveBack: () => {} }
 
 /** Takes tokens for requests. */
 export class QuotaGate implements lifecycle.IDisposable {
@@ -65,7 +67,7 @@
     if (workspace === undefined) return noToken
     const { name } = workspace
     // The peer that runs the request takes its token.
-    if (canForward && this.reachability.isCutOff) return this.createToken(name, false)
+    if (canForward && this.reachability.isCutOff) return this.createToken(name, 'left-to-peer')
     const outcome = await new Promise<workspaceQuotas.QuotaOutcome | undefined>((resolve) => {
       const cancel = this.quotas.take(workspace, deadlineAt, resolve)
       onCancellable(() => {
@@ -76,12 +78,13 @@
     if (outcome === undefined) return noToken
     this.metrics.count(requestsMetric, { workspace: this.labelOf(name), outcome: outcome.admitted ? 'admitted' : outcome.fault.kind })
     if (!outcome.admitted) throw new errors.RackError(outcome.fault)
-    return this.createToken(name, workspace.workspace.ratePerSecond !== undefined)
+    return this.createToken(name, workspace.workspace.ratePerSecond === undefined ? 'not-needed' : 'held')
   }
 
-  private createToken (name: string, isHeld: boolean): QuotaToken {
-    let canGiveBack = isHeld
+  private createToken (name: string, state: 'held' | 'left-to-peer' | 'not-needed'): QuotaToken {
+    let canGiveBack = state === 'held'
     return {
+      recordStart: () => { if (state === 'left-to-peer') this.quotas.recordRun(name) },
       recordRepeat: () => this.quotas.recordRun(name),
       giveBack: () => {
         if (canGiveBack) this.quotas.giveBack(name)
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -142,6 +142,7 @@
   private runDirectly (): void {
     const { spec } = this
     spec.count.countHere()
+    spec.token?.recordStart()
     // The event may be fired by an attempt of this very call, which must not be cancelled while it handles its failure.
     this.reachabilitySubscription = this.deps.reachability.onChanged(() => queueMicrotask(() => this.onReachabilityChanged()))
     this.direct = new call.Call({
--- a/packages/entry/src/test/quotaAdmission.test.ts
+++ b/packages/entry/src/test/quotaAdmission.test.ts
@@ -13,7 +13,7 @@
 /** Counts what is done with tokens. */
 class FakeGate {
   returned = 0
-  admit: quotaGate.QuotaGate['admit'] = async () => ({ recordRepeat: () => {}, giveBack: () => { this.returned++ } })
+  admit: quotaGate.QuotaGate['admit'] = async () => ({ recordStart: () => {}, recordRepeat: () => {}, giveBack: () => { this.returned++ } })
 }
 
 /** Control replicas that grant what the test says. */
@@ -25,7 +25,7 @@
   }
 }
 
-function createGate (isCutOff = false): { readonly gate: quotaGate.QuotaGate, readonly source: FakeSource, readonly clock: manualClock.ManualClock, readonly processMetrics: metrics.Metrics, readonly workspace: (name: string) => { readonly name: string, readonly workspace: configDocument.Workspace } } {
+function createGate (reachability = { isCutOff: false }): { readonly gate: quotaGate.QuotaGate, readonly source: FakeSource, readonly clock: manualClock.ManualClock, readonly processMetrics: metrics.Metrics, readonly workspace: (name: string) => { readonly name: string, readonly workspace: configDocument.Workspace } } {
   const clock = new manualClock.ManualClock()
   const source = new FakeSource()
   const quotas = new workspaceQuotas.WorkspaceQuotas(source, () => 1, { next: () => 0.5 }, clock)
@@ -34,7 +34,7 @@
   const check = configDocument.checkDocument({ lanes: {}, workspaces })
   if (!check.ok) throw new Error(check.problems.join('; '))
   const configs = { current: { ...configDocument.emptyConfig, version: 1, document: check.document }, onChanged: new event.Emitter<configDocument.VersionedConfig>().event }
-  const gate = new quotaGate.QuotaGate(quotas, configs, { isCutOff }, processMetrics)
+  const gate = new quotaGate.QuotaGate(quotas, configs, reachability, processMetrics)
   return { gate, source, clock, processMetrics, workspace: (name) => ({ name, workspace: check.document.workspaces![name]! }) }
 }
 
@@ -74,11 +74,22 @@
   t.equal(source.requests.at(-1)!.uses[0]!.returned, 1, 'the token that came later is returned')
 })
 
-tap.t.test('an instance that is cut off leaves the token to the peer', async (t) => {
-  const { gate, source, clock, workspace } = createGate(true)
-  await gate.admit({ workspace: workspace('w-1'), deadlineAt: 5000, canForward: true })
+tap.t.test('an instance that is cut off leaves the token to the peer, and reports a request that it runs itself after all', async (t) => {
+  const reachability = { isCutOff: false }
+  const { gate, source, clock, workspace } = createGate(reachability)
+  const subject = { workspace: workspace('w-1'), deadlineAt: 5000, canForward: true }
+  const admission = gate.admit(subject)
+  clock.advance(5)
+  source.requests.pop()!.done([{ granted: 1, limited: true, waitMs: 0, load: 0.5 }])
+  const held = await admission
+  reachability.isCutOff = true
+  const token = await gate.admit(subject)
+  held.recordStart()
   clock.advance(1000)
   t.equal(source.requests.length, 0)
+  token.recordStart()
+  clock.advance(1000)
+  t.same(source.requests.map(({ uses }) => uses.map(({ sentAgesMs }) => sentAgesMs.length)), [[1]])
 })
 
 tap.t.test('a refusal needs no message while its wait lasts, and series of metrics are bounded', async (t) => {
