--- a/packages/entry/src/test/pipelining.test.ts
+++ b/packages/entry/src/test/pipelining.test.ts
@@ -187,7 +187,7 @@
 }
 
 /** Sends the requests in pieces of a size, through a feed that lets one request at a time be served; returns what the server received. */
-async function exchange (requests: readonly SentReq[], pieceBytes: number): Promise<readonly string[]> {
+async function exchange (requests: readonly SentReq[], pieceBytes: number): Promise<{ readonly received: readonly string[], readonly mostUnanswered: number }> {
   const received: string[] = []
   const unanswered = { count: 0, most: 0 }
   const feeds = new WeakMap<net.Socket, requestFeed.RequestFeed>()
@@ -195,6 +195,7 @@
     const feed = feeds.get(req.socket)!
     feed.noteRequest(req)
     unanswered.count++
+    unanswered.most = Math.max(unanswered.most, unanswered.count)
     res.once('close', () => {
       unanswered.count--
       feed.continue()
@@ -218,13 +219,22 @@
   client.end()
   await new Promise((resolve) => client.once('close', resolve))
   server.close()
-  return received
+  return { received, mostUnanswered: unanswered.most }
 }
 
+// Guards against a whole read being parsed, with thousands of requests.
+tap.t.test('parsing stops soon after the connection has its requests', async (t) => {
+  const count = 1000
+  const { received, mostUnanswered } = await exchange(Array.from({ length: count }, () => ({ framing: 'none', bytes: 0, headerBytes: 0 })), 1_000_000)
+  t.equal(received.length, count)
+  const shortest = format({ framing: 'none', bytes: 0, headerBytes: 0 }, 0).length
+  t.ok(mostUnanswered <= Math.ceil(1024 / shortest), `${mostUnanswered} requests`)
+})
+
 tap.t.test('requests of all framings arrive whole and in order, however they are split', async (t) => {
   await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(sentReq, { minLength: 1, maxLength: 30 }), fastCheck.integer({ min: 100, max: 100_000 }), async (requests, pieceBytes) => {
     const expected = requests.map(({ framing, bytes }, i) => `/${i} ${framing === 'none' ? '' : bodyOf(i, bytes)}`)
-    const received = await exchange(requests, pieceBytes)
+    const { received } = await exchange(requests, pieceBytes)
     if (received.length !== expected.length || received.some((each, i) => each !== expected[i])) throw new Error(`${received.length} of ${expected.length} requests, or changed ones`)
   }), { numRuns: 60, seed: 7 })
   t.pass()
