--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -8,10 +8,10 @@
 import * as displacedCalls from './displacedCalls.js'
 import type * as endpointNotices from './endpointNotices.js'
 import * as endpointLimits from './endpointLimits.js'
-import type * as endpointStats from './endpointStats.js'
 import * as endpointStatsTable from './endpointStatsTable.js'
 import type * as flowSchedule from './flowSchedule.js'
-import * as slotAssignment from './slotAssignment.js'
+import * as placementRules from './placementRules.js'
+import type * as slotAssignment from './slotAssignment.js'
 import type * as servicePermits from './servicePermits.js'
 import * as slotShares from './slotShares.js'
 import * as targetReachability from './targetReachability.js'
@@ -43,6 +43,8 @@
   readonly isConnected?: (endpoint: endpointTable.Endpoint) => boolean
   /** Notices of endpoints that are away; they get no requests meanwhile. */
   readonly notices?: Pick<endpointNotices.EndpointNotices, 'awayUntil' | 'onAway'>
+  /** Returns whether requests to cold endpoints are limited; new endpoints are not avoided then. */
+  readonly hasColdLimit?: () => boolean
   /** Permits for requests to endpoints that name a limit; without them limits are not kept. */
   readonly permits?: servicePermits.ServicePermits
   /** Weights of flows; without them, all flows are equal. */
@@ -175,7 +177,7 @@
 
   /** Returns the factor on the cost of an endpoint for a call, by failure domain. */
   domainFactor (endpoint: endpointTable.Endpoint, request: slotAssignment.SlotRequest): number {
-    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : slotAssignment.weightedFactor(request, request.remoteFactor)
+    return endpoint.failureDomain === this.options.ownFailureDomain ? 1 : placementRules.weightedFactor(request, request.remoteFactor)
   }
 
   /**
@@ -189,6 +191,10 @@
     this.meanRelativeLatency = Math.max(minRelativeLatency, mean)
   }
 
+  private get hasColdLimit (): boolean {
+    return this.options.hasColdLimit?.() === true
+  }
+
   private isStarting (now: number): boolean {
     return now < (this.options.startingUntil ?? -Infinity)
   }
@@ -319,8 +325,8 @@
       now,
       ownFailureDomain: this.options.ownFailureDomain,
       typicalLatencyMs: this.typicalMs * this.meanRelativeLatency,
-      remoteFactor: slotAssignment.weightedFactor(request, request.remoteCandidateFactor ?? request.remoteFactor),
-      weights: request.lane.weights
+      remoteFactor: placementRules.weightedFactor(request, request.remoteCandidateFactor ?? request.remoteFactor),
+      weights: placementRules.weightsOf(request, this.hasColdLimit)
     }
     const choice = this.limits.choose(candidates, context, endpoints, this.queue.length)
     if (choice === undefined) return undefined
@@ -364,7 +370,7 @@
     for (const endpoint of endpoints) {
       const stats = this.stats.statsFor(endpoint, now)
       const isExcluded = request.excludedEndpoints.has(endpoint.endpoint)
-      if (isTooCold(request, stats, now)) coldCount++
+      if (placementRules.isTooCold(request, stats, now, this.hasColdLimit)) coldCount++
       if (stats.isEjected(now)) ejectedCount++
       else if (!isExcluded) hasHealthyEndpoint = true
       if (isExcluded || stats.inFlight >= this.slotLimit(endpoint)) continue
@@ -374,13 +380,12 @@
     const ignoresEjections = !hasHealthyEndpoint || ejectedCount > endpoints.length * maxEjectedShare
     const eligible = ignoresEjections ? free : free.filter(({ stats }) => !stats.isEjected(now))
     if (coldCount === 0 || coldCount > endpoints.length * maxColdShare) return eligible
-    return eligible.filter(({ stats }) => !isTooCold(request, stats, now))
+    return eligible.filter(({ stats }) => !placementRules.isTooCold(request, stats, now, this.hasColdLimit))
   }
 
   /** Returns whether any endpoint with a free slot can take the call; if such a call gets no slot, none is free. */
   private isUnrestricted (request: slotAssignment.SlotRequest, now: number): boolean {
-    const allWarm = now - this.stats.newestEndpointSeenAt >= request.lane.coldStartMs
-    return request.excludedEndpoints.size === 0 && !request.isSuspect && allWarm
+    return request.excludedEndpoints.size === 0 && !request.isSuspect && (this.hasColdLimit || now - this.stats.newestEndpointSeenAt >= request.lane.coldStartMs)
   }
 
   private slotLimit (endpoint: endpointTable.Endpoint): number {
@@ -443,8 +448,3 @@
     if (nextAvailableAt !== Infinity) this.cancelAvailabilityTimer = this.clock.after(nextAvailableAt - now, () => this.serveQueueWhenEndpointsReturn())
   }
 }
-
-/** Returns whether an endpoint is too cold for a call. Bulk calls warm endpoints up, since the first responses are slow. */
-function isTooCold (request: slotAssignment.SlotRequest, stats: endpointStats.EndpointStats, now: number): boolean {
-  return request.priority !== 'bulk' && now - stats.firstSeenAt < request.lane.coldStartMs
-}
