Config: errors for invalid JSON quote no part of it

Cause: JSON.parse of Node.js quotes the text near an error, so the 4xx for a malformed configuration or patch could hold a part of an API key. Change: errors.jsonMessageOf leaves the quote out; used for bodies of the platform and of the operator listener, for patches, and by rackctl patch.

--- a/packages/base/src/common/errors.ts
+++ b/packages/base/src/common/errors.ts
@@ -71,6 +71,8 @@
 }
 
 const timedOutStatus = 504
+/** End of the messages in which `JSON.parse` quotes a part of the text. */
+const quotingMessageEnd = 'is not valid JSON'
 
 /** Returns the HTTP status of a fault: 504 for an unknown outcome after a timeout, otherwise the status of its kind. */
 export function statusOf (fault: Fault): number {
@@ -107,6 +109,12 @@
   return err instanceof Error ? err.message : String(err)
 }
 
+/** Returns the message of an error of `JSON.parse` without the text near it, which Node.js quotes and which may hold an API key. */
+export function jsonMessageOf (err: unknown): string {
+  const message = messageOf(err)
+  return message.endsWith(quotingMessageEnd) ? 'unexpected character' : message
+}
+
 /** Returns true when the text is an error kind. */
 export function isErrorKind (text: string): text is ErrorKind {
   return Object.hasOwn(errorCodes, text)
--- a/packages/config/src/common/configPatch.ts
+++ b/packages/config/src/common/configPatch.ts
@@ -19,7 +19,7 @@
     patch = JSON.parse(json, rejectProtoKey)
   } catch (err) {
     if (err instanceof errors.RackError) throw err
-    throw new errors.RackError({ kind: 'invalid-config', message: `patch is not JSON: ${errors.messageOf(err)}` })
+    throw new errors.RackError({ kind: 'invalid-config', message: `patch is not JSON: ${errors.jsonMessageOf(err)}` })
   }
   if (typeof patch !== 'object' || patch === null || Array.isArray(patch)) {
     throw new errors.RackError({ kind: 'invalid-config', message: 'patch is not a JSON object' })
--- a/packages/config/src/test/configPatch.test.ts
+++ b/packages/config/src/test/configPatch.test.ts
@@ -55,3 +55,16 @@
   const put = check.ok ? check.document : configDocument.emptyConfig.document
   t.throws(() => configPatch.applyPatch(put, '{}'), { message: /lanes\.__proto__/ })
 })
+
+// Guards against a key in the response to a malformed patch: JSON.parse quotes the text near an error.
+tap.t.test('the message for invalid JSON holds no API key', async (t) => {
+  for (const text of ['{"workspaces":{"red":{"apiKeys":[secret]}}}', '{"apiKeys":["secret"]x}']) {
+    try {
+      configPatch.applyPatch(configDocument.emptyConfig.document, text)
+      t.fail('the patch was accepted')
+    } catch (err) {
+      t.match(String(err), /not JSON/)
+      t.notMatch(String(err), /secret/)
+    }
+  }
+})
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -188,7 +188,7 @@
   try {
     return JSON.parse(text)
   } catch (err) {
-    throw new errors.RackError({ kind: 'bad-request', message: `the body is not JSON: ${errors.messageOf(err)}` })
+    throw new errors.RackError({ kind: 'bad-request', message: `the body is not JSON: ${errors.jsonMessageOf(err)}` })
   }
 }
 
--- a/packages/rackctl/src/node/commands.ts
+++ b/packages/rackctl/src/node/commands.ts
@@ -78,7 +78,7 @@
   try {
     return file.endsWith('.toml') ? toml.parse(text) : JSON.parse(text)
   } catch (err) {
-    throw new errors.RackError({ kind: 'bad-request', message: `${file}: ${errors.messageOf(err).split('\n')[0]}` })
+    throw new errors.RackError({ kind: 'bad-request', message: `${file}: ${errors.jsonMessageOf(err).split('\n')[0]}` })
   }
 }
 
