Entry: the claim of a request that a peer refuses with 401 is released

Cause: an instance that cannot judge an API key claims the idempotency key and forwards the request. When the peer refused it with 401, the claim stayed, so that anybody without an API key could take idempotency keys away from workspaces. Change: 'unauthorized' of a peer releases the claim, as 'quarantined' does. No endpoint has run such a request: only idempotent requests, which have no claims, go on to another peer after a possible run.

--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -38,6 +38,8 @@
 const maxRetryAfterShare = 1 / 3
 /** Shortest fractional `Retry-After`, in seconds. */
 const minRetryAfterS = 0.01
+/** Final refusals of peers with which no endpoint has run the request. */
+const unrunOutcomes: readonly string[] = ['quarantined', 'unauthorized'] satisfies readonly errors.ErrorKind[]
 /** Other instances can take the request at once. */
 const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: minRetryAfterS } as const
 
@@ -272,7 +274,7 @@
     run({ req: this.buildTargetReq(namedLane, access, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
         body.release()
-        if (response.outcome === 'quarantined') this.claim?.release()
+        if (unrunOutcomes.includes(response.outcome)) this.claim?.release()
         this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest))
       },
       onFailed: (fault) => {
--- a/packages/entry/src/test/workspaceRequests.test.ts
+++ b/packages/entry/src/test/workspaceRequests.test.ts
@@ -137,6 +137,19 @@
   t.equal(endpoint.requests.length, 0)
 })
 
+// Guards against an idempotency key that anybody could take away from its workspace through an instance that cannot judge API keys.
+tap.t.test('the claim of a request that a peer refuses with 401 is released', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using peer = await entries.TestEntry.start('peer', [endpoint], { workspaces })
+  await using sender = await entries.TestEntry.start('sender', [], { workspaces, isCutOff: true })
+  sender.peers = [peer.asPeer]
+  sender.freshness.canRefuseKeys = false
+  t.match(await entries.send(sender.callersAddress, 'POST', { authorization: 'Bearer secret-of-nobody', 'idempotency-key': 'key' }, 'body'), { status: 401 })
+  t.ok(await entries.waitUntil(() => sender.releasedOwners.length > 0, eventTimeoutMs))
+  t.same(sender.releasedOwners, sender.claimOwners)
+  t.equal(endpoint.requests.length, 0)
+})
+
 /** Occupies the only slot of an endpoint, lets a second request wait for it, and frees the slot after `change`; returns the responses. */
 async function sendWaiting (change: (entry: entries.TestEntry) => void): Promise<{ readonly responses: readonly entries.CallerRes[], readonly received: number }> {
   let free = (): void => {}
