Routing: a retry that may not be sent does not end the attempt that it replaces

Cause: the retry of an attempt that had timed out abandoned it before the check of the key and the lease, so that a lost lease turned a late response into 502. An error response was discarded for such a retry in the same way. Change: ITransport.canStart; Call keeps the running attempt or the error response while it is false. Transports without it, and requests whose access is never refused, behave as before.

--- a/packages/entry/src/node/httpAttempt.ts
+++ b/packages/entry/src/node/httpAttempt.ts
@@ -35,6 +35,8 @@
   readonly idempotent: boolean
   readonly requestId: string
   readonly headerNames: settings.HeaderNames
+  /** Returns why the request must not be sent to an endpoint now; undefined if it may be. */
+  readonly findRefusal?: () => string | undefined
   /** Checked right before the request is sent to an endpoint; may cancel the attempt. */
   readonly maySend?: () => boolean
 }
@@ -102,6 +104,10 @@
     private readonly notices: endpointNotices.IEndpointNotices
   ) {}
 
+  get canStart (): boolean {
+    return this.req.findRefusal?.() === undefined
+  }
+
   start (endpoint: endpointTable.Endpoint, events: transport.IAttemptEvents, isNewConnection: boolean): HttpAttempt {
     const attempt = new HttpAttempt(new EndpointTarget(endpoint, this.notices), this.req, events, this.connections)
     attempt.run(isNewConnection)
--- a/packages/entry/src/node/requestRun.ts
+++ b/packages/entry/src/node/requestRun.ts
@@ -173,7 +173,7 @@
     const decisions = workspace === undefined ? this.deps.decisions : new labelledLog.LabelledLog(this.deps.decisions, { workspace: workspace.name })
     return {
       dispatcher: lanes.dispatcherOf(service),
-      transport: new httpAttempt.HttpTransport({ ...req, maySend: () => this.maySend() }, connections, notices),
+      transport: new httpAttempt.HttpTransport({ ...req, findRefusal: this.spec.findRefusal, maySend: () => this.maySend() }, connections, notices),
       suspects,
       crashDetector,
       budgets,
--- a/packages/entry/src/test/workspaceRequests.test.ts
+++ b/packages/entry/src/test/workspaceRequests.test.ts
@@ -192,3 +192,17 @@
   t.match(await pending, { status: 200, body: 'late' })
   t.equal(first.requests.length + second.requests.length, 1)
 })
+
+// Guards against a response that is lost because a retry, which may no longer be sent, takes the place of the attempt that waits for it.
+tap.t.test('an attempt that has timed out goes on if its retry may no longer be sent', async (t) => {
+  const respondLater: http.RequestListener = (req, res) => { setTimeout(() => res.writeHead(200, entries.stamp(req)).end('late'), entries.deadlineMs * 0.7) }
+  await using first = await entries.startEndpoint('e-1', respondLater)
+  await using second = await entries.startEndpoint('e-2', respondLater)
+  await using entry = await entries.TestEntry.start('entry', [first, second], { workspaces, retryRatio: 1 })
+  const pending = entries.send(entry.callersAddress, 'GET', withKey)
+  t.ok(await entries.waitUntil(() => first.requests.length + second.requests.length === 1, eventTimeoutMs))
+  entry.freshness.canUseKeys = false
+  t.match(await pending, { status: 200, body: 'late' })
+  t.equal(entry.eventsOf('timeout').length, 1)
+  t.equal(first.requests.length + second.requests.length, 1)
+})
--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -150,6 +150,8 @@
     const { endpoint, considered, candidates, why, waitedMs } = placement
     if (event === 'retry') {
       this.hasReservedRetry = false
+      // The attempt that has timed out may still get a response.
+      if (this.runningAttempts.size > 0 && this.deps.transport.canStart === false) return placement.release()
       this.abandonTimedOutAttempt()
     }
     this.record({ event, considered, candidates, choice: endpoint.endpoint, why, waitedMs: Math.round(waitedMs) })
@@ -261,7 +263,7 @@
       this.selection.chooseNow(why)
       return true
     }
-    if (this.isChoosingEndpoint || !this.canRetry) return false
+    if (this.isChoosingEndpoint || !this.canRetry || this.deps.transport.canStart === false) return false
     const placement = this.deps.dispatcher.acquireNow(this.slotRequest)
     if (placement === undefined) return false
     if (this.takeRetry()) {
--- a/packages/routing/src/common/transport.ts
+++ b/packages/routing/src/common/transport.ts
@@ -50,6 +50,8 @@
 
 /** Sends attempts to targets. */
 export interface ITransport {
+  /** False while an attempt that is started would not be sent, whatever its target; without it, none is held back. */
+  readonly canStart?: boolean
   /**
    * Starts an attempt.
    * @param isNewConnection whether to open a new connection, because the open ones may be broken.
