--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -38,6 +38,8 @@
 import type * as workspaceAuth from './workspaceAuth.js'
 
 const notReadyRetryAfterS = 1
+/** Final refusals of peers with which no endpoint has run the request. */
+const unrunOutcomes: readonly string[] = ['quarantined', 'unauthorized', 'over-quota'] satisfies readonly errors.ErrorKind[]
 /** Other instances can take the request at once. */
 const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: retryAfter.minRetryAfterS } as const
 
@@ -282,7 +284,7 @@
     run({ req: this.buildTargetReq(namedLane, access, body, []), arrivedAt, excludedEndpoints: [] }, {
       onResponse: (response) => {
         body.release()
-        if (response.outcome === 'quarantined' || response.outcome === 'over-quota') this.admission.releaseClaim()
+        if (unrunOutcomes.includes(response.outcome)) this.admission.releaseClaim()
         this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest))
       },
       onFailed: (fault) => {
--- a/packages/entry/src/test/workspaceRequests.test.ts
+++ b/packages/entry/src/test/workspaceRequests.test.ts
@@ -166,6 +166,19 @@
   t.equal(endpoint.requests.length, 0)
 })
 
+// Guards against an idempotency key that anybody could take away from its workspace through an instance that cannot judge API keys.
+tap.t.test('the claim of a request that a peer refuses with 401 is released', async (t) => {
+  await using endpoint = await entries.startEndpoint('e-1')
+  await using peer = await entries.TestEntry.start('peer', [endpoint], { workspaces })
+  await using sender = await entries.TestEntry.start('sender', [], { workspaces, isCutOff: true })
+  sender.peers = [peer.asPeer]
+  sender.freshness.canRefuseKeys = false
+  t.match(await entries.send(sender.callersAddress, 'POST', { authorization: 'Bearer secret-of-nobody', 'idempotency-key': 'key' }, 'body'), { status: 401 })
+  t.ok(await entries.waitUntil(() => sender.releasedOwners.length > 0, eventTimeoutMs))
+  t.same(sender.releasedOwners, sender.claimOwners)
+  t.equal(endpoint.requests.length, 0)
+})
+
 /** Occupies the only slot of an endpoint, lets a second request wait for it, and frees the slot after `change`; returns the responses. */
 async function sendWaiting (change: (entry: entries.TestEntry) => void): Promise<{ readonly responses: readonly entries.CallerRes[], readonly received: number }> {
   let free = (): void => {}
@@ -208,3 +221,17 @@
   t.match(await pending, { status: 200, body: 'late' })
   t.equal(first.requests.length + second.requests.length, 1)
 })
+
+// Guards against a response that is lost because a retry, which may no longer be sent, takes the place of the attempt that waits for it.
+tap.t.test('an attempt that has timed out goes on if its retry may no longer be sent', async (t) => {
+  const respondLater: http.RequestListener = (req, res) => { setTimeout(() => res.writeHead(200, entries.stamp(req)).end('late'), entries.deadlineMs * 0.7) }
+  await using first = await entries.startEndpoint('e-1', respondLater)
+  await using second = await entries.startEndpoint('e-2', respondLater)
+  await using entry = await entries.TestEntry.start('entry', [first, second], { workspaces, retryRatio: 1 })
+  const pending = entries.send(entry.callersAddress, 'GET', withKey)
+  t.ok(await entries.waitUntil(() => first.requests.length + second.requests.length === 1, eventTimeoutMs))
+  entry.freshness.canUseKeys = false
+  t.match(await pending, { status: 200, body: 'late' })
+  t.equal(entry.eventsOf('timeout').length, 1)
+  t.equal(first.requests.length + second.requests.length, 1)
+})
