--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -64,6 +64,11 @@
   return { Version: version, Routes: routes, Services: services, Limits: { IdleTimeoutMs: 15000 } }
 }
 
+/** Returns the whole milliseconds left until a time on the process's clock. */
+function leftUntil (at: number): number {
+  return Math.max(0, Math.ceil(at - performance.now()))
+}
+
 const noResponse: CallRes = { status: 0, headers: {}, body: '' }
 
 /**
@@ -85,6 +90,10 @@
   isLeaving = false
   /** Requests per second that each response names as the endpoint's limit; undefined for responses without a limit. */
   limitPerSecond: number | undefined
+  /** Time on the process's clock until which heartbeats state that the endpoint is cold. */
+  coldUntil = -Infinity
+  /** The same in responses to health checks. */
+  coldUntilInHealth = -Infinity
   /** Time until the response to a request. */
   workMs = 0
   /** Whether the endpoint takes requests and never responds to them. */
@@ -109,7 +118,7 @@
 
   /** Sends a heartbeat with its state to a control replica; returns the status of the response. */
   async sendHeartbeat (control: string, state: 'ready' | 'draining', sequence = ++this.sequence): Promise<number> {
-    const body = { Service: this.service, Addr: this.address, Zone: this.failureDomain, Version: 'v1', Slots: this.slots, State: state, ColdLeftMs: 0, Seq: sequence, born: this.born }
+    const body = { Service: this.service, Addr: this.address, Zone: this.failureDomain, Version: 'v1', Slots: this.slots, State: state, ColdLeftMs: leftUntil(this.coldUntil), Seq: sequence, born: this.born }
     return (await sendRequest('POST', `http://${control}/rosemaryrack/Instances.Heartbeat/${this.id}`, { 'content-type': 'application/json' }, JSON.stringify(body))).status
   }
 
@@ -160,7 +169,7 @@
   private handleRequest (req: http.IncomingMessage, res: http.ServerResponse): void {
     if (this.isSilentTo(req)) return
     if (req.url === '/healthz') {
-      res.writeHead(200, { 'X-Rosemaryrack-Instance-Id': this.id, 'X-Rosemaryrack-Server-Load': '0,0,4,100' }).end()
+      res.writeHead(200, { 'X-Rosemaryrack-Instance-Id': this.id, 'X-Rosemaryrack-Server-Load': '0,0,4,100', 'X-Rosemaryrack-Cold-Ms': String(leftUntil(this.coldUntilInHealth)) }).end()
       return
     }
     const id = String(req.headers['x-rosemaryrack-request-id'])
