Routing: named limits are placed as before; only cold endpoints are replaced by others with a permit

Change: the former loop stays; once it meets a cold endpoint without a permit, a candidate for which a permit is held takes its place, else one without a limit. overLimitShare is 0.5 again, and the cap on listed endpoints leaves out cold ones only.

Measured: limitedFleet.test unchanged and passed; coldFleet.test, coldPermits and the files of routing on limits, cold and evacuated endpoints: 277 of 277; endpointLimit.test and coldEndpoints.test: 20 of 20.

--- a/packages/control/src/common/permitLedger.ts
+++ b/packages/control/src/common/permitLedger.ts
@@ -17,10 +17,9 @@
 const accountLifetimeMs = 60_000
 /**
  * Part of the rate at which permits are granted while a window holds more requests than the limit allows, most of them sent before the
- * limit was known. Above 0, so that callers of a service whose endpoints all have limits are not all refused meanwhile. At 0.5, 7 of 120
- * simulated fleets exceeded the limit when all endpoints named one at once, at 0.25 two.
+ * limit was known. Above 0, so that callers of a service whose endpoints all have limits are not all refused meanwhile.
  */
-const overLimitShare = 0.25
+const overLimitShare = 0.5
 const sweepIntervalMs = 10_000
 
 type NamedLimit = endpointLimit.ReportedLimit & { readonly perSecond: number }
--- a/packages/routing/src/common/endpointLimits.ts
+++ b/packages/routing/src/common/endpointLimits.ts
@@ -30,33 +30,50 @@
   }
 
   /**
-   * Chooses the candidate that gets a call now. In place of a limited one without a permit, one for which a permit is held gets it, else
-   * one without a limit. Permits are requested for the limited ones without.
+   * Chooses the best candidate to which a call may be sent now, and requests permits for the better ones.
    * @param queueLength number of calls that wait.
    */
   choose (candidates: readonly balancingPolicy.Candidate[], context: balancingPolicy.ChoiceContext, endpoints: readonly endpointTable.Endpoint[], queueLength: number): Choice | undefined {
-    if (candidates.length === 0) return undefined
-    const endpointById = new Map(endpoints.map((endpoint) => [endpoint.endpoint, endpoint]))
-    const best = this.policy.choose(candidates, context)
-    let choice = this.tryChoose(best, endpointById.get(best.id)!)
-    if (choice === undefined) {
-      // Begins with the best one, so that not all instances ask for the same ones.
-      const start = candidates.indexOf(best)
-      const ordered = [...candidates.slice(start), ...candidates.slice(0, start)].map((candidate) => ({ candidate, endpoint: endpointById.get(candidate.id)! }))
-      const limited = ordered.filter(({ endpoint }) => this.isLimited(endpoint))
-      const permitted = limited.filter(({ endpoint }) => this.permits?.canTake(endpoint) === true)
-      const left = permitted.length > 0 ? permitted : ordered.filter(({ endpoint }) => !this.isLimited(endpoint))
-      if (left.length > 0) {
-        const next = this.policy.choose(left.map(({ candidate }) => candidate), context)
-        choice = this.tryChoose(next, endpointById.get(next.id)!)
+    const withoutPermit: endpointTable.Endpoint[] = []
+    let choice: Choice | undefined
+    for (let left = candidates; left.length > 0 && choice === undefined;) {
+      const candidate = this.policy.choose(left, context)
+      const endpoint = endpoints.find(({ endpoint }) => endpoint === candidate.id)!
+      choice = this.tryChoose(candidate, endpoint)
+      if (choice === undefined && endpoint.coldPerSecond !== undefined) {
+        const { substitute, others } = this.replaceCold(candidate, left, context, endpoints)
+        choice = substitute
+        withoutPermit.push(...others)
+        break
       }
-      const withoutPermit = limited.filter((each) => !permitted.includes(each)).map(({ endpoint }) => endpoint)
-      this.permits?.want(withoutPermit, choice === undefined ? Math.max(1, queueLength) : 1)
+      if (choice === undefined) withoutPermit.push(endpoint)
+      left = left.filter((other) => other !== candidate)
     }
+    if (withoutPermit.length > 0) this.permits?.want(withoutPermit, choice === undefined ? Math.max(1, queueLength) : 1)
     if (choice?.isPermitted === true && endpoints.every(endpointTable.isLimited)) this.permits?.wantForNextCall(endpoints)
     return choice
   }
 
+  /**
+   * Replaces a cold candidate without a permit by one for which a permit is held, else by one without a limit. A failure domain that
+   * comes back has dozens of cold endpoints: a call must use a permit for any of them, and they are not tried one after the other.
+   * @returns others: the limited endpoints without a permit.
+   */
+  private replaceCold (cold: balancingPolicy.Candidate, left: readonly balancingPolicy.Candidate[], context: balancingPolicy.ChoiceContext, endpoints: readonly endpointTable.Endpoint[]): { readonly substitute: Choice | undefined, readonly others: readonly endpointTable.Endpoint[] } {
+    const endpointById = new Map(endpoints.map((endpoint) => [endpoint.endpoint, endpoint]))
+    // Begins with the cold one, so that not all instances ask for the same ones.
+    const start = left.indexOf(cold)
+    const ordered = [...left.slice(start), ...left.slice(0, start)].map((candidate) => ({ candidate, endpoint: endpointById.get(candidate.id)! }))
+    const limited = ordered.filter(({ endpoint }) => this.isLimited(endpoint))
+    const permitted = limited.filter(({ endpoint }) => this.permits?.canTake(endpoint) === true)
+    const eligible = (permitted.length > 0 ? permitted : ordered.filter(({ endpoint }) => !this.isLimited(endpoint))).map(({ candidate }) => candidate)
+    const next = eligible.length === 0 ? undefined : this.policy.choose(eligible, context)
+    return {
+      substitute: next === undefined ? undefined : this.tryChoose(next, endpointById.get(next.id)!),
+      others: limited.filter((each) => !permitted.includes(each)).map(({ endpoint }) => endpoint)
+    }
+  }
+
   /** Estimates how long a call waits for one of the endpoints, all of them limited, in milliseconds. */
   estimateWaitMs (limited: readonly endpointTable.Endpoint[], position: number): number {
     return this.permits?.estimateWaitMs(limited, position) ?? 0
--- a/packages/routing/src/common/servicePermits.ts
+++ b/packages/routing/src/common/servicePermits.ts
@@ -15,7 +15,7 @@
 /** Minimum time between two requests to the coordinator, so that calls that arrive together are batched. */
 const minRequestIntervalMs = 10
 const failureRetryMs = 200
-/** Endpoints for which one request asks, besides those with requests to report; a service may have hundreds. */
+/** Position in a request from which cold endpoints are left out unless there are requests to report; dozens may be cold at once. */
 const maxListedEndpoints = 16
 const maxRetryMs = 5000
 /** Requests to the coordinator per permit that becomes free, summed over the instances. Several, so that few permits stay unused. */
@@ -259,7 +259,7 @@
     this.cancelRequest = undefined
     const now = this.clock.now()
     const { wanted } = this
-    const endpoints = this.preferred.flatMap((endpoint) => this.toLimitedEndpoint(endpoint, now)).filter(({ sentAgesMs }, i) => i < maxListedEndpoints || sentAgesMs.length > 0)
+    const endpoints = this.preferred.flatMap((endpoint) => this.toLimitedEndpoint(endpoint, now)).filter(({ endpoint, sentAgesMs }, i) => i < maxListedEndpoints || endpoint.coldPerSecond === undefined || sentAgesMs.length > 0)
     this.wanted = 0
     this.preferred = []
     if (endpoints.length === 0) return
