Evacuation: late copies of an order are not proposed

Cause: an order is sent again to other replicas until one acknowledges it. A replica that was suspended proposed its copy when it resumed, also after the operator had withdrawn the evacuation elsewhere. Change: orders are refused with 503 while input may come from a pause, as announcements are, and an order older than 4 s (suspensions included) is not proposed again.

--- a/packages/control/src/node/controlRole.ts
+++ b/packages/control/src/node/controlRole.ts
@@ -2,6 +2,7 @@
 import type * as connect from '@connectrpc/connect'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
+import * as pauseDetector from '@rosemaryrack/base/common/pauseDetector.js'
 import * as settings from '@rosemaryrack/config/common/settings.js'
 import type * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import * as innerListener from '@rosemaryrack/protocol/node/innerListener.js'
@@ -60,7 +61,7 @@
     const storage = new replicaStorage.ReplicaStorage(control.dataFolder, cfg.cluster, onDiskFailure, fileSystem.machineFileSystem, this.disk)
     this.replica = this.disposables.add(new replica.Replica(this.replicaOptions(), storage, links, decisions))
     this.service = new controlService.ControlService(this.replica, this.serviceOptions(), decisions)
-    this.evacuations = new evacuationService.EvacuationService(this.service, control.failureDomains, decisions)
+    this.evacuations = new evacuationService.EvacuationService(this.service, control.failureDomains, decisions, this.disposables.add(new pauseDetector.PauseDetector()))
     controlMetrics.registerControlMetrics(processMetrics, this.replica, storage, this.disk)
     this.feed = this.disposables.add(new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex()))
     if (control.announceEveryMs > 0) this.hub = this.disposables.add(new announcementHub.AnnouncementHub(this.hubOptions(), identity, this.service, this.feed, decisions))
--- a/packages/control/src/node/evacuationService.ts
+++ b/packages/control/src/node/evacuationService.ts
@@ -2,6 +2,9 @@
 import * as protobuf from '@bufbuild/protobuf'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as pauseDetector from '@rosemaryrack/base/common/pauseDetector.js'
+import * as timeline from '@rosemaryrack/base/common/timeline.js'
+import * as systemTimeline from '@rosemaryrack/base/node/systemTimeline.js'
 import * as inner from '@rosemaryrack/protocol/gen/rosemaryrack/inner/v1/inner_pb.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import type * as controlService from './controlService.js'
@@ -14,6 +17,12 @@
 const retryDelayMs = 50
 /** Longest wait for one attempt. Slow disks delay commits by seconds, so it is long; a change of the leader ends it earlier. */
 const attemptTimeoutMs = 3000
+/**
+ * Age from which an order is not proposed again. The operator may have sent it to another replica by then, and have withdrawn it after the
+ * acknowledgement; a late copy would undo that.
+ */
+const maxAgeMs = 4000
+const staleRetryAfterS = 1
 const maxNameLength = 1024
 
 /** An order of an operator. */
@@ -37,12 +46,15 @@
   constructor (
     private readonly service: Pick<controlService.ControlService, 'depart' | 'waitForRead' | 'replica'>,
     private readonly failureDomains: readonly string[] | undefined,
-    private readonly decisions: decisionLog.IDecisionLog
+    private readonly decisions: decisionLog.IDecisionLog,
+    private readonly pauses: Pick<pauseDetector.PauseDetector, 'mayInputBeStale'>,
+    private readonly time: timeline.ITimeline = new systemTimeline.SystemTimeline()
   ) {}
 
   /** Commits an order; throws `bad-request` for an unknown failure domain, `no-quorum` or `unknown` if it may not have been committed. */
   async order (order: EvacuationOrder): Promise<void> {
     this.requireKnown(order)
+    if (this.pauses.mayInputBeStale()) throw new errors.RackError({ kind: 'not-run', message: 'this replica has just resumed from a process pause; send the order again', retryAfterS: staleRetryAfterS })
     const { failureDomain, active } = order
     const orders = protobuf.create(inner.DeparturesSchema, { evacuations: [{ failureDomain, active }] })
     const startedAt = performance.now()
@@ -74,7 +86,9 @@
 
   /** Proposes the order until it is committed. It has the effect of a single one however often it is proposed. */
   private async commit (orders: inner.Departures, startedAt: number): Promise<void> {
+    const receivedAt = this.time.mark()
     for (;;) {
+      if (timeline.elapsedMs(receivedAt, this.time.mark()) > maxAgeMs) throw new errors.RackError({ kind: 'unknown', timedOut: true, message: 'the order has become too old to be proposed again; send it again' })
       const leader = this.service.replica.leaderId
       const stopWaiting = new AbortController()
       try {
--- a/packages/control/src/test/simulatedGroup.ts
+++ b/packages/control/src/test/simulatedGroup.ts
@@ -73,7 +73,7 @@
     const options = { address: machine.address, operatorAddress: '', failureDomain: 'a', electionTimeoutMs, heartbeatMs: 100, snapshotEvery: group.options.snapshotEvery }
     this.replica = new replica.Replica(options, this.storage, group.linksOf(this), decisions)
     this.service = new controlService.ControlService(this.replica, { groupAddresses: [], seedAddresses: group.seedAddresses, maxReplicas, tolerateLostDisks }, decisions)
-    this.evacuations = new evacuationService.EvacuationService(this.service, undefined, decisions)
+    this.evacuations = new evacuationService.EvacuationService(this.service, undefined, decisions, { mayInputBeStale: () => false }, { mark: () => ({ monotonicMs: performance.now(), timeOfDayMs: 0, uptimeMs: 0 }) })
     this.feed = new configFeed.ConfigFeed(this.replica, async () => await this.service.confirmReadIndex())
   }
 
