Routing: an endpoint whose limit has ended counts as new again

An endpoint whose limit has ended restarts its warm-up, but had not joined, so without an open connection it was never chosen by instances with few calls.

Change: restarting the warm-up makes an endpoint a new one.

--- a/packages/routing/src/common/endpointStats.ts
+++ b/packages/routing/src/common/endpointStats.ts
@@ -31,9 +31,14 @@
 
   /**
    * @param warmUpStartedAt time on the clock at which this instance first saw the endpoint ready.
-   * @param hasJoined whether it was first seen after the other endpoints of its service.
+   * @param isNew whether it was first seen after the other endpoints of its service.
    */
-  constructor (private warmUpStartedAt: number, readonly hasJoined = true) {}
+  constructor (private warmUpStartedAt: number, private isNew = true) {}
+
+  /** True for an endpoint that has joined the others of its service, or gets calls again after a limit. */
+  get hasJoined (): boolean {
+    return this.isNew
+  }
 
   /** Time on the clock since which the endpoint counts as new. */
   get firstSeenAt (): number {
@@ -43,6 +48,7 @@
   /** Treats the endpoint as a new one that gets its calls gradually, since it got few of them until now. */
   restartWarmUp (now: number): void {
     this.warmUpStartedAt = now
+    this.isNew = true
   }
 
   get inFlight (): number {
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -7,6 +7,7 @@
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
 import * as adaptivePolicy from '../common/adaptivePolicy.js'
 import * as dispatcher from '../common/dispatcher.js'
+import * as endpointStats from '../common/endpointStats.js'
 import type * as slotAssignment from '../common/slotAssignment.js'
 import * as targetReachability from '../common/targetReachability.js'
 import * as fixtures from './fixtures.js'
@@ -223,6 +224,14 @@
   t.ok(connected.size < 5, `${connected.size} connections for 30 calls`)
 })
 
+// Guards against an endpoint that gets no calls after its limit has ended, since no connection to it is open any more.
+tap.t.test('an endpoint whose limit has ended is a new one again, also if it was known from the start', async (t) => {
+  const stats = new endpointStats.EndpointStats(0, false)
+  t.equal(stats.hasJoined, false)
+  stats.restartWarmUp(5000)
+  t.strictSame([stats.hasJoined, stats.firstSeenAt], [true, 5000])
+})
+
 tap.t.test('a queued call is placed once when the call before it releases another slot while it is placed', async (t) => {
   const service = new TestService(['d-1', 'd-2'])
   const [first, second] = [service.place('urgent')!, service.place('urgent')!]
