--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -5,6 +5,7 @@
 import type * as net from 'node:net'
 import * as path from 'node:path'
 import * as url from 'node:url'
+import * as toml from 'smol-toml'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as checkedSocket from '@rosemaryrack/base/node/checkedSocket.js'
 import * as managedProcess from './managedProcess.js'
@@ -62,6 +63,13 @@
   return { Version: version, Routes: routes, Services: services, Limits: { IdleTimeoutMs: 15000 } }
 }
 
+/** Returns the arguments of Node.js in the command that the deploy file names for a role. */
+function readDeployedNodeArgs (role: string): readonly string[] {
+  const deployFile = toml.parse(fs.readFileSync(path.join(repositoryRoot, 'deploy', 'system.toml'), 'utf8')) as { readonly roles: Readonly<Record<string, { readonly run: string }>> }
+  const [, ...args] = deployFile.roles[role]!.run.split(' ')
+  return args.slice(0, args.findIndex((arg) => !arg.startsWith('--')))
+}
+
 /** Returns the whole milliseconds left until a time on the process's clock. */
 function leftUntil (at: number): number {
   return Math.max(0, Math.ceil(at - performance.now()))
@@ -98,6 +106,8 @@
   workMs = 0
   /** Whether the endpoint takes requests and never responds to them. */
   isSilent = false
+  /** Whether the endpoint responds to a request only once it has received the whole body. */
+  awaitsBody = false
   /** Number of requests that the endpoint takes at a time, according to its heartbeats. */
   slots = 4
   private readonly server = http.createServer((req, res) => this.handleRequest(req, res))
@@ -182,6 +192,11 @@
     this.servedAt.push(performance.now())
     this.lastHeaders = req.headers
     if (this.isSilent) return
+    if (this.awaitsBody) req.resume().once('end', () => this.work(id, req, res))
+    else this.work(id, req, res)
+  }
+
+  private work (id: string, req: http.IncomingMessage, res: http.ServerResponse): void {
     const body = this.createBody(req.url)
     if (this.workMs > 0) setTimeout(() => this.respond(id, req, res, body), this.workMs)
     else this.respond(id, req, res, body)
@@ -209,6 +224,8 @@
   readonly revokeMs?: number
   /** Settings that are added to the section `entry.callers`. */
   readonly callerSettings?: Readonly<Record<string, number>>
+  /** Processes get the arguments of Node.js that the deploy file names, which decide how much memory they use. */
+  readonly hasDeployedNodeArgs?: boolean
 }
 
 /** Starts control replicas and entry instances, numbered from 1, and sends requests to them. */
@@ -346,6 +363,6 @@
     const file = path.join(this.folder, `${name}.toml`)
     const callerSettings = Object.entries(this.options.callerSettings ?? {}).map(([key, value]) => `${key} = ${value}\n`).join('')
     fs.writeFileSync(file, settings.replace('[entry]\n', `[entry]\n${addedEntrySettings}`).replace('[entry.callers]\n', `[entry.callers]\n${callerSettings}`))
-    this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`), undefined, this.environment))
+    this.processes.set(name, new managedProcess.ManagedProcess(name, rosemaryrackScript, ['--settings', file], path.join(this.folder, `${name}.log`), undefined, this.environment, this.options.hasDeployedNodeArgs === true ? readDeployedNodeArgs(template) : []))
   }
 }
--- a/packages/testbed/src/node/managedProcess.ts
+++ b/packages/testbed/src/node/managedProcess.ts
@@ -19,8 +19,9 @@
   /**
    * @param maxFileBytes limit on the size of each file that the process writes, which simulates a full disk.
    * @param environment variables beside those of this process.
+   * @param nodeArgs arguments of Node.js itself, such as flags of V8.
    */
-  constructor (readonly name: string, script: string, args: readonly string[], private readonly logFile: string, maxFileBytes?: number, private readonly environment: Readonly<Record<string, string>> = {}) {
+  constructor (readonly name: string, script: string, args: readonly string[], private readonly logFile: string, maxFileBytes?: number, private readonly environment: Readonly<Record<string, string>> = {}, private readonly nodeArgs: readonly string[] = []) {
     this.child = maxFileBytes === undefined ? this.spawn(script, args) : this.spawnWithFileLimit(script, args, maxFileBytes)
     this.exited = new Promise((resolve) => {
       this.child.once('exit', (code) => {
@@ -32,7 +33,7 @@
 
   private spawn (script: string, args: readonly string[]): childProcess.ChildProcess {
     const logFd = fs.openSync(this.logFile, 'a')
-    const child = childProcess.spawn(process.execPath, [script, ...args], { stdio: ['ignore', logFd, logFd], env: { ...process.env, ...this.environment } })
+    const child = childProcess.spawn(process.execPath, [...this.nodeArgs, script, ...args], { stdio: ['ignore', logFd, logFd], env: { ...process.env, ...this.environment } })
     fs.closeSync(logFd)
     return child
   }
