Entry: connections parse bodies in chunks in turn

Callers saw no response at all while and after others sent bodies in chunks of one byte: for over 20 s after these had left.

Cause: a read of 64 KiB holds 11,000 such chunks, and RequestFeed parsed all of it at once, for one connection after the other. What gone callers had sent still waited in the kernel. The chunks of a whole read were held as one Buffer each.

Change: connections that receive a body in chunks take turns, one part of 4 KiB for each turn of the event loop; other events are handled between two parts. A connection that waits for its turn isn't read.

--- a/packages/entry/src/node/callerLimiter.ts
+++ b/packages/entry/src/node/callerLimiter.ts
@@ -5,6 +5,7 @@
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as limitedLog from '@rosemaryrack/telemetry/common/limitedLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as parsingTurns from './parsingTurns.js'
 import * as refusalPacing from './refusalPacing.js'
 import * as requestSlots from './requestSlots.js'
 
@@ -24,6 +25,7 @@
 export class CallerLimiter {
   readonly slots: requestSlots.RequestSlots
   readonly pacing: refusalPacing.RefusalPacing
+  readonly turns = new parsingTurns.ParsingTurns()
   private readonly log: limitedLog.LimitedLog
   /** Bytes of responses that waited for callers when they were last counted. */
   unsentBytes = 0
--- a/packages/entry/src/node/connectionRequests.ts
+++ b/packages/entry/src/node/connectionRequests.ts
@@ -31,7 +31,7 @@
   private endPause: (() => void) | undefined
 
   constructor (private readonly socket: net.Socket, private readonly limiter: callerLimiter.CallerLimiter, private readonly serve: RequestHandler) {
-    this.feed = new requestFeed.RequestFeed(socket, () => this.endPause === undefined && this.unanswered < this.limiter.limits.requestsPerConnection, (bytes) => this.hold(bytes))
+    this.feed = new requestFeed.RequestFeed(socket, () => this.endPause === undefined && this.unanswered < this.limiter.limits.requestsPerConnection, this.limiter.turns, (bytes) => this.hold(bytes))
   }
 
   /** Bytes received that are not parsed yet. */
--- a/packages/entry/src/node/requestFeed.ts
+++ b/packages/entry/src/node/requestFeed.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http'
 import type * as net from 'node:net'
+import type * as parsingTurns from './parsingTurns.js'
 
 /** Bytes that are parsed at a time: ordinary requests fit into one part, and few short ones do. */
 const partBytes = 1024
@@ -36,14 +37,20 @@
   private lastReq: http.IncomingMessage | undefined
   /** Memory of what waits, as it was reported last. */
   private heldBytes = 0
+  private isWaitingForTurn = false
   private readonly onData = (chunk: Buffer): void => this.receive(chunk)
+  private readonly onTurn = (): void => {
+    this.isWaitingForTurn = false
+    this.feed(true)
+  }
 
   /**
    * Takes over from the listeners of Node.js; to be called when the server reports the connection.
    * @param canServeMore whether another request of the connection can be served.
+   * @param turns shared with other connections that receive bodies in chunks.
    * @param hold called with each change of the bytes that wait to be parsed.
    */
-  constructor (socket: net.Socket, private readonly canServeMore: () => boolean, private readonly hold: (changedBytes: number) => void = () => {}) {
+  constructor (socket: net.Socket, private readonly canServeMore: () => boolean, private readonly turns: parsingTurns.ParsingTurns, private readonly hold: (changedBytes: number) => void = () => {}) {
     this.socket = socket
     this.parse = takeListener(socket, 'data')
     this.finishParsing = takeListener(socket, 'end')
@@ -80,6 +87,8 @@
   discard (): void {
     this.socket.off('data', this.onData)
     this.socket.on('data', () => {})
+    this.turns.leave(this.onTurn)
+    this.isWaitingForTurn = false
     this.feed()
   }
 
@@ -88,12 +97,13 @@
     this.feed()
   }
 
-  private feed (): void {
+  /** @param hasTurn whether a part of a body in chunks may be parsed now. */
+  private feed (hasTurn = false): void {
     // The parser calls back while it is fed.
     if (this.isFeeding) return
     this.isFeeding = true
     try {
-      while (this.rest !== undefined && this.isAttached && this.canParse) this.parseNext(this.rest)
+      if (!this.isWaitingForTurn) this.parseParts(hasTurn)
     } finally {
       this.isFeeding = false
     }
@@ -103,14 +113,31 @@
     if (this.hasEnded && this.rest === undefined) this.finish()
   }
 
+  private parseParts (hasTurn: boolean): void {
+    let isTurnLeft = hasTurn
+    while (this.rest !== undefined && this.isAttached && this.canParse) {
+      if (this.isReceivingChunks && !isTurnLeft && !this.turns.tryTake()) {
+        this.isWaitingForTurn = true
+        this.turns.wait(this.onTurn)
+        return
+      }
+      isTurnLeft = false
+      this.parseNext(this.rest)
+    }
+  }
+
   private parseNext (rest: Buffer): void {
-    const length = Math.min(rest.length, Math.max(this.knownBodyBytes, this.isBodyChunked && this.lastReq?.complete === false ? chunkedPartBytes : partBytes))
+    const length = Math.min(rest.length, Math.max(this.knownBodyBytes, this.isReceivingChunks ? chunkedPartBytes : partBytes))
     this.rest = length === rest.length ? undefined : rest.subarray(length)
     this.partLength = length
     this.knownBodyBytes = Math.max(0, this.knownBodyBytes - length)
     this.parse.call(this.socket, this.rest === undefined ? rest : rest.subarray(0, length))
   }
 
+  private get isReceivingChunks (): boolean {
+    return this.isBodyChunked && this.lastReq?.complete === false
+  }
+
   private get canParse (): boolean {
     // An incomplete request is received whole; further ones have to wait.
     return this.socket._paused !== true && !this.socket.destroyed && (this.lastReq?.complete === false || this.canServeMore())
@@ -122,7 +149,7 @@
   }
 
   private updateReading (): void {
-    const mustHold = this.isAttached && !this.canParse
+    const mustHold = this.isAttached && (this.isWaitingForTurn || !this.canParse)
     if (mustHold) {
       this.isHolding = true
       this.socket.pause()
--- a/packages/entry/src/test/pipelining.test.ts
+++ b/packages/entry/src/test/pipelining.test.ts
@@ -8,6 +8,7 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as callerFixture from './callerFixture.js'
+import * as parsingTurns from '../node/parsingTurns.js'
 import * as requestFeed from '../node/requestFeed.js'
 
 const okResponse = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -207,7 +208,7 @@
       res.end()
     }))
   })
-  server.on('connection', (socket: net.Socket) => feeds.set(socket, new requestFeed.RequestFeed(socket, () => unanswered.count === 0)))
+  server.on('connection', (socket: net.Socket) => feeds.set(socket, new requestFeed.RequestFeed(socket, () => unanswered.count === 0, new parsingTurns.ParsingTurns())))
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const client = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
   client.resume()
