Entry: chunks that are parsed together are held as one

An entry used more memory than it counted while callers sent bodies in chunks of one byte.

Cause: Node.js makes a Buffer of each chunk and holds up to 16 KiB of unread body, here 16,384 Buffers of some hundred bytes each, as long as nobody reads the body, such as while its call waits for a slot.

Change: RequestFeed joins the chunks of a part of 4 KiB before the request gets them (ChunkJoiner). The property test of all framings now varies the length of chunks too.

Evidence: pipelining.test, 'chunks that are parsed together are held as one': 10,000 parts for a body of 10,000 bytes before, at most 16 after.

--- a/packages/entry/src/node/requestFeed.ts
+++ b/packages/entry/src/node/requestFeed.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http'
 import type * as net from 'node:net'
+import * as chunkJoiner from './chunkJoiner.js'
 import type * as parsingTurns from './parsingTurns.js'
 
 /** Bytes that are parsed at a time: ordinary requests fit into one part, and few short ones do. */
@@ -35,6 +36,7 @@
   private knownBodyBytes = 0
   private isBodyChunked = false
   private lastReq: http.IncomingMessage | undefined
+  private joiner: chunkJoiner.ChunkJoiner | undefined
   /** Memory of what waits, as it was reported last. */
   private heldBytes = 0
   private isWaitingForTurn = false
@@ -74,6 +76,7 @@
   noteRequest (req: http.IncomingMessage): void {
     this.lastReq = req
     this.isBodyChunked = req.headers['transfer-encoding'] !== undefined
+    this.joiner = this.isBodyChunked ? new chunkJoiner.ChunkJoiner(req) : undefined
     // The part that completed the head holds at most its own length of the body.
     this.knownBodyBytes = Math.max(0, Number(req.headers['content-length'] ?? 0) - this.partLength)
   }
@@ -132,6 +135,7 @@
     this.partLength = length
     this.knownBodyBytes = Math.max(0, this.knownBodyBytes - length)
     this.parse.call(this.socket, this.rest === undefined ? rest : rest.subarray(0, length))
+    this.joiner?.flush()
   }
 
   private get isReceivingChunks (): boolean {
--- a/packages/entry/src/test/pipelining.test.ts
+++ b/packages/entry/src/test/pipelining.test.ts
@@ -166,12 +166,15 @@
   readonly framing: 'none' | 'length' | 'chunks'
   readonly bytes: number
   readonly headerBytes: number
+  /** Length of each chunk but the last. */
+  readonly chunkBytes: number
 }
 
 const sentReq: fastCheck.Arbitrary<SentReq> = fastCheck.record({
   framing: fastCheck.constantFrom('none', 'length', 'chunks'),
   bytes: fastCheck.oneof(fastCheck.integer({ min: 0, max: 20 }), fastCheck.integer({ min: 0, max: 30_000 })),
-  headerBytes: fastCheck.oneof(fastCheck.constant(0), fastCheck.integer({ min: 0, max: 3000 }))
+  headerBytes: fastCheck.oneof(fastCheck.constant(0), fastCheck.integer({ min: 0, max: 3000 })),
+  chunkBytes: fastCheck.oneof(fastCheck.integer({ min: 1, max: 20 }), fastCheck.integer({ min: 1, max: 30_000 }))
 })
 
 /** Returns a body that can be told from a shifted one. */
@@ -179,18 +182,25 @@
   return `${number}|`.repeat(Math.ceil(bytes / 2)).slice(0, bytes)
 }
 
-function format ({ framing, bytes, headerBytes }: SentReq, number: number): string {
+/** Returns the body in chunks, without the last one. */
+function chunksOf (body: string, chunkBytes: number): string {
+  const chunks = Array.from({ length: Math.ceil(body.length / chunkBytes) }, (_value, i) => body.slice(i * chunkBytes, (i + 1) * chunkBytes))
+  return chunks.map((chunk) => `${chunk.length.toString(16)}\r\n${chunk}\r\n`).join('')
+}
+
+function format ({ framing, bytes, headerBytes, chunkBytes }: SentReq, number: number): string {
   const body = bodyOf(number, bytes)
   const head = `POST /${number} HTTP/1.1\r\nHost: a\r\nX-Filler: ${'f'.repeat(headerBytes)}\r\n`
   if (framing === 'none') return `${head}\r\n`
   if (framing === 'length') return `${head}Content-Length: ${bytes}\r\n\r\n${body}`
-  return `${head}Transfer-Encoding: chunked\r\n\r\n${bytes === 0 ? '' : `${bytes.toString(16)}\r\n${body}\r\n`}0\r\n\r\n`
+  return `${head}Transfer-Encoding: chunked\r\n\r\n${chunksOf(body, chunkBytes)}0\r\n\r\n`
 }
 
 /** Sends the requests in pieces of a size, through a feed that lets one request at a time be served; returns what the server received. */
-async function exchange (requests: readonly SentReq[], pieceBytes: number): Promise<{ readonly received: readonly string[], readonly mostUnanswered: number }> {
+async function exchange (requests: readonly SentReq[], pieceBytes: number): Promise<{ readonly received: readonly string[], readonly mostUnanswered: number, readonly bodyParts: number }> {
   const received: string[] = []
   const unanswered = { count: 0, most: 0 }
+  let bodyParts = 0
   const feeds = new WeakMap<net.Socket, requestFeed.RequestFeed>()
   const server = http.createServer((req, res) => {
     const feed = feeds.get(req.socket)!
@@ -202,7 +212,10 @@
       feed.continue()
     })
     const chunks: Buffer[] = []
-    req.on('data', (chunk: Buffer) => chunks.push(chunk))
+    req.on('data', (chunk: Buffer) => {
+      bodyParts++
+      chunks.push(chunk)
+    })
     req.on('end', () => setImmediate(() => {
       received.push(`${req.url} ${Buffer.concat(chunks).toString()}`)
       res.end()
@@ -220,18 +233,27 @@
   client.end()
   await new Promise((resolve) => client.once('close', resolve))
   server.close()
-  return { received, mostUnanswered: unanswered.most }
+  return { received, mostUnanswered: unanswered.most, bodyParts }
 }
 
 // Guards against a whole read being parsed, with thousands of requests.
 tap.t.test('parsing stops soon after the connection has its requests', async (t) => {
   const count = 1000
-  const { received, mostUnanswered } = await exchange(Array.from({ length: count }, () => ({ framing: 'none', bytes: 0, headerBytes: 0 })), 1_000_000)
+  const { received, mostUnanswered } = await exchange(Array.from({ length: count }, () => ({ framing: 'none', bytes: 0, headerBytes: 0, chunkBytes: 1 })), 1_000_000)
   t.equal(received.length, count)
-  const shortest = format({ framing: 'none', bytes: 0, headerBytes: 0 }, 0).length
+  const shortest = format({ framing: 'none', bytes: 0, headerBytes: 0, chunkBytes: 1 }, 0).length
   t.ok(mostUnanswered <= Math.ceil(1024 / shortest), `${mostUnanswered} requests`)
 })
 
+// Guards against the memory of a chunk, which is hundreds of times that of a byte.
+tap.t.test('chunks that are parsed together are held as one', async (t) => {
+  const bytes = 10_000
+  const request: SentReq = { framing: 'chunks', bytes, headerBytes: 0, chunkBytes: 1 }
+  const { received, bodyParts } = await exchange([request], 1_000_000)
+  t.same(received, [`/0 ${bodyOf(0, bytes)}`])
+  t.ok(bodyParts <= Math.ceil(format(request, 0).length / 4096) + 1, `${bodyParts} parts`)
+})
+
 tap.t.test('requests of all framings arrive whole and in order, however they are split', async (t) => {
   await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(sentReq, { minLength: 1, maxLength: 30 }), fastCheck.integer({ min: 100, max: 100_000 }), async (requests, pieceBytes) => {
     const expected = requests.map(({ framing, bytes }, i) => `/${i} ${framing === 'none' ? '' : bodyOf(i, bytes)}`)
