Entry: a request whose body does not arrive by its deadline is refused then

Callers that sent a byte of a short body now and then kept a request, and its place among the requests that an entry serves at a time, for as long as they liked; one that stopped short kept it for progressTimeoutMs (10 s), whatever its deadline.

Cause: before the first attempt only the time without data was limited. The deadline began to count with the run, for which the first 64 KiB or the whole of a shorter body is awaited.

Change: the wait for the first part ends at the request's deadline, with 408: it has not run and won't.

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -23,6 +23,8 @@
   readonly maxBytes: number
   /** Longest time without data while the caller sends the body. */
   readonly progressTimeoutMs: number
+  /** When the first part is due, on the process's monotonic clock: no attempt is made later. */
+  readonly firstPartDueAt: number
 }
 
 /** Receives what an attempt has sent when it ends. */
@@ -62,8 +64,8 @@
   }
 
   /**
-   * Receives the first part of the body. Throws `too-large`, or `bad-request` when the body is incomplete or the caller
-   * sends no data in time.
+   * Receives the first part of the body. Throws `too-large`, `bad-request` when the body is incomplete or the caller
+   * sends no data for a while, or `request-timeout` when the first part is overdue.
    * @param budget what the long bodies of the process share.
    */
   static async open (req: http.IncomingMessage, limits: BodyLimits, onTransfer: TransferListener, budget = processBudget): Promise<CallerBody> {
@@ -150,7 +152,11 @@
   }
 
   private async receiveFirstPart (): Promise<void> {
-    while (!this.hasEnded && this.received < firstPartBytes) await this.receive()
+    while (this.isReceivingFirstPart) await this.receive()
+  }
+
+  private get isReceivingFirstPart (): boolean {
+    return !this.hasEnded && this.received < firstPartBytes
   }
 
   /** Receives the next chunk or the end; attempts that wait for the same chunk share this. */
@@ -211,9 +217,12 @@
   }
 
   private async readWithTimeout (): Promise<IteratorResult<Buffer>> {
+    const { progressTimeoutMs, firstPartDueAt } = this.limits
+    const leftMs = this.isReceivingFirstPart ? Math.max(0, firstPartDueAt - performance.now()) : Infinity
     try {
-      return await async.withTimeout(this.iterator.next(), this.limits.progressTimeoutMs, () =>
-        newIncompleteError('the caller sent no data of the body in time'))
+      return await async.withTimeout(this.iterator.next(), Math.min(progressTimeoutMs, leftMs), () => leftMs < progressTimeoutMs
+        ? new errors.RackError({ kind: 'request-timeout', message: 'the body did not arrive before the deadline; the request was not run' })
+        : newIncompleteError('the caller sent no data of the body in time'))
     } catch (err) {
       throw err instanceof errors.RackError ? err : newIncompleteError('the request body is incomplete')
     }
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -161,7 +161,7 @@
     const { lane } = namedLane
     const access = this.authenticate(lane)
     // Checks of what the workspace may do, such as its quota, belong here: before the body is awaited or anything is queued.
-    const limits = { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs }
+    const limits = { maxBytes: lane.maxBodyBytes, progressTimeoutMs: lane.progressTimeoutMs, firstPartDueAt: this.deadlineAt(lane) }
     const context = { requestId: this.requestId, lane: namedLane.name }
     const couldStart = this.server.canStartRequests
     const body = await callerBody.CallerBody.open(this.req, limits, (transfer) => this.deps.bodyTransfers.record(context, transfer))
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -34,8 +34,8 @@
     return new Upload(caller, req, server)
   }
 
-  async open (budget: byteBudget.ByteBudget, timeoutMs = progressTimeoutMs): Promise<callerBody.CallerBody> {
-    const limits = { maxBytes: 1e9, progressTimeoutMs: timeoutMs }
+  async open (budget: byteBudget.ByteBudget, timeoutMs = progressTimeoutMs, firstPartDueAt = Infinity): Promise<callerBody.CallerBody> {
+    const limits = { maxBytes: 1e9, progressTimeoutMs: timeoutMs, firstPartDueAt }
     return await callerBody.CallerBody.open(this.req, limits, ({ attempt, sentBytes, receivedBytes }) => this.transfers.push(`${attempt}: ${sentBytes} of ${receivedBytes}`), budget)
   }
 
@@ -256,6 +256,14 @@
     t.equal(budget.takenBytes, 0)
   })
 
+  tap.t.test(`a short body that goes on arriving is refused at the deadline, with ${framing}`, async (t) => {
+    await using upload = await Upload.start(createHeaders(longBytes))
+    const timer = setInterval(() => upload.caller.write('x'), stallTimeoutMs / 2)
+    const opened = upload.open(new byteBudget.ByteBudget(processLimitBytes), progressTimeoutMs, performance.now() + 4 * stallTimeoutMs)
+    await t.rejects(opened, { message: 'the body did not arrive before the deadline; the request was not run' })
+    clearInterval(timer)
+  })
+
   tap.t.test(`the rest of a released body is discarded without being held, with ${framing}`, async (t) => {
     const budget = new byteBudget.ByteBudget(processLimitBytes)
     await using upload = await Upload.start(createHeaders(longBytes))
--- a/packages/entry/src/test/callerBodyOrders.test.ts
+++ b/packages/entry/src/test/callerBodyOrders.test.ts
@@ -11,7 +11,7 @@
 const maxSteps = 120
 const microtasksPerStep = 8
 const unlimitedBytes = 1e9
-const limits = { maxBytes: unlimitedBytes, progressTimeoutMs: 100_000 }
+const limits = { maxBytes: unlimitedBytes, progressTimeoutMs: 100_000, firstPartDueAt: Infinity }
 const bodies = [0, 300, 65_535, 65_536, 65_537, 150_000, 400_000].map((size) => Buffer.from(Array.from({ length: size }, (_value, i) => i * 31 + (i >> 8))))
 
 /** A caller whose chunks arrive when the test says so. */
