Entry: a stalled request makes room for another one

Callers got 503 for as long as others kept more requests open than the instance serves at a time (1,024), by sending bodies without their last bytes.

Cause: a request holds its slot from its head on, and nothing ended one whose caller had stalled but the lane's progressTimeoutMs (10 s); such callers may come back at once.

Change: without a free slot, the first request of a connection takes that of the request whose caller has sent nothing for longest, and at least 500 ms. That one is refused with 503 and Retry-After if it wasn't sent, or given up, and its connection ends. Requests that wait for anything but their caller's data are never chosen, nor are those whose response has begun.

--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -44,10 +44,10 @@
   private isReading = true
 
   /**
-   * @param serve called with each request of a connection that does not end.
+   * @param requestServer gets each request of a connection that does not end.
    * @param limiter undefined for a listener without limits.
    */
-  constructor (server: http.Server, private readonly decisions: decisionLog.IDecisionLog, private readonly serve: connectionRequests.RequestHandler, private readonly limiter?: callerLimiter.CallerLimiter) {
+  constructor (server: http.Server, private readonly decisions: decisionLog.IDecisionLog, private readonly requestServer: connectionRequests.IRequestServer, private readonly limiter?: callerLimiter.CallerLimiter) {
     if (limiter !== undefined) {
       server.maxConnections = limiter.limits.connections
       server.on('drop', (dropped?: net.DropArgument) => limiter.recordClose('connections', dropped?.remoteAddress))
@@ -105,7 +105,7 @@
   }
 
   private add (socket: net.Socket): void {
-    const requests = this.limiter === undefined ? undefined : new connectionRequests.ConnectionRequests(socket, this.limiter, this.serve)
+    const requests = this.limiter === undefined ? undefined : new connectionRequests.ConnectionRequests(socket, this.limiter, this.requestServer)
     const state = { requests, pendingResponses: new Set<http.ServerResponse>(), isEnding: false, processedBytes: 0, seenBytes: 0, unchangedSince: performance.now() }
     this.states.set(socket, state)
     socket.once('close', () => {
@@ -127,7 +127,7 @@
     const request = { req, res, isServing: false }
     if (state !== undefined) this.trackResponse(req.socket, state, request)
     if (req.headers.upgrade !== undefined) this.endWithUpgrade(res)
-    if (state?.requests === undefined) this.serve(req, res, undefined)
+    if (state?.requests === undefined) this.requestServer.serve(req, res, undefined)
     else state.requests.admit(request)
   }
 
--- a/packages/entry/src/node/callerLimiter.ts
+++ b/packages/entry/src/node/callerLimiter.ts
@@ -5,6 +5,7 @@
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as limitedLog from '@rosemaryrack/telemetry/common/limitedLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
+import * as arrivingRequests from './arrivingRequests.js'
 import * as parsingTurns from './parsingTurns.js'
 import * as refusalPacing from './refusalPacing.js'
 import * as requestSlots from './requestSlots.js'
@@ -21,11 +22,15 @@
 /** Fault of a request for which no slot is free. */
 export const noSlotFault = { kind: 'not-run', message: 'the instance serves as many requests as it can', retryAfterS: 1 } as const satisfies errors.Fault
 
+/** Fault of a request that makes room for another one. */
+export const stalledFault = { kind: 'not-run', message: 'the rest of the body did not arrive while other requests waited', retryAfterS: 1 } as const satisfies errors.Fault
+
 /** The limits of one instance and their use. */
 export class CallerLimiter {
   readonly slots: requestSlots.RequestSlots
   readonly pacing: refusalPacing.RefusalPacing
   readonly turns = new parsingTurns.ParsingTurns()
+  readonly arriving = new arrivingRequests.ArrivingRequests()
   private readonly log: limitedLog.LimitedLog
   /** Bytes of responses that waited for callers when they were last counted. */
   unsentBytes = 0
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -22,7 +22,7 @@
 import type * as callerConnections from './callerConnections.js'
 import * as downloadResumer from './downloadResumer.js'
 import * as faultResponse from './faultResponse.js'
-import type * as gracefulServer from './gracefulServer.js'
+import * as gracefulServer from './gracefulServer.js'
 import * as httpAttempt from './httpAttempt.js'
 import type * as idempotencyClaims from './idempotencyClaims.js'
 import type * as laneRegistry from './laneRegistry.js'
@@ -40,8 +40,6 @@
 const notReadyRetryAfterS = 1
 /** Final refusals of peers with which no endpoint has run the request. */
 const unrunOutcomes: readonly string[] = ['quarantined', 'unauthorized', 'over-quota'] satisfies readonly errors.ErrorKind[]
-/** Other instances can take the request at once. */
-const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: retryAfter.minRetryAfterS } as const
 
 /** Dependencies shared by all caller tasks. */
 export interface CallerDeps extends requestRun.RunDeps {
@@ -79,7 +77,7 @@
   /** The response, if its caller learns where the body ends only from the end of the connection. */
   private unframedStream: responseStream.ResponseStream | undefined
 
-  constructor (private readonly req: http.IncomingMessage, private readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps, private readonly refusal?: errors.Fault) {
+  constructor (private readonly req: http.IncomingMessage, readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps, private readonly refusal?: errors.Fault) {
     const suppliedId = req.headers[deps.headers.requestId]
     this.admission = new requestAdmission.RequestAdmission(deps.quotas, () => this.isAnswered)
     const isUsable = typeof suppliedId === 'string' && requestGuard.isValidRequestId(suppliedId)
@@ -128,11 +126,10 @@
     this.decisions.record({ event: 'incomplete', requestId: this.requestId, lane: this.laneName, choice: this.pendingStep, ageMs: Math.round(performance.now() - this.origin.arrivedAt), why: 'the shutdown ends soon' })
   }
 
-  /** Ends a request whose response has not begun with a final fault, because the process is about to be killed. */
-  endWithoutResponse (): void {
+  endWithoutResponse (fault: errors.Fault): void {
     if (this.res.headersSent) return
-    if (this.activeRun === undefined) this.refuse(stoppingFault)
-    else this.activeRun.giveUp(stoppingFault.message)
+    if (this.activeRun === undefined) this.refuse(fault)
+    else this.activeRun.giveUp(fault.message)
   }
 
   /** Breaks off a response whose caller could not tell a part of it from the whole after the process has ended. */
@@ -171,7 +168,7 @@
       return
     }
     // A request that was read late as a whole, after a pause of the process, is started all the same.
-    if (couldStart && !this.server.canStartRequests) throw new errors.RackError(stoppingFault)
+    if (couldStart && !this.server.canStartRequests) throw new errors.RackError(gracefulServer.stoppingFault)
     const identity = new requestIdentity.RequestIdentity(this.req.method ?? '', requestTarget, this.idempotencyKey ?? body.firstPart)
     this.refuseQuarantined(identity)
     const subject = { workspace: access.workspace, deadlineAt: this.deadlineAt(lane), canForward: this.origin.forwarded === undefined }
--- a/packages/entry/src/node/connectionRequests.ts
+++ b/packages/entry/src/node/connectionRequests.ts
@@ -2,13 +2,19 @@
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
+import type * as arrivingRequests from './arrivingRequests.js'
 import * as callerLimiter from './callerLimiter.js'
 import * as requestFeed from './requestFeed.js'
 
 const refusedStatus = 503
 
-/** Serves a request, or refuses it with the given fault. */
-export type RequestHandler = (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Fault | undefined) => void
+/** Serves the requests of connections. */
+export interface IRequestServer {
+  /** Serves a request, or refuses it with the given fault. */
+  serve(req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Fault | undefined): void
+  /** Ends a request that is being served with the given fault, unless its response has begun. */
+  end(res: http.ServerResponse, fault: errors.Fault): void
+}
 
 /** A request that is served, refused or waits. */
 export interface AdmittedRequest {
@@ -18,7 +24,7 @@
 }
 
 /** Serves requests in their order, a limited number at a time. */
-export class ConnectionRequests {
+export class ConnectionRequests implements arrivingRequests.IArrivingRequest {
   private readonly feed: requestFeed.RequestFeed
   /** Requests that were parsed together with the last one that can be served now. */
   private readonly waiting: AdmittedRequest[] = []
@@ -29,8 +35,10 @@
   private hasReachedLimit = false
   private hasRefusal = false
   private endPause: (() => void) | undefined
+  /** The request that was started last, unless it was received whole by then. */
+  private arriving: AdmittedRequest | undefined
 
-  constructor (private readonly socket: net.Socket, private readonly limiter: callerLimiter.CallerLimiter, private readonly serve: RequestHandler) {
+  constructor (private readonly socket: net.Socket, private readonly limiter: callerLimiter.CallerLimiter, private readonly server: IRequestServer) {
     this.feed = new requestFeed.RequestFeed(socket, () => this.endPause === undefined && this.unanswered < this.limiter.limits.requestsPerConnection, this.limiter.turns, (bytes) => this.hold(bytes))
   }
 
@@ -64,10 +72,27 @@
     this.startWaiting()
   }
 
+  get stalledSince (): number | undefined {
+    // A response that has begun can no longer be replaced by a refusal.
+    return this.arriving?.res.headersSent === false ? this.feed.stalledSince : undefined
+  }
+
+  endStalled (): void {
+    const request = this.arriving
+    if (request === undefined) return
+    this.setArriving(undefined)
+    this.limiter.count('requests')
+    request.isServing = false
+    this.release()
+    this.server.end(request.res, callerLimiter.stalledFault)
+  }
+
   /** Must be called when the response to an admitted request is complete or its connection has ended. */
-  complete ({ res, isServing }: AdmittedRequest): void {
+  complete (request: AdmittedRequest): void {
+    const { res, isServing } = request
     this.unanswered--
     if (isServing) this.release()
+    if (request === this.arriving) this.setArriving(undefined)
     if (res.statusCode === refusedStatus) this.hasRefusal = true
     this.pauseAfterRefusal()
     this.startWaiting()
@@ -105,7 +130,7 @@
   /** Starts what waits, at most as many as there is room for. */
   private startWaiting (): void {
     while (this.waiting.length > 0 && this.serving < this.limiter.limits.requestsPerConnection) {
-      const isStarted = this.limiter.slots.tryTake(this.serving === 0)
+      const isStarted = this.tryTakeSlot()
       // The next completion on this connection starts it.
       if (!isStarted && this.serving > 0) return
       const request = this.waiting.shift()!
@@ -114,15 +139,29 @@
     }
   }
 
+  /** A stalled request makes room for the first one of a connection. */
+  private tryTakeSlot (): boolean {
+    const { slots, arriving } = this.limiter
+    const isSingle = this.serving === 0
+    return slots.tryTake(isSingle) || (isSingle && arriving.endLongestStalled(performance.now()) && slots.tryTake(isSingle))
+  }
+
   private start (request: AdmittedRequest): void {
     this.serving++
     request.isServing = true
-    this.serve(request.req, request.res, undefined)
+    this.setArriving(request.req.complete ? undefined : request)
+    this.server.serve(request.req, request.res, undefined)
+  }
+
+  private setArriving (request: AdmittedRequest | undefined): void {
+    this.arriving = request
+    if (request === undefined) this.limiter.arriving.delete(this)
+    else this.limiter.arriving.add(this)
   }
 
   private refuse ({ req, res }: AdmittedRequest): void {
     this.limiter.count('requests')
-    this.serve(req, res, callerLimiter.noSlotFault)
+    this.server.serve(req, res, callerLimiter.noSlotFault)
   }
 
   private release (): void {
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -7,6 +7,7 @@
 import * as httpListener from '@rosemaryrack/listener/node/httpListener.js'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
+import * as retryAfter from '../common/retryAfter.js'
 import * as callerConnections from './callerConnections.js'
 import type * as callerLimiter from './callerLimiter.js'
 import * as responseAbort from './responseAbort.js'
@@ -34,6 +35,9 @@
  */
 const breakOffShareOfGrace = 0.97
 
+/** Other instances can take the request at once. */
+export const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: retryAfter.minRetryAfterS } as const satisfies errors.Fault
+
 /** Limits on connections, in bytes and milliseconds. */
 export interface ServerLimits {
   readonly maxHeaderBytes: number
@@ -43,12 +47,13 @@
 
 /** A request that is being served. */
 export interface IRequestTask {
+  readonly res: http.ServerResponse
   /** Resolves when the response has ended; rejects when an internal error left it open. */
   run(): Promise<void>
   /** Logs that the response is not complete and what it waits for. */
   recordIncomplete(): void
-  /** Ends a request whose response has not begun with a final fault. */
-  endWithoutResponse(): void
+  /** Ends a request whose response has not begun with a final fault: the given one if the request has certainly not run. */
+  endWithoutResponse(fault: errors.Fault): void
   /** Breaks off a response that has begun, is not complete and would look complete once the process has ended. */
   breakOffUnframed(): void
 }
@@ -79,7 +84,10 @@
       keepAliveTimeout: limits.keepAliveTimeoutMs,
       noDelay: true
     })
-    this.connections = new callerConnections.CallerConnections(this.server, decisions, (req, res, refusal) => { this.handleRequest(req, res, refusal) }, limiter)
+    this.connections = new callerConnections.CallerConnections(this.server, decisions, {
+      serve: (req, res, refusal) => { this.handleRequest(req, res, refusal) },
+      end: (res, fault) => this.endRequest(res, fault)
+    }, limiter)
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => this.handleClientError(err, socket))
   }
 
@@ -147,7 +155,7 @@
     for (const task of [...this.tasks].filter((each) => !this.endedTasks.has(each))) {
       this.endedTasks.add(task)
       task.recordIncomplete()
-      task.endWithoutResponse()
+      task.endWithoutResponse(stoppingFault)
     }
   }
 
@@ -172,6 +180,12 @@
     }
   }
 
+  private endRequest (res: http.ServerResponse, fault: errors.Fault): void {
+    const task = [...this.tasks].find((each) => each.res === res)
+    if (task === undefined) responseAbort.abortResponse(res)
+    else task.endWithoutResponse(fault)
+  }
+
   private handleClientError (err: NodeJS.ErrnoException, socket: net.Socket): void {
     const respond = (): void => httpListener.respondToClientError(err, socket)
     if (err.code !== httpListener.requestTimeoutCode || !this.connections.deferHeadTimeout(socket, this.server.headersTimeout, respond)) respond()
--- a/packages/entry/src/node/requestFeed.ts
+++ b/packages/entry/src/node/requestFeed.ts
@@ -40,6 +40,7 @@
   /** Memory of what waits, as it was reported last. */
   private heldBytes = 0
   private isWaitingForTurn = false
+  private receivedAt = 0
   private readonly onData = (chunk: Buffer): void => this.receive(chunk)
   private readonly onTurn = (): void => {
     this.isWaitingForTurn = false
@@ -72,6 +73,12 @@
     return this.rest?.length ?? 0
   }
 
+  /** Time on the process's monotonic clock since which the rest of a request is awaited from the caller; undefined if none is. */
+  get stalledSince (): number | undefined {
+    const isAwaited = this.lastReq?.complete === false && this.rest === undefined && !this.isHolding && !this.isBodyBehind
+    return isAwaited ? this.receivedAt : undefined
+  }
+
   /** Must be called with each request that is parsed. */
   noteRequest (req: http.IncomingMessage): void {
     this.lastReq = req
@@ -96,6 +103,7 @@
   }
 
   private receive (chunk: Buffer): void {
+    this.receivedAt = performance.now()
     this.rest = this.rest === undefined ? chunk : Buffer.concat([this.rest, chunk])
     this.feed()
   }
--- a/packages/entry/src/test/callerConnections.test.ts
+++ b/packages/entry/src/test/callerConnections.test.ts
@@ -32,8 +32,9 @@
 /** Connects to a server that responds with a body of the size in the path, or not at all to `/silent`. */
 async function connect (options: http.ServerOptions): Promise<Connected> {
   const server = http.createServer(options)
-  const connections = new callerConnections.CallerConnections(server, new decisionLog.NullDecisionLog(), (req, res) => {
-    if (req.url !== '/silent') res.end(Buffer.alloc(Number(req.url!.slice(1))))
+  const connections = new callerConnections.CallerConnections(server, new decisionLog.NullDecisionLog(), {
+    serve: (req, res) => { if (req.url !== '/silent') res.end(Buffer.alloc(Number(req.url!.slice(1)))) },
+    end: () => {}
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1')
