Routing: calls whose bodies are still arriving leave half of the slots to others

Callers got 503 for as long as others kept long bodies open whose rest they didn't send.

Cause: a body of 64 KiB and more is passed on while it arrives. Its call holds a slot of the endpoint until the caller has sent the rest or the deadline passes, and nothing limited how many do.

Change: such calls hold at most half of the slots that the instance may use of a service; further ones are queued and calls behind them pass them.

--- a/packages/routing/src/common/call.ts
+++ b/packages/routing/src/common/call.ts
@@ -91,11 +91,11 @@
   }
 
   private get slotRequest (): slotAssignment.SlotRequest {
-    const { lane, workspace, connection, arrivedAt, deadlineAt } = this.spec
+    const { lane, workspace, connection, arrivedAt, deadlineAt, body } = this.spec
     const typicalMs = this.laneTypicalLatencyMs
     const factors = this.deps.domainPreference.factors(this.deps.probing !== undefined)
     const targetAt = lane.targetLatencyMs === undefined ? undefined : arrivedAt + lane.targetLatencyMs
-    return { lane, priority: workspace?.workspace.priority ?? lane.priority, flow: workspace?.name ?? connection, deadlineAt, targetAt, typicalMs, ...factors, isSuspect: this.isSuspect, excludedEndpoints: this.triedEndpoints }
+    return { lane, priority: workspace?.workspace.priority ?? lane.priority, flow: workspace?.name ?? connection, deadlineAt, targetAt, typicalMs, ...factors, isSuspect: this.isSuspect, excludedEndpoints: this.triedEndpoints, body }
   }
 
   private get timeLimits (): timeLimits.TimeLimits {
--- a/packages/routing/src/common/callFault.ts
+++ b/packages/routing/src/common/callFault.ts
@@ -5,6 +5,9 @@
 const failureRetryAfterS = 1
 /** Share of the lane's typical latency after which the caller may retry a request that no endpoint ran. */
 const retryAfterLatencyShare = 0.5
+/** `Retry-After` of a call that got no slot: without an estimate of the wait, and the shortest one with an estimate. */
+const noWaitRetryAfterS = 1
+const minWaitRetryAfterS = 0.1
 const msPerSecond = 1000
 
 /** State of a call that ends without a response. */
@@ -33,3 +36,11 @@
 export function overloadedFault ({ expectedLatencyMs, why }: { readonly expectedLatencyMs: number, readonly why: string }): errors.Fault {
   return { kind: 'not-run', message: `all probed endpoints have queues; ${why}`, retryAfterS: expectedLatencyMs / msPerSecond }
 }
+
+/**
+ * Returns the fault of a call that got no slot.
+ * @param waitMs estimated wait for a slot; 0 without an estimate.
+ */
+export function notPlacedFault (message: string, waitMs: number): errors.Fault {
+  return { kind: 'not-run', message, retryAfterS: waitMs > 0 ? Math.max(minWaitRetryAfterS, waitMs / msPerSecond) : noWaitRetryAfterS }
+}
--- a/packages/routing/src/common/callSpec.ts
+++ b/packages/routing/src/common/callSpec.ts
@@ -21,6 +21,8 @@
 export interface IRequestBody {
   /** True while it can be sent from its first byte. */
   readonly isReplayable: boolean
+  /** True once the whole body has been received. */
+  readonly isReceived: boolean
   /** True while each attempt that is sending it waits for the caller to send more. */
   readonly awaitsCaller: boolean
   /** Error that the caller has caused while its body was received. */
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -3,7 +3,9 @@
 import type * as errors from '@rosemaryrack/base/common/errors.js'
 import * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import type * as endpointTable from '@rosemaryrack/fleet/common/endpointTable.js'
+import * as arrivingCalls from './arrivingCalls.js'
 import type * as balancingPolicy from './balancingPolicy.js'
+import * as callFault from './callFault.js'
 import * as candidateLog from './candidateLog.js'
 import * as displacedCalls from './displacedCalls.js'
 import type * as endpointNotices from './endpointNotices.js'
@@ -27,9 +29,6 @@
 /** Cold endpoints are not avoided while they are more than this share of the endpoints. */
 const maxColdShare = 0.25
 const msPerSecond = 1000
-/** `Retry-After` of a refusal without an estimate of the wait, and the shortest one with an estimate. */
-const noWaitRetryAfterS = 1
-const minWaitRetryAfterS = 0.1
 
 /** Options of a dispatcher. */
 export interface DispatcherOptions {
@@ -66,6 +65,7 @@
   private latencySampleCount = 0
   private meanHoldMs = initialTypicalLatencyMs
   private bulkInFlight = 0
+  private readonly arrivingCalls = new arrivingCalls.ArrivingCalls()
   private cutOffSince = -Infinity
   private cancelAvailabilityTimer = (): void => {}
   private readonly limits: endpointLimits.EndpointLimits
@@ -222,7 +222,7 @@
 
   private expire (waiter: displacedCalls.Waiter): void {
     this.queue.remove(waiter)
-    waiter.done({ placed: false, fault: this.notRunFault('no slot became free in time', this.estimateWaitMs(waiter)) })
+    waiter.done({ placed: false, fault: callFault.notPlacedFault('no slot became free in time', this.estimateWaitMs(waiter)) })
   }
 
   /** Assigns free slots to queued calls in their order, and rejects those that can no longer meet their deadline. */
@@ -231,7 +231,7 @@
       const now = this.clock.now()
       if (now + waiter.request.typicalMs > waiter.deadlineAt) {
         this.withdraw(waiter)
-        waiter.done({ placed: false, fault: this.notRunFault('the deadline can no longer be met', this.estimateWaitMs(waiter)) })
+        waiter.done({ placed: false, fault: callFault.notPlacedFault('the deadline can no longer be met', this.estimateWaitMs(waiter)) })
         continue
       }
       const placement = this.tryPlace(waiter.request, waiter.queuedAt, now)
@@ -258,21 +258,21 @@
     if (available.length === 0 || this.findLimitedEndpoints(now).length > 0) return
     for (const { waiter, waitMs } of displacedCalls.findDisplaced(this.queue, this.meanHoldMs / Math.max(1, this.totalLimit(available)), now)) {
       this.withdraw(waiter)
-      waiter.done({ placed: false, fault: this.notRunFault('other calls come first, and the wait is too long', waitMs) })
+      waiter.done({ placed: false, fault: callFault.notPlacedFault('other calls come first, and the wait is too long', waitMs) })
     }
   }
 
   private findRejection (request: slotAssignment.SlotRequest, now: number): errors.Fault | undefined {
     const endpoints = this.endpoints.routable(this.options.service)
     if (endpoints.length === 0 && this.isStarting(now)) return undefined
-    if (endpoints.length === 0) return this.notRunFault(`service ${this.options.service} has no ready endpoint`, 0)
+    if (endpoints.length === 0) return callFault.notPlacedFault(`service ${this.options.service} has no ready endpoint`, 0)
     const noEndpointLeftFault = this.findNoEndpointLeftFault(request, now)
     if (noEndpointLeftFault !== undefined) return noEndpointLeftFault
     const limitFault = this.limits.findFault(request, this.queue.position(request), this.findLimitedEndpoints(now), now)
     if (limitFault !== undefined) return limitFault
     const waitMs = this.estimateWaitMs(request)
-    if (waitMs > request.lane.maxWaitMs) return this.notRunFault('all slots are taken and the wait is too long', waitMs)
-    if (now + waitMs + request.typicalMs > request.deadlineAt) return this.notRunFault('the deadline cannot be met', waitMs)
+    if (waitMs > request.lane.maxWaitMs) return callFault.notPlacedFault('all slots are taken and the wait is too long', waitMs)
+    if (now + waitMs + request.typicalMs > request.deadlineAt) return callFault.notPlacedFault('the deadline cannot be met', waitMs)
     return undefined
   }
 
@@ -294,7 +294,7 @@
   private findNoEndpointLeftFault (request: slotAssignment.SlotRequest, now: number): errors.Fault | undefined {
     const { available, nextAvailableAt } = this.findAvailable(now)
     if (available.some(({ endpoint }) => !request.excludedEndpoints.has(endpoint))) return undefined
-    if (nextAvailableAt === Infinity) return this.notRunFault('every ready endpoint was tried', 0)
+    if (nextAvailableAt === Infinity) return callFault.notPlacedFault('every ready endpoint was tried', 0)
     return { kind: 'not-run', message: 'every ready endpoint was tried or asked to get no requests for a while', retryAfterS: (nextAvailableAt - now) / msPerSecond }
   }
 
@@ -312,14 +312,11 @@
     return { available, nextAvailableAt }
   }
 
-  private notRunFault (message: string, waitMs: number): errors.Fault {
-    return { kind: 'not-run', message, retryAfterS: waitMs > 0 ? Math.max(minWaitRetryAfterS, waitMs / msPerSecond) : noWaitRetryAfterS }
-  }
-
   private tryPlace (request: slotAssignment.SlotRequest, queuedAt: number, now: number, mayBeLimited = true): slotAssignment.Placement | undefined {
     const endpoints = this.endpoints.routable(this.options.service)
     const { available } = this.findAvailable(now)
     if (request.priority === 'bulk' && this.bulkInFlight >= Math.max(1, Math.floor(request.lane.budgets.bulkShare * this.totalLimit(available)))) return undefined
+    if (!this.arrivingCalls.canStart(request, available.reduce((sum, endpoint) => sum + this.slotLimit(endpoint), 0))) return undefined
     const candidates = this.findCandidates(mayBeLimited ? available : available.filter((endpoint) => !this.limits.isLimited(endpoint)), request, now)
     const context = {
       now,
@@ -348,11 +345,13 @@
     this.bulkInFlight += bulkCount
     stats.suspectCount += suspectCount
     const releaseFlow = this.queue.hold(request)
+    const endArriving = this.arrivingCalls.start(request)
     let released = false
     const release = (): void => {
       if (released) return
       released = true
       releaseFlow()
+      endArriving()
       stats.endCall(handle)
       this.bulkInFlight -= bulkCount
       stats.suspectCount -= suspectCount
@@ -385,7 +384,7 @@
 
   /** Returns whether any endpoint with a free slot can take the call; if such a call gets no slot, none is free. */
   private isUnrestricted (request: slotAssignment.SlotRequest, now: number): boolean {
-    return request.excludedEndpoints.size === 0 && !request.isSuspect && (this.hasColdLimit || now - this.stats.newestEndpointSeenAt >= request.lane.coldStartMs)
+    return request.excludedEndpoints.size === 0 && !request.isSuspect && !arrivingCalls.isArriving(request) && (this.hasColdLimit || now - this.stats.newestEndpointSeenAt >= request.lane.coldStartMs)
   }
 
   private slotLimit (endpoint: endpointTable.Endpoint): number {
--- a/packages/routing/src/common/slotAssignment.ts
+++ b/packages/routing/src/common/slotAssignment.ts
@@ -23,6 +23,8 @@
   readonly isSuspect: boolean
   /** Ids of endpoints that were tried already or must not be used. */
   readonly excludedEndpoints: ReadonlySet<string>
+  /** The body of the request, which may still be arriving; undefined for a request without one. */
+  readonly body?: { readonly isReceived: boolean } | undefined
 }
 
 /** Holds a slot assigned to a call, and the reasons for the choice. */
--- a/packages/routing/src/test/callAttempts.test.ts
+++ b/packages/routing/src/test/callAttempts.test.ts
@@ -51,7 +51,7 @@
       }
     }
     const startedAttempt: transport.IAttempt = { written: true, cancel: () => {}, abandon: () => {}, deliverHeld: () => {} }
-    new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: lane.deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined }, onRepeat: () => { this.repeats++ } }, {
+    new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: lane.deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, isReceived: true, awaitsCaller: false, fault: undefined }, onRepeat: () => { this.repeats++ } }, {
       probing: { deps: { dispatcher: callDispatcher, prober, budget: unlimitedBudget, clock: this.clock }, options: { candidates: 2, timeoutMs: 25, staggerMs: 8 } },
       dispatcher: callDispatcher,
       transport: {
--- a/packages/routing/src/test/callBodies.test.ts
+++ b/packages/routing/src/test/callBodies.test.ts
@@ -33,7 +33,7 @@
 class CallHarness {
   readonly clock = new manualClock.ManualClock()
   readonly attempts: transport.IAttemptEvents[] = []
-  readonly body: { -readonly [K in keyof callSpec.IRequestBody]: callSpec.IRequestBody[K] } = { isReplayable: true, awaitsCaller: true, fault: undefined }
+  readonly body: { -readonly [K in keyof callSpec.IRequestBody]: callSpec.IRequestBody[K] } = { isReplayable: true, isReceived: true, awaitsCaller: true, fault: undefined }
   /** What is held against endpoints. */
   readonly blame: string[] = []
   readonly faults: errors.Fault[] = []
--- a/packages/routing/src/test/crashingRequests.test.ts
+++ b/packages/routing/src/test/crashingRequests.test.ts
@@ -52,7 +52,7 @@
       arrivedAt: this.clock.now(),
       deadlineAt: this.clock.now() + deadlineMs,
       identity: { fingerprint, isRetainable: true },
-      body: { isReplayable: true, awaitsCaller: false, fault: undefined }
+      body: { isReplayable: true, isReceived: true, awaitsCaller: false, fault: undefined }
     }
     new call.Call(spec, {
       dispatcher: this.dispatcher,
--- a/packages/routing/src/test/dispatcher.test.ts
+++ b/packages/routing/src/test/dispatcher.test.ts
@@ -43,16 +43,16 @@
   }
 
   /** Returns the placement of a call; undefined if the call is queued or rejected. */
-  place (priority: configDocument.LanePriority): slotAssignment.Placement | undefined {
+  place (priority: configDocument.LanePriority, body?: slotAssignment.SlotRequest['body']): slotAssignment.Placement | undefined {
     let placement: slotAssignment.Placement | undefined
-    this.acquire(priority, (assigned) => { placement = assigned })
+    this.acquire(priority, (assigned) => { placement = assigned }, [], undefined, body)
     return placement
   }
 
   /** Requests a slot; calls `onPlaced` at once or later. */
-  acquire (priority: configDocument.LanePriority, onPlaced: (placement: slotAssignment.Placement) => void, excludedEndpoints: readonly string[] = [], maxWaitMs?: number): void {
+  acquire (priority: configDocument.LanePriority, onPlaced: (placement: slotAssignment.Placement) => void, excludedEndpoints: readonly string[] = [], maxWaitMs?: number, body?: slotAssignment.SlotRequest['body']): void {
     const lane = { ...createLane(priority), ...(maxWaitMs === undefined ? {} : { maxWaitMs, deadlineMs: maxWaitMs }) }
-    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, remoteFactor: 1, isSuspect: false, excludedEndpoints: new Set(excludedEndpoints) }, (outcome) => {
+    this.dispatcher.acquire({ lane, priority, deadlineAt: this.now + lane.deadlineMs, typicalMs, remoteFactor: 1, isSuspect: false, excludedEndpoints: new Set(excludedEndpoints), body }, (outcome) => {
       if (outcome.placed) onPlaced(outcome.placement)
     })
   }
@@ -94,6 +94,23 @@
   t.equal(service.dispatcher.waiting, 0)
 })
 
+tap.t.test('calls whose bodies are still arriving leave half of the slots to others, and their slots count again once received', async (t) => {
+  const service = new TestService(['d-1', 'd-2'], {}, 2)
+  const bodies = Array.from({ length: 4 }, () => ({ isReceived: false }))
+  const placements = bodies.map((body) => service.place('urgent', body))
+  t.same(placements.map((placement) => placement !== undefined), [true, true, false, false])
+  t.equal(service.dispatcher.waiting, 2)
+  const other = service.place('urgent')
+  t.ok(other, 'a call that waits for nothing is placed before them')
+  bodies[0]!.isReceived = true
+  t.notOk(service.place('urgent', { isReceived: false }))
+  t.equal(service.dispatcher.inFlight, 4, 'the first of the queue takes the place of the call whose body is received')
+  other!.release()
+  t.equal(service.dispatcher.inFlight, 3, 'two bodies are arriving again')
+  placements[1]!.release()
+  t.same([service.dispatcher.inFlight, service.dispatcher.waiting], [3, 1], 'the next of the queue takes the place of the call that has ended')
+})
+
 tap.t.test('a bulk call goes to the endpoint that just started', async (t) => {
   const service = warmService('d-1', 'd-2', 'd-3')
   service.announce('d-4')
--- a/packages/routing/src/test/hedgedLoad.ts
+++ b/packages/routing/src/test/hedgedLoad.ts
@@ -186,7 +186,7 @@
       },
       checkTarget: () => {}
     }
-    new call.Call({ requestId, laneName: 'diary', lane, arrivedAt: now, deadlineAt: now + lane.deadlineMs, identity: { fingerprint: requestId, isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined } }, { ...this.deps, transport }, {
+    new call.Call({ requestId, laneName: 'diary', lane, arrivedAt: now, deadlineAt: now + lane.deadlineMs, identity: { fingerprint: requestId, isRetainable: true }, body: { isReplayable: true, isReceived: true, awaitsCaller: false, fault: undefined } }, { ...this.deps, transport }, {
       onResponse: () => done(true),
       onFailed: () => done(false)
     }).start()
--- a/packages/routing/src/test/hedging.test.ts
+++ b/packages/routing/src/test/hedging.test.ts
@@ -157,7 +157,7 @@
 
   start (): call.Call {
     const now = this.clock.now()
-    const spec = { requestId: 'r', laneName: 'diary', lane: this.lane, workspace: this.options.workspace, arrivedAt: now, deadlineAt: now + this.lane.deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined } }
+    const spec = { requestId: 'r', laneName: 'diary', lane: this.lane, workspace: this.options.workspace, arrivedAt: now, deadlineAt: now + this.lane.deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, isReceived: true, awaitsCaller: false, fault: undefined } }
     const budget = { take: () => true }
     const prober: loadProbing.IProber = {
       probe: (_endpoint, done) => {
--- a/packages/routing/src/test/recovery.test.ts
+++ b/packages/routing/src/test/recovery.test.ts
@@ -106,7 +106,7 @@
     repeats.recordCall()
     if (isNew) counts.new++
     else counts.held++
-    new call.Call({ requestId: `r-${index}`, laneName: 'diary', lane, arrivedAt: usesArrivalTime ? arrivedAt : clock.now(), deadlineAt: arrivedAt + lane.deadlineMs, identity: { fingerprint: `f-${index}`, isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined } }, {
+    new call.Call({ requestId: `r-${index}`, laneName: 'diary', lane, arrivedAt: usesArrivalTime ? arrivedAt : clock.now(), deadlineAt: arrivedAt + lane.deadlineMs, identity: { fingerprint: `f-${index}`, isRetainable: true }, body: { isReplayable: true, isReceived: true, awaitsCaller: false, fault: undefined } }, {
       probing: { deps: { dispatcher: entryDispatcher, prober, budget: { take: () => true }, clock }, options: { candidates: 4, timeoutMs: 25, staggerMs: 8 } },
       dispatcher: entryDispatcher,
       transport: createTransport(),
--- a/packages/routing/src/test/retryWithoutSlot.test.ts
+++ b/packages/routing/src/test/retryWithoutSlot.test.ts
@@ -39,7 +39,7 @@
     const suspects = new suspectTable.SuspectTable(this.clock)
     this.dispatcher = new dispatcher.Dispatcher({ service: 'diary', ownFailureDomain: 'a', liveEntries: () => 1 }, source, new adaptivePolicy.AdaptivePolicy({ next: () => 0.5 }), this.clock)
     const giveUp = (): void => { this.givenUpAttempts++ }
-    new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined } }, {
+    new call.Call({ requestId: 'r', laneName: 'diary', lane, arrivedAt: 0, deadlineAt: deadlineMs, identity: { fingerprint: 'f', isRetainable: true }, body: { isReplayable: true, isReceived: true, awaitsCaller: false, fault: undefined } }, {
       dispatcher: this.dispatcher,
       transport: {
         start: (_endpoint, events) => {
--- a/packages/testbed/src/common/bench/balancedRun.ts
+++ b/packages/testbed/src/common/bench/balancedRun.ts
@@ -108,7 +108,7 @@
     budgets.retries.deposit()
     budgets.hedges.deposit()
     const deadlineAt = arrival.at + lane.deadlineMs
-    new call.Call({ requestId: id, laneName: name, lane, arrivedAt: arrival.at, deadlineAt, identity: { fingerprint: id, isRetainable: true }, body: { isReplayable: true, awaitsCaller: false, fault: undefined } }, {
+    new call.Call({ requestId: id, laneName: name, lane, arrivedAt: arrival.at, deadlineAt, identity: { fingerprint: id, isRetainable: true }, body: { isReplayable: true, isReceived: true, awaitsCaller: false, fault: undefined } }, {
       dispatcher: this.dispatchers.get(lane.service)!,
       transport: new FakeTransport(this.run, arrival.costMs),
       suspects: noSuspects,
