Entry: whole requests take the slots of stalled ones sooner than incomplete ones do

Beside 60 callers with bodies without an end and 30 requests at a time, an ordinary caller got three 503 before a 200 in one of four runs of heldSlots.test.

Cause: callers that come back after a refusal took each slot as soon as its request had been stalled for 500 ms, so an ordinary request was one among them.

Change: a request that has been received whole takes the slot of one that has been stalled for 100 ms. The parser reports a request before its end, so without a free slot the decision is made once the parser has gone on.

Also a fix by reading: with two requests on a connection, the stall of the second one could have ended the first.

--- a/packages/entry/src/node/arrivingRequests.ts
+++ b/packages/entry/src/node/arrivingRequests.ts
@@ -1,38 +1,30 @@
 /** Requests that are served while their bodies are still arriving: one whose caller has stalled makes room for another one. */
+import * as stalls from '../common/stalls.js'
 
-/** Shortest time without data after which a caller counts as stalled; a lost packet is usually sent again sooner. */
-const minStallMs = 500
-
-/** A request that has not been received whole. */
-export interface IArrivingRequest {
-  /** Time on the clock since which it waits for data of its caller; undefined if it doesn't. */
-  readonly stalledSince: number | undefined
-  /** Ends the request, and frees its slot at once. */
-  endStalled(): void
-}
+/**
+ * Shortest time without data after which a caller counts as stalled. For a request that is itself incomplete, a lost packet has usually been
+ * sent again by then, and callers that stall don't take turns at the expense of requests that could be served.
+ */
+const minStallMs = { forWhole: 100, forIncomplete: 500 } as const
 
 /** The arriving requests of an instance. */
 export class ArrivingRequests {
-  private readonly requests = new Set<IArrivingRequest>()
+  private readonly requests = new Set<stalls.IStallable>()
 
-  add (request: IArrivingRequest): void {
+  add (request: stalls.IStallable): void {
     this.requests.add(request)
   }
 
-  delete (request: IArrivingRequest): void {
+  delete (request: stalls.IStallable): void {
     this.requests.delete(request)
   }
 
-  /** Ends the request that has been stalled for longest; returns false if there is none. */
-  endLongestStalled (now: number): boolean {
-    let longest: IArrivingRequest | undefined
-    let since = now - minStallMs
-    for (const request of this.requests) {
-      const { stalledSince = Infinity } = request
-      if (stalledSince > since) continue
-      longest = request
-      since = stalledSince
-    }
+  /**
+   * Ends the request that has been stalled for longest; returns false if there is none.
+   * @param isWhole whether the request that needs its slot has been received whole.
+   */
+  endLongestStalled (now: number, isWhole: boolean): boolean {
+    const longest = stalls.findLongestStalled(this.requests, now - (isWhole ? minStallMs.forWhole : minStallMs.forIncomplete))
     longest?.endStalled()
     return longest !== undefined
   }
--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -124,7 +124,7 @@
       req.resume()
       return
     }
-    const request = { req, res, isServing: false }
+    const request = { req, res, isServing: false, hasBeenDeferred: false }
     if (state !== undefined) this.trackResponse(req.socket, state, request)
     if (req.headers.upgrade !== undefined) this.endWithUpgrade(res)
     if (state?.requests === undefined) this.requestServer.serve(req, res, undefined)
--- a/packages/entry/src/node/connectionRequests.ts
+++ b/packages/entry/src/node/connectionRequests.ts
@@ -2,7 +2,7 @@
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
-import type * as arrivingRequests from './arrivingRequests.js'
+import type * as stalls from '../common/stalls.js'
 import * as callerLimiter from './callerLimiter.js'
 import * as requestFeed from './requestFeed.js'
 
@@ -21,10 +21,12 @@
   readonly req: http.IncomingMessage
   readonly res: http.ServerResponse
   isServing: boolean
+  /** True once it has waited for the rest of what was received together with its head. */
+  hasBeenDeferred: boolean
 }
 
 /** Serves requests in their order, a limited number at a time. */
-export class ConnectionRequests implements arrivingRequests.IArrivingRequest {
+export class ConnectionRequests implements stalls.IStallable {
   private readonly feed: requestFeed.RequestFeed
   /** Requests that were parsed together with the last one that can be served now. */
   private readonly waiting: AdmittedRequest[] = []
@@ -73,8 +75,9 @@
   }
 
   get stalledSince (): number | undefined {
+    const { req, res } = this.arriving ?? {}
     // A response that has begun can no longer be replaced by a refusal.
-    return this.arriving?.res.headersSent === false ? this.feed.stalledSince : undefined
+    return req?.complete === false && res?.headersSent === false ? this.feed.stalledSince : undefined
   }
 
   endStalled (): void {
@@ -130,20 +133,30 @@
   /** Starts what waits, at most as many as there is room for. */
   private startWaiting (): void {
     while (this.waiting.length > 0 && this.serving < this.limiter.limits.requestsPerConnection) {
-      const isStarted = this.tryTakeSlot()
+      const request = this.waiting[0]!
+      const isStarted = this.tryTakeSlot(request.req.complete)
       // The next completion on this connection starts it.
       if (!isStarted && this.serving > 0) return
-      const request = this.waiting.shift()!
+      if (!isStarted && this.tryDefer(request)) return
+      this.waiting.shift()
       if (isStarted) this.start(request)
       else this.refuse(request)
     }
   }
 
   /** A stalled request makes room for the first one of a connection. */
-  private tryTakeSlot (): boolean {
+  private tryTakeSlot (isWhole: boolean): boolean {
     const { slots, arriving } = this.limiter
     const isSingle = this.serving === 0
-    return slots.tryTake(isSingle) || (isSingle && arriving.endLongestStalled(performance.now()) && slots.tryTake(isSingle))
+    return slots.tryTake(isSingle) || (isSingle && arriving.endLongestStalled(performance.now(), isWhole) && slots.tryTake(isSingle))
+  }
+
+  /** Lets the parser go on first, which reports a request before its body; returns false if that was done. */
+  private tryDefer (request: AdmittedRequest): boolean {
+    if (request.req.complete || request.hasBeenDeferred) return false
+    request.hasBeenDeferred = true
+    process.nextTick(() => this.startWaiting())
+    return true
   }
 
   private start (request: AdmittedRequest): void {
