Entry: a response that nobody reads makes room for calls that need its slot

Callers got 503 for as long as others sent requests ahead and read none of their long responses.

Cause: an endpoint sends no faster than the caller reads, so an unread response holds its slot, for up to two minutes (callerStallTimeoutMs); the deadline does not count while the caller takes nothing.

Change: a call that finds no slot takes that of the response of its service which has made no progress for longest, at least entry.callers.stalledResponseMs (2,000); that response is broken off with its connection. Calls that wait already get a slot as soon as a response counts as stalled. Progress is what the kernel takes, so slow readers are not affected, and nothing changes while no call waits.

--- a/packages/config/src/common/settings.ts
+++ b/packages/config/src/common/settings.ts
@@ -58,6 +58,8 @@
   /** Bytes of responses of one connection, and of all, that wait for callers to read them. */
   unsentBytesPerConnection: zod.number().int().min(65_536).default(4_194_304),
   unsentBytes: zod.number().int().min(65_536).default(33_554_432),
+  /** Milliseconds in which a caller takes nothing of a response, after which the response is broken off if calls wait for the slot of its endpoint. */
+  stalledResponseMs: zod.number().int().min(100).max(600_000).default(2000),
   /** Bytes that are received and not parsed yet because their connections have sent ahead. */
   heldInputBytes: zod.number().int().min(65_536).default(16_777_216),
   /** Connections to endpoints, including those that are being opened. */
--- a/packages/entry/src/node/callerLimiter.ts
+++ b/packages/entry/src/node/callerLimiter.ts
@@ -17,7 +17,7 @@
 export type CallerLimits = Omit<settings.CallerSettings, 'listen'>
 
 /** Name of a limit that was reached, as in the settings. */
-export type LimitName = Exclude<keyof CallerLimits, 'reservedShare' | 'targetConnections' | 'targetConnects' | 'claims' | 'logLinesPerSecond'>
+export type LimitName = Exclude<keyof CallerLimits, 'reservedShare' | 'targetConnections' | 'targetConnects' | 'claims' | 'logLinesPerSecond' | 'stalledResponseMs'>
 
 /** Fault of a request for which no slot is free. */
 export const noSlotFault = { kind: 'not-run', message: 'the instance serves as many requests as it can', retryAfterS: 1 } as const satisfies errors.Fault
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -32,12 +32,12 @@
 import * as requestIdentity from './requestIdentity.js'
 import type * as requestOrigin from './requestOrigin.js'
 import * as requestRun from './requestRun.js'
-import type * as startup from './startup.js'
+import * as startup from './startup.js'
 import * as targetRequest from './targetRequest.js'
 import type * as unframedResponses from './unframedResponses.js'
+import type * as unreadResponses from './unreadResponses.js'
 import type * as workspaceAuth from './workspaceAuth.js'
 
-const notReadyRetryAfterS = 1
 /** Final refusals of peers with which no endpoint has run the request. */
 const unrunOutcomes: readonly string[] = ['quarantined', 'unauthorized', 'over-quota'] satisfies readonly errors.ErrorKind[]
 
@@ -54,6 +54,7 @@
   readonly startup: startup.Startup
   readonly auth: workspaceAuth.WorkspaceAuth
   readonly quotas: Pick<quotaGate.QuotaGate, 'admit'>
+  readonly unreadResponses: Pick<unreadResponses.UnreadResponses, 'add'>
   /** True during graceful shutdown: the last response on a connection asks the caller to close it. */
   readonly isStopping: () => boolean
 }
@@ -147,7 +148,7 @@
   private async handle (): Promise<void> {
     await this.waitForConfig()
     if (this.isAnswered) return
-    if (!this.deps.lanes.hasConfig) throw noConfigError('there is no configuration yet')
+    if (!this.deps.lanes.hasConfig) throw startup.noConfigError('there is no configuration yet')
     const requestTarget = this.req.url ?? ''
     // The peer has checked a forwarded request, before it added headers.
     if (this.origin.forwarded === undefined) requestGuard.checkHeaderBytes(this.req.rawHeaders, this.deps.lanes.maxHeaderBytes)
@@ -197,7 +198,7 @@
     if (deps.startup.isOver) return
     const { callerDeadlineAt } = this.origin
     if (await deps.startup.waitForConfig(callerDeadlineAt === undefined ? undefined : callerDeadlineAt - performance.now())) return
-    throw noConfigError('no configuration has been confirmed yet')
+    throw startup.noConfigError('no configuration has been confirmed yet')
   }
 
   private findLane (path: string): laneRegistry.MatchedLane {
@@ -321,12 +322,14 @@
     this.countOutcome(response.outcome)
     const limits = { progressTimeoutMs: lane.progressTimeoutMs, deadlineAt: this.deadlineAt(lane) }
     const stream = new responseStream.ResponseStream(this.res, attempt, limits, this.newResumer(lane.idempotent && body.isReplayable, response, fetchRest), (end, bytes) => {
+      deleteUnread?.()
       if (endpoint !== undefined) state.domainPreference.recordResponseSize(bytes)
       if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
       this.done.resolve()
       if (end === 'complete' && !body.isReceived) callerBody.discardRestOf(this.req, body, (why) => this.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why }))
     })
+    const deleteUnread = endpoint === undefined ? undefined : this.deps.unreadResponses.add(endpoint.service, stream)
     if (this.endsWithConnection(head)) this.watchUnframed(stream)
     attempt.pipe(stream)
   }
@@ -430,7 +433,3 @@
     metrics.recordLatency('rosemaryrack_latency_seconds', { lane: this.laneName }, performance.now() - this.origin.arrivedAt)
   }
 }
-
-function noConfigError (message: string): errors.RackError {
-  return new errors.RackError({ kind: 'not-run', message, retryAfterS: notReadyRetryAfterS })
-}
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -47,6 +47,7 @@
 import * as targetChecker from './targetChecker.js'
 import * as targetConnections from './targetConnections.js'
 import * as unframedResponses from './unframedResponses.js'
+import * as unreadResponses from './unreadResponses.js'
 import * as workspaceAuth from './workspaceAuth.js'
 
 const msPerSecond = 1000
@@ -84,6 +85,7 @@
   private readonly leaseRenewal: leaseRenewal.LeaseRenewal
   private readonly quotas: workspaceQuotas.WorkspaceQuotas
   private readonly quotaGate: quotaGate.QuotaGate
+  private readonly unreadResponses: unreadResponses.UnreadResponses
   private readonly invalidLimits = new Map<string, string>()
   private isStopping = false
 
@@ -124,6 +126,7 @@
     const source = new quotaClient.QuotaClient(self, configs, decisions, metrics)
     this.quotas = new workspaceQuotas.WorkspaceQuotas(source, () => members.liveEntryCount, random, this.clock)
     this.quotaGate = this.disposables.add(new quotaGate.QuotaGate(this.quotas, configs, this.reachability, metrics))
+    this.unreadResponses = new unreadResponses.UnreadResponses(entry.callers.stalledResponseMs, this.clock, (service) => this.lanes.dispatcherOf(service).waiting > 0)
     const flows = new workspaceFlows.WorkspaceFlows(this.quotas)
     this.disposables.add(configs.onChanged(({ document }) => flows.applyDocument(document)))
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(configs, this.endpoints, {
@@ -139,6 +142,7 @@
       probesPerEndpointAndSecond: entry.probing?.perEndpointAndSecond ?? 0,
       reachability: this.reachability,
       flows,
+      makeRoom: (service) => this.unreadResponses.makeRoom(service),
       permitSource: new permitClient.PermitClient(cfg.instance, configs, decisions, metrics)
     }, this.clock))
     this.forwarder = this.disposables.add(new peerForwarder.PeerForwarder({
@@ -286,6 +290,7 @@
       startup: this.startup,
       auth: this.disposables.add(new workspaceAuth.WorkspaceAuth({ configs: this.configs, freshness: this.lease, headers: this.entry.headers, metrics: this.metrics })),
       quotas: this.quotaGate,
+      unreadResponses: this.unreadResponses,
       isStopping: () => this.isStopping
     }
   }
--- a/packages/entry/src/node/laneRegistry.ts
+++ b/packages/entry/src/node/laneRegistry.ts
@@ -65,6 +65,8 @@
   readonly startingUntil: number
   /** Limits on the hedges of this instance; without it only the budgets apply. */
   readonly hedging?: hedging.HedgingOptions | undefined
+  /** Frees a slot of a service that a caller keeps from others; returns false if there is none. */
+  readonly makeRoom?: (service: string) => boolean
 }
 
 /** Finds lanes and keeps their state, following changes of the configuration. */
@@ -192,11 +194,11 @@
   dispatcherOf (service: string): dispatcher.Dispatcher {
     let serviceDispatcher = this.dispatchers.get(service)
     if (serviceDispatcher === undefined) {
-      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices, permitSource, random, reachability, flows } = this.options
+      const { ownFailureDomain, liveEntries, newPolicy, startingUntil, isConnected, notices, permitSource, random, reachability, flows, makeRoom } = this.options
       const permits = this.disposables.add(new servicePermits.ServicePermits(permitSource, liveEntries, random, this.clock))
       const connectionLimit = (): number | undefined => configDocument.findByName(this.services, service)?.connectionLimit
       const hasColdLimit = (): boolean => this.coldRateOf(service) !== undefined
-      serviceDispatcher = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, hasColdLimit, startingUntil, isConnected, notices, permits, reachability, ...(flows === undefined ? {} : { flows }) }, this.endpoints, newPolicy(), this.clock)
+      serviceDispatcher = new dispatcher.Dispatcher({ service, ownFailureDomain, liveEntries, connectionLimit, hasColdLimit, startingUntil, isConnected, notices, permits, reachability, makeRoom: () => makeRoom?.(service) === true, ...(flows === undefined ? {} : { flows }) }, this.endpoints, newPolicy(), this.clock)
       this.dispatchers.set(service, serviceDispatcher)
     }
     return serviceDispatcher
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -3,8 +3,10 @@
  * connection is closed; it is never ended as if it were complete. So is the connection of a response that is overdue.
  */
 import type * as http from 'node:http'
+import type * as net from 'node:net'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as clock from '@rosemaryrack/base/common/clock.js'
+import type * as stalls from '../common/stalls.js'
 import type * as httpAttempt from './httpAttempt.js'
 import * as responseAbort from './responseAbort.js'
 
@@ -32,12 +34,13 @@
 }
 
 /** How the body of a response ended before it was complete. */
-export type CutReason = 'broken' | 'caller-left' | 'overdue' | 'stopping'
+export type CutReason = 'broken' | 'caller-left' | 'overdue' | 'stalled' | 'stopping'
 
 /** What the log says of a response that this process has cut; that the caller has left is logged with its connection. */
 export const cutMessages: { readonly [K in CutReason]: string | undefined } = {
   broken: 'the response of the target was incomplete',
   overdue: 'the deadline passed before the target had sent the whole response',
+  stalled: 'the caller took nothing of the response while calls waited for a slot',
   stopping: 'the process ends, and a part of a response without a length would look complete',
   'caller-left': undefined
 }
@@ -46,12 +49,15 @@
 export type StreamEnd = 'complete' | CutReason
 
 /** Sink of one response, which may come from several attempts in turn. */
-export class ResponseStream implements httpAttempt.IBodySink {
+export class ResponseStream implements httpAttempt.IBodySink, stalls.IStallable {
   private timer: NodeJS.Timeout | undefined
   private overdueTimer: NodeJS.Timeout | undefined
   /** Time in which the caller took no bytes, and since when it takes none. */
   private heldMs = 0
   private heldSince: number | undefined
+  /** Bytes that the kernel had not taken when they were last counted, and since when there are as many. */
+  private queuedBytes = 0
+  private queuedSince = 0
   /** True once the target has sent the whole body. */
   private isReceived = false
   private sentBytes = 0
@@ -84,7 +90,7 @@
     if (canTakeMore) {
       this.timer?.refresh()
     } else {
-      this.heldSince ??= performance.now()
+      this.holdBack()
       this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
     }
     return canTakeMore
@@ -113,9 +119,36 @@
     responseAbort.abortResponse(this.res)
   }
 
+  get stalledSince (): number | undefined {
+    const { socket } = this.res
+    // A response that is queued behind another one waits for that one, and a received one holds no slot.
+    if (this.heldSince === undefined || this.isReceived || this.isDone || socket === null) return undefined
+    this.countQueued(socket)
+    return this.queuedSince
+  }
+
+  endStalled (): void {
+    this.breakOff('stalled')
+  }
+
+  private holdBack (): void {
+    if (this.heldSince !== undefined) return
+    this.heldSince = performance.now()
+    if (this.res.socket !== null) this.countQueued(this.res.socket)
+  }
+
+  /** Notes progress since the last count. */
+  private countQueued (socket: net.Socket): void {
+    const { writeQueueSize = 0 } = (socket as { _handle?: { readonly writeQueueSize?: number } | null })._handle ?? {}
+    if (writeQueueSize === this.queuedBytes && this.queuedSince > 0) return
+    this.queuedBytes = writeQueueSize
+    this.queuedSince = performance.now()
+  }
+
   private handleDrain (): void {
     if (this.heldSince !== undefined) this.heldMs += performance.now() - this.heldSince
     this.heldSince = undefined
+    this.queuedSince = 0
     if (this.overdueTimer === undefined) this.startOverdueTimer()
     this.startProgressTimer()
     this.attempt.resume()
--- a/packages/entry/src/node/startup.ts
+++ b/packages/entry/src/node/startup.ts
@@ -1,5 +1,6 @@
 /** Holds requests until an instance that just started has a confirmed configuration, for a limited time. */
 import type * as clock from '@rosemaryrack/base/common/clock.js'
+import * as errors from '@rosemaryrack/base/common/errors.js'
 
 /**
  * Time from the start in which requests are held. Control replicas that start together with this instance elect a leader
@@ -10,6 +11,7 @@
 const holdShareOfDeadline = 0.4
 /** Longest hold of a request without a deadline from its caller. */
 const defaultHoldMs = 400
+const notReadyRetryAfterS = 1
 
 /** Reports when a quorum confirmed the configuration. */
 export interface IConfirmation {
@@ -46,3 +48,8 @@
     return await this.configs.waitForConfirmation(Math.max(0, Math.min(holdMs, holdLeftMs)))
   }
 }
+
+/** Returns the error of a request that cannot be routed without a confirmed configuration. */
+export function noConfigError (message: string): errors.RackError {
+  return new errors.RackError({ kind: 'not-run', message, retryAfterS: notReadyRetryAfterS })
+}
--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -25,6 +25,7 @@
 import * as startup from '../node/startup.js'
 import * as targetConnections from '../node/targetConnections.js'
 import * as unframedResponses from '../node/unframedResponses.js'
+import * as unreadResponses from '../node/unreadResponses.js'
 import * as workspaceAuth from '../node/workspaceAuth.js'
 import * as exchange from './exchange.js'
 
@@ -157,6 +158,7 @@
       claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.config, ownClock, decisions)),
       waitForSuspectWrites: async () => {},
       quotas: options.quotas ?? { admit: async () => quotaGate.noToken },
+      unreadResponses: new unreadResponses.UnreadResponses(defaultLimits.stalledResponseMs, ownClock, () => false),
       decisions,
       metrics: this.metrics,
       bodyTransfers: new bodyTransfers.BodyTransfers(decisions, this.metrics, ownClock),
@@ -249,7 +251,8 @@
   targetConnections: 1600,
   targetConnects: 800,
   claims: 128,
-  logLinesPerSecond: 2000
+  logLinesPerSecond: 2000,
+  stalledResponseMs: 2000
 }
 
 /** A lane whose calls have time to wait for a slot. */
--- a/packages/entry/src/test/forwardingEntry.ts
+++ b/packages/entry/src/test/forwardingEntry.ts
@@ -196,6 +196,7 @@
       claims: disposables.add(new idempotencyClaims.IdempotencyClaims(claimSource, clock, decisions)),
       waitForSuspectWrites: async () => {},
       quotas: { admit: async () => quotaGate.noToken },
+      unreadResponses: { add: () => () => {} },
       decisions,
       metrics: processMetrics,
       bodyTransfers: new bodyTransfers.BodyTransfers(decisions, processMetrics, clock),
--- a/packages/routing/src/common/dispatcher.ts
+++ b/packages/routing/src/common/dispatcher.ts
@@ -52,6 +52,8 @@
   readonly reachability?: targetReachability.ITargetReachability
   /** Time until which endpoints may still be unknown because the process has just started; calls that find no endpoint wait until then. */
   readonly startingUntil?: number
+  /** Frees a slot that a caller keeps from others; returns false if there is none. */
+  readonly makeRoom?: () => boolean
 }
 
 /** Assigns free slots by the balancing policy, and queues calls by priority, flow and deadline while there are none. */
@@ -80,7 +82,7 @@
     this.limits = new endpointLimits.EndpointLimits(options.permits, policy)
     this.disposables.add(endpoints.onChanged((endpoint) => this.onEndpointChanged(endpoint)))
     if (endpoints.onRoutableChanged !== undefined) this.disposables.add(endpoints.onRoutableChanged(() => this.serveOrReject(true)))
-    if (options.notices !== undefined) this.disposables.add(options.notices.onAway((endpoint) => this.onEndpointAway(endpoint)))
+    if (options.notices !== undefined) this.disposables.add(options.notices.onAway(({ service }) => { if (service === options.service) this.serveQueueWhenEndpointsReturn() }))
     if (options.reachability !== undefined) this.disposables.add(options.reachability.onChanged((isCutOff) => this.withdrawFailures(isCutOff)))
     if (options.permits !== undefined) this.disposables.add(options.permits.onChanged(() => this.serveOrReject(false)))
   }
@@ -108,7 +110,7 @@
   /** Assigns a slot now or later, or rejects the call; returns a function that cancels the request. */
   acquire (request: slotAssignment.SlotRequest, done: (outcome: slotAssignment.SlotOutcome) => void): () => void {
     const now = this.clock.now()
-    const placement = this.acquireNow(request)
+    const placement = this.acquireNow(request) ?? (this.options.makeRoom?.() === true ? this.acquireNow(request) : undefined)
     if (placement !== undefined) {
       done({ placed: true, placement })
       return () => {}
@@ -433,12 +435,10 @@
     }
   }
 
-  /** Rejects queued calls that have no other endpoint left, or places them once the endpoint accepts requests again. */
-  private onEndpointAway (endpoint: endpointTable.Endpoint): void {
-    if (endpoint.service === this.options.service) this.serveQueueWhenEndpointsReturn()
-  }
-
-  /** Serves the queue now, and again each time an endpoint accepts requests again, since calls may be queued meanwhile. */
+  /**
+   * Serves the queue now, which rejects calls that have no other endpoint left, and again each time an endpoint accepts requests again, since
+   * calls may be queued meanwhile.
+   */
   private serveQueueWhenEndpointsReturn (): void {
     if (this.queue.length > 0) this.serveQueue()
     this.cancelAvailabilityTimer()
