Entry: the first parts of request bodies are limited together

The memory of an entry was not bounded by its limits on held bodies: the first 64 KiB of each body counted as nothing, which is 64 MiB for the 1,024 requests that are served at a time, and much more where a caller sends them in short chunks one after the other, each of which was an entry and a Buffer of its own.

Change: first parts and short bodies count against 16 MiB of the process until their request ends, but for the first 4 KiB of each, so that ordinary bodies are received while others use all of it; beyond that a request is refused with 503. Short chunks that follow one another are held as one block of 4 KiB.

Evidence: callerBody.test, 'first parts are limited together' (needs the new limit) and 'short chunks that arrive one after the other are held together' (fails with chunks added one by one).

--- a/packages/entry/src/node/callerBody.ts
+++ b/packages/entry/src/node/callerBody.ts
@@ -12,11 +12,17 @@
 const firstPartBytes = 65_536
 const maxHeldBytesOfBody = 8 * bytesPerMiB
 const maxHeldBytesOfProcess = 32 * bytesPerMiB
+/** First parts and short bodies of all requests. */
+const maxFirstPartBytesOfProcess = 16 * bytesPerMiB
+/** Bytes of each first part that count against no limit, so that ordinary bodies are received while others use all of it. */
+const uncountedBytes = 4096
 /** Limits on reading the rest of a body whose request already has its response. */
 const maxDiscardedBytes = bytesPerMiB
 const discardTimeoutMs = 5000
 
 const processBudget = new byteBudget.ByteBudget(maxHeldBytesOfProcess)
+const firstPartBudget = new byteBudget.ByteBudget(maxFirstPartBytesOfProcess)
+const noMemoryFault = { kind: 'not-run', message: 'the instance holds as many request bodies as it can', retryAfterS: 1 } as const satisfies errors.Fault
 
 /** Body limits of the lane. */
 export interface BodyLimits {
@@ -52,11 +58,13 @@
   private readFault: errors.Fault | undefined
   private reading: Promise<void> | undefined
   private attempts = 0
+  /** What the first part counts against its limit. */
+  private countedFirstBytes = 0
   private readonly openReaders = new Set<bodyReader.BodyReader>()
   private joined: Buffer | undefined
   private readonly iterator: AsyncIterator<Buffer>
 
-  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits, budget: byteBudget.ByteBudget, private readonly onTransfer: TransferListener) {
+  private constructor (req: http.IncomingMessage, private readonly limits: BodyLimits, budget: byteBudget.ByteBudget, private readonly firstParts: byteBudget.ByteBudget, private readonly onTransfer: TransferListener) {
     const length = req.headers['content-length']
     this.declaredBytes = length === undefined ? undefined : Number(length)
     this.chunks = new heldChunks.HeldChunks(maxHeldBytesOfBody, budget)
@@ -65,16 +73,20 @@
 
   /**
    * Receives the first part of the body. Throws `too-large`, `bad-request` when the body is incomplete or the caller
-   * sends no data for a while, or `request-timeout` when the first part is overdue.
+   * sends no data for a while, `request-timeout` when the first part is overdue, or `not-run` when there is no memory for it.
    * @param budget what the long bodies of the process share.
+   * @param firstParts what the first parts and the short bodies of the process share.
    */
-  static async open (req: http.IncomingMessage, limits: BodyLimits, onTransfer: TransferListener, budget = processBudget): Promise<CallerBody> {
-    const body = new CallerBody(req, limits, budget, onTransfer)
+  static async open (req: http.IncomingMessage, limits: BodyLimits, onTransfer: TransferListener, budget = processBudget, firstParts = firstPartBudget): Promise<CallerBody> {
+    const body = new CallerBody(req, limits, budget, firstParts, onTransfer)
     if ((body.declaredBytes ?? 0) > limits.maxBytes) throw newTooLargeError(limits)
     if (hasBody(req)) await body.receiveFirstPart()
     else body.hasEnded = true
     body.isShort = body.hasEnded && body.received <= firstPartBytes
-    if (!body.isShort) body.isSingleUse = !body.chunks.countAll()
+    if (!body.isShort) {
+      body.releaseFirstPart()
+      body.isSingleUse = !body.chunks.countAll()
+    }
     return body
   }
 
@@ -138,6 +150,7 @@
 
   /** Gives the memory of a long body back, since no further attempt will be made. An attempt that is sending the body goes on. */
   release (): void {
+    this.releaseFirstPart()
     if (!this.isShort) this.stopHolding()
   }
 
@@ -152,7 +165,24 @@
   }
 
   private async receiveFirstPart (): Promise<void> {
-    while (this.isReceivingFirstPart) await this.receive()
+    try {
+      while (this.isReceivingFirstPart) await this.receive()
+    } catch (err) {
+      this.releaseFirstPart()
+      throw err
+    }
+  }
+
+  private addToFirstPart (data: Buffer): void {
+    const bytes = Math.max(0, this.received - uncountedBytes) - this.countedFirstBytes
+    if (!this.firstParts.take(bytes)) throw new errors.RackError(noMemoryFault)
+    this.countedFirstBytes += bytes
+    this.chunks.addJoined(data)
+  }
+
+  private releaseFirstPart (): void {
+    this.firstParts.giveBack(this.countedFirstBytes)
+    this.countedFirstBytes = 0
   }
 
   private get isReceivingFirstPart (): boolean {
@@ -176,7 +206,7 @@
       const isFirstPart = this.received < firstPartBytes
       this.received += result.value.length
       if (this.received > this.limits.maxBytes) throw newTooLargeError(this.limits)
-      if (isFirstPart) this.chunks.add(result.value)
+      if (isFirstPart) this.addToFirstPart(result.value)
       else this.addChunk(result.value)
     } catch (err) {
       this.readFault = errors.faultOf(err)
--- a/packages/entry/src/node/heldChunks.ts
+++ b/packages/entry/src/node/heldChunks.ts
@@ -3,6 +3,8 @@
 
 /** Memory of a chunk besides its bytes. */
 const chunkOverheadBytes = 512
+/** Chunks that are shorter together are held as one, so that few hold much more memory than their bytes. */
+const joinedBytes = 4096
 
 interface HeldChunk {
   readonly data: Buffer
@@ -13,6 +15,8 @@
 /** Chunks by their index in the body; the first ones may have been dropped. */
 export class HeldChunks {
   private chunks: HeldChunk[] = []
+  /** Memory of the last chunk, if it is made of several. */
+  private block: Buffer | undefined
   private droppedCount = 0
   private countedBytes = 0
 
@@ -46,6 +50,21 @@
     this.chunks.push({ data, countedBytes: 0 })
   }
 
+  /** Does the same, and joins it with the chunk before it if both are short; must not be called once chunks are read. */
+  addJoined (data: Buffer): void {
+    const last = this.chunks.at(-1)
+    if (last === undefined || last.data.length + data.length > joinedBytes) {
+      this.add(data)
+      return
+    }
+    // The first bytes of a new block are those that were held before; later ones are written behind them.
+    const block = this.block?.buffer === last.data.buffer ? this.block : Buffer.allocUnsafeSlow(joinedBytes)
+    if (block !== this.block) last.data.copy(block)
+    data.copy(block, last.data.length)
+    this.block = block
+    this.chunks[this.chunks.length - 1] = { data: block.subarray(0, last.data.length + data.length), countedBytes: 0 }
+  }
+
   /** Adds a chunk that counts; returns false, without adding it, if a limit is reached. */
   addCounted (data: Buffer): boolean {
     const countedBytes = data.length + chunkOverheadBytes
--- a/packages/entry/src/test/callerBody.test.ts
+++ b/packages/entry/src/test/callerBody.test.ts
@@ -34,9 +34,9 @@
     return new Upload(caller, req, server)
   }
 
-  async open (budget: byteBudget.ByteBudget, timeoutMs = progressTimeoutMs, firstPartDueAt = Infinity): Promise<callerBody.CallerBody> {
+  async open (budget: byteBudget.ByteBudget, timeoutMs = progressTimeoutMs, firstPartDueAt = Infinity, firstParts = new byteBudget.ByteBudget(processLimitBytes)): Promise<callerBody.CallerBody> {
     const limits = { maxBytes: 1e9, progressTimeoutMs: timeoutMs, firstPartDueAt }
-    return await callerBody.CallerBody.open(this.req, limits, ({ attempt, sentBytes, receivedBytes }) => this.transfers.push(`${attempt}: ${sentBytes} of ${receivedBytes}`), budget)
+    return await callerBody.CallerBody.open(this.req, limits, ({ attempt, sentBytes, receivedBytes }) => this.transfers.push(`${attempt}: ${sentBytes} of ${receivedBytes}`), budget, firstParts)
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
@@ -312,6 +312,38 @@
 }
 
 // Guards against a crashing request that is not recognized when its bytes arrive in other pieces.
+tap.t.test('first parts are limited together, but for the beginning of each, and count until they are released', async (t) => {
+  const firstParts = new byteBudget.ByteBudget(100_000)
+  await using upload = await Upload.start({ 'content-length': 60_000 })
+  await using tooMuch = await Upload.start({ 'content-length': 60_000 })
+  await using ordinary = await Upload.start({ 'content-length': 4000 })
+  const open = async (from: Upload, bytes: number): Promise<callerBody.CallerBody> => {
+    from.caller.end(longBodies.createText(bytes))
+    return await from.open(new byteBudget.ByteBudget(processLimitBytes), progressTimeoutMs, Infinity, firstParts)
+  }
+  const body = await open(upload, 60_000)
+  t.equal(firstParts.takenBytes, 60_000 - 4096)
+  await t.rejects(open(tooMuch, 60_000), { message: 'the instance holds as many request bodies as it can' })
+  t.equal(firstParts.takenBytes, 60_000 - 4096, 'a refused body holds nothing')
+  t.equal((await open(ordinary, 4000)).receivedBytes, 4000)
+  body.release()
+  t.equal(firstParts.takenBytes, 0)
+})
+
+tap.t.test('short chunks that arrive one after the other are held together', async (t) => {
+  await using upload = await Upload.start({})
+  const text = longBodies.createText(10_000)
+  const opened = upload.open(new byteBudget.ByteBudget(processLimitBytes))
+  for (let at = 0; at < text.length; at += 100) {
+    upload.caller.write(text.slice(at, at + 100))
+    await timers.setImmediate()
+  }
+  upload.caller.end()
+  const body = await opened
+  t.equal(body.firstPart.toString(), text)
+  t.ok(countHeldChunks(body) <= 2 * Math.ceil(text.length / 4096), `${countHeldChunks(body)} chunks`)
+})
+
 tap.t.test('the first part of a body does not depend on how its bytes arrive', async (t) => {
   const text = longBodies.createText(200_000)
   const firstParts = new Set<string>()
