--- a/packages/testbed/src/node/deployedFleet.ts
+++ b/packages/testbed/src/node/deployedFleet.ts
@@ -254,6 +254,11 @@
     return `${this.ipAddress(entryOctetOffset + number)}:${frontPort}`
   }
 
+  /** Address at which an entry takes requests from peers. */
+  forwardAddress (number: number): string {
+    return `${this.entryIp(number)}:${forwardPort}`
+  }
+
   /** Starts all control replicas, with bootstrap, and all entry instances. */
   startAll (): void {
     for (let i = 1; i <= this.controls; i++) this.startControl(i, true)
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -6,7 +6,7 @@
 const testFolders = ['platform', ...fs.readdirSync('packages').map((name) => `packages/${name}`)].map((folder) => `${folder}/dist/test`)
 const parallelFileCount = 2
 /** Files that run after all others, one at a time: they load the machine, and check bounds that other load would disturb. */
-const separateFiles = new Set(['sendingAhead', 'chunkedBodies', 'heldSlots'].map((name) => `packages/testbed/dist/test/${name}.test.js`))
+const separateFiles = new Set(['sendingAhead', 'chunkedBodies', 'heldSlots', 'otherListeners'].map((name) => `packages/testbed/dist/test/${name}.test.js`))
 /** Timeout of a test file that hangs; the scenarios take a third of it. */
 const fileTimeoutS = 600
 
