Listener: requests of a connection are served one after the other, and bodies are limited

A control replica exceeded the memory of its machine when clients sent requests or bodies ahead at its listener for operators and targets.

Cause: this listener had no limits: Node.js parses all requests of a read at once, each body may have 16 MiB, and responses that nobody reads are held.

Change: what parses the callers' input in parts moved to the package listener. HttpListener takes the next request of a connection once the one before has its response, and holds 32 MiB of bodies at most; beyond that it answers 503.

--- a/packages/entry/src/node/callerLimiter.ts
+++ b/packages/entry/src/node/callerLimiter.ts
@@ -6,7 +6,7 @@
 import * as limitedLog from '@rosemaryrack/telemetry/common/limitedLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as arrivingRequests from './arrivingRequests.js'
-import * as parsingTurns from './parsingTurns.js'
+import * as parsingTurns from '@rosemaryrack/listener/node/parsingTurns.js'
 import * as refusalPacing from './refusalPacing.js'
 import * as requestSlots from './requestSlots.js'
 
--- a/packages/entry/src/node/connectionRequests.ts
+++ b/packages/entry/src/node/connectionRequests.ts
@@ -4,7 +4,7 @@
 import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as stalls from '../common/stalls.js'
 import * as callerLimiter from './callerLimiter.js'
-import * as requestFeed from './requestFeed.js'
+import * as requestFeed from '@rosemaryrack/listener/node/requestFeed.js'
 
 const refusedStatus = 503
 
--- a/packages/entry/src/test/pipelining.test.ts
+++ b/packages/entry/src/test/pipelining.test.ts
@@ -8,8 +8,8 @@
 import * as tap from 'tap'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as callerFixture from './callerFixture.js'
-import * as parsingTurns from '../node/parsingTurns.js'
-import * as requestFeed from '../node/requestFeed.js'
+import * as parsingTurns from '@rosemaryrack/listener/node/parsingTurns.js'
+import * as requestFeed from '@rosemaryrack/listener/node/requestFeed.js'
 
 const okResponse = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 const perConnection = 4
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -6,12 +6,16 @@
 import * as address from '@rosemaryrack/base/common/address.js'
 import * as errors from '@rosemaryrack/base/common/errors.js'
 import * as secret from '@rosemaryrack/base/node/secret.js'
+import * as sequentialRequests from './sequentialRequests.js'
 
 const maxBodyBytes = 1_048_576
+/** Bytes of the bodies that are being received. */
+const maxHeldBytes = 33_554_432
 const maxHeaderBytes = 16_384
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
 const lingerMs = 500
+const fullRetryAfterS = 1
 /** Code of the error of a request that did not arrive in time. */
 export const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 const headerOverflowCode = 'HPE_HEADER_OVERFLOW'
@@ -49,6 +53,7 @@
 export class HttpListener implements IRoutes {
   private readonly app = new h3.H3()
   private server: http.Server | undefined
+  private heldBytes = 0
 
   constructor (private readonly token: string) {
     this.app.all('/**', () => errorResponse({ kind: 'not-found', message: 'no such resource' }))
@@ -70,6 +75,7 @@
       headersTimeout: headersTimeoutMs,
       requestTimeout: requestTimeoutMs
     }, h3Node.toNodeHandler(this.app) as http.RequestListener)
+    sequentialRequests.serveSequentially(server)
     server.on('clientError', respondToClientError)
     this.server = server
     return listen(server, host, port)
@@ -84,13 +90,40 @@
     this.app.on(method, path, async (event) => {
       try {
         if (requiresToken) this.authorize(event)
-        return toResponse(await handler(toRouteReq(event)))
+        return toResponse(await handler(this.toRouteReq(event)))
       } catch (err) {
         return errorResponse(errors.faultOf(err))
       }
     })
   }
 
+  private toRouteReq (event: h3.H3Event): RouteReq {
+    return {
+      params: event.context.params ?? {},
+      query: event.url.searchParams,
+      headers: event.req.headers,
+      json: async () => parseJson(await this.readText(event)),
+      text: async (maxBytes) => await this.readText(event, maxBytes)
+    }
+  }
+
+  private async readText (event: h3.H3Event, maxBytes = maxBodyBytes): Promise<string> {
+    const chunks: Uint8Array[] = []
+    let size = 0
+    try {
+      for await (const chunk of event.req.body ?? []) {
+        size += chunk.byteLength
+        this.heldBytes += chunk.byteLength
+        if (size > maxBytes) throw new errors.RackError({ kind: 'too-large', message: `the body exceeds ${maxBytes} bytes` })
+        if (this.heldBytes > maxHeldBytes) throw new errors.RackError({ kind: 'not-run', message: 'too many bodies are being received', retryAfterS: fullRetryAfterS })
+        chunks.push(chunk)
+      }
+      return Buffer.concat(chunks).toString('utf8')
+    } finally {
+      this.heldBytes -= size
+    }
+  }
+
   private authorize (event: h3.H3Event): void {
     if (secret.isAuthorized(event.req.headers.get('authorization'), this.token)) return
     throw new errors.RackError({ kind: 'unauthorized', message: 'the bearer token is missing or wrong' })
@@ -164,27 +197,6 @@
   return { kind: 'bad-request', message: `not valid HTTP: ${err.code ?? err.message}` }
 }
 
-function toRouteReq (event: h3.H3Event): RouteReq {
-  return {
-    params: event.context.params ?? {},
-    query: event.url.searchParams,
-    headers: event.req.headers,
-    json: async () => parseJson(await readText(event)),
-    text: async (maxBytes) => await readText(event, maxBytes)
-  }
-}
-
-async function readText (event: h3.H3Event, maxBytes = maxBodyBytes): Promise<string> {
-  const chunks: Uint8Array[] = []
-  let size = 0
-  for await (const chunk of event.req.body ?? []) {
-    size += chunk.byteLength
-    if (size > maxBytes) throw new errors.RackError({ kind: 'too-large', message: `the body exceeds ${maxBytes} bytes` })
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks).toString('utf8')
-}
-
 function parseJson (text: string): unknown {
   try {
     return JSON.parse(text)
