--- a/packages/entry/src/node/arrivingRequests.ts
+++ b/packages/entry/src/node/arrivingRequests.ts
@@ -2,8 +2,8 @@
 import * as stalls from '../common/stalls.js'
 
 /**
- * Shortest time without data after which a caller counts as stalled. For a request that is itself incomplete, a lost packet has usually been
- * sent again by then, and callers that stall don't take turns at the expense of requests that could be served.
+ * Shortest time without data after which a request makes room, by what needs its slot: one that was received whole can be served at once. An
+ * incomplete one may stall too, and by then a lost packet of the other one has usually been sent again.
  */
 const minStallMs = { forWhole: 100, forIncomplete: 500 } as const
 
--- a/packages/entry/src/node/callerLimiter.ts
+++ b/packages/entry/src/node/callerLimiter.ts
@@ -2,11 +2,11 @@
 import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as clock from '@rosemaryrack/base/common/clock.js'
 import type * as settings from '@rosemaryrack/config/common/settings.js'
+import * as parsingTurns from '@rosemaryrack/listener/node/parsingTurns.js'
 import type * as decisionLog from '@rosemaryrack/telemetry/common/decisionLog.js'
 import * as limitedLog from '@rosemaryrack/telemetry/common/limitedLog.js'
 import type * as metrics from '@rosemaryrack/telemetry/node/metrics.js'
 import * as arrivingRequests from './arrivingRequests.js'
-import * as parsingTurns from '@rosemaryrack/listener/node/parsingTurns.js'
 import * as refusalPacing from './refusalPacing.js'
 import * as requestSlots from './requestSlots.js'
 
--- a/packages/entry/src/node/connectionRequests.ts
+++ b/packages/entry/src/node/connectionRequests.ts
@@ -2,9 +2,9 @@
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 import type * as errors from '@rosemaryrack/base/common/errors.js'
+import * as requestFeed from '@rosemaryrack/listener/node/requestFeed.js'
 import type * as stalls from '../common/stalls.js'
 import * as callerLimiter from './callerLimiter.js'
-import * as requestFeed from '@rosemaryrack/listener/node/requestFeed.js'
 
 const refusedStatus = 503
 
--- a/packages/entry/src/node/heldChunks.ts
+++ b/packages/entry/src/node/heldChunks.ts
@@ -50,7 +50,7 @@
     this.chunks.push({ data, countedBytes: 0 })
   }
 
-  /** Does the same, and joins it with the chunk before it if both are short; must not be called once chunks are read. */
+  /** Adds a chunk that doesn't count, and joins it with the one before if both are short; must not be called once chunks are read. */
   addJoined (data: Buffer): void {
     const last = this.chunks.at(-1)
     if (last === undefined || last.data.length + data.length > joinedBytes) {
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -55,7 +55,7 @@
   /** Time in which the caller took no bytes, and since when it takes none. */
   private heldMs = 0
   private heldSince: number | undefined
-  /** Bytes that the kernel had not taken when they were last counted, and since when there are as many. */
+  /** Bytes that the kernel had not taken when they were last counted, and since when there are as many; 0 before the first count. */
   private queuedBytes = 0
   private queuedSince = 0
   /** True once the target has sent the whole body. */
@@ -137,7 +137,7 @@
     if (this.res.socket !== null) this.countQueued(this.res.socket)
   }
 
-  /** Notes progress since the last count. */
+  /** Notes whether the caller has made progress since the last count; Node.js has no public property for what the kernel has not taken. */
   private countQueued (socket: net.Socket): void {
     const { writeQueueSize = 0 } = (socket as { _handle?: { readonly writeQueueSize?: number } | null })._handle ?? {}
     if (writeQueueSize === this.queuedBytes && this.queuedSince > 0) return
--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -9,7 +9,7 @@
 import * as sequentialRequests from './sequentialRequests.js'
 
 const maxBodyBytes = 1_048_576
-/** Bytes of the bodies that are being received. */
+/** Limit on the bytes of all bodies that are being received. */
 const maxHeldBytes = 33_554_432
 const maxHeaderBytes = 16_384
 const headersTimeoutMs = 10_000
@@ -53,6 +53,7 @@
 export class HttpListener implements IRoutes {
   private readonly app = new h3.H3()
   private server: http.Server | undefined
+  /** Bytes of the bodies that are being received. */
   private heldBytes = 0
 
   constructor (private readonly token: string) {
