Testbed: endpoints wait for whole bodies only where a test of bodies asks for it

crowdFleet made the endpoints of sendingAhead.test wait for the two bytes of its POSTs too, which that test had not had.

--- a/packages/listener/src/node/parsingTurns.ts
+++ b/packages/listener/src/node/parsingTurns.ts
@@ -1,4 +1,4 @@
-/** Order in which connections parse bodies in chunks: one part per turn of the event loop, so that other events are handled between them. */
+/** Round-robin scheduling of connections that parse bodies in chunks: one part per turn of the event loop, so that other events are handled between them. */
 
 /** Turns of all connections of a listener. */
 export class ParsingTurns {
--- a/packages/testbed/src/test/chunkedBodies.test.ts
+++ b/packages/testbed/src/test/chunkedBodies.test.ts
@@ -45,7 +45,7 @@
 ]
 const cases: ReadonlyArray<{ readonly title: string, readonly crowds: readonly Crowd[] }> = [...bodyCrowds, { title: 'and callers that send requests ahead, all kinds at once', crowds: allKinds }]
 
-const crowdedFleet = await crowdFleet.CrowdFleet.create('chunks', cases.length, { callerSettings, hasDeployedNodeArgs: true })
+const crowdedFleet = await crowdFleet.CrowdFleet.create('chunks', cases.length, { callerSettings, hasDeployedNodeArgs: true, endpointsAwaitBodies: true })
 
 tap.t.before(async () => { await crowdedFleet.start() })
 
--- a/packages/testbed/src/test/crowdFleet.ts
+++ b/packages/testbed/src/test/crowdFleet.ts
@@ -25,6 +25,12 @@
   readonly descriptors: number
 }
 
+/** How the fleet behaves beside its processes. */
+export interface CrowdFleetOptions extends deployedFleet.FleetOptions {
+  /** Endpoints respond to a request only once they have received its whole body. */
+  readonly endpointsAwaitBodies?: boolean
+}
+
 /** Control replicas, entry instances and four endpoints: `/read/` is idempotent, `/pay/` is not. */
 export class CrowdFleet {
   readonly fleet: deployedFleet.DeployedFleet
@@ -32,13 +38,13 @@
   private readonly folder: string
   private hasStopped = false
 
-  private constructor (name: string, subnet: number, private readonly entryCount: number, options: deployedFleet.FleetOptions) {
+  private constructor (name: string, subnet: number, private readonly entryCount: number, private readonly options: CrowdFleetOptions) {
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), `rosemaryrack-${name}-`))
     this.fleet = new deployedFleet.DeployedFleet(this.folder, subnet, controlCount, entryCount, options)
     this.endpoints = ['diary', 'diary', 'till', 'till'].map((service, i) => new deployedFleet.StandInEndpoint(`i-${i + 1}`, this.fleet.endpointIp(i + 1), service, bornAt))
   }
 
-  static async create (name: string, entryCount: number, options: deployedFleet.FleetOptions): Promise<CrowdFleet> {
+  static async create (name: string, entryCount: number, options: CrowdFleetOptions): Promise<CrowdFleet> {
     const { subnet } = await loopbackSubnet.reserve()
     return new CrowdFleet(name, subnet, entryCount, options)
   }
@@ -48,10 +54,10 @@
    * @param timeoutMs of the routes; by default that of the testbed.
    */
   async start (timeoutMs?: number): Promise<void> {
-    const { fleet, endpoints } = this
+    const { fleet, endpoints, options: { endpointsAwaitBodies = false } } = this
     for (const endpoint of endpoints) {
       endpoint.workMs = workMs
-      endpoint.awaitsBody = true
+      endpoint.awaitsBody = endpointsAwaitBodies
     }
     await Promise.all(endpoints.map(async (endpoint) => await endpoint.listen()))
     fleet.startAll()
--- a/packages/testbed/src/test/heldSlots.test.ts
+++ b/packages/testbed/src/test/heldSlots.test.ts
@@ -55,7 +55,7 @@
   }
 ]
 
-const heldFleet = await crowdFleet.CrowdFleet.create('held', cases.length, { callerSettings, hasDeployedNodeArgs: true })
+const heldFleet = await crowdFleet.CrowdFleet.create('held', cases.length, { callerSettings, hasDeployedNodeArgs: true, endpointsAwaitBodies: true })
 
 /** Sends a request as often as an ordinary caller would; returns the statuses of the responses. */
 async function callWithRetries (entry: number, method: string, path: string): Promise<readonly number[]> {
--- a/packages/testbed/src/test/otherListeners.test.ts
+++ b/packages/testbed/src/test/otherListeners.test.ts
@@ -26,7 +26,7 @@
 
 const configPath = '/rosemaryrack/Config.Put'
 const largeChunks = { path: configPath, chunkBytes: 65_536, bodyBytes: 60 * bytesPerMb, hasKeys: false } as const
-const crowdedFleet = await crowdFleet.CrowdFleet.create('listeners', 1, { hasDeployedNodeArgs: true })
+const crowdedFleet = await crowdFleet.CrowdFleet.create('listeners', 1, { hasDeployedNodeArgs: true, endpointsAwaitBodies: true })
 const { fleet } = crowdedFleet
 
 const cases: readonly Case[] = [
