--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -29,6 +29,13 @@
 export async function runCase (folder, createFleet, run) {
   const record = new Record(folder)
   let fleet
+  const fail = (err) => {
+    for (const child of fleet?.processes.values() ?? []) child.kill('SIGKILL')
+    process.stdout.write(`the case could not run: ${err.stack ?? err}\n`)
+    process.exit(codes.notRun)
+  }
+  process.on('uncaughtException', fail)
+  process.on('SIGTERM', fail)
   try {
     fleet = await createFleet()
     process.exitCode = await run(fleet, record)
