Entry: HTTP/1.0 callers get a response without a length whole, or a refusal

What callers saw: an HTTP/1.0 caller gets neither chunks nor, where the endpoint states none, a length.

What is longer, breaks off, is overdue or is incomplete near the end of the grace period is refused with 502 or 504; until then nothing was sent.

With that, each body that leaves a listener for callers is framed, so what guarded unframed ones goes: `breakOffUnframed` (97% of the grace period and at an exception), `watchUnframed` (callers that close their sending direction), the reset of `responseAbort`, now `res.destroy()`.

Tests: the rows of callerListener.test on HTTP/1.0 callers asked for a reset of what was sent; http10Callers.test asks for nothing to be sent, a final status in the same moments (reset by the endpoint, near the end of the grace period), and a free endpoint when the caller leaves or closes its sending direction.

Ruled out: failing the attempt instead, which would run a long response on several endpoints, each time in vain.

--- a/packages/entry/src/node/callerListener.ts
+++ b/packages/entry/src/node/callerListener.ts
@@ -62,11 +62,6 @@
     return this.limiter.heldInputBytes
   }
 
-  /** Breaks off the responses that would look complete once the process has ended. */
-  breakOffUnframed (): void {
-    this.server.breakOffUnframed()
-  }
-
   /** Stops as `GracefulServer.stop` does. */
   async stop (stoppingSince: number): Promise<void> {
     await this.server.stop(stoppingSince)
--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -15,8 +15,8 @@
 import * as orcaLoad from '../common/orcaLoad.js'
 import * as requestGuard from '../common/requestGuard.js'
 import * as retryAfter from '../common/retryAfter.js'
-import * as responseAbort from './responseAbort.js'
 import * as responseStream from './responseStream.js'
+import * as responseWriter from './responseWriter.js'
 import type * as bodyTransfers from './bodyTransfers.js'
 import * as callerBody from './callerBody.js'
 import type * as callerConnections from './callerConnections.js'
@@ -75,8 +75,8 @@
   /** Names the workspace once the request is authenticated. */
   private decisions: decisionLog.IDecisionLog
   private body: callerBody.CallerBody | undefined
-  /** The response, if its caller learns where the body ends only from the end of the connection. */
-  private unframedStream: responseStream.ResponseStream | undefined
+  /** The response while its caller gets nothing of it before its end. */
+  private bufferedStream: responseStream.ResponseStream | undefined
 
   constructor (private readonly req: http.IncomingMessage, readonly res: http.ServerResponse, private readonly origin: requestOrigin.RequestOrigin, private readonly server: ICallerServer, private readonly deps: CallerDeps, private readonly refusal?: errors.Fault) {
     const suppliedId = req.headers[deps.headers.requestId]
@@ -129,19 +129,15 @@
 
   endWithoutResponse (fault: errors.Fault): void {
     if (this.res.headersSent) return
-    if (this.activeRun === undefined) this.refuse(fault)
+    if (this.bufferedStream !== undefined) this.bufferedStream.breakOff(this.deps.isStopping() ? 'stopping' : 'stalled')
+    else if (this.activeRun === undefined) this.refuse(fault)
     else this.activeRun.giveUp(fault.message)
   }
 
-  /** Breaks off a response whose caller could not tell a part of it from the whole after the process has ended. */
-  breakOffUnframed (): void {
-    this.unframedStream?.breakOff('stopping')
-  }
-
   /** What the response waits for. */
   private get pendingStep (): string {
     if (this.res.writableEnded) return 'caller to read'
-    if (this.res.headersSent) return 'rest of the body'
+    if (this.res.headersSent || this.bufferedStream !== undefined) return 'rest of the body'
     return this.activeRun?.awaitsResponse === true ? 'response of the target' : 'target'
   }
 
@@ -283,7 +279,7 @@
       onResponse: (response) => {
         body.release()
         if (unrunOutcomes.includes(response.outcome)) this.admission.releaseClaim()
-        this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest))
+        this.passOn(response, identity, () => this.sendResponse(namedLane, body, response, fetchRest, identity))
       },
       onFailed: (fault) => {
         if (fault.kind === 'not-run') this.admission.release()
@@ -315,30 +311,36 @@
     }
   }
 
-  private sendResponse ({ lane, state }: laneRegistry.MatchedLane, body: callerBody.CallerBody, response: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher): void {
+  private sendResponse ({ lane, state }: laneRegistry.MatchedLane, body: callerBody.CallerBody, response: requestRun.RunResponse, fetchRest: downloadResumer.RestFetcher, identity: requestIdentity.RequestIdentity): void {
     const { attempt, head, endpoint, source } = response
     if (endpoint !== undefined && lane.weights.reportedLoad > 0) this.recordReportedLoad(endpoint, head)
-    this.sendHead(response, body)
-    this.countOutcome(response.outcome)
+    const writer = this.openWriter(response, body, identity)
     const limits = { progressTimeoutMs: lane.progressTimeoutMs, deadlineAt: this.deadlineAt(lane) }
-    const stream = new responseStream.ResponseStream(this.res, attempt, limits, this.newResumer(lane.idempotent && body.isReplayable, response, fetchRest), (end, bytes) => {
+    const stream = new responseStream.ResponseStream(this.res, writer, attempt, limits, this.newResumer(lane.idempotent && body.isReplayable, response, fetchRest), (end, bytes) => {
       deleteUnread?.()
       if (endpoint !== undefined) state.domainPreference.recordResponseSize(bytes)
       if (!head.isFramed) this.deps.unframedResponses.record({ requestId: this.requestId, lane: this.laneName, source, status: head.status, bytes, end, connection: attempt.connectionState })
       if (end !== 'complete') this.recordCut(end, source)
-      this.done.resolve()
+      // Without a head a refusal follows, whose end resolves it.
+      if (this.res.headersSent || this.res.destroyed) this.done.resolve()
       if (end === 'complete' && !body.isReceived) callerBody.discardRestOf(this.req, body, (why) => this.decisions.record({ event: 'close', requestId: this.requestId, lane: this.laneName, why }))
     })
     const deleteUnread = endpoint === undefined ? undefined : this.deps.unreadResponses.add(endpoint.service, stream)
-    if (this.endsWithConnection(head)) this.watchUnframed(stream)
+    if (!this.res.headersSent) this.bufferedStream = stream
     attempt.pipe(stream)
   }
 
-  private watchUnframed (stream: responseStream.ResponseStream): void {
-    this.unframedStream = stream
-    // Before the listener of Node.js, which closes the connection in order when the caller has closed its sending direction.
-    this.req.socket.prependOnceListener('end', () => {
-      if (!this.res.writableEnded) stream.breakOff('caller-left')
+  private openWriter (response: requestRun.RunResponse, body: callerBody.CallerBody, identity: requestIdentity.RequestIdentity): responseWriter.IResponseWriter<responseStream.CutReason> {
+    if (!this.needsLength(response.head)) {
+      this.sendHead(response, body)
+      return new responseWriter.StreamingWriter(this.res)
+    }
+    return new responseWriter.BufferingWriter(this.res, {
+      send: (content) => this.passOn(response, identity, () => {
+        this.sendHead(response, body, ['Content-Length', String(content.length)])
+        this.res.end(content)
+      }),
+      refuse: (reason) => this.refuse(responseStream.cutFault(reason))
     })
   }
 
@@ -362,16 +364,18 @@
     if (load !== undefined) this.deps.endpoints.updateLoad(endpoint.endpoint, load)
   }
 
-  private sendHead ({ head }: requestRun.RunResponse, body: callerBody.CallerBody): void {
+  /** @param extraHeaders flat list of names and values. */
+  private sendHead ({ head, outcome }: requestRun.RunResponse, body: callerBody.CallerBody, extraHeaders: readonly string[] = []): void {
     const { res } = this
     const { requestId } = this.deps.headers
     const headers = headerRules.forwardableHeaders(head.rawHeaders, head.headers.connection, new Set([requestId]))
-    headers.push(requestId, this.requestId)
+    headers.push(requestId, this.requestId, ...extraHeaders)
     if (this.origin.forwarded !== undefined) headers.push(...forwardHeaders.formatAnswer(head.isFramed))
     const announcesEnd = !body.hasShortRest || this.endsWhileStopping
     if (announcesEnd) headers.push('Connection', 'close')
     res.writeHead(head.status, headers)
     if (announcesEnd) this.server.connections.endAfter(res)
+    this.countOutcome(outcome)
   }
 
   /** True if the connection ends with this response because the process is stopping. */
@@ -379,8 +383,8 @@
     return this.deps.isStopping() && this.server.connections.canEndAfter(this.res)
   }
 
-  /** True if the body that the caller gets has neither a length nor chunks. */
-  private endsWithConnection ({ status, headers }: httpAttempt.HttpHead): boolean {
+  /** True if the end of the connection would mark that of the body: an HTTP/1.0 caller gets no chunks. */
+  private needsLength ({ status, headers }: httpAttempt.HttpHead): boolean {
     return !this.res.useChunkedEncodingByDefault && headers['content-length'] === undefined && headerRules.canHaveBody(this.req.method, status)
   }
 
@@ -390,7 +394,7 @@
     this.countOutcome(fault.kind)
     this.recordRefusal(fault)
     if (res.headersSent || res.destroyed) {
-      responseAbort.abortResponse(res)
+      res.destroy()
       return
     }
     const retryAfterS = errors.retryAfterSecondsOf(fault)
--- a/packages/entry/src/node/entryRole.ts
+++ b/packages/entry/src/node/entryRole.ts
@@ -218,11 +218,6 @@
     await Promise.all([this.callers.stop(startedAt), this.forwards?.stop(startedAt)])
   }
 
-  /** Breaks off the responses that would look complete once the process has ended. */
-  breakOffUnframed (): void {
-    this.callers.breakOffUnframed()
-  }
-
   dispose (): void {
     this.disposables.dispose()
   }
--- a/packages/entry/src/node/gracefulServer.ts
+++ b/packages/entry/src/node/gracefulServer.ts
@@ -10,7 +10,6 @@
 import * as retryAfter from '../common/retryAfter.js'
 import * as callerConnections from './callerConnections.js'
 import type * as callerLimiter from './callerLimiter.js'
-import * as responseAbort from './responseAbort.js'
 
 const noRequestTimeout = 0
 /** Precision of the limit on the time of headers. */
@@ -29,12 +28,6 @@
  * process is killed.
  */
 const finalResponseShareOfGrace = 0.9
-/**
- * Share of the grace period after which incomplete responses without a length are broken off: the kernel closes the connections of a
- * killed process in order, which would mark the end of the body.
- */
-const breakOffShareOfGrace = 0.97
-
 /** Other instances can take the request at once. */
 export const stoppingFault = { kind: 'not-run', message: 'the instance is stopping', retryAfterS: retryAfter.minRetryAfterS } as const satisfies errors.Fault
 
@@ -54,8 +47,6 @@
   recordIncomplete(): void
   /** Ends a request whose response has not begun with a final fault: the given one if the request has certainly not run. */
   endWithoutResponse(fault: errors.Fault): void
-  /** Breaks off a response that has begun, is not complete and would look complete once the process has ended. */
-  breakOffUnframed(): void
 }
 
 /** Serves requests until it is stopped. */
@@ -127,7 +118,6 @@
     // The method of http.Server would close idle connections too.
     net.Server.prototype.close.call(this.server)
     await async.nextTurn()
-    const cancelBreakOff = this.clock.after(stoppingSince + this.graceS * msPerSecond * breakOffShareOfGrace - this.clock.now(), () => this.breakOffAfterPoll())
     const idleCloseAt = Math.min(this.clock.now() + this.server.keepAliveTimeout, stoppingSince + this.graceS * msPerSecond * acceptShareOfGrace)
     while (this.clock.now() < idleCloseAt && (this.inFlight > 0 || this.connections.size > 0)) await this.waitForPoll()
     const finalResponsesAt = stoppingSince + this.graceS * msPerSecond * finalResponseShareOfGrace
@@ -141,7 +131,6 @@
       this.connections.closeIdle()
       await this.waitForPoll()
     }
-    cancelBreakOff()
     this.server.closeAllConnections()
   }
 
@@ -159,17 +148,6 @@
     }
   }
 
-  /** Breaks off incomplete responses without a length, after reading the ends that have arrived. */
-  private async breakOffAfterPoll (): Promise<void> {
-    await async.nextTurn()
-    this.breakOffUnframed()
-  }
-
-  /** Breaks off the responses that would look complete once the process has ended. */
-  breakOffUnframed (): void {
-    for (const task of [...this.tasks]) task.breakOffUnframed()
-  }
-
   /** Runs a task and ends it with a final fault if it has no response when the shutdown ends. */
   async run (task: IRequestTask): Promise<void> {
     this.tasks.add(task)
@@ -182,7 +160,7 @@
 
   private endRequest (res: http.ServerResponse, fault: errors.Fault): void {
     const task = [...this.tasks].find((each) => each.res === res)
-    if (task === undefined) responseAbort.abortResponse(res)
+    if (task === undefined) res.destroy()
     else task.endWithoutResponse(fault)
   }
 
@@ -197,7 +175,7 @@
       await this.serve(req, res, refusal)
     } catch (err) {
       this.decisions.record({ event: 'internal-error', why: err instanceof Error ? err.stack ?? err.message : String(err) })
-      responseAbort.abortResponse(res)
+      res.destroy()
     } finally {
       this.inFlight--
     }
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -1,14 +1,15 @@
 /**
- * Streams a response to the caller. A response that breaks off is continued from another endpoint, or the caller's
- * connection is closed; it is never ended as if it were complete. So is the connection of a response that is overdue.
+ * Streams a response to the caller. A response that breaks off is continued from another endpoint, or ended in a way that
+ * its caller can see; it is never ended as if it were complete. So is a response that is overdue.
  */
 import type * as http from 'node:http'
 import type * as net from 'node:net'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as clock from '@rosemaryrack/base/common/clock.js'
+import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as stalls from '../common/stalls.js'
 import type * as httpAttempt from './httpAttempt.js'
-import * as responseAbort from './responseAbort.js'
+import type * as responseWriter from './responseWriter.js'
 
 const callerStallTimeoutMs = 120_000
 /** Time after the deadline in which the rest of a body may still arrive from its target, besides the time in which the caller took no bytes. */
@@ -34,17 +35,23 @@
 }
 
 /** How the body of a response ended before it was complete. */
-export type CutReason = 'broken' | 'caller-left' | 'overdue' | 'stalled' | 'stopping'
+export type CutReason = 'broken' | 'caller-left' | 'overdue' | 'stalled' | 'stopping' | 'too-long'
 
 /** What the log says of a response that this process has cut; that the caller has left is logged with its connection. */
 export const cutMessages: { readonly [K in CutReason]: string | undefined } = {
   broken: 'the response of the target was incomplete',
   overdue: 'the deadline passed before the target had sent the whole response',
-  stalled: 'the caller took nothing of the response while calls waited for a slot',
-  stopping: 'the process ends, and a part of a response without a length would look complete',
+  stalled: 'the caller took nothing of the response, or sent nothing of its request, while other requests waited for a slot',
+  stopping: 'the process ends before the response is complete',
+  'too-long': 'the response has no length and is too long to be held back for an HTTP/1.0 caller',
   'caller-left': undefined
 }
 
+/** Returns the fault of a response that was cut before its caller got any of it. */
+export function cutFault (reason: CutReason): errors.Fault {
+  return { kind: 'unknown', message: cutMessages[reason] ?? reason, timedOut: reason === 'overdue' }
+}
+
 /** How the body of a response ended. */
 export type StreamEnd = 'complete' | CutReason
 
@@ -65,13 +72,14 @@
 
   constructor (
     private readonly res: http.ServerResponse,
+    private readonly writer: responseWriter.IResponseWriter<CutReason>,
     private attempt: httpAttempt.HttpAttempt,
     private readonly limits: BodyLimits,
     private readonly continuationSource: IContinuationSource | undefined,
     private readonly onDone: (end: StreamEnd, bytes: number) => void
   ) {
     // The head is sent together with the first bytes of the body, or alone when these have not arrived yet.
-    setImmediate(() => { if (this.sentBytes === 0 && !this.isDone) res.flushHeaders() })
+    setImmediate(() => { if (this.sentBytes === 0 && !this.isDone) writer.flushHead() })
     res.on('close', () => this.handleClose())
     res.on('drain', () => this.handleDrain())
     this.startProgressTimer()
@@ -85,15 +93,19 @@
       this.continueElsewhere()
       return true
     }
+    const result = this.writer.write(chunk)
+    if (result === 'refused') {
+      this.breakOff('too-long')
+      return true
+    }
     this.sentBytes += chunk.length
-    const canTakeMore = this.res.write(chunk)
-    if (canTakeMore) {
+    if (result === 'ready') {
       this.timer?.refresh()
     } else {
       this.holdBack()
-      this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
+      this.startTimer(callerStallTimeoutMs, () => this.res.destroy())
     }
-    return canTakeMore
+    return result === 'ready'
   }
 
   onEnd (): void {
@@ -103,8 +115,8 @@
     }
     this.isReceived = true
     clearTimeout(this.overdueTimer)
-    this.res.end()
-    this.startTimer(callerStallTimeoutMs, () => responseAbort.abortResponse(this.res))
+    this.writer.end()
+    this.startTimer(callerStallTimeoutMs, () => this.res.destroy())
   }
 
   onBroken (): void {
@@ -116,7 +128,7 @@
     if (this.isDone || this.res.writableFinished) return
     this.attempt.cancel()
     this.finish(reason)
-    responseAbort.abortResponse(this.res)
+    this.writer.abort(reason)
   }
 
   get stalledSince (): number | undefined {
@@ -187,7 +199,7 @@
     const isContinued = await this.continuationSource?.continueFrom(this.sentBytes, (attempt) => this.attach(attempt)) ?? false
     if (isContinued || this.isDone) return
     this.finish('broken')
-    responseAbort.abortResponse(this.res)
+    this.writer.abort('broken')
   }
 
   /** Must run before the attempt's first data: a drain event that follows a pause then resumes this attempt, not the previous one. */
@@ -218,6 +230,7 @@
     this.isDone = true
     clearTimeout(this.timer)
     clearTimeout(this.overdueTimer)
+    this.writer.dispose()
     this.onDone(end, this.sentBytes)
   }
 }
--- a/packages/entry/src/node/unframedResponses.ts
+++ b/packages/entry/src/node/unframedResponses.ts
@@ -14,7 +14,7 @@
   /** Id of the endpoint or name of the peer that sent it. */
   readonly source: string
   readonly status: number
-  /** Bytes of the body that were passed on. */
+  /** Bytes of the body that were taken from the source. */
   readonly bytes: number
   /** How the response to the caller ended. */
   readonly end: string
--- a/packages/rosemaryrack/src/node/daemon.ts
+++ b/packages/rosemaryrack/src/node/daemon.ts
@@ -53,7 +53,6 @@
     logger.fatal({ error: err.message }, 'the disk failed')
     exit(errors.errorCodes['disk-failure'].exitCode)
   })
-  disposables.add(lifecycle.toDisposable(() => roles.entry?.breakOffUnframed()))
   const operatorListener = disposables.add(new httpListener.HttpListener(cfg.operator.token))
   addProcessRoutes(operatorListener, roles, processMetrics, cfg.operator.openMetrics)
   await addAdapter(cfg, roles, operatorListener)
--- a/packages/testbed/src/node/unframedSoak.ts
+++ b/packages/testbed/src/node/unframedSoak.ts
@@ -15,8 +15,11 @@
 const patienceMs = 2000
 const callersHost = 'jepu9.example'
 const minBytes = 300
-const maxBytes = 200_000
+/** More than an entry holds of a response. */
+const maxBytes = 600_000
 const usualBytes = 4000
+/** Longer than an entry holds a response. */
+const maxBodyMs = 1800
 const ok = 200
 /** A late second response would arrive within the bodies of the others; endpoints serve one request at a time on a connection. */
 const kinds = byteEndpoint.kinds.filter((kind) => kind !== 'framed-slow' && kind !== 'chunked-slow')
@@ -83,7 +86,8 @@
       const script = chooseScript(choices)
       const deadlineMs = choices.pick(disruptedFleet.routeTimeoutsMs)
       const [start, end] = isUnsafe ? ['POST /pay', '\r\nContent-Length: 4\r\n\r\nbody'] : ['GET /read', '\r\n\r\n']
-      const text = `${start}/x?${byteEndpoint.toQuery(script)} HTTP/1.1\r\nHost: ${callersHost}\r\nX-Rosemaryrack-Request-Id: ${requestId}\r\nX-Rosemaryrack-Deadline-Ms: ${deadlineMs}${end}`
+      const version = choices.oneIn(4) ? '1.0' : '1.1'
+      const text = `${start}/x?${byteEndpoint.toQuery(script)} HTTP/${version}\r\nHost: ${callersHost}\r\nX-Rosemaryrack-Request-Id: ${requestId}\r\nX-Rosemaryrack-Deadline-Ms: ${deadlineMs}${end}`
       const thinkMs = choices.between(0, 100)
       const outcome = await connection.send([Buffer.from(text)], deadlineMs + patienceMs)
       this.exchanges.push({ entry, requestId, isUnsafe, script, outcome })
@@ -133,6 +137,6 @@
   return {
     kinds: [chooseKind(), chooseKind()],
     bytes: choices.oneIn(4) ? choices.between(minBytes, maxBytes) : choices.between(minBytes, usualBytes),
-    bodyMs: choices.between(300, 800)
+    bodyMs: choices.between(300, maxBodyMs)
   }
 }
