Listener: responses to operators, targets and health checks state their length

What callers saw: an HTTP/1.0 caller of the operators' listener got a body that ends with its connection, so that a part of the metrics page, which is text, looked whole when the process ended meanwhile. JSON shows its end by itself, the status of an error page doesn't.

Change: `toResponse` has the whole body and now states its length, also to HTTP/1.1 callers, which got chunks.

Evidence: responseFraming.test shows "close-delimited" for the four kinds of response to HTTP/1.0 callers without this change, "length" for all eight with it.

Measured: tests of listener, platform, rackctl and control, and wholePath.test.

--- a/packages/listener/src/node/httpListener.ts
+++ b/packages/listener/src/node/httpListener.ts
@@ -210,7 +210,10 @@
   const isText = typeof res.body === 'string'
   const headers = new Headers(res.headers)
   if (!headers.has('content-type')) headers.set('content-type', isText ? 'text/plain; charset=utf-8' : 'application/json')
-  return new Response(isText ? res.body : JSON.stringify(res.body) + '\n', { status: res.status ?? 200, headers })
+  const content = isText ? res.body : JSON.stringify(res.body) + '\n'
+  // Otherwise HTTP/1.0 callers would have to take the end of the connection, whatever its reason, for that of the body.
+  headers.set('content-length', String(Buffer.byteLength(content)))
+  return new Response(content, { status: res.status ?? 200, headers })
 }
 
 function errorResponse (fault: errors.Fault): Response {
