--- a/packages/entry/src/node/callerConnections.ts
+++ b/packages/entry/src/node/callerConnections.ts
@@ -163,7 +163,7 @@
     }
     for (const socket of unsentResponses.findExcess(unsentBytes, limiter.limits)) {
       limiter.recordClose(unsentBytes.get(socket)! > limiter.limits.unsentBytesPerConnection ? 'unsentBytesPerConnection' : 'unsentBytes', socket.remoteAddress)
-      // After a reset, a response without a length does not look complete.
+      // A reset also drops what waits in the kernel.
       socket.resetAndDestroy()
     }
     this.unsentTimer = isAnyPending ? setTimeout(() => this.checkUnsent(), unsentCheckIntervalMs).unref() : undefined
--- a/packages/entry/src/test/connectionEnd.test.ts
+++ b/packages/entry/src/test/connectionEnd.test.ts
@@ -79,3 +79,16 @@
   const bodies = splitResponses(caller.received).map((each) => responseBytes.parseRes(Buffer.from(each), false)?.res.body.toString())
   t.same([bodies, caller.hasEnded, caller.isClosed], [['helloworld', 'helloworld'], false, false])
 })
+
+for (const [method, status] of [['HEAD', '200 OK'], ['GET', '204 No Content'], ['GET', '304 Not Modified']] as const) {
+  tap.t.test(`a connection stays usable after a response to ${method} with the status ${status}, which has no body`, async (t) => {
+    await using fixture = await new callerFixture.CallerFixture({}, (socket) => { socket.end(`HTTP/1.1 ${status}\r\nX-Id: 7\r\nConnection: close\r\n\r\n`) }, { graceS }).start()
+    const caller = fixture.send(request.replace('GET', method))
+    t.ok(await callerFixture.waitUntil(() => caller.statuses.length === 1))
+    caller.socket.write(request.replace('GET', method))
+    t.ok(await callerFixture.waitUntil(() => caller.statuses.length === 2))
+    t.same(splitResponses(caller.received).map((each) => each.split('\r\n\r\n')[1]), ['', ''])
+    t.notMatch(caller.received, /transfer-encoding|connection: close/i)
+    t.same([caller.hasEnded, caller.isClosed], [false, false])
+  })
+}
