--- a/packages/entry/src/node/callerTask.ts
+++ b/packages/entry/src/node/callerTask.ts
@@ -15,6 +15,7 @@
 import * as orcaLoad from '../common/orcaLoad.js'
 import * as requestGuard from '../common/requestGuard.js'
 import * as retryAfter from '../common/retryAfter.js'
+import * as responseCut from './responseCut.js'
 import * as responseStream from './responseStream.js'
 import * as responseWriter from './responseWriter.js'
 import type * as bodyTransfers from './bodyTransfers.js'
@@ -330,7 +331,7 @@
     attempt.pipe(stream)
   }
 
-  private openWriter (response: requestRun.RunResponse, body: callerBody.CallerBody, identity: requestIdentity.RequestIdentity): responseWriter.IResponseWriter<responseStream.CutReason> {
+  private openWriter (response: requestRun.RunResponse, body: callerBody.CallerBody, identity: requestIdentity.RequestIdentity): responseWriter.IResponseWriter {
     if (!this.needsLength(response.head)) {
       this.sendHead(response, body)
       return new responseWriter.StreamingWriter(this.res)
@@ -340,15 +341,15 @@
         this.sendHead(response, body, ['Content-Length', String(content.length)])
         this.res.end(content)
       }),
-      refuse: (reason) => this.refuse(responseStream.cutFault(reason))
+      refuse: (reason) => this.refuse(responseCut.cutFault(reason))
     })
   }
 
-  private recordCut (reason: responseStream.CutReason, source: string): void {
+  private recordCut (reason: responseCut.CutReason, source: string): void {
     const { decisions, deps: { metrics } } = this
     // The peer counts a forwarded request as its caller's.
     if (this.origin.forwarded === undefined) metrics.count('rosemaryrack_cut_responses_total', { lane: this.laneName, reason })
-    const why = responseStream.cutMessages[reason]
+    const why = responseCut.cutMessages[reason]
     if (why !== undefined) decisions.record({ event: 'cut', requestId: this.requestId, lane: this.laneName, choice: source, why })
   }
 
--- a/packages/entry/src/node/responseStream.ts
+++ b/packages/entry/src/node/responseStream.ts
@@ -6,9 +6,9 @@
 import type * as net from 'node:net'
 import * as async from '@rosemaryrack/base/common/async.js'
 import * as clock from '@rosemaryrack/base/common/clock.js'
-import type * as errors from '@rosemaryrack/base/common/errors.js'
 import type * as stalls from '../common/stalls.js'
 import type * as httpAttempt from './httpAttempt.js'
+import type * as responseCut from './responseCut.js'
 import type * as responseWriter from './responseWriter.js'
 
 const callerStallTimeoutMs = 120_000
@@ -34,26 +34,8 @@
   continueFrom(offset: number, attach: (attempt: httpAttempt.HttpAttempt) => void): Promise<boolean>
 }
 
-/** How the body of a response ended before it was complete. */
-export type CutReason = 'broken' | 'caller-left' | 'overdue' | 'stalled' | 'stopping' | 'too-long'
-
-/** What the log says of a response that this process has cut; that the caller has left is logged with its connection. */
-export const cutMessages: { readonly [K in CutReason]: string | undefined } = {
-  broken: 'the response of the target was incomplete',
-  overdue: 'the deadline passed before the target had sent the whole response',
-  stalled: 'the caller took nothing of the response, or sent nothing of its request, while other requests waited for a slot',
-  stopping: 'the process ends before the response is complete',
-  'too-long': 'the response has no length and is too long to be held back for an HTTP/1.0 caller',
-  'caller-left': undefined
-}
-
-/** Returns the fault of a response that was cut before its caller got any of it. */
-export function cutFault (reason: CutReason): errors.Fault {
-  return { kind: 'unknown', message: cutMessages[reason] ?? reason, timedOut: reason === 'overdue' }
-}
-
 /** How the body of a response ended. */
-export type StreamEnd = 'complete' | CutReason
+export type StreamEnd = 'complete' | responseCut.CutReason
 
 /** Sink of one response, which may come from several attempts in turn. */
 export class ResponseStream implements httpAttempt.IBodySink, stalls.IStallable {
@@ -72,7 +54,7 @@
 
   constructor (
     private readonly res: http.ServerResponse,
-    private readonly writer: responseWriter.IResponseWriter<CutReason>,
+    private readonly writer: responseWriter.IResponseWriter,
     private attempt: httpAttempt.HttpAttempt,
     private readonly limits: BodyLimits,
     private readonly continuationSource: IContinuationSource | undefined,
@@ -124,7 +106,7 @@
   }
 
   /** Breaks the response off unless the caller's connection has taken the whole of it. */
-  breakOff (reason: CutReason): void {
+  breakOff (reason: responseCut.CutReason): void {
     if (this.isDone || this.res.writableFinished) return
     this.attempt.cancel()
     this.finish(reason)
--- a/packages/entry/src/node/responseWriter.ts
+++ b/packages/entry/src/node/responseWriter.ts
@@ -5,23 +5,24 @@
 import type * as http from 'node:http'
 import type * as lifecycle from '@rosemaryrack/base/common/lifecycle.js'
 import * as heldBody from './heldBody.js'
+import type * as responseCut from './responseCut.js'
 
 /** How a part of a body was taken: `full` if the response emits `drain` once it takes more, `refused` if it can't be completed. */
 export type WriteResult = 'ready' | 'full' | 'refused'
 
 /** Writes the body of one response. */
-export interface IResponseWriter<R> extends lifecycle.IDisposable {
+export interface IResponseWriter extends lifecycle.IDisposable {
   /** Sends the head alone, unless it depends on the body. */
   flushHead(): void
   write(chunk: Buffer): WriteResult
   /** Completes the response. */
   end(): void
   /** Ends a response that can't be completed, visibly to its caller. */
-  abort(reason: R): void
+  abort(reason: responseCut.CutReason): void
 }
 
 /** Writes a response whose head has been written and states a length or chunks. */
-export class StreamingWriter implements IResponseWriter<unknown> {
+export class StreamingWriter implements IResponseWriter {
   constructor (private readonly res: http.ServerResponse) {}
 
   flushHead (): void {
@@ -44,18 +45,18 @@
 }
 
 /** Sends the parts of a response that depend on the whole body. */
-export interface IWholeResponse<R> {
+export interface IWholeResponse {
   /** Sends the head with the length of the body, and then the body. */
   send(body: Buffer): void
   /** Sends a refusal in place of the response. */
-  refuse(reason: R): void
+  refuse(reason: responseCut.CutReason): void
 }
 
 /** Collects the body for a caller that doesn't support chunks (HTTP/1.0), until its length is known. */
-export class BufferingWriter<R> implements IResponseWriter<R> {
+export class BufferingWriter implements IResponseWriter {
   private readonly body = new heldBody.HeldBody()
 
-  constructor (private readonly res: http.ServerResponse, private readonly whole: IWholeResponse<R>) {}
+  constructor (private readonly res: http.ServerResponse, private readonly whole: IWholeResponse) {}
 
   flushHead (): void {}
 
@@ -67,7 +68,7 @@
     this.whole.send(Buffer.concat(this.body.release()))
   }
 
-  abort (reason: R): void {
+  abort (reason: responseCut.CutReason): void {
     if (this.res.headersSent) this.res.destroy()
     else this.whole.refuse(reason)
   }
