Testbed: the evacuation test sends concurrent requests

Cause: a test at fault, not the product. It sent its requests one after the other. An entry instance prefers an endpoint of its own failure domain while that one is idle, so the other one got requests only by the jitter of latency estimates, and the test waited for two such rounds in a row.

The checks and bounds are the same, and bind more: the requests of a round that mustn't reach the endpoint would now reach it without the order.

--- a/packages/testbed/src/test/evacuation.test.ts
+++ b/packages/testbed/src/test/evacuation.test.ts
@@ -10,7 +10,9 @@
 const settleTimeoutMs = 20_000
 /** Time within which an acknowledged evacuation takes effect on every entry. */
 const effectLimitMs = 5000
+/** Requests that an entry gets at a time; more than an endpoint has slots, so that one in the entry's own failure domain can't serve them all at once. */
 const requestCount = 12
+const workMs = 50
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-evacuation-'))
 const { subnet } = await loopbackSubnet.reserve()
 const fleet = new deployedFleet.DeployedFleet(folder, subnet, 5, 2)
@@ -24,10 +26,11 @@
   return await deployedFleet.sendRequest('POST', `http://${fleet.controlAddress(control)}/rosemaryrack/Evacuate.${verb}/${zone}`)
 }
 
-/** Sends requests to an entry and returns how many of them the evacuated endpoint got; each must succeed. */
+/** Sends concurrent requests to an entry and returns how many of them the evacuated endpoint got; each must succeed. */
 async function countEvacuated (t: tap.Test, entry: number): Promise<number> {
   const before = evacuated.servedRequestIds.length
-  for (let i = 0; i < requestCount; i++) t.equal((await fleet.call(entry, '/read/x')).status, 200)
+  const responses = await Promise.all(Array.from({ length: requestCount }, async () => await fleet.call(entry, '/read/x')))
+  for (const { status } of responses) t.equal(status, 200)
   return evacuated.servedRequestIds.length - before
 }
 
@@ -39,7 +42,10 @@
 }
 
 tap.t.before(async () => {
-  await Promise.all(endpoints.map(async (endpoint) => await endpoint.listen()))
+  await Promise.all(endpoints.map(async (endpoint) => {
+    endpoint.workMs = workMs
+    await endpoint.listen()
+  }))
   fleet.startAll()
   const config = deployedFleet.createConfig(5, [deployedFleet.createRoute('read', '/read/', 'diary')])
   await fleet.waitFor('the configuration to be accepted', settleTimeoutMs, async () => (await fleet.putConfig(4, config)).status === 200)
