--- a/packages/entry/src/test/callerFixture.ts
+++ b/packages/entry/src/test/callerFixture.ts
@@ -141,6 +141,8 @@
     const decisions = new decisionLog.NullDecisionLog()
     const random = { next: () => 0.5 }
     const notices = this.disposables.add(new endpointNotices.EndpointNotices({ onLeaving: () => {}, onLimit: () => {} }, this.endpoints, ownClock, decisions))
+    const limits = { ...defaultLimits, ...options.limits }
+    const unread = new unreadResponses.UnreadResponses(limits.stalledResponseMs, ownClock, (service) => this.lanes.dispatcherOf(service).waiting > 0)
     this.lanes = this.disposables.add(new laneRegistry.LaneRegistry(this.config, this.endpoints, {
       ownFailureDomain: 'a',
       liveEntries: () => 1,
@@ -152,9 +154,10 @@
       notices,
       permitSource: { request: () => {} },
       reachability: reachable,
-      startingUntil: 0
+      startingUntil: 0,
+      makeRoom: (service) => unread.makeRoom(service)
     }, ownClock))
-    this.listener = new callerListener.CallerListener(options.graceS ?? 1, { ...defaultLimits, ...options.limits }, this.config, {
+    this.listener = new callerListener.CallerListener(options.graceS ?? 1, limits, this.config, {
       lanes: this.lanes,
       connections,
       notices,
@@ -164,7 +167,7 @@
       claims: this.disposables.add(new idempotencyClaims.IdempotencyClaims(this.config, ownClock, decisions)),
       waitForSuspectWrites: async () => {},
       quotas: options.quotas ?? { admit: async () => quotaGate.noToken },
-      unreadResponses: new unreadResponses.UnreadResponses(defaultLimits.stalledResponseMs, ownClock, () => false),
+      unreadResponses: unread,
       decisions,
       metrics: this.metrics,
       bodyTransfers: new bodyTransfers.BodyTransfers(decisions, this.metrics, ownClock),
