Testbed: calls overlap in the test of cold endpoints

The cause is the one of the evacuation test: the share of an endpoint hung on chance. Each entry instance got 15 calls a second that were answered at once, so one at a time, and those may all go to the same endpoint, as an instance with few calls is meant to reuse connections.

Checks and bounds are the same.

--- a/packages/testbed/src/test/coldEndpoints.test.ts
+++ b/packages/testbed/src/test/coldEndpoints.test.ts
@@ -18,6 +18,9 @@
 /** Time until all instances know of the cold time after the first one does. */
 const spreadMs = 1000
 const msPerSecond = 1000
+/** Time until each response: three calls of an entry overlap, so that it uses all endpoints. One at a time may all go to the same endpoint. */
+const workMs = 200
+const slots = 12
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'rosemaryrack-cold-'))
 const { subnet } = await loopbackSubnet.reserve()
@@ -52,7 +55,11 @@
 }
 
 tap.t.before(async () => {
-  await Promise.all(endpoints.map(async (endpoint) => await endpoint.listen()))
+  await Promise.all(endpoints.map(async (endpoint) => {
+    endpoint.workMs = workMs
+    endpoint.slots = slots
+    await endpoint.listen()
+  }))
   fleet.startAll()
   const config = deployedFleet.createConfig(5, [deployedFleet.createRoute('read', '/read/', 'diary')]) as { readonly Services: readonly object[] }
   const limited = { ...config, Services: config.Services.map((service) => ({ ...service, ColdS: coldMs / msPerSecond, ColdPerS: coldPerSecond })) }
